--- /dev/null
+++ b/Makefile
@@ -0,0 +1,79 @@
+# galenagate: build, tests and demo.
+
+CC ?= gcc
+BUILD ?= build
+# Flags for one build variant, for example SAN="-fsanitize=address,undefined".
+SAN ?=
+CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -Isrc -I/usr/include/tirpc
+CFLAGS ?= -O2 -g
+CFLAGS += -std=gnu11 -Wall -Wextra -Werror -MMD -MP $(SAN)
+LDLIBS = -lh2o -lssl -lcrypto -luv -lcurl -ltirpc -ljansson -lxxhash \
+  -llog4c -lm -lpthread
+
+GENERATED = src/peer_xdr.c
+LIB_SRC = $(filter-out src/main.c,$(wildcard src/*.c))
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
+UNIT_SRC = $(wildcard tests/test_*.c) tests/suite.c
+E2E_SRC = $(wildcard tests/e2e_*.c) $(wildcard tests/cluster*.c) tests/suite.c
+STANDINS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/standin_*.c))
+BENCHES = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/bench_*.c))
+STANDIN_LIB = $(wildcard tests/standinlib*.c)
+PEER_CFLAGS = -Wno-unused-variable -Wno-unused-parameter
+
+.PHONY: all setup check unit e2e demo format lint clean
+all: $(BUILD)/galenagate $(STANDINS) $(BENCHES)
+
+setup:
+	@scripts/setup
+
+$(BUILD)/src/peer_xdr.o: CFLAGS += $(PEER_CFLAGS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -c $< -o $@
+
+# Objects, not an archive: plug-ins register themselves by constructors,
+# which a linker would leave out of an archive.
+$(BUILD)/galenagate: $(BUILD)/src/main.o $(LIB_OBJ)
+	$(CC) $(SAN) $^ -o $@ $(LDLIBS)
+
+$(BUILD)/unit: $(UNIT_SRC:%.c=$(BUILD)/%.o) $(LIB_OBJ)
+	$(CC) $(SAN) $^ -o $@ $(LDLIBS) -lcunit
+
+$(BUILD)/e2e: $(E2E_SRC:%.c=$(BUILD)/%.o) $(LIB_OBJ)
+	$(CC) $(SAN) $^ -o $@ $(LDLIBS) -lcunit
+
+$(BUILD)/standin_%: $(BUILD)/tests/standin_%.o $(STANDIN_LIB:%.c=$(BUILD)/%.o) $(LIB_OBJ)
+	$(CC) $(SAN) $^ -o $@ $(LDLIBS)
+
+$(BUILD)/bench_%: $(BUILD)/tests/bench_%.o $(LIB_OBJ)
+	$(CC) $(SAN) $^ -o $@ $(LDLIBS)
+
+.SECONDARY:
+
+unit: $(BUILD)/unit
+	$(BUILD)/unit
+
+e2e: all $(BUILD)/e2e
+	$(BUILD)/e2e
+
+check: setup
+	$(MAKE) all unit e2e
+
+demo: setup
+	$(MAKE) all
+	scripts/demo
+
+FORMATTED = $(filter-out src/peer.h src/peer_xdr.c,$(wildcard src/*.[ch] tests/*.[ch]))
+format:
+	clang-format -i $(FORMATTED)
+
+lint:
+	clang-format --dry-run --Werror $(FORMATTED)
+	printf '%s\n' $(filter-out src/peer_xdr.c,$(wildcard src/*.c tests/*.c)) | \
+	  xargs -P 8 -n 4 sh -c 'clang-tidy --quiet --warnings-as-errors="*" "$$@" -- $(CPPFLAGS) -std=gnu11' sh
+
+clean:
+	rm -rf $(BUILD)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/lists.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "str.h"
+
+/* The operators' two lists, parsed and checked. All strings belong to the
+   struct lists. The JSON format is described in docs/lists.md. */
+
+struct plan
+{
+  struct str name;
+  uint32_t requests_per_s; /* over all nodes; 0 means no limit */
+  uint32_t burst;
+  uint32_t in_flight; /* over all nodes; 0 means no limit */
+};
+
+struct customer
+{
+  struct str name;
+  struct str plan;
+  const struct str *key_hashes; /* lower-case hex SHA-256 of bearer keys */
+  size_t key_hash_count;
+};
+
+enum service_kind
+{
+  SERVICE_ENGINE,
+  SERVICE_PLAIN,
+};
+
+/* What the deployment weighs more. */
+enum preference
+{
+  PREFER_COLD_START,
+  PREFER_IDLE_HOURS,
+};
+
+struct service
+{
+  struct str name;
+  struct str region; /* empty means any */
+  enum service_kind kind;
+  bool fenced; /* engines refuse orders with an old fence */
+  enum preference preference;
+  uint32_t loads_per_s;
+  uint32_t loads_at_once;
+  /* Plain services: path prefixes whose POST calls may be repeated; calls
+     other than GET and HEAD may not be repeated otherwise. */
+  const struct str *idempotent_paths;
+  size_t idempotent_path_count;
+};
+
+struct class_spec
+{
+  struct str name;
+  int priority; /* higher is more urgent */
+  uint32_t deadline_ms;
+};
+
+struct adapter
+{
+  struct str name;
+  struct str version;
+  uint64_t bytes;
+};
+
+struct model
+{
+  struct str name;
+  struct str version;
+  struct str service;
+  uint64_t bytes;
+  uint32_t slots; /* requests that one replica runs at once */
+  uint32_t min_replicas;
+  uint32_t max_replicas;
+  uint32_t load_ms; /* expected time of a load from remote; 0 is unknown */
+  const struct adapter *adapters;
+  size_t adapter_count;
+};
+
+/* One line of the second list: what a plan may use, how urgently. Exactly one
+   of @model and @service is set. */
+struct use
+{
+  struct str plan;
+  struct str model;
+  struct str service;
+  const struct str *adapters; /* a single "*" allows all */
+  size_t adapter_count;
+  struct str class_name;
+};
+
+struct lists
+{
+  uint64_t revision;
+  const struct plan *plans;
+  size_t plan_count;
+  const struct customer *customers;
+  size_t customer_count;
+  const struct service *services;
+  size_t service_count;
+  const struct class_spec *classes;
+  size_t class_count;
+  const struct model *models;
+  size_t model_count;
+  const struct use *uses;
+  size_t use_count;
+  void *index; /* private to lists.c */
+};
+
+/** struct lists_error - where a list is wrong; each member is heap-owned. */
+struct lists_error
+{
+  struct str file;
+  struct str entry; /* for example "models[3] (tosca-lm)" */
+  struct str field;
+  struct str reason;
+};
+
+/**
+ * lists_parse() - parse and check both lists as a whole.
+ * @plans: JSON text of the list of plans and customers.
+ * @uses: JSON text of the list of what each plan may use.
+ *
+ * Returns 0 with *@out (free with lists_destroy()), or -EINVAL with *@error.
+ */
+int lists_parse (struct str plans, struct str uses, uint64_t revision,
+                 struct lists **out, struct lists_error *error);
+void lists_destroy (struct lists *lists);
+void lists_error_free (struct lists_error *error);
+
+const struct plan *lists_plan (const struct lists *l, struct str name);
+const struct service *lists_service (const struct lists *l, struct str name);
+const struct class_spec *lists_class (const struct lists *l, struct str name);
+/** lists_model() - by name; @version empty means the listed one. */
+const struct model *lists_model (const struct lists *l, struct str name,
+                                 struct str version);
+const struct adapter *lists_adapter (const struct model *m, struct str name);
+/** lists_customer() - by lower-case hex SHA-256 of the bearer key. */
+const struct customer *lists_customer (const struct lists *l,
+                                       struct str key_hash);
+const struct customer *lists_customer_named (const struct lists *l,
+                                             struct str name);
+/** lists_use_model() - the entry that allows a plan to use model and adapter.
+ */
+const struct use *lists_use_model (const struct lists *l, struct str plan,
+                                   struct str model, struct str adapter);
+const struct use *lists_use_service (const struct lists *l, struct str plan,
+                                     struct str service);
--- /dev/null
+++ b/src/log.c
@@ -0,0 +1,121 @@
+#include "log.h"
+
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include <log4c.h>
+
+#include "clock.h"
+
+#define LINE_MAX_BYTES 2048
+
+static log4c_category_t *category;
+static char node_name[80];
+
+static const int priorities[] = {
+  [LOG_LEVEL_DEBUG] = LOG4C_PRIORITY_DEBUG,
+  [LOG_LEVEL_INFO] = LOG4C_PRIORITY_INFO,
+  [LOG_LEVEL_WARN] = LOG4C_PRIORITY_WARN,
+  [LOG_LEVEL_ERROR] = LOG4C_PRIORITY_ERROR,
+};
+
+static const char *const level_names[] = {
+  [LOG_LEVEL_DEBUG] = "debug",
+  [LOG_LEVEL_INFO] = "info",
+  [LOG_LEVEL_WARN] = "warn",
+  [LOG_LEVEL_ERROR] = "error",
+};
+
+static const char *
+format_line (const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+  static char line[LINE_MAX_BYTES + 2];
+
+  (void)layout;
+  snprintf (line, sizeof line, "%s\n", event->evt_msg);
+  return line;
+}
+
+static const log4c_layout_type_t keyvalue_layout = {
+  .name = "keyvalue",
+  .format = format_line,
+};
+
+bool
+log_level_parse (struct str s, enum log_level *out)
+{
+  for (size_t i = 0; i < sizeof level_names / sizeof *level_names; i++)
+    if (str_eq (s, str_from (level_names[i])))
+      {
+        *out = (enum log_level)i;
+        return true;
+      }
+  return false;
+}
+
+int
+log_start (enum log_level level, const char *node)
+{
+  log4c_layout_type_set (&keyvalue_layout);
+  if (log4c_init () != 0)
+    return -EINVAL;
+
+  log4c_layout_t *layout = log4c_layout_get ("keyvalue");
+  log4c_layout_set_type (layout, &keyvalue_layout);
+  log4c_appender_t *appender = log4c_appender_get ("stderr");
+  log4c_appender_set_layout (appender, layout);
+  category = log4c_category_get ("root");
+  log4c_category_set_appender (category, appender);
+  log4c_category_set_priority (category, priorities[level]);
+  snprintf (node_name, sizeof node_name, "%s", node ? node : "-");
+  return 0;
+}
+
+void
+log_stop (void)
+{
+  if (category)
+    log4c_fini ();
+  category = NULL;
+}
+
+static size_t
+put_time (char *line, size_t size)
+{
+  const uint64_t ms = clock_wall_ms ();
+  const time_t s = (time_t)(ms / 1000);
+  struct tm tm;
+
+  gmtime_r (&s, &tm);
+  const size_t n = strftime (line, size, "time=%Y-%m-%dT%H:%M:%S", &tm);
+  return n
+         + (size_t)snprintf (line + n, size - n, ".%03uZ",
+                             (unsigned)(ms % 1000));
+}
+
+void
+log_line (enum log_level level, const char *module, const char *event,
+          const char *fmt, ...)
+{
+  if (!category
+      || !log4c_category_is_priority_enabled (category, priorities[level]))
+    return;
+
+  char line[LINE_MAX_BYTES];
+  size_t n = put_time (line, sizeof line);
+  n += (size_t)snprintf (line + n, sizeof line - n,
+                         " level=%s node=%s module=%s event=%s ",
+                         level_names[level], node_name, module, event);
+  va_list ap;
+  va_start (ap, fmt);
+  vsnprintf (line + n, sizeof line - n, fmt, ap);
+  va_end (ap);
+  /* A value taken from a caller must not be able to start a new line. */
+  for (char *p = line + n; *p; p++)
+    if (*p == '\n' || *p == '\r')
+      *p = ' ';
+  log4c_category_log (category, priorities[level], "%s", line);
+}
--- /dev/null
+++ b/src/member.c
@@ -0,0 +1,88 @@
+#include "member.h"
+
+#include <stdlib.h>
+
+bool
+member_live (const struct member_info *m)
+{
+  return m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT;
+}
+
+const struct member_info *
+member_find (const struct member_view *view, struct str addr)
+{
+  size_t lo = 0;
+  size_t hi = view ? view->count : 0;
+
+  while (lo < hi)
+    {
+      const size_t mid = lo + (hi - lo) / 2;
+      const int c = str_cmp (view->members[mid].addr, addr);
+
+      if (c == 0)
+        return &view->members[mid];
+      if (c < 0)
+        lo = mid + 1;
+      else
+        hi = mid;
+    }
+  return NULL;
+}
+
+struct candidate
+{
+  uint64_t score;
+  const struct member_info *member;
+};
+
+/* Is a before b in the order; the address decides between equal scores. */
+static bool
+ahead (struct candidate a, struct candidate b)
+{
+  if (a.score != b.score)
+    return a.score > b.score;
+  return str_cmp (a.member->addr, b.member->addr) < 0;
+}
+
+/* First candidate that comes after `bound`; all candidates if it is empty. */
+static struct candidate
+next_after (const struct member_view *view, struct str region, uint64_t seed,
+            struct candidate bound)
+{
+  struct candidate best = { 0 };
+
+  for (size_t i = 0; i < view->count; i++)
+    {
+      const struct member_info *m = &view->members[i];
+      const struct candidate c
+          = { .score = str_hash (m->addr, seed), .member = m };
+
+      if (!member_live (m))
+        continue;
+      if (region.len > 0 && !str_eq (region, m->region))
+        continue;
+      if (bound.member && !ahead (bound, c))
+        continue;
+      if (!best.member || ahead (c, best))
+        best = c;
+    }
+  return best;
+}
+
+const struct member_info *
+member_rank (const struct member_view *view, struct str region, struct str key,
+             size_t place)
+{
+  const uint64_t seed = str_hash (key, 0);
+  struct candidate c = { 0 };
+
+  if (!view)
+    return NULL;
+  for (size_t i = 0; i <= place; i++)
+    {
+      c = next_after (view, region, seed, c);
+      if (!c.member)
+        return NULL;
+    }
+  return c.member;
+}
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,192 @@
+#include "settings.h"
+
+#include <argp.h>
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "err.h"
+
+#define SETTINGS_MAX 32
+#define KEY_FIRST 0x100
+#define VARIABLE_MAX 64
+
+struct parse
+{
+  const struct setting *settings;
+  size_t count;
+  const char *values[SETTINGS_MAX];
+  int rest;
+};
+
+static void
+variable_name (const struct setting *s, char out[VARIABLE_MAX])
+{
+  snprintf (out, VARIABLE_MAX, "GALENAGATE_%s", s->name);
+  for (char *p = out; *p; p++)
+    *p = *p == '-' ? '_' : (char)toupper ((unsigned char)*p);
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct parse *p = state->input;
+
+  if (key >= KEY_FIRST && key < KEY_FIRST + (int)p->count)
+    {
+      p->values[key - KEY_FIRST] = arg;
+      return 0;
+    }
+  if (key == ARGP_KEY_ARGS)
+    {
+      p->rest = state->next;
+      return 0;
+    }
+  if (key == ARGP_KEY_NO_ARGS)
+    {
+      p->rest = state->argc;
+      return 0;
+    }
+  return ARGP_ERR_UNKNOWN;
+}
+
+static bool
+address_ok (const char *text)
+{
+  char host[64];
+  struct in6_addr unused;
+  uint64_t port;
+  const char *colon = strrchr (text, ':');
+
+  if (!colon || (size_t)(colon - text) >= sizeof host)
+    return false;
+  snprintf (host, sizeof host, "%.*s", (int)(colon - text), text);
+  return inet_pton (AF_INET, host, &unused) == 1
+         && str_u64 (str_from (colon + 1), &port) && port <= 65535;
+}
+
+static int
+complain (const struct setting *s, const char *value, const char *allowed)
+{
+  fprintf (stderr, "galenagate: --%s: '%s' is not valid; allowed: %s\n",
+           s->name, value, allowed);
+  return -EINVAL;
+}
+
+static int
+store_string (const struct setting *s, const char *value, void *out)
+{
+  static const char http[] = "http://";
+
+  if (s->type == SETTING_ADDRESS && !address_ok (value))
+    return complain (s, value,
+                     "IPv4 address and port, for example "
+                     "127.0.0.1:7100");
+  if (s->type == SETTING_URL
+      && (strncmp (value, http, sizeof http - 1) != 0
+          || !address_ok (value + sizeof http - 1)))
+    return complain (s, value, "http://IP:PORT without a path");
+  *(struct str *)out = str_dup (str_from (value));
+  return 0;
+}
+
+static int
+store_number (const struct setting *s, const char *value, void *out)
+{
+  uint64_t n;
+  char allowed[64];
+
+  if (str_u64 (str_from (value), &n) && n >= s->min && n <= s->max)
+    {
+      *(uint32_t *)out = (uint32_t)n;
+      return 0;
+    }
+  snprintf (allowed, sizeof allowed, "a number from %u to %u", s->min, s->max);
+  return complain (s, value, allowed);
+}
+
+static int
+store_value (const struct setting *s, const char *value, void *out)
+{
+  switch (s->type)
+    {
+    case SETTING_U32:
+      return store_number (s, value, out);
+    case SETTING_LOG_LEVEL:
+      if (log_level_parse (str_from (value), out))
+        return 0;
+      return complain (s, value, "debug, info, warn, error");
+    case SETTING_STRING:
+    case SETTING_ADDRESS:
+    case SETTING_URL:
+      break;
+    }
+  return store_string (s, value, out);
+}
+
+static int
+resolve (const struct parse *p, size_t i, void *out)
+{
+  const struct setting *s = &p->settings[i];
+  char variable[VARIABLE_MAX];
+
+  variable_name (s, variable);
+  const char *value = p->values[i];
+  if (!value)
+    value = getenv (variable);
+  if (!value)
+    value = s->fallback;
+  if (!value)
+    {
+      fprintf (stderr, "galenagate: --%s (or %s) is required: %s\n", s->name,
+               variable, s->help);
+      return -EINVAL;
+    }
+  return store_value (s, value, (char *)out + s->offset);
+}
+
+int
+settings_parse (int argc, char **argv, const char *summary,
+                const char *args_doc, const struct setting *settings,
+                size_t count, void *out, int *rest)
+{
+  struct argp_option options[SETTINGS_MAX + 1] = { 0 };
+  struct parse p = { .settings = settings, .count = count, .rest = argc };
+
+  if (count > SETTINGS_MAX)
+    abort ();
+  for (size_t i = 0; i < count; i++)
+    options[i] = (struct argp_option){ .name = settings[i].name,
+                                       .key = KEY_FIRST + (int)i,
+                                       .arg = settings[i].arg,
+                                       .doc = settings[i].help };
+  const struct argp argp = { .options = options,
+                             .parser = parse_option,
+                             .args_doc = args_doc,
+                             .doc = summary };
+  argp_err_exit_status = 2;
+  if (argp_parse (&argp, argc, argv, 0, NULL, &p) != 0)
+    return -EINVAL;
+  for (size_t i = 0; i < count; i++)
+    {
+      const int rc = resolve (&p, i, out);
+      if (rc != 0)
+        return rc;
+    }
+  if (rest)
+    *rest = p.rest;
+  return 0;
+}
+
+void
+settings_free (const struct setting *settings, size_t count, void *out)
+{
+  for (size_t i = 0; i < count; i++)
+    if (settings[i].type == SETTING_STRING
+        || settings[i].type == SETTING_ADDRESS
+        || settings[i].type == SETTING_URL)
+      str_free ((struct str *)((char *)out + settings[i].offset));
+}
--- /dev/null
+++ b/src/str.c
@@ -0,0 +1,150 @@
+#include "str.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "err.h"
+
+struct str
+str_from (const char *s)
+{
+  return (struct str){ .data = s ? s : "", .len = s ? strlen (s) : 0 };
+}
+
+bool
+str_eq (struct str a, struct str b)
+{
+  return a.len == b.len && (a.len == 0 || memcmp (a.data, b.data, a.len) == 0);
+}
+
+int
+str_cmp (struct str a, struct str b)
+{
+  const size_t n = a.len < b.len ? a.len : b.len;
+  const int c = n > 0 ? memcmp (a.data, b.data, n) : 0;
+
+  if (c != 0)
+    return c;
+  return (a.len > b.len) - (a.len < b.len);
+}
+
+bool
+str_starts (struct str s, struct str prefix)
+{
+  return s.len >= prefix.len
+         && (prefix.len == 0 || memcmp (s.data, prefix.data, prefix.len) == 0);
+}
+
+struct str
+str_dup (struct str s)
+{
+  char *data = xmalloc (s.len + 1);
+
+  if (s.len > 0)
+    memcpy (data, s.data, s.len);
+  data[s.len] = '\0';
+  return (struct str){ .data = data, .len = s.len };
+}
+
+void
+str_free (struct str *s)
+{
+  free ((char *)s->data);
+  *s = (struct str){ 0 };
+}
+
+static struct str
+str_vprintf (const char *fmt, va_list ap)
+{
+  char *data = NULL;
+  const int n = vasprintf (&data, fmt, ap);
+
+  if (n < 0)
+    abort ();
+  return (struct str){ .data = data, .len = (size_t)n };
+}
+
+struct str
+str_printf (const char *fmt, ...)
+{
+  va_list ap;
+  va_start (ap, fmt);
+  const struct str s = str_vprintf (fmt, ap);
+  va_end (ap);
+  return s;
+}
+
+bool
+str_u64 (struct str s, uint64_t *out)
+{
+  uint64_t v = 0;
+
+  if (s.len == 0)
+    return false;
+  for (size_t i = 0; i < s.len; i++)
+    {
+      if (s.data[i] < '0' || s.data[i] > '9')
+        return false;
+      if (__builtin_mul_overflow (v, 10, &v)
+          || __builtin_add_overflow (v, (uint64_t)(s.data[i] - '0'), &v))
+        return false;
+    }
+  *out = v;
+  return true;
+}
+
+uint64_t
+str_hash (struct str s, uint64_t seed)
+{
+  return XXH64 (s.len > 0 ? s.data : "", s.len, seed);
+}
+
+void
+buf_append (struct buf *b, struct str s)
+{
+  if (b->len + s.len + 1 > b->cap)
+    {
+      b->cap = (b->len + s.len + 1) * 2;
+      b->data = xrealloc (b->data, b->cap);
+    }
+  if (s.len > 0)
+    memcpy (b->data + b->len, s.data, s.len);
+  b->len += s.len;
+  b->data[b->len] = '\0';
+}
+
+void
+buf_printf (struct buf *b, const char *fmt, ...)
+{
+  va_list ap;
+  va_start (ap, fmt);
+  struct str s = str_vprintf (fmt, ap);
+  va_end (ap);
+  buf_append (b, s);
+  str_free (&s);
+}
+
+struct str
+buf_str (const struct buf *b)
+{
+  return (struct str){ .data = b->data ? b->data : "", .len = b->len };
+}
+
+void
+buf_reset (struct buf *b)
+{
+  b->len = 0;
+  if (b->data)
+    b->data[0] = '\0';
+}
+
+void
+buf_free (struct buf *b)
+{
+  free (b->data);
+  *b = (struct buf){ 0 };
+}
--- /dev/null
+++ b/src/str.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** struct str - length-counted string; data need not end in a null byte. */
+struct str
+{
+  const char *data;
+  size_t len;
+};
+
+#define STR(lit) ((struct str){ .data = (lit), .len = sizeof (lit) - 1 })
+#define STR_ARG(s) (int)(s).len, (s).data
+#define STR_FMT "%.*s"
+/* Views an XDR opaque<> member of peer.h, for example STR_TEXT (args->model).
+ */
+#define STR_TEXT(t) ((struct str){ .data = (t).text_val, .len = (t).text_len })
+#define STR_BLOB(b) ((struct str){ .data = (b).blob_val, .len = (b).blob_len })
+/* Borrows a str as an XDR text; the callee must not free it. */
+#define TEXT_STR(s)                                                           \
+  ((text){ .text_len = (u_int)(s).len, .text_val = (char *)(s).data })
+#define BLOB_STR(s)                                                           \
+  ((blob){ .blob_len = (u_int)(s).len, .blob_val = (char *)(s).data })
+
+/** str_from() - view a null-terminated string (NULL gives the empty string).
+ */
+struct str str_from (const char *s);
+bool str_eq (struct str a, struct str b);
+int str_cmp (struct str a, struct str b);
+bool str_starts (struct str s, struct str prefix);
+/** str_dup() - heap copy; data is also null-terminated. Free with str_free().
+ */
+struct str str_dup (struct str s);
+void str_free (struct str *s);
+/** str_printf() - formatted heap string, null-terminated. */
+struct str str_printf (const char *fmt, ...)
+    __attribute__ ((format (printf, 1, 2)));
+/** str_u64() - parse a decimal number that spans the whole string. */
+bool str_u64 (struct str s, uint64_t *out);
+/** str_hash() - 64-bit xxhash. */
+uint64_t str_hash (struct str s, uint64_t seed);
+
+/** struct buf - growable byte buffer. Zero-initialise; free with buf_free().
+ */
+struct buf
+{
+  char *data;
+  size_t len;
+  size_t cap;
+};
+
+void buf_append (struct buf *b, struct str s);
+void buf_printf (struct buf *b, const char *fmt, ...)
+    __attribute__ ((format (printf, 2, 3)));
+struct str buf_str (const struct buf *b);
+void buf_reset (struct buf *b);
+void buf_free (struct buf *b);
--- /dev/null
+++ b/tests/suite.c
@@ -0,0 +1,53 @@
+#include "suite.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <CUnit/Basic.h>
+
+#include "log.h"
+
+#define SUITES_MAX 64
+
+static struct
+{
+  const char *name;
+  const struct suite_case *cases;
+  size_t n;
+} suites[SUITES_MAX];
+static size_t suite_count;
+
+void
+suite_register (const char *name, const struct suite_case *cases, size_t n)
+{
+  if (suite_count == SUITES_MAX)
+    return;
+  suites[suite_count].name = name;
+  suites[suite_count].cases = cases;
+  suites[suite_count].n = n;
+  suite_count++;
+}
+
+/* Usage: PROGRAM [SUITE]; runs one suite or all. */
+int
+main (int argc, char **argv)
+{
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  log_start (LOG_LEVEL_ERROR, "test");
+  if (CU_initialize_registry () != CUE_SUCCESS)
+    return 1;
+  for (size_t i = 0; i < suite_count; i++)
+    {
+      if (argc > 1 && strcmp (argv[1], suites[i].name) != 0)
+        continue;
+      CU_pSuite suite = CU_add_suite (suites[i].name, NULL, NULL);
+      for (size_t j = 0; j < suites[i].n; j++)
+        CU_add_test (suite, suites[i].cases[j].name, suites[i].cases[j].run);
+    }
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  const unsigned failed = CU_get_number_of_failures ();
+  const unsigned ran = CU_get_number_of_tests_run ();
+  CU_cleanup_registry ();
+  return failed > 0 || ran == 0;
+}
