--- /dev/null
+++ b/src/http.c
@@ -0,0 +1,595 @@
+#include "http.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include "clock.h"
+#include "log.h"
+
+#define LOG_MODULE "http"
+#define CONNECT_DEFAULT_MS 500
+#define CONNECTION_AGE_LIMIT_S 300
+/* Unacknowledged bytes end a connection after this time, so that one that
+   went silent does not take new calls. */
+#define USER_TIMEOUT_MS 5000
+#define CONNECTIONS_KEPT 512
+
+struct http_call
+{
+  struct http *http;
+  CURL *easy;
+  struct curl_slist *headers;
+  uv_timer_t timer;
+  const struct http_events *events;
+  void *ctx;
+  struct str peer;
+  struct str body; /* of the request */
+  struct buf collected;
+  char error_text[CURL_ERROR_SIZE];
+  uint64_t begun_ms;
+  uint64_t received_ms;
+  uint32_t silence_ms;
+  uint32_t total_ms;
+  bool head_done;
+  bool added;
+  bool cancelled;
+  struct http_call *prev;
+  struct http_call *next;
+};
+
+struct http
+{
+  struct plugin plugin;
+  uv_loop_t *loop;
+  uv_timer_t timer;
+  uv_timer_t deferred; /* adds and removes calls outside libcurl callbacks */
+  CURLM *multi;
+  struct http_call *calls;
+  bool in_curl;
+  bool closing;
+};
+
+struct socket_watch
+{
+  uv_poll_t poll;
+  struct http *http;
+  curl_socket_t fd;
+};
+
+static const struct
+{
+  CURLcode curl;
+  int err;
+} error_codes[] = {
+  { CURLE_OK, 0 },
+  { CURLE_COULDNT_CONNECT, -ECONNREFUSED },
+  { CURLE_OPERATION_TIMEDOUT, -ETIMEDOUT },
+  { CURLE_PARTIAL_FILE, -EPIPE },
+  { CURLE_RECV_ERROR, -EPIPE },
+  { CURLE_SEND_ERROR, -EPIPE },
+  { CURLE_GOT_NOTHING, -EPIPE },
+};
+
+static int
+error_code (CURLcode code)
+{
+  for (size_t i = 0; i < sizeof error_codes / sizeof *error_codes; i++)
+    if (error_codes[i].curl == code)
+      return error_codes[i].err;
+  return -EIO;
+}
+
+/* ---- life of a call ---- */
+
+static void
+free_call (uv_handle_t *handle)
+{
+  free (handle->data);
+}
+
+static void
+unlink_call (struct http_call *c)
+{
+  if (c->prev)
+    c->prev->next = c->next;
+  else
+    c->http->calls = c->next;
+  if (c->next)
+    c->next->prev = c->prev;
+}
+
+static void
+release_call (struct http_call *c)
+{
+  if (c->added)
+    curl_multi_remove_handle (c->http->multi, c->easy);
+  curl_easy_cleanup (c->easy);
+  curl_slist_free_all (c->headers);
+  unlink_call (c);
+  str_free (&c->peer);
+  str_free (&c->body);
+  buf_free (&c->collected);
+  uv_close ((uv_handle_t *)&c->timer, free_call);
+}
+
+static const char *
+step_of (const struct http_call *c, bool sent)
+{
+  if (c->head_done)
+    return "response-body";
+  return sent ? "response-head" : "connect";
+}
+
+static int
+status_of (const struct http_call *c)
+{
+  long status = 0;
+
+  curl_easy_getinfo (c->easy, CURLINFO_RESPONSE_CODE, &status);
+  return (int)status;
+}
+
+static bool
+request_sent (const struct http_call *c)
+{
+  long bytes = 0;
+
+  curl_easy_getinfo (c->easy, CURLINFO_REQUEST_SIZE, &bytes);
+  return bytes > 0;
+}
+
+/* Reports the end and frees the call. */
+static void
+finish (struct http_call *c, int code)
+{
+  const bool sent = request_sent (c);
+  const struct err err = err_make (code, step_of (c, sent), c->peer);
+  const int status = status_of (c);
+  struct buf body = c->collected;
+
+  c->collected = (struct buf){ 0 };
+  if (code != 0)
+    LOG_DBG ("call-failed", LOG_E_FMT " status=%d detail=\"%s\"",
+             LOG_E_ARG (err), status, c->error_text);
+  void (*done) (void *, struct http_call *, struct err, int, bool, struct str)
+      = c->events->done;
+  if (!c->cancelled && done)
+    done (c->ctx, c, err, status, sent, buf_str (&body));
+  buf_free (&body);
+  release_call (c);
+}
+
+static void
+on_call_timer (uv_timer_t *timer)
+{
+  struct http_call *c = timer->data;
+
+  finish (c, c->cancelled ? 0 : -ETIMEDOUT);
+}
+
+/* Starts the timer for whichever bound comes first. */
+static void
+on_bound (uv_timer_t *timer)
+{
+  struct http_call *c = timer->data;
+  const uint64_t now_ms = clock_ms ();
+  uint64_t end_ms = UINT64_MAX;
+
+  if (c->total_ms > 0)
+    end_ms = c->begun_ms + c->total_ms;
+  if (c->silence_ms > 0 && c->received_ms + c->silence_ms < end_ms)
+    end_ms = c->received_ms + c->silence_ms;
+  if (end_ms == UINT64_MAX)
+    return;
+  if (end_ms <= now_ms)
+    on_call_timer (timer);
+  else
+    uv_timer_start (timer, on_bound, end_ms - now_ms, 0);
+}
+
+/* ---- libcurl callbacks ---- */
+
+static size_t
+on_header (char *data, size_t size, size_t n, void *ctx)
+{
+  struct http_call *c = ctx;
+  const size_t len = size * n;
+
+  c->received_ms = clock_ms ();
+  if (c->cancelled)
+    return 0;
+  /* An empty line ends the head; interim 1xx heads are skipped. */
+  if (len <= 2 && (data[0] == '\r' || data[0] == '\n') && status_of (c) >= 200)
+    {
+      c->head_done = true;
+      if (c->events->head)
+        c->events->head (c->ctx, c, status_of (c));
+    }
+  return c->cancelled ? 0 : len;
+}
+
+static size_t
+on_data (char *data, size_t size, size_t n, void *ctx)
+{
+  struct http_call *c = ctx;
+  const struct str part = { data, size * n };
+
+  c->received_ms = clock_ms ();
+  if (c->cancelled)
+    return 0;
+  if (c->events->data)
+    c->events->data (c->ctx, c, part);
+  else
+    buf_append (&c->collected, part);
+  return c->cancelled ? 0 : part.len;
+}
+
+static int
+on_socket_created (void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+  const unsigned user_timeout_ms = USER_TIMEOUT_MS;
+
+  (void)ctx;
+  (void)purpose;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+              sizeof user_timeout_ms);
+  return CURL_SOCKOPT_OK;
+}
+
+/* Does the answer's head say where its body ends? One that is ended by the
+   close of the connection cannot be told from one that was cut. */
+static bool
+framed (const struct http_call *c)
+{
+  const int status = status_of (c);
+
+  return status == 204 || status == 304
+         || http_header (c, "Content-Length").len > 0
+         || http_header (c, "Transfer-Encoding").len > 0;
+}
+
+static void
+collect_finished (struct http *h)
+{
+  CURLMsg *msg;
+  int left;
+
+  while ((msg = curl_multi_info_read (h->multi, &left)))
+    {
+      struct http_call *c;
+      int code;
+
+      if (msg->msg != CURLMSG_DONE)
+        continue;
+      code = error_code (msg->data.result);
+      curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, &c);
+      if (code == 0 && !framed (c))
+        code = -EPIPE;
+      finish (c, code);
+    }
+}
+
+static void
+run_curl (struct http *h, curl_socket_t fd, int flags)
+{
+  int running;
+
+  h->in_curl = true;
+  curl_multi_socket_action (h->multi, fd, flags, &running);
+  h->in_curl = false;
+  collect_finished (h);
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  run_curl (timer->data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int
+on_timer_wanted (CURLM *multi, long timeout_ms, void *ctx)
+{
+  struct http *h = ctx;
+
+  (void)multi;
+  if (h->closing)
+    return 0;
+  if (timeout_ms < 0)
+    uv_timer_stop (&h->timer);
+  else
+    uv_timer_start (&h->timer, on_timer, (uint64_t)timeout_ms, 0);
+  return 0;
+}
+
+static void
+on_poll (uv_poll_t *poll, int status, int events)
+{
+  struct socket_watch *w = poll->data;
+  int flags = 0;
+
+  if (status < 0)
+    flags = CURL_CSELECT_ERR;
+  if (events & UV_READABLE)
+    flags |= CURL_CSELECT_IN;
+  if (events & UV_WRITABLE)
+    flags |= CURL_CSELECT_OUT;
+  run_curl (w->http, w->fd, flags);
+}
+
+static void
+free_watch (uv_handle_t *handle)
+{
+  free (handle->data);
+}
+
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *ctx, void *watch_ctx)
+{
+  struct http *h = ctx;
+  struct socket_watch *w = watch_ctx;
+  int events = 0;
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      curl_multi_assign (h->multi, fd, NULL);
+      if (w)
+        uv_close ((uv_handle_t *)&w->poll, free_watch);
+      return 0;
+    }
+  if (!w)
+    {
+      w = xcalloc (1, sizeof *w);
+      w->http = h;
+      w->fd = fd;
+      uv_poll_init_socket (h->loop, &w->poll, fd);
+      w->poll.data = w;
+      curl_multi_assign (h->multi, fd, w);
+    }
+  if (what != CURL_POLL_OUT)
+    events |= UV_READABLE;
+  if (what != CURL_POLL_IN)
+    events |= UV_WRITABLE;
+  uv_poll_start (&w->poll, events, on_poll);
+  return 0;
+}
+
+/* ---- sending ---- */
+
+static void
+add_call (struct http_call *c)
+{
+  if (c->added)
+    return;
+  c->added = true;
+  curl_multi_add_handle (c->http->multi, c->easy);
+}
+
+static void
+on_deferred (uv_timer_t *timer)
+{
+  struct http *h = timer->data;
+
+  for (struct http_call *c = h->calls; c; c = c->next)
+    add_call (c);
+}
+
+static void
+set_method (struct http_call *c, const struct http_request *req)
+{
+  struct str method = str_dup (req->method);
+
+  curl_easy_setopt (c->easy, CURLOPT_CUSTOMREQUEST, method.data);
+  if (str_eq (req->method, STR ("HEAD")))
+    curl_easy_setopt (c->easy, CURLOPT_NOBODY, 1L);
+  else if (req->body.len > 0 || str_eq (req->method, STR ("POST"))
+           || str_eq (req->method, STR ("PUT")))
+    {
+      c->body = str_dup (req->body);
+      curl_easy_setopt (c->easy, CURLOPT_POST, 1L);
+      curl_easy_setopt (c->easy, CURLOPT_POSTFIELDS, c->body.data);
+      curl_easy_setopt (c->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)c->body.len);
+      curl_easy_setopt (c->easy, CURLOPT_CUSTOMREQUEST, method.data);
+    }
+  str_free (&method);
+}
+
+static void
+set_headers (struct http_call *c, const struct http_request *req)
+{
+  /* Without this libcurl waits for "100 Continue" before a larger body. */
+  c->headers = curl_slist_append (NULL, "Expect:");
+  c->headers = curl_slist_append (c->headers, "Accept:");
+  for (size_t i = 0; i < req->header_count; i++)
+    {
+      struct str line = str_dup (req->headers[i]);
+
+      c->headers = curl_slist_append (c->headers, line.data);
+      str_free (&line);
+    }
+  curl_easy_setopt (c->easy, CURLOPT_HTTPHEADER, c->headers);
+}
+
+static void
+set_options (struct http_call *c, const struct http_request *req)
+{
+  CURL *e = c->easy;
+  const uint32_t connect_ms
+      = req->connect_ms > 0 ? req->connect_ms : CONNECT_DEFAULT_MS;
+
+  curl_easy_setopt (e, CURLOPT_PRIVATE, c);
+  curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (e, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (e, CURLOPT_ERRORBUFFER, c->error_text);
+  curl_easy_setopt (e, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (e, CURLOPT_HEADERDATA, c);
+  curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_data);
+  curl_easy_setopt (e, CURLOPT_WRITEDATA, c);
+  curl_easy_setopt (e, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
+  curl_easy_setopt (e, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
+  curl_easy_setopt (e, CURLOPT_MAXLIFETIME_CONN, (long)CONNECTION_AGE_LIMIT_S);
+  if (req->fresh)
+    {
+      curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (e, CURLOPT_FORBID_REUSE, 1L);
+    }
+}
+
+/* "ip:port" of a URL. */
+static struct str
+url_peer (struct str url)
+{
+  static const struct str scheme = { "http://", 7 };
+  struct str s = url;
+  size_t n = 0;
+
+  if (str_starts (s, scheme))
+    s = (struct str){ s.data + scheme.len, s.len - scheme.len };
+  while (n < s.len && s.data[n] != '/')
+    n++;
+  return (struct str){ s.data, n };
+}
+
+struct http_call *
+http_send (struct http *h, const struct http_request *req,
+           const struct http_events *events, void *ctx)
+{
+  struct http_call *c = xcalloc (1, sizeof *c);
+  struct str url = str_dup (req->url);
+
+  c->http = h;
+  c->events = events;
+  c->ctx = ctx;
+  c->easy = curl_easy_init ();
+  c->peer = str_dup (url_peer (req->url));
+  c->begun_ms = clock_ms ();
+  c->received_ms = c->begun_ms;
+  c->silence_ms = req->silence_ms;
+  c->total_ms = req->total_ms;
+  uv_timer_init (h->loop, &c->timer);
+  c->timer.data = c;
+  c->next = h->calls;
+  if (h->calls)
+    h->calls->prev = c;
+  h->calls = c;
+
+  curl_easy_setopt (c->easy, CURLOPT_URL, url.data);
+  str_free (&url);
+  set_options (c, req);
+  set_method (c, req);
+  set_headers (c, req);
+  on_bound (&c->timer);
+  if (h->in_curl)
+    uv_timer_start (&h->deferred, on_deferred, 0, 0);
+  else
+    add_call (c);
+  return c;
+}
+
+void
+http_cancel (struct http_call *c)
+{
+  c->cancelled = true;
+  if (c->http->in_curl)
+    /* libcurl allows no removal in its callbacks. */
+    uv_timer_start (&c->timer, on_call_timer, 0, 0);
+  else
+    release_call (c);
+}
+
+struct str
+http_header (const struct http_call *c, const char *name)
+{
+  struct curl_header *header;
+
+  if (curl_easy_header (c->easy, name, 0, CURLH_HEADER, -1, &header)
+      != CURLHE_OK)
+    return (struct str){ 0 };
+  return str_from (header->value);
+}
+
+/* ---- client ---- */
+
+struct http *
+http_create (uv_loop_t *loop)
+{
+  struct http *h = xcalloc (1, sizeof *h);
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  h->loop = loop;
+  h->multi = curl_multi_init ();
+  curl_multi_setopt (h->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (h->multi, CURLMOPT_SOCKETDATA, h);
+  curl_multi_setopt (h->multi, CURLMOPT_TIMERFUNCTION, on_timer_wanted);
+  curl_multi_setopt (h->multi, CURLMOPT_TIMERDATA, h);
+  curl_multi_setopt (h->multi, CURLMOPT_MAXCONNECTS, (long)CONNECTIONS_KEPT);
+  uv_timer_init (loop, &h->timer);
+  uv_timer_init (loop, &h->deferred);
+  h->timer.data = h;
+  h->deferred.data = h;
+  return h;
+}
+
+void
+http_close (struct http *h)
+{
+  h->closing = true;
+  while (h->calls)
+    release_call (h->calls);
+  curl_multi_cleanup (h->multi);
+  h->multi = NULL;
+  uv_close ((uv_handle_t *)&h->timer, NULL);
+  uv_close ((uv_handle_t *)&h->deferred, NULL);
+}
+
+void
+http_destroy (struct http *h)
+{
+  free (h);
+}
+
+struct http *
+http_get (struct kernel *kernel)
+{
+  return (struct http *)kernel_find (kernel, "http");
+}
+
+static const struct plugin_ops ops;
+
+static struct plugin *
+create (struct kernel *kernel)
+{
+  struct http *h = http_create (kernel_loop (kernel));
+
+  h->plugin.ops = &ops;
+  return &h->plugin;
+}
+
+static void
+stop (struct plugin *plugin)
+{
+  http_close ((struct http *)plugin);
+}
+
+static void
+destroy (struct plugin *plugin)
+{
+  http_destroy ((struct http *)plugin);
+}
+
+static const struct plugin_ops ops = {
+  .name = "http",
+  .rank = RANK_HTTP,
+  .create = create,
+  .stop = stop,
+  .destroy = destroy,
+};
+KERNEL_PLUGIN (ops)
--- a/src/log.c
+++ b/src/log.c
@@ -44,6 +44,19 @@
   .format = format_line,
 };
 
+static int
+append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  (void)appender;
+  return fputs (event->evt_rendered_msg, stderr);
+}
+
+/* The built-in stream appender puts its own name before each line. */
+static const log4c_appender_type_t plain_appender = {
+  .name = "plain",
+  .append = append_line,
+};
+
 bool
 log_level_parse (struct str s, enum log_level *out)
 {
@@ -60,12 +73,14 @@
 log_start (enum log_level level, const char *node)
 {
   log4c_layout_type_set (&keyvalue_layout);
+  log4c_appender_type_set (&plain_appender);
   if (log4c_init () != 0)
     return -EINVAL;
 
   log4c_layout_t *layout = log4c_layout_get ("keyvalue");
   log4c_layout_set_type (layout, &keyvalue_layout);
-  log4c_appender_t *appender = log4c_appender_get ("stderr");
+  log4c_appender_t *appender = log4c_appender_get ("plain");
+  log4c_appender_set_type (appender, &plain_appender);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get ("root");
   log4c_category_set_appender (category, appender);
--- a/src/settings.c
+++ b/src/settings.c
@@ -1,7 +1,6 @@
 #include "settings.h"
 
 #include <argp.h>
-#include <arpa/inet.h>
 #include <ctype.h>
 #include <errno.h>
 #include <stdio.h>
@@ -9,6 +8,7 @@
 #include <string.h>
 
 #include "err.h"
+#include "netaddr.h"
 
 #define SETTINGS_MAX 32
 #define KEY_FIRST 0x100
@@ -56,16 +56,9 @@
 static bool
 address_ok (const char *text)
 {
-  char host[64];
-  struct in6_addr unused;
-  uint64_t port;
-  const char *colon = strrchr (text, ':');
-
-  if (!colon || (size_t)(colon - text) >= sizeof host)
-    return false;
-  snprintf (host, sizeof host, "%.*s", (int)(colon - text), text);
-  return inet_pton (AF_INET, host, &unused) == 1
-         && str_u64 (str_from (colon + 1), &port) && port <= 65535;
+  struct sockaddr_in unused;
+
+  return netaddr_parse (str_from (text), &unused);
 }
 
 static int
--- /dev/null
+++ b/tests/test_rpcmsg.c
@@ -0,0 +1,117 @@
+#include "rpcmsg.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "suite.h"
+
+static struct str
+unmarked (struct str record)
+{
+  return (struct str){ record.data + RPCMSG_MARK_BYTES,
+                       record.len - RPCMSG_MARK_BYTES };
+}
+
+/* Guards against arguments that change on the way. */
+static void
+test_call (void)
+{
+  const struct lookup_args args
+      = { .customer = TEXT_STR (STR ("opera")), .key = TEXT_STR (STR ("k")) };
+  struct str record = rpcmsg_call (7, PEER_LOOKUP, &args);
+  struct rpcmsg msg;
+  struct str hint;
+  struct str body;
+
+  CU_ASSERT_EQUAL (rpcmsg_header (unmarked (record), &msg, &hint, &body), 0);
+  CU_ASSERT_EQUAL (msg.xid, 7);
+  CU_ASSERT_FALSE (msg.is_reply);
+  CU_ASSERT_EQUAL (msg.proc, PEER_LOOKUP);
+  lookup_args *got = rpcmsg_body (msg.proc, RPCMSG_ARGS, body);
+  CU_ASSERT_PTR_NOT_NULL (got);
+  if (!got)
+    return;
+  CU_ASSERT (str_eq (STR_TEXT (got->customer), STR ("opera")));
+  CU_ASSERT (str_eq (STR_TEXT (got->key), STR ("k")));
+  rpcmsg_free (msg.proc, RPCMSG_ARGS, got);
+  str_free (&record);
+}
+
+/* Guards against a refusal that is read as a result, and a lost hint. */
+static void
+test_reply (void)
+{
+  const struct settle_res res = { .stored = TRUE };
+  static const struct
+  {
+    int err;
+    const char *hint;
+  } cases[] = { { 0, "" }, { -ESTALE, "127.0.0.1:7" }, { -EIO, "" } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct str record = rpcmsg_reply (9, PEER_SETTLE, cases[i].err,
+                                        str_from (cases[i].hint), &res);
+      struct rpcmsg msg;
+      struct str hint;
+      struct str body;
+
+      CU_ASSERT_EQUAL (rpcmsg_header (unmarked (record), &msg, &hint, &body),
+                       0);
+      CU_ASSERT (msg.is_reply);
+      CU_ASSERT_EQUAL (msg.err, cases[i].err);
+      CU_ASSERT (str_eq (hint, str_from (cases[i].hint)));
+      str_free (&hint);
+      str_free (&record);
+    }
+}
+
+/* Guards against a crash or a wrong decode on cut or altered records. */
+static void
+test_bad_records (void)
+{
+  const struct lookup_args args
+      = { .customer = TEXT_STR (STR ("opera")), .key = TEXT_STR (STR ("k")) };
+  struct str record = rpcmsg_call (7, PEER_LOOKUP, &args);
+  const struct str whole = unmarked (record);
+  struct rpcmsg msg;
+  struct str hint;
+  struct str body;
+
+  for (size_t n = 0; n < whole.len; n++)
+    {
+      const struct str cut = { whole.data, n };
+
+      if (rpcmsg_header (cut, &msg, &hint, &body) != 0)
+        continue;
+      CU_ASSERT_PTR_NULL (rpcmsg_body (msg.proc, RPCMSG_ARGS, body));
+    }
+  ((char *)whole.data)[19] = 2; /* version */
+  CU_ASSERT_EQUAL (rpcmsg_header (whole, &msg, &hint, &body),
+                   -EPROTONOSUPPORT);
+  CU_ASSERT_EQUAL (msg.xid, 7);
+  str_free (&record);
+}
+
+/* Guards against a version refusal that the caller takes for an answer. */
+static void
+test_mismatch (void)
+{
+  struct str record = rpcmsg_mismatch (3);
+  struct rpcmsg msg;
+  struct str hint;
+  struct str body;
+
+  CU_ASSERT_EQUAL (rpcmsg_header (unmarked (record), &msg, &hint, &body), 0);
+  CU_ASSERT (msg.is_reply);
+  CU_ASSERT_EQUAL (msg.err, -EPROTONOSUPPORT);
+  str_free (&record);
+}
+
+static const struct suite_case cases[] = {
+  { "call round trip", test_call },
+  { "reply round trip", test_reply },
+  { "cut and altered records", test_bad_records },
+  { "version mismatch", test_mismatch },
+};
+TEST_SUITE ("rpcmsg", cases)
