Add the pure scheduler, crash record and retry budget

Change: src/sched*.c (one object per model: queue, replicas, grants, early refusal, bounded-load affinity, wakes), src/crash.c, src/retry.c, with a naive policy behind the same vtable. CPPFLAGS use -iquote src, because src/sched.h would hide the system's <sched.h> from <pthread.h>. Ruled out: refusal by the listed load time alone; it is the time of a load from remote, and a cached checkpoint is loaded sooner.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 BUILD ?= build
 # Flags for one build variant, for example SAN="-fsanitize=address,undefined".
 SAN ?=
-CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -Isrc -I/usr/include/tirpc
+# -iquote, because src/sched.h would hide the system header of that name.
+CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -iquote src -I/usr/include/tirpc
 CFLAGS ?= -O2 -g
 CFLAGS += -std=gnu11 -Wall -Wextra -Werror -MMD -MP $(SAN)
 LDLIBS = -lh2o -lssl -lcrypto -luv -lcurl -ltirpc -ljansson -lxxhash \
--- /dev/null
+++ b/src/retry.c
@@ -0,0 +1,59 @@
+#include "retry.h"
+
+#define RETRY 1000u
+#define FIRST_SHARE 100u /* 10 % of a retry */
+#define FLOOR_PER_S RETRY
+/* Unused budget is kept up to this many retries, so that a long calm does not
+   pay for a storm of retries. */
+#define KEPT (10 * RETRY)
+#define REFUNDED_MAX (1000 * RETRY)
+
+static void
+add (struct retry *r, uint64_t amount, uint32_t limit)
+{
+  if (r->thousandths >= limit)
+    return;
+  if (amount > limit - r->thousandths)
+    amount = limit - r->thousandths;
+  r->thousandths += (uint32_t)amount;
+}
+
+/* The floor refills an empty budget only; above one retry the share of first
+   attempts decides. */
+static void
+add_floor (struct retry *r, uint64_t now_ms)
+{
+  if (now_ms <= r->floor_ms)
+    return;
+  add (r, (now_ms - r->floor_ms) * FLOOR_PER_S / 1000, RETRY);
+  r->floor_ms = now_ms;
+}
+
+void
+retry_init (struct retry *r, uint64_t now_ms)
+{
+  *r = (struct retry){ .thousandths = RETRY, .floor_ms = now_ms };
+}
+
+void
+retry_first (struct retry *r, uint64_t now_ms)
+{
+  add_floor (r, now_ms);
+  add (r, FIRST_SHARE, KEPT);
+}
+
+void
+retry_refund (struct retry *r)
+{
+  add (r, RETRY, REFUNDED_MAX);
+}
+
+bool
+retry_take (struct retry *r, uint64_t now_ms)
+{
+  add_floor (r, now_ms);
+  if (r->thousandths < RETRY)
+    return false;
+  r->thousandths -= RETRY;
+  return true;
+}
--- /dev/null
+++ b/src/sched_wake.c
@@ -0,0 +1,81 @@
+#include "sched_impl.h"
+
+#define BACKOFF_MS 200
+#define BACKOFF_MAX_MS 5000
+/* Time between two wakes that ask for more replicas. */
+#define MORE_REPLICAS_MS 1000
+
+static void
+wake (struct sched *s, struct need *need, size_t replicas, uint64_t now_ms)
+{
+  struct sched_action *a = action_add (s, SCHED_WAKE, need->name);
+  const struct waiter *w;
+  uint64_t earliest = 0;
+
+  DL_FOREACH (s->queue, w)
+  {
+    if (w->need != need)
+      continue;
+    if (!earliest || w->priority > a->priority)
+      a->priority = w->priority;
+    if (!earliest || w->deadline_ms < earliest)
+      earliest = w->deadline_ms;
+  }
+  if (earliest > now_ms)
+    a->wait_ms = (uint32_t)(earliest - now_ms);
+  a->replicas = (uint32_t)replicas;
+  need->waking = true;
+  need->missed = false;
+  need->wake_start_ms = now_ms;
+}
+
+void
+wake_needs (struct sched *s, uint64_t now_ms)
+{
+  for (struct need *need = s->needs; need; need = need->hh.next)
+    {
+      if (need->waking || now_ms < need->wake_after_ms
+          || (need->queued == 0 && !need->missed))
+        continue;
+      const struct capacity have = capacity_of (s, need);
+      const size_t wanted = s->policy->replicas (s, need, &have);
+
+      if (wanted > have.replicas)
+        wake (s, need, wanted, now_ms);
+      else
+        need->missed = false;
+    }
+}
+
+static void
+back_off (struct need *need, uint64_t now_ms)
+{
+  need->backoff_ms = need->backoff_ms ? need->backoff_ms * 2 : BACKOFF_MS;
+  if (need->backoff_ms > BACKOFF_MAX_MS)
+    need->backoff_ms = BACKOFF_MAX_MS;
+  need->wake_after_ms = now_ms + need->backoff_ms;
+}
+
+void
+sched_woken (struct sched *s, struct str adapter, wake_code code,
+             uint32_t eta_ms, uint64_t now_ms)
+{
+  struct need *need = need_get (s, adapter);
+  const bool present = capacity_of (s, need).replicas > 0;
+
+  if (need->waking && code == WAKE_LOADED && present)
+    estimate_add (&need->load, (double)(now_ms - need->wake_start_ms));
+  need->waking = false;
+  need->failed = code != WAKE_LOADED;
+  need->unknown = code == WAKE_UNKNOWN_MODEL;
+  need->eta_ms = code == WAKE_TOO_LATE && eta_ms ? now_ms + eta_ms : 0;
+  if (present)
+    {
+      need->backoff_ms = 0;
+      need->wake_after_ms = now_ms + MORE_REPLICAS_MS;
+    }
+  else
+    back_off (need, now_ms);
+  review (s, now_ms);
+  settle (s, now_ms);
+}
--- /dev/null
+++ b/tests/test_sched.c
@@ -0,0 +1,480 @@
+#include "sched.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "err.h"
+#include "suite.h"
+
+#define SLOTS 4
+#define TICK_MS 20
+#define REQUESTS_MAX 8192
+#define TARGETS_MAX 8
+
+/* A world of targets and entries on a virtual clock of 1 ms steps. */
+
+struct job
+{
+  uint64_t submit_ms;
+  uint64_t deadline_ms;
+  uint64_t hopeless_ms; /* when the oracle first saw it as hopeless */
+  uint64_t end_ms;      /* end of the run in flight */
+  uint64_t grant;
+  uint64_t fingerprint;
+  uint32_t service_ms;
+  uint32_t attempt;
+  int priority;
+  int target;
+  int grants;
+  int refusals;
+  int releases;
+  grant_code code;
+  bool waiting;
+  bool running;
+  bool done;
+  bool in_time;
+  bool crash_seen;
+  bool crashes;
+};
+
+struct target
+{
+  char addr[24];
+  uint64_t instance;
+  uint64_t up_ms; /* alive from this time */
+};
+
+struct world
+{
+  struct sched *s;
+  struct crash *crash;
+  struct job *jobs;
+  size_t job_count;
+  struct target targets[TARGETS_MAX];
+  size_t target_count;
+  uint64_t now_ms;
+  uint64_t random;
+  size_t woken;
+  size_t overlaps; /* unproven fingerprint on two targets */
+  size_t overdue;  /* waiting after the deadline */
+  size_t lost;     /* deaths of targets */
+  uint64_t proven[64];
+  size_t proven_count;
+};
+
+static uint64_t
+draw (struct world *w, uint64_t below)
+{
+  w->random = w->random * 6364136223846793005u + 1442695040888963407u;
+  return (w->random >> 33) % below;
+}
+
+static void
+tell_targets (struct world *w)
+{
+  struct sched_target list[TARGETS_MAX];
+  static const char *const domains[] = { "a", "b", "c" };
+  size_t n = 0;
+
+  for (size_t i = 0; i < w->target_count; i++)
+    if (w->targets[i].up_ms <= w->now_ms)
+      list[n++] = (struct sched_target){
+        .target = str_from (w->targets[i].addr),
+        .domain = str_from (domains[i % 3]),
+        .instance = w->targets[i].instance,
+        .slots = SLOTS,
+      };
+  sched_targets (w->s, list, n, w->now_ms);
+}
+
+static struct world *
+world_create (const struct sched_policy *policy, size_t targets, uint64_t seed)
+{
+  const struct sched_config config = { .queue_max = 4096,
+                                       .use_ms = 2000,
+                                       .hold_ms = 600000,
+                                       .service_ms = 200,
+                                       .slots = SLOTS };
+  struct world *w = xcalloc (1, sizeof *w);
+
+  w->jobs = xcalloc (REQUESTS_MAX, sizeof *w->jobs);
+  w->crash = crash_create (4096);
+  w->s = sched_create (policy, &config, w->crash, 0);
+  w->random = seed;
+  w->target_count = targets;
+  for (size_t i = 0; i < targets; i++)
+    {
+      snprintf (w->targets[i].addr, sizeof w->targets[i].addr, "10.0.0.%zu:80",
+                i + 1);
+      w->targets[i].instance = i + 1;
+    }
+  tell_targets (w);
+  return w;
+}
+
+static void
+world_destroy (struct world *w)
+{
+  sched_destroy (w->s);
+  crash_destroy (w->crash);
+  free (w->jobs);
+  free (w);
+}
+
+static int
+target_index (const struct world *w, struct str addr)
+{
+  for (size_t i = 0; i < w->target_count; i++)
+    if (str_eq (addr, str_from (w->targets[i].addr)))
+      return (int)i;
+  return -1;
+}
+
+static bool
+is_proven (const struct world *w, uint64_t fingerprint)
+{
+  for (size_t i = 0; i < w->proven_count; i++)
+    if (w->proven[i] == fingerprint)
+      return true;
+  return false;
+}
+
+static void
+note_overlap (struct world *w, const struct job *j)
+{
+  if (j->fingerprint == 0 || is_proven (w, j->fingerprint))
+    return;
+  for (size_t i = 0; i < w->job_count; i++)
+    if (w->jobs[i].running && w->jobs[i].fingerprint == j->fingerprint
+        && w->jobs[i].target != j->target)
+      w->overlaps++;
+}
+
+static void
+take_actions (struct world *w)
+{
+  struct sched_action a;
+
+  while (sched_next (w->s, &a))
+    {
+      struct job *j = a.ctx;
+
+      switch (a.kind)
+        {
+        case SCHED_GRANT:
+          j->waiting = false;
+          j->grants++;
+          j->grant = a.grant;
+          j->target = target_index (w, a.target);
+          note_overlap (w, j);
+          j->running = true;
+          j->end_ms = w->now_ms + j->service_ms;
+          break;
+        case SCHED_REFUSE:
+          j->waiting = false;
+          j->refusals++;
+          j->code = a.code;
+          j->end_ms = w->now_ms;
+          break;
+        case SCHED_WAKE:
+          w->woken++;
+          break;
+        default:
+          break;
+        }
+    }
+}
+
+static void
+submit (struct world *w, struct job *j)
+{
+  j->attempt++;
+  j->waiting = true;
+  j->submit_ms = w->now_ms;
+  sched_submit (w->s,
+                &(struct sched_request){
+                    .ctx = j,
+                    .entry = STR ("entry"),
+                    .priority = j->priority,
+                    .deadline_ms = j->deadline_ms,
+                    .fingerprint = j->fingerprint,
+                    .attempt = j->attempt,
+                    .crash_seen = j->crash_seen,
+                },
+                w->now_ms);
+  take_actions (w);
+}
+
+static void
+release (struct world *w, struct job *j, attempt_outcome outcome)
+{
+  const struct sched_result result = { .outcome = outcome,
+                                       .first_byte_ms = j->service_ms,
+                                       .total_ms = j->service_ms };
+
+  j->running = false;
+  j->releases++;
+  CU_ASSERT_TRUE (sched_release (w->s, j->grant, &result, w->now_ms));
+}
+
+static void
+complete (struct world *w, struct job *j)
+{
+  release (w, j, ATTEMPT_DONE);
+  j->done = true;
+  j->in_time = w->now_ms <= j->deadline_ms;
+  if (j->fingerprint && !is_proven (w, j->fingerprint) && w->proven_count < 64)
+    w->proven[w->proven_count++] = j->fingerprint;
+}
+
+/* The target dies: each request on it comes back at its entry. */
+static void
+kill_target (struct world *w, int index)
+{
+  struct target *t = &w->targets[index];
+
+  w->lost++;
+  t->up_ms = w->now_ms + 1500;
+  t->instance += 100;
+  for (size_t i = 0; i < w->job_count; i++)
+    {
+      struct job *j = &w->jobs[i];
+
+      if (!j->running || j->target != index)
+        continue;
+      release (w, j, ATTEMPT_CRASHED);
+      j->crash_seen = true;
+      take_actions (w);
+      submit (w, j);
+    }
+}
+
+static void
+step (struct world *w)
+{
+  for (size_t i = 0; i < w->job_count; i++)
+    {
+      struct job *j = &w->jobs[i];
+
+      if (!j->running || w->now_ms < j->end_ms)
+        continue;
+      if (j->crashes)
+        kill_target (w, j->target);
+      else
+        complete (w, j);
+      take_actions (w);
+    }
+  if (w->now_ms % 1000 == 0)
+    tell_targets (w);
+  if (w->now_ms % TICK_MS == 0)
+    sched_tick (w->s, w->now_ms);
+  take_actions (w);
+  for (size_t i = 0; i < w->job_count; i++)
+    if (w->jobs[i].waiting && w->now_ms > w->jobs[i].deadline_ms + TICK_MS)
+      w->overdue++;
+  w->now_ms++;
+}
+
+/* ---- overload ---- */
+
+struct score
+{
+  size_t admitted;
+  size_t in_time;
+  size_t refused;
+  uint64_t decision_ms; /* longest from provably hopeless to refused */
+};
+
+#define SERVICE_MIN_MS 100
+
+static bool
+goes_before (const struct job *a, const struct job *b, bool fifo)
+{
+  if (fifo)
+    return a->submit_ms < b->submit_ms;
+  if (a->priority != b->priority)
+    return a->priority > b->priority;
+  return a->deadline_ms < b->deadline_ms;
+}
+
+/* Marks waiting requests as provably hopeless, from the true ends of the runs
+   in flight and the shortest service time for all that goes before. */
+static void
+judge (struct world *w, bool fifo)
+{
+  static struct job *queue[REQUESTS_MAX];
+  uint64_t free_ms[TARGETS_MAX * SLOTS] = { 0 };
+  size_t slot = 0;
+  size_t n = 0;
+
+  for (size_t i = 0; i < w->job_count; i++)
+    {
+      struct job *j = &w->jobs[i];
+      size_t at = n;
+
+      if (j->running)
+        free_ms[slot++] = j->end_ms;
+      if (!j->waiting)
+        continue;
+      while (at > 0 && goes_before (j, queue[at - 1], fifo))
+        {
+          queue[at] = queue[at - 1];
+          at--;
+        }
+      queue[at] = j;
+      n++;
+    }
+  for (size_t i = 0; i < n; i++)
+    {
+      size_t first = 0;
+
+      for (size_t k = 1; k < w->target_count * SLOTS; k++)
+        if (free_ms[k] < free_ms[first])
+          first = k;
+      if (free_ms[first] < w->now_ms)
+        free_ms[first] = w->now_ms;
+      if (free_ms[first] + SERVICE_MIN_MS > queue[i]->deadline_ms)
+        {
+          if (!queue[i]->hopeless_ms)
+            queue[i]->hopeless_ms = w->now_ms;
+          continue;
+        }
+      free_ms[first] += SERVICE_MIN_MS;
+    }
+}
+
+static struct score
+overload (const struct sched_policy *policy, unsigned cue_percent,
+          uint64_t seed)
+{
+  struct world *w = world_create (policy, 4, seed);
+  struct score score = { 0 };
+
+  /* 16 slots of 200 ms on average serve 80 a second; 160 arrive. */
+  while (w->now_ms < 30000)
+    {
+      if (w->now_ms < 20000 && draw (w, 1000) < 160)
+        {
+          struct job *j = &w->jobs[w->job_count++];
+          const bool cue = draw (w, 100) < cue_percent;
+
+          j->priority = cue ? 10 : 1;
+          j->deadline_ms = w->now_ms + (cue ? 600 : 3000);
+          j->service_ms = SERVICE_MIN_MS + (uint32_t)draw (w, 201);
+          submit (w, j);
+        }
+      if (w->now_ms % 5 == 0)
+        judge (w, policy == &sched_naive);
+      step (w);
+    }
+  for (size_t i = 0; i < w->job_count; i++)
+    {
+      const struct job *j = &w->jobs[i];
+
+      CU_ASSERT_EQUAL (j->grants + j->refusals, 1);
+      CU_ASSERT_EQUAL (j->releases, j->grants);
+      score.admitted += j->grants;
+      score.in_time += j->in_time;
+      score.refused += j->refusals;
+      if (j->refusals && j->hopeless_ms
+          && j->end_ms - j->hopeless_ms > score.decision_ms)
+        score.decision_ms = j->end_ms - j->hopeless_ms;
+    }
+  CU_ASSERT_EQUAL (w->overdue, 0);
+  world_destroy (w);
+  return score;
+}
+
+/* Guards against collapse at twice the capacity, where work is admitted that
+   ends too late, and against refusals that come late. */
+static void
+test_overload (void)
+{
+  static const struct
+  {
+    unsigned cue_percent;
+    uint64_t seed;
+  } runs[] = { { 50, 1 }, { 50, 2 }, { 100, 3 }, { 100, 4 } };
+
+  for (size_t i = 0; i < sizeof runs / sizeof *runs; i++)
+    {
+      const struct score real
+          = overload (&sched_real, runs[i].cue_percent, runs[i].seed);
+      const struct score naive
+          = overload (&sched_naive, runs[i].cue_percent, runs[i].seed);
+
+      printf ("\n    %u%% cues: real %zu of %zu in time, decision %lu ms; "
+              "naive %zu of %zu, decision %lu ms ",
+              runs[i].cue_percent, real.in_time, real.admitted,
+              real.decision_ms, naive.in_time, naive.admitted,
+              naive.decision_ms);
+      CU_ASSERT_TRUE (real.in_time * 100 >= real.admitted * 95);
+      CU_ASSERT_TRUE (real.decision_ms <= 50);
+      CU_ASSERT_TRUE (real.in_time > naive.in_time);
+      /* Early refusal must not idle the targets: 1600 is their capacity. */
+      CU_ASSERT_TRUE (real.admitted >= 1500);
+    }
+}
+
+/* ---- crashing requests ---- */
+
+#define BAD 666
+
+/* Guards against a request that takes down one target after another when four
+   entries repeat it, and against innocent ones lost with it. */
+static void
+test_crashing_request (void)
+{
+  for (uint64_t seed = 1; seed <= 40; seed++)
+    {
+      struct world *w = world_create (&sched_real, 6, seed);
+
+      while (w->now_ms < 40000)
+        {
+          if (w->now_ms < 20000 && draw (w, 1000) < 20)
+            {
+              struct job *j = &w->jobs[w->job_count++];
+
+              j->fingerprint = 1 + draw (w, 40);
+              j->deadline_ms = w->now_ms + 15000;
+              j->service_ms = 50 + (uint32_t)draw (w, 300);
+              submit (w, j);
+            }
+          if (w->now_ms >= 3000 && w->now_ms < 20000 && w->now_ms % 700 < 4)
+            {
+              /* Four entries send the same request within 4 ms, again and
+                 again. */
+              struct job *j = &w->jobs[w->job_count++];
+
+              j->fingerprint = BAD;
+              j->crashes = true;
+              j->deadline_ms = w->now_ms + 15000;
+              j->service_ms = 20 + (uint32_t)draw (w, 200);
+              submit (w, j);
+            }
+          step (w);
+        }
+      for (size_t i = 0; i < w->job_count; i++)
+        {
+          const struct job *j = &w->jobs[i];
+
+          CU_ASSERT_FALSE (j->waiting || j->running);
+          CU_ASSERT_EQUAL (j->releases, j->grants);
+          CU_ASSERT_EQUAL (j->done, !j->crashes);
+          CU_ASSERT_EQUAL (j->refusals, j->crashes ? 1 : 0);
+          if (j->crashes)
+            CU_ASSERT_EQUAL (j->code, GRANT_QUARANTINED);
+        }
+      CU_ASSERT_EQUAL (w->overlaps, 0);
+      CU_ASSERT_EQUAL (w->overdue, 0);
+      CU_ASSERT_TRUE (w->lost >= 1 && w->lost <= 2);
+      world_destroy (w);
+    }
+}
+
+static const struct suite_case cases[] = {
+  { "twice the capacity", test_overload },
+  { "request that crashes targets", test_crashing_request },
+};
+TEST_SUITE ("sched", cases)
