Fix linter findings in the scheduler

Cause: the linter reports a possible null dereference in make_room() for an empty record and an integer division in floating-point context. Change: return early on an empty record; divide in floating point.

--- a/src/crash.c
+++ b/src/crash.c
@@ -103,6 +103,8 @@
     {
       struct entry *e = c->entries;
 
+      if (!e)
+        return;
       if (e->running > 0 || (marked (e) && c->marked <= c->max / 2))
         move_to_end (c, e);
       else
--- a/src/sched_policy.c
+++ b/src/sched_policy.c
@@ -94,7 +94,7 @@
   if (w->need != s->model && p->all.replicas == 0)
     wait += load_left_ms (s, s->model, now_ms);
   if (s->config.slots > 0)
-    wait += (double)(p->ahead_same / s->config.slots) * service_ms (s);
+    wait += (double)p->ahead_same * service_ms (s) / s->config.slots;
   return wait;
 }
 
