--- /dev/null
+++ b/tests/e2e_standins.c
@@ -0,0 +1,399 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cluster.h"
+#include "suite.h"
+
+#define CALL_MS 5000
+#define LOAD_WAIT_MS 10000
+
+/* The stand-ins decide what all other end-to-end tests can see, so each fault
+   and each check that those tests rely on is shown here to work. */
+
+static struct cluster *cluster;
+static struct cluster_proc *store;
+static struct cluster_proc *engine;
+
+static void
+start (bool with_engine)
+{
+  cluster = cluster_create ("test");
+  store = cluster_store (cluster, CLUSTER_FLAGS ("--loads-per-s", "100"));
+  if (with_engine)
+    engine = cluster_engine (cluster, "lm", "a",
+                             CLUSTER_FLAGS ("--memory", "100", "--load-ms",
+                                            "20", "--token-ms", "2"));
+}
+
+static long
+put (const char *version, const char *value, CURLcode *error)
+{
+  char if_match[64];
+
+  snprintf (if_match, sizeof if_match, "If-Match: %s", version);
+  struct cluster_reply r
+      = cluster_http (store, "PUT", "/objects/k/1",
+                      (const char *const[]){ if_match, NULL }, value, CALL_MS);
+  cluster_reply_free (&r);
+  if (error)
+    *error = r.error;
+  return r.status;
+}
+
+/* Reads the object and returns its version as text. */
+static void
+get (const char *expected, char version[24])
+{
+  struct cluster_reply r
+      = cluster_http (store, "GET", "/objects/k/1", NULL, NULL, CALL_MS);
+
+  CU_ASSERT_EQUAL (r.status, 200);
+  CU_ASSERT_TRUE (str_eq (buf_str (&r.body), str_from (expected)));
+  snprintf (version, 24, STR_FMT, STR_ARG (cluster_header (&r, "x-version")));
+  cluster_reply_free (&r);
+}
+
+/* Guards against a store that lets two writers of one version both win. */
+static void
+test_conflict (void)
+{
+  char version[24];
+
+  start (false);
+  CU_ASSERT_EQUAL (put ("0", "one", NULL), 200);
+  CU_ASSERT_EQUAL (put ("0", "two", NULL), 409);
+  get ("one", version);
+  CU_ASSERT_EQUAL (put (version, "two", NULL), 200);
+  CU_ASSERT_EQUAL (put (version, "three", NULL), 409);
+  get ("two", version);
+  CU_ASSERT_EQUAL (cluster_count (store, "/counts", "conflicts"), 2);
+  cluster_destroy (cluster);
+}
+
+/* Guards against a value over the limit being kept in part or whole. */
+static void
+test_value_limit (void)
+{
+  const size_t limit = (size_t)1 << 20;
+  char *value = calloc (1, limit + 2);
+  char version[24];
+
+  start (false);
+  memset (value, 'v', limit + 1);
+  CU_ASSERT_EQUAL (put ("0", value, NULL), 413);
+  value[limit] = '\0';
+  CU_ASSERT_EQUAL (put ("0", value, NULL), 200);
+  get (value, version);
+  free (value);
+  cluster_destroy (cluster);
+}
+
+/* Guards against a "lost answer" whose write did not take effect, and a stale
+   read that shows the present value. */
+static void
+test_store_faults (void)
+{
+  CURLcode error;
+  char before[24];
+  char now[24];
+
+  start (false);
+  put ("0", "one", NULL);
+  get ("one", before);
+  CU_ASSERT_TRUE (cluster_faults (cluster, "{\"lose_answers\": 1}"));
+  put (before, "two", &error);
+  CU_ASSERT_EQUAL (error, CURLE_GOT_NOTHING);
+  get ("two", now);
+  CU_ASSERT_TRUE (
+      cluster_faults (cluster, "{\"stale_reads\": 1, \"prefix\": \"k/\"}"));
+  get ("one", now);
+  CU_ASSERT_STRING_EQUAL (now, before);
+  get ("two", now);
+  CU_ASSERT_TRUE (cluster_faults (cluster, "{\"down\": true}"));
+  CU_ASSERT_EQUAL (put (now, "three", NULL), 503);
+  CU_ASSERT_TRUE (cluster_faults (cluster, "{\"down\": false}"));
+  CU_ASSERT_EQUAL (put (now, "three", NULL), 200);
+  cluster_destroy (cluster);
+}
+
+static bool
+one_waits (void *ctx)
+{
+  (void)ctx;
+  return cluster_count (store, "/counts", "waiting") == 1;
+}
+
+/* Guards against a watch that misses a change or ends without one. */
+static void
+test_watch (void)
+{
+  char version[24];
+  char path[80];
+
+  start (false);
+  put ("0", "one", NULL);
+  get ("one", version);
+  snprintf (path, sizeof path, "/objects/k/1?watch=%s&timeout_ms=50", version);
+  struct cluster_reply r
+      = cluster_http (store, "GET", path, NULL, NULL, CALL_MS);
+  CU_ASSERT_EQUAL (r.status, 204);
+  cluster_reply_free (&r);
+  snprintf (path, sizeof path, "/objects/k/1?watch=%s&timeout_ms=9000",
+            version);
+  struct cluster_call *call
+      = cluster_begin (store, "GET", path, NULL, NULL, LOAD_WAIT_MS);
+  CU_ASSERT_TRUE (cluster_until (one_waits, NULL, CALL_MS));
+  put (version, "two", NULL);
+  r = cluster_end (call);
+  CU_ASSERT_EQUAL (r.status, 200);
+  CU_ASSERT_TRUE (cluster_contains (&r, "two"));
+  cluster_reply_free (&r);
+  cluster_destroy (cluster);
+}
+
+static long
+order (const char *id, int fence, const char *kind, const char *model,
+       int bytes)
+{
+  struct str body = str_printf (
+      "{\"order_id\":\"%s\",\"fence\":%d,\"instance\":%lld,\"kind\":\"%s\","
+      "\"model\":\"%s\",\"version\":\"1\",\"bytes\":%d}",
+      id, fence, (long long)cluster_count (engine, "/status", "instance"),
+      kind, model, bytes);
+  struct cluster_reply r
+      = cluster_http (engine, "POST", "/orders", NULL, body.data, CALL_MS);
+
+  str_free (&body);
+  cluster_reply_free (&r);
+  return r.status;
+}
+
+static bool
+loads_done (void *ctx)
+{
+  return cluster_count (engine, "/counts", "loads") == *(int *)ctx;
+}
+
+static bool
+load (const char *id, const char *model, int bytes, int loads)
+{
+  CU_ASSERT_EQUAL (order (id, 1, "load", model, bytes), 202);
+  return cluster_until (loads_done, &loads, LOAD_WAIT_MS);
+}
+
+/* Guards against an engine that overcommits memory, repeats an order, or obeys
+   an old fence. */
+static void
+test_orders (void)
+{
+  start (true);
+  CU_ASSERT_TRUE (load ("o1", "m", 60, 1));
+  CU_ASSERT_EQUAL (order ("o2", 1, "load", "n", 60), 507);
+  CU_ASSERT_EQUAL (order ("o3", 2, "unload", "m", 0), 202);
+  CU_ASSERT_EQUAL (order ("o4", 1, "load", "n", 10), 409);
+  /* A repeat has no effect, whatever its fence, and is answered as before. */
+  CU_ASSERT_EQUAL (order ("o1", 1, "load", "m", 60), 202);
+  CU_ASSERT_EQUAL (cluster_count (engine, "/counts", "loads"), 1);
+  CU_ASSERT_EQUAL (cluster_count (engine, "/counts", "unloads"), 1);
+  CU_ASSERT_EQUAL (cluster_count (engine, "/counts", "refused_memory"), 1);
+  CU_ASSERT_EQUAL (cluster_count (engine, "/counts", "old_fences"), 1);
+  CU_ASSERT_EQUAL (cluster_count (engine, "/counts", "violations"), 0);
+  CU_ASSERT_EQUAL (cluster_count (engine, "/counts", "most_bytes"), 60);
+  cluster_destroy (cluster);
+}
+
+static struct cluster_reply
+chat (const char *attempt, const char *text, bool stream)
+{
+  char header[64];
+  struct str body
+      = str_printf ("{\"model\":\"m\",\"stream\":%s,\"messages\":[{\"role\":"
+                    "\"user\",\"content\":\"%s\"}]}",
+                    stream ? "true" : "false", text);
+
+  snprintf (header, sizeof header, "X-Attempt-Id: %s", attempt);
+  struct cluster_reply r = cluster_http (
+      engine, "POST", "/v1/chat/completions",
+      (const char *const[]){ header, NULL }, body.data, CALL_MS);
+  str_free (&body);
+  return r;
+}
+
+/* Guards against answers that cannot be told apart, and against breaks that a
+   client would take for a whole answer. */
+static void
+test_answers (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool stream;
+    bool whole;
+    const char *part;
+  } cases[] = {
+    { "first words", true, true, " words" },
+    { "other text", false, true, "other text" },
+    { "CUT here", true, false, " CUT" },
+    { "CUT here", false, false, NULL },
+    { "DROP here", true, false, " DROP" },
+    { "CROSS here", true, true, "\"attempt\":\"another-attempt\"" },
+    { "SLOW 20 start", true, true, " start" },
+  };
+
+  start (true);
+  CU_ASSERT_TRUE (load ("o1", "m", 60, 1));
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      char attempt[16];
+      snprintf (attempt, sizeof attempt, "a%zu", i);
+      struct cluster_reply r = chat (attempt, cases[i].text, cases[i].stream);
+      CU_ASSERT_EQUAL (r.status, 200);
+      CU_ASSERT_EQUAL (r.error == CURLE_OK, cases[i].whole);
+      CU_ASSERT_TRUE (!cases[i].part || cluster_contains (&r, cases[i].part));
+      CU_ASSERT_EQUAL (cluster_contains (&r, "data: [DONE]"),
+                       cases[i].whole && cases[i].stream);
+      cluster_reply_free (&r);
+    }
+  struct cluster_reply r = chat ("a0", "again", false);
+  cluster_reply_free (&r);
+  CU_ASSERT_EQUAL (cluster_count (engine, "/counts", "repeated"), 1);
+  CU_ASSERT_EQUAL (cluster_count (engine, "/counts", "attempts/a0"), 2);
+  cluster_destroy (cluster);
+}
+
+/* Guards against a resumed stream that repeats or lacks events, and against
+   one that can be resumed after it was cut or cancelled. */
+static void
+test_resume (void)
+{
+  start (true);
+  CU_ASSERT_TRUE (load ("o1", "m", 60, 1));
+  struct cluster_reply r = chat ("d", "DROP me", true);
+  CU_ASSERT_NOT_EQUAL (r.error, CURLE_OK);
+  CU_ASSERT_TRUE (cluster_contains (&r, "id: 8\n"));
+  CU_ASSERT_FALSE (cluster_contains (&r, "id: 9\n"));
+  cluster_reply_free (&r);
+  r = cluster_http (engine, "GET", "/streams/d?from=8", NULL, NULL, CALL_MS);
+  CU_ASSERT_EQUAL (r.error, CURLE_OK);
+  CU_ASSERT_FALSE (cluster_contains (&r, "id: 8\n"));
+  CU_ASSERT_TRUE (cluster_contains (&r, "id: 9\n"));
+  CU_ASSERT_TRUE (cluster_contains (&r, "\"usage\":"));
+  CU_ASSERT_TRUE (cluster_contains (&r, "data: [DONE]"));
+  cluster_reply_free (&r);
+  r = cluster_http (engine, "DELETE", "/streams/d", NULL, NULL, CALL_MS);
+  CU_ASSERT_EQUAL (r.status, 200);
+  cluster_reply_free (&r);
+  r = cluster_http (engine, "GET", "/streams/d?from=0", NULL, NULL, CALL_MS);
+  CU_ASSERT_EQUAL (r.status, 404);
+  cluster_reply_free (&r);
+  r = chat ("c", "CUT me", true);
+  cluster_reply_free (&r);
+  r = cluster_http (engine, "GET", "/streams/c?from=0", NULL, NULL, CALL_MS);
+  CU_ASSERT_EQUAL (r.status, 404);
+  cluster_reply_free (&r);
+  cluster_destroy (cluster);
+}
+
+static bool
+one_runs (void *ctx)
+{
+  (void)ctx;
+  return cluster_count (engine, "/status", "running") == 1;
+}
+
+/* Guards against an unload that cuts off a running request, or that lets a
+   new one in. */
+static void
+test_unload (void)
+{
+  start (true);
+  CU_ASSERT_TRUE (load ("o1", "m", 60, 1));
+  struct cluster_call *call = cluster_begin (
+      engine, "POST", "/v1/completions",
+      (const char *const[]){ "X-Attempt-Id: u", NULL },
+      "{\"model\":\"m\",\"stream\":true,\"prompt\":\"SLOW 300 end\"}",
+      CALL_MS);
+  CU_ASSERT_TRUE (cluster_until (one_runs, NULL, CALL_MS));
+  CU_ASSERT_EQUAL (order ("o2", 1, "unload", "m", 0), 202);
+  struct cluster_reply r = chat ("v", "late", false);
+  CU_ASSERT_EQUAL (r.status, 404);
+  cluster_reply_free (&r);
+  r = cluster_end (call);
+  CU_ASSERT_EQUAL (r.error, CURLE_OK);
+  CU_ASSERT_TRUE (cluster_contains (&r, "data: [DONE]"));
+  cluster_reply_free (&r);
+  CU_ASSERT_EQUAL (cluster_count (engine, "/counts", "unloads"), 1);
+  cluster_destroy (cluster);
+}
+
+/* Guards against a crash that answers, and a restart that keeps models or the
+   instance number. */
+static void
+test_crash (void)
+{
+  start (true);
+  CU_ASSERT_TRUE (load ("o1", "m", 60, 1));
+  const json_int_t instance = cluster_count (engine, "/status", "instance");
+  struct cluster_reply r = chat ("x", "CRASH now", true);
+  CU_ASSERT_EQUAL (r.error, CURLE_GOT_NOTHING);
+  cluster_reply_free (&r);
+  CU_ASSERT_EQUAL (cluster_wait_exit (engine, CALL_MS), 70);
+  CU_ASSERT_TRUE (cluster_restart (engine));
+  CU_ASSERT_NOT_EQUAL (cluster_count (engine, "/status", "instance"),
+                       instance);
+  r = chat ("y", "hello", false);
+  CU_ASSERT_EQUAL (r.status, 404);
+  cluster_reply_free (&r);
+  cluster_destroy (cluster);
+}
+
+static size_t
+discard (char *data, size_t size, size_t n, void *ctx)
+{
+  (void)data;
+  (void)ctx;
+  return size * n;
+}
+
+/* Guards against a service that forgets a run whose answer was lost: libcurl
+   repeats a POST on a reused connection that closes before the answer. */
+static void
+test_service (void)
+{
+  start (false);
+  struct cluster_proc *service
+      = cluster_service (cluster, "app", "a", CLUSTER_FLAGS ());
+  CURL *curl = curl_easy_init ();
+  struct str url = str_printf ("%s/release", service->url);
+  struct curl_slist *headers
+      = curl_slist_append (NULL, "Idempotency-Key: cue-1");
+
+  curl_easy_setopt (curl, CURLOPT_URL, url.data);
+  curl_easy_setopt (curl, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, discard);
+  curl_easy_setopt (curl, CURLOPT_POSTFIELDS, "CLOSE");
+  curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, (long)CALL_MS);
+  CU_ASSERT_EQUAL (curl_easy_perform (curl), CURLE_OK);
+  CU_ASSERT_EQUAL (cluster_count (service, "/counts", "keys/cue-1"), 1);
+  CU_ASSERT_EQUAL (curl_easy_perform (curl), CURLE_OK);
+  CU_ASSERT_EQUAL (cluster_count (service, "/counts", "keys/cue-1"), 3);
+  curl_easy_cleanup (curl);
+  curl_slist_free_all (headers);
+  str_free (&url);
+  cluster_destroy (cluster);
+}
+
+static const struct suite_case cases[] = {
+  { "conditional update", test_conflict },
+  { "value limit", test_value_limit },
+  { "lost answer, stale read, outage", test_store_faults },
+  { "watch", test_watch },
+  { "orders", test_orders },
+  { "answers", test_answers },
+  { "resume", test_resume },
+  { "unload while running", test_unload },
+  { "crash and restart", test_crash },
+  { "service runs", test_service },
+};
+TEST_SUITE ("standins", cases)
--- a/tests/standin_engine.c
+++ b/tests/standin_engine.c
@@ -739,29 +739,40 @@
   entry_settle (base);
 }
 
+/* Is the run at the point where its caller's connection is to break. */
+static bool
+at_break (const struct stream *s)
+{
+  return (s->behaviour == CUT || s->behaviour == DROP) && s->req
+         && s->produced == s->tokens / 2;
+}
+
 static void
 on_token_time (uv_timer_t *timer)
 {
   struct stream *s = timer->data;
 
-  do
+  if (at_break (s))
     {
-      if (s->produced < s->tokens)
-        produce_token (s);
-      if (s->produced == s->tokens / 2
-          && (s->behaviour == CUT || s->behaviour == DROP))
-        {
-          flush (s);
-          break_answer (s);
-          s->dead = s->behaviour == CUT;
-        }
-      if (s->dead)
+      flush (s);
+      /* All events so far are sent first, so that each run breaks at the same
+         event. */
+      if (s->sse && (s->busy || s->sent < s->event_count))
         {
-          finish (s);
+          uv_timer_start (timer, on_token_time, 1, 0);
           return;
         }
+      break_answer (s);
+      s->dead = s->behaviour == CUT;
     }
-  while (options.token_ms == 0 && s->produced < s->tokens);
+  if (s->dead)
+    {
+      finish (s);
+      return;
+    }
+  do
+    produce_token (s);
+  while (options.token_ms == 0 && s->produced < s->tokens && !at_break (s));
   if (s->produced < s->tokens)
     {
       flush (s);
