Add chunks, root and three-way comparison of the configuration

Cause: nodes are to fetch only what an edit changed, and operators who edit at the same moment are to learn which entries conflict. Ruled out: chunks of a fixed number of entries (an insertion moves every later border); adapters inside their model (a model with a thousand adapters does not fit into 64 KB, and two operators who add adapters would conflict). PEER_CONFIG_FETCH takes the hashes that the caller lacks.

--- /dev/null
+++ b/src/configdoc.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "str.h"
+
+/* How the operators' lists are kept in the store: entries in the order of
+   their keys, cut into chunks addressed by content hash, and a root that names
+   the chunks of a revision. All functions are pure and thread-safe. */
+
+#define CONFIG_ROOT_KEY "config/root"
+#define CONFIG_CHUNK_PREFIX "config/chunk/"
+/* Copies of former roots, the base of later three-way comparisons. */
+#define CONFIG_REVISION_PREFIX "config/revision/"
+#define CONFIG_CHUNK_BYTES 65536
+#define CONFIG_HASH_LEN 64
+
+enum config_list
+{
+  CONFIG_PLANS,
+  CONFIG_CUSTOMERS,
+  CONFIG_SERVICES,
+  CONFIG_CLASSES,
+  CONFIG_MODELS,
+  CONFIG_ADAPTERS, /* of models, apart from the model's other fields */
+  CONFIG_USES,
+  CONFIG_LIST_COUNT,
+};
+
+/**
+ * struct config_entry - one entry of a list.
+ * @key: unique in the list: the name; "MODEL ADAPTER" for adapters; "PLAN
+ *   model NAME" or "PLAN service NAME" for uses.
+ * @text: compact JSON with sorted members.
+ */
+struct config_entry
+{
+  enum config_list list;
+  struct str key;
+  struct str text;
+};
+
+/** struct configdoc - all entries, ordered by list and key. */
+struct configdoc
+{
+  struct config_entry *entries;
+  size_t count;
+};
+
+/** struct config_part - a chunk; @body may be empty when only named. */
+struct config_part
+{
+  struct str name; /* list and number, for example "customers/2" */
+  struct str hash; /* lower-case hex SHA-256 of the body */
+  struct str body;
+};
+
+/** struct config_root - content of config/root. */
+struct config_root
+{
+  uint64_t revision;
+  uint64_t sequence;      /* of the writer */
+  uint64_t applied_at_ms; /* wall clock of the writer, for records */
+  struct str writer;
+  struct config_part *parts;
+  size_t count;
+};
+
+const char *config_list_name (enum config_list list);
+/** config_hash() - heap-owned hex SHA-256. */
+struct str config_hash (struct str body);
+
+/**
+ * configdoc_from_lists() - take the entries of lists that lists_parse() took.
+ *
+ * Returns 0 or -EINVAL.
+ */
+int configdoc_from_lists (struct str plans, struct str uses,
+                          struct configdoc *out);
+/**
+ * configdoc_to_lists() - text of both lists; adds to the buffers.
+ *
+ * Returns 0, or -EINVAL when an entry is not JSON.
+ */
+int configdoc_to_lists (const struct configdoc *doc, bool indent,
+                        struct buf *plans, struct buf *uses);
+void configdoc_free (struct configdoc *doc);
+
+/**
+ * configdoc_cut() - cut the entries into chunks of at most 64 KB.
+ * @big: set to the entry that does not fit into a chunk, on -EFBIG.
+ *
+ * A cut falls after an entry whose key's hash meets a condition, so an edit
+ * changes only the chunk that it falls into. Returns 0 or -EFBIG.
+ */
+int configdoc_cut (const struct configdoc *doc, struct config_root *out,
+                   const struct config_entry **big);
+/**
+ * configdoc_join() - entries of a root whose parts all have bodies.
+ *
+ * Returns 0, or -EINVAL when a chunk is damaged.
+ */
+int configdoc_join (const struct config_root *root, struct configdoc *out);
+
+/** config_root_encode() - adds the JSON text to a buffer. */
+void config_root_encode (const struct config_root *root, struct buf *out);
+/** config_root_decode() - returns 0, or -EINVAL when it is not a root. */
+int config_root_decode (struct str text, struct config_root *out);
+void config_root_free (struct config_root *root);
+
+enum config_change
+{
+  CONFIG_ADDED,
+  CONFIG_REMOVED,
+  CONFIG_CHANGED,
+};
+
+typedef void (*config_diff_fn) (void *ctx, enum config_change change,
+                                const struct config_entry *from,
+                                const struct config_entry *to);
+/** configdoc_diff() - report each difference in order; returns their number.
+ */
+size_t configdoc_diff (const struct configdoc *from,
+                       const struct configdoc *to, config_diff_fn fn,
+                       void *ctx);
+
+typedef void (*config_conflict_fn) (void *ctx,
+                                    const struct config_entry *entry);
+/**
+ * configdoc_merge() - three-way comparison by entry.
+ * @out: on success the entries of @theirs with the edits base→mine.
+ * @fn: called for each entry that both sides edited differently.
+ *
+ * The entries of @out borrow their strings from @mine and @theirs; free only
+ * the array. Returns the number of conflicts; then @out is empty.
+ */
+size_t configdoc_merge (const struct configdoc *base,
+                        const struct configdoc *mine,
+                        const struct configdoc *theirs, struct configdoc *out,
+                        config_conflict_fn fn, void *ctx);
--- a/src/peer.h
+++ b/src/peer.h
@@ -359,11 +359,14 @@
 
 struct config_fetch_args {
 	u_quad_t have_revision;
+	struct {
+		u_int wanted_len;
+		text *wanted_val;
+	} wanted;
 };
 typedef struct config_fetch_args config_fetch_args;
 
 struct config_chunk {
-	text name;
 	text hash;
 	blob body;
 };
--- a/src/peer.x
+++ b/src/peer.x
@@ -288,12 +288,15 @@
 
 /* ---- configuration ---- */
 
+/* Asks for the root if its revision is higher, or for chunks by hash. The
+   answer to a call with wanted hashes carries no root, and may leave out
+   chunks to stay within its size. */
 struct config_fetch_args {
   unsigned hyper have_revision;
+  text wanted<64>;
 };
 
 struct config_chunk {
-  text name;
   text hash;
   blob body;
 };
@@ -301,7 +304,7 @@
 struct config_fetch_res {
   unsigned hyper revision;
   blob root;
-  config_chunk chunks<1024>;
+  config_chunk chunks<64>;
 };
 
 /* ---- status ---- */
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -742,6 +742,10 @@
 
   if (!xdr_u_quad_t (xdrs, &objp->have_revision))
     return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->wanted.wanted_val,
+                  (u_int *)&objp->wanted.wanted_len, 64, sizeof (text),
+                  (xdrproc_t)xdr_text))
+    return FALSE;
   return TRUE;
 }
 
@@ -750,8 +754,6 @@
 {
   register int32_t *buf;
 
-  if (!xdr_text (xdrs, &objp->name))
-    return FALSE;
   if (!xdr_text (xdrs, &objp->hash))
     return FALSE;
   if (!xdr_blob (xdrs, &objp->body))
@@ -769,8 +771,8 @@
   if (!xdr_blob (xdrs, &objp->root))
     return FALSE;
   if (!xdr_array (xdrs, (char **)&objp->chunks.chunks_val,
-                  (u_int *)&objp->chunks.chunks_len, 1024,
-                  sizeof (config_chunk), (xdrproc_t)xdr_config_chunk))
+                  (u_int *)&objp->chunks.chunks_len, 64, sizeof (config_chunk),
+                  (xdrproc_t)xdr_config_chunk))
     return FALSE;
   return TRUE;
 }
