Add leases

Each write has its own renewal number, so a read back after a lost answer tells which attempt took effect; an older attempt that arrives late is adopted without validity and renewed.

Ruled out: counting the validity from the answer, because a process can be paused between the two; taking over a lease of the same address with an older instance at once, because a reclaimed address does not prove that the former process has ended.

The tests fail with a successor that waits 2 s instead of ttl and margin, and with a validity that counts from the answer.

--- /dev/null
+++ b/src/leasecall.c
@@ -0,0 +1,216 @@
+#include "leasecall.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+#include <utlist.h>
+
+#include "clock.h"
+#include "err.h"
+#include "log.h"
+#include "member.h"
+#include "peer.h"
+
+#define LOG_MODULE "lease"
+/* Nodes asked in one round; a round follows the hints of refused calls. */
+#define ROUND_NODES 3
+/* Pause between rounds, while a successor takes over. */
+#define ROUND_PAUSE_MS 250
+
+struct proc_type
+{
+  uint32_t proc;
+  xdrproc_t xdr;
+  size_t size;
+};
+
+#define PROC(p, type)                                                         \
+  {                                                                           \
+    (p), (xdrproc_t)xdr_##type, sizeof (type)                                 \
+  }
+
+/* Procedures whose handler is a lease holder. */
+static const struct proc_type procs[] = {
+  PROC (PEER_WAKE, wake_args),           PROC (PEER_USAGE, usage_args),
+  PROC (PEER_LOAD_SLOT, load_slot_args), PROC (PEER_FENCE_OFF, fence_off_args),
+  PROC (PEER_CLAIM, claim_args),         PROC (PEER_SETTLE, settle_args),
+  PROC (PEER_LOOKUP, lookup_args),
+};
+
+struct leasecall
+{
+  struct leasecall_params p;
+  const struct proc_type *type;
+  uv_timer_t pause;
+  struct str to;
+  uint64_t deadline_ms;
+  unsigned asked; /* nodes of this round */
+  size_t place;   /* next place of the rendezvous order */
+  bus_reply_fn fn;
+  void *ctx;
+  struct leasecall *prev;
+  struct leasecall *next;
+};
+
+static const struct proc_type *
+find_proc (uint32_t proc)
+{
+  for (size_t i = 0; i < sizeof procs / sizeof *procs; i++)
+    if (procs[i].proc == proc)
+      return &procs[i];
+  abort ();
+}
+
+/* Deep copy by way of the XDR form. */
+static void *
+copy_args (const struct proc_type *type, const void *args)
+{
+  const u_int size = (u_int)xdr_sizeof (type->xdr, (void *)args);
+  char *bytes = xmalloc (size);
+  void *copy = xcalloc (1, type->size);
+  XDR x;
+
+  xdrmem_create (&x, bytes, size, XDR_ENCODE);
+  if (!type->xdr (&x, (void *)args))
+    abort ();
+  xdrmem_create (&x, bytes, size, XDR_DECODE);
+  if (!type->xdr (&x, copy))
+    abort ();
+  free (bytes);
+  return copy;
+}
+
+static void
+on_closed (uv_handle_t *handle)
+{
+  struct leasecall *c = handle->data;
+
+  xdr_free (c->type->xdr, (char *)c->p.args);
+  free ((void *)c->p.args);
+  str_free (&c->p.name);
+  str_free (&c->p.region);
+  str_free (&c->to);
+  free (c);
+}
+
+static void
+end (struct leasecall *c, int err, struct str hint, const void *result)
+{
+  DL_DELETE (c->p.calls->head, c);
+  if (c->fn)
+    c->fn (c->ctx, err, hint, result);
+  uv_close ((uv_handle_t *)&c->pause, on_closed);
+}
+
+static void ask (struct leasecall *c);
+
+static void
+on_pause (uv_timer_t *timer)
+{
+  struct leasecall *c = timer->data;
+
+  c->asked = 0;
+  c->place = 0;
+  ask (c);
+}
+
+/* Chooses the next node of the rendezvous order. */
+static bool
+choose (struct leasecall *c)
+{
+  const struct member_view *view = kernel_latest (c->p.kernel, TOPIC_MEMBERS);
+  const struct member_info *m
+      = view ? member_rank (view, c->p.region, c->p.name, c->place) : NULL;
+
+  c->place++;
+  if (!m)
+    return false;
+  str_free (&c->to);
+  c->to = str_dup (m->addr);
+  return true;
+}
+
+static void
+next_round (struct leasecall *c)
+{
+  if (c->p.calls->stopped || clock_ms () + ROUND_PAUSE_MS >= c->deadline_ms)
+    {
+      end (c, -ESTALE, STR (""), NULL);
+      return;
+    }
+  str_free (&c->to);
+  uv_timer_start (&c->pause, on_pause, ROUND_PAUSE_MS, 0);
+}
+
+static void
+on_reply (void *ctx, int err, struct str hint, const void *result)
+{
+  struct leasecall *c = ctx;
+  const bool elsewhere = err == -ESTALE || err == -ECONNREFUSED;
+
+  c->p.remember (c->p.remember_ctx, c->p.name,
+                 err == 0 ? c->to : (struct str){ 0 });
+  if (!elsewhere)
+    {
+      end (c, err, hint, result);
+      return;
+    }
+  if (c->asked >= ROUND_NODES)
+    {
+      next_round (c);
+      return;
+    }
+  const bool follow = err == -ESTALE && hint.len > 0 && !str_eq (hint, c->to);
+  str_free (&c->to);
+  if (follow)
+    c->to = str_dup (hint);
+  ask (c);
+}
+
+static void
+ask (struct leasecall *c)
+{
+  const uint64_t now = clock_ms ();
+
+  if (now >= c->deadline_ms || (c->to.len == 0 && !choose (c)))
+    {
+      next_round (c);
+      return;
+    }
+  c->asked++;
+  bus_call (bus_get (c->p.kernel), c->to, c->p.proc, c->p.args,
+            (uint32_t)(c->deadline_ms - now), on_reply, c);
+}
+
+void
+leasecall_start (const struct leasecall_params *p, bus_reply_fn fn, void *ctx)
+{
+  struct leasecall *c = xcalloc (1, sizeof *c);
+
+  c->p = *p;
+  c->type = find_proc (p->proc);
+  c->p.args = copy_args (c->type, p->args);
+  c->p.name = str_dup (p->name);
+  c->p.region = str_dup (p->region);
+  c->to = p->holder.len > 0 ? str_dup (p->holder) : (struct str){ 0 };
+  c->p.holder = (struct str){ 0 };
+  c->deadline_ms = clock_ms () + p->timeout_ms;
+  c->fn = fn;
+  c->ctx = ctx;
+  uv_timer_init (kernel_loop (p->kernel), &c->pause);
+  c->pause.data = c;
+  DL_APPEND (p->calls->head, c);
+  ask (c);
+}
+
+void
+leasecall_stop (struct leasecalls *calls)
+{
+  struct leasecall *c;
+  struct leasecall *next;
+
+  calls->stopped = true;
+  DL_FOREACH_SAFE (calls->head, c, next)
+  if (uv_is_active ((uv_handle_t *)&c->pause))
+    end (c, -ECANCELED, STR (""), NULL);
+}
--- /dev/null
+++ b/tests/test_lease.c
@@ -0,0 +1,378 @@
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "leasestate.h"
+
+#include "suite.h"
+
+#define TTL_MS 6000
+#define MARGIN_MS 1000
+#define NODES 3
+
+/* What becomes of a node's next step. */
+enum fate
+{
+  FATE_OK,
+  FATE_LOST,    /* a write takes effect, its answer is lost */
+  FATE_LATE,    /* a write takes effect only when late_arrive() is called */
+  FATE_DOWN,    /* no effect, the error says so */
+  FATE_PENDING, /* no answer yet */
+};
+
+/* A store with one object, and the nodes that compete for it. */
+struct world
+{
+  uint64_t now;
+  uint64_t version;
+  struct lease_record object; /* the holder borrows from names */
+  struct leasestate *nodes[NODES];
+  uint64_t late_version;
+  struct lease_record late;
+};
+
+static const char *const names[NODES] = { "a:1", "b:1", "c:1" };
+
+static struct world
+world_create (void)
+{
+  struct world w = { .now = 100000 };
+
+  for (size_t i = 0; i < NODES; i++)
+    w.nodes[i] = leasestate_create (str_from (names[i]), 7, TTL_MS, MARGIN_MS);
+  return w;
+}
+
+static void
+world_destroy (struct world *w)
+{
+  for (size_t i = 0; i < NODES; i++)
+    leasestate_destroy (w->nodes[i]);
+}
+
+static struct str
+keep (struct str holder)
+{
+  for (size_t i = 0; i < NODES; i++)
+    if (str_eq (holder, str_from (names[i])))
+      return str_from (names[i]);
+  return (struct str){ 0 };
+}
+
+static int
+put (struct world *w, uint64_t version, const struct lease_record *r)
+{
+  if (version != w->version)
+    return -EEXIST;
+  w->version++;
+  w->object = *r;
+  w->object.holder = keep (r->holder);
+  return 0;
+}
+
+static void
+late_arrive (struct world *w)
+{
+  put (w, w->late_version, &w->late);
+}
+
+static void
+do_write (struct world *w, struct leasestate *s, const struct lease_record *r,
+          enum fate fate)
+{
+  int rc = fate == FATE_DOWN ? -ECONNREFUSED : -EINPROGRESS;
+
+  if (fate == FATE_OK || fate == FATE_LOST)
+    {
+      const int stored = put (w, leasestate_version (s), r);
+      rc = fate == FATE_OK ? stored : -EINPROGRESS;
+    }
+  if (fate == FATE_LATE)
+    {
+      w->late_version = leasestate_version (s);
+      w->late = *r;
+      w->late.holder = keep (r->holder);
+    }
+  leasestate_write_done (s, w->now, rc, w->version);
+}
+
+/* Runs the step that is due. */
+static enum lease_step
+run (struct world *w, size_t node, enum fate fate)
+{
+  struct leasestate *s = w->nodes[node];
+  struct lease_record r;
+  const enum lease_step step = leasestate_next (s, w->now, &r);
+
+  if (fate == FATE_PENDING)
+    return step;
+  if (step == LEASE_STEP_READ)
+    {
+      const int rc = fate != FATE_OK   ? -ETIMEDOUT
+                     : w->version == 0 ? -ENOENT
+                                       : 0;
+      leasestate_read_done (s, w->now, rc, w->version, &w->object);
+    }
+  if (step == LEASE_STEP_WRITE)
+    do_write (w, s, &r, fate);
+  return step;
+}
+
+/* Advances the clock; all nodes of the mask work without faults. */
+static void
+pass (struct world *w, uint64_t ms, unsigned mask)
+{
+  for (uint64_t end = w->now + ms; w->now < end; w->now += 100)
+    for (size_t i = 0; i < NODES; i++)
+      if (mask & (1u << i))
+        while (run (w, i, FATE_OK) != LEASE_STEP_NONE)
+          ;
+}
+
+static bool
+valid (const struct world *w, size_t node)
+{
+  return leasestate_valid (w->nodes[node], w->now);
+}
+
+static struct world
+world_held_by_a (void)
+{
+  struct world w = world_create ();
+
+  leasestate_candidate (w.nodes[0], true);
+  pass (&w, 500, 1);
+  CU_ASSERT (valid (&w, 0));
+  leasestate_candidate (w.nodes[1], true);
+  return w;
+}
+
+/* Guards against a holder that acts after a pause longer than its lease, and
+   against one that renews a lease that has passed to another node. */
+static void
+test_pause (void)
+{
+  struct world w = world_held_by_a ();
+  const uint64_t fence = leasestate_fence (w.nodes[0]);
+
+  pass (&w, 1000, 3);
+  pass (&w, TTL_MS + MARGIN_MS + 3000, 2);
+  CU_ASSERT_FALSE (valid (&w, 0));
+  CU_ASSERT (valid (&w, 1));
+  CU_ASSERT (leasestate_fence (w.nodes[1]) > fence);
+  pass (&w, 1000, 3);
+  CU_ASSERT_FALSE (valid (&w, 0));
+  CU_ASSERT (valid (&w, 1));
+  CU_ASSERT_EQUAL (leasestate_fence (w.nodes[0]), 0);
+  world_destroy (&w);
+}
+
+/* Guards against a takeover before a full ttl and margin of one unchanged
+   version, in particular one that counts from a version seen earlier. */
+static void
+test_wait (void)
+{
+  struct world w = world_held_by_a ();
+
+  pass (&w, 5000, 3);
+  const uint64_t version = w.version;
+  const uint64_t seen = w.now;
+  pass (&w, TTL_MS + MARGIN_MS - 2000, 2);
+  CU_ASSERT_EQUAL (w.version, version);
+  CU_ASSERT_FALSE (valid (&w, 1));
+  pass (&w, 3500, 2);
+  CU_ASSERT (valid (&w, 1));
+
+  /* A node that becomes a candidate starts to wait then. */
+  leasestate_candidate (w.nodes[2], true);
+  pass (&w, TTL_MS, 4);
+  CU_ASSERT_FALSE (valid (&w, 2));
+  CU_ASSERT (w.now > seen);
+  world_destroy (&w);
+}
+
+/* Guards against a holder that gives up, or counts a validity that it does not
+   have, when the answer to a write is lost. */
+static void
+test_lost_answer (void)
+{
+  struct world w = world_held_by_a ();
+  const uint64_t fence = leasestate_fence (w.nodes[0]);
+
+  pass (&w, 1700, 1);
+  uint64_t sent = w.now;
+  while (run (&w, 0, FATE_LOST) == LEASE_STEP_NONE)
+    sent = w.now += 100;
+  w.now = sent + 4000;
+  CU_ASSERT_EQUAL (run (&w, 0, FATE_OK), LEASE_STEP_READ);
+  CU_ASSERT (valid (&w, 0));
+  CU_ASSERT_EQUAL (leasestate_fence (w.nodes[0]), fence);
+  /* The validity counts from the lost write, not from the read. */
+  w.now = sent + TTL_MS - MARGIN_MS;
+  CU_ASSERT_FALSE (valid (&w, 0));
+
+  /* A write that arrives after its read back: found by the next write. */
+  CU_ASSERT_EQUAL (run (&w, 0, FATE_LATE), LEASE_STEP_WRITE);
+  w.now += 250;
+  CU_ASSERT_EQUAL (run (&w, 0, FATE_OK), LEASE_STEP_READ);
+  late_arrive (&w);
+  CU_ASSERT_EQUAL (run (&w, 0, FATE_OK), LEASE_STEP_WRITE);
+  CU_ASSERT_FALSE (valid (&w, 0));
+  CU_ASSERT_EQUAL (run (&w, 0, FATE_OK), LEASE_STEP_READ);
+  CU_ASSERT_EQUAL (run (&w, 0, FATE_OK), LEASE_STEP_WRITE);
+  CU_ASSERT (valid (&w, 0));
+  CU_ASSERT_EQUAL (leasestate_fence (w.nodes[0]), fence);
+  world_destroy (&w);
+}
+
+/* Guards against a slow takeover after a graceful release, and against a
+   release that counts as done while its answer is lost. */
+static void
+test_release (void)
+{
+  struct world w = world_held_by_a ();
+  const uint64_t fence = leasestate_fence (w.nodes[0]);
+
+  pass (&w, 1000, 3);
+  leasestate_release (w.nodes[0]);
+  CU_ASSERT_FALSE (valid (&w, 0));
+  CU_ASSERT_FALSE (leasestate_released (w.nodes[0]));
+  CU_ASSERT_EQUAL (run (&w, 0, FATE_LOST), LEASE_STEP_WRITE);
+  CU_ASSERT_FALSE (leasestate_released (w.nodes[0]));
+  pass (&w, 500, 1);
+  CU_ASSERT (leasestate_released (w.nodes[0]));
+  pass (&w, 1100, 2);
+  CU_ASSERT (valid (&w, 1));
+  CU_ASSERT_EQUAL (leasestate_fence (w.nodes[1]), fence + 1);
+  world_destroy (&w);
+}
+
+/* Guards against a holder that acts on during an outage of the store, and
+   against two holders after it. */
+static void
+test_outage (void)
+{
+  struct world w = world_held_by_a ();
+
+  pass (&w, 1000, 3);
+  for (int i = 0; i < 300; i++, w.now += 100)
+    for (size_t node = 0; node < 2; node++)
+      run (&w, node, FATE_DOWN);
+  CU_ASSERT_FALSE (valid (&w, 0));
+  CU_ASSERT_FALSE (valid (&w, 1));
+  pass (&w, 2000, 3);
+  CU_ASSERT (valid (&w, 0) != valid (&w, 1));
+  world_destroy (&w);
+}
+
+/* Guards against two winners when both candidates write at the same time. */
+static void
+test_race (void)
+{
+  struct world w = world_create ();
+  struct lease_record r[2];
+
+  for (size_t i = 0; i < 2; i++)
+    {
+      leasestate_candidate (w.nodes[i], true);
+      CU_ASSERT_EQUAL (run (&w, i, FATE_OK), LEASE_STEP_READ);
+      CU_ASSERT_EQUAL (leasestate_next (w.nodes[i], w.now, &r[i]),
+                       LEASE_STEP_WRITE);
+    }
+  do_write (&w, w.nodes[1], &r[1], FATE_OK);
+  do_write (&w, w.nodes[0], &r[0], FATE_OK);
+  pass (&w, 3000, 3);
+  CU_ASSERT (valid (&w, 1));
+  CU_ASSERT_FALSE (valid (&w, 0));
+  CU_ASSERT (str_eq (leasestate_holder (w.nodes[0]), str_from (names[1])));
+  world_destroy (&w);
+}
+
+/* Guards against any order of pauses, outages, lost and late writes in which
+   two nodes hold the lease at once or a fence is used by two nodes. */
+static void
+test_random (void)
+{
+  size_t owner_of[4096];
+  unsigned changes = 0;
+
+  for (unsigned seed = 1; seed <= 20; seed++)
+    {
+      struct world w = world_create ();
+      uint64_t paused_until[NODES] = { 0 };
+
+      memset (owner_of, 0xff, sizeof owner_of);
+      srand (seed);
+      for (unsigned i = 0; i < 20000; i++, w.now += 50)
+        {
+          const size_t n = (size_t)rand () % NODES;
+          const int dice = rand () % 1000;
+          size_t holders = 0;
+
+          if (dice < 2)
+            paused_until[n] = w.now + (uint64_t)(rand () % 15000);
+          else if (dice < 4)
+            leasestate_release (w.nodes[n]);
+          else if (dice < 10)
+            leasestate_candidate (w.nodes[n], rand () % 3 != 0);
+          else if (dice < 20 && w.late.fence > 0)
+            late_arrive (&w);
+          if (w.now >= paused_until[n])
+            run (&w, n, dice < 900 ? FATE_OK : (enum fate) (rand () % 4));
+          for (size_t j = 0; j < NODES; j++)
+            {
+              const uint64_t f = leasestate_fence (w.nodes[j]);
+
+              if (!valid (&w, j))
+                continue;
+              holders++;
+              if (owner_of[f] == SIZE_MAX)
+                {
+                  owner_of[f] = j;
+                  changes++;
+                }
+              CU_ASSERT_EQUAL_FATAL (owner_of[f], j);
+            }
+          CU_ASSERT_FATAL (holders <= 1);
+        }
+      world_destroy (&w);
+    }
+  CU_ASSERT (changes > 100);
+}
+
+/* Guards against a damaged or foreign value that counts as a free lease. */
+static void
+test_decode (void)
+{
+  static const char *const bad[]
+      = { "", "{}", "[]",
+          "{\"holder\":\"a\",\"instance\":1,\"fence\":-1,\"renewals\":1,"
+          "\"ttl_ms\":6000}" };
+  struct lease_record r;
+
+  for (size_t i = 0; i < sizeof bad / sizeof *bad; i++)
+    CU_ASSERT_EQUAL (lease_record_decode (str_from (bad[i]), &r), -EBADMSG);
+  const struct lease_record in = { .holder = STR ("10.0.0.1:71"),
+                                   .instance = 5,
+                                   .fence = 6,
+                                   .renewals = 7,
+                                   .ttl_ms = 8 };
+  struct str json = lease_record_encode (&in);
+  CU_ASSERT_EQUAL (lease_record_decode (json, &r), 0);
+  CU_ASSERT (str_eq (r.holder, in.holder) && r.instance == 5 && r.fence == 6
+             && r.renewals == 7 && r.ttl_ms == 8);
+  str_free (&json);
+  str_free (&r.holder);
+}
+
+static const struct suite_case cases[] = {
+  { "holder paused past the end", test_pause },
+  { "successor waits ttl and margin", test_wait },
+  { "lost answer to a renewal", test_lost_answer },
+  { "graceful release", test_release },
+  { "store outage", test_outage },
+  { "two candidates race", test_race },
+  { "random faults", test_random },
+  { "decoding", test_decode },
+};
+TEST_SUITE ("lease", cases)
