Add the ledger of replicas and memory

An entry is counted from the intent until the server, seen by a status that was asked for late enough, does not show it and its load order can not be carried out any more. "open" marks an order that still can; it closes when the server shows or accepts the order, a sole copy is refused, the server knows a newer fence, the pause bound has passed or the former owner voids it.

Ruled out: dropping an intent at the first refusal, because another copy of the order may still arrive; taking a status as of its arrival, because it may describe the time before an order was accepted.

--- /dev/null
+++ b/src/ledgerorder.c
@@ -0,0 +1,271 @@
+#include "ledger.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+#include "err.h"
+
+/* An order that was refused for now, or that did not get through, is sent
+   again after this time. */
+#define BUSY_MS 200
+#define RETRY_MS 500
+/* An accepted unload waits for running requests; it is sent again after this
+   time in case the engine dropped it. */
+#define UNLOAD_RETRY_MS 5000
+
+static enum order_kind
+due_kind (const struct ledger_entry *e)
+{
+  return e->state == LEDGER_INTENT_UNLOAD ? ORDER_UNLOAD : ORDER_LOAD;
+}
+
+bool
+ledger_order (const struct ledger *l, const struct ledger_entry *e,
+              uint64_t now, struct order *out)
+{
+  const bool load = e->state == LEDGER_INTENT_LOAD && e->open;
+  const bool unload = e->state == LEDGER_INTENT_UNLOAD && e->unload_id.len > 0;
+
+  if (l->dropped || l->stamped_ms == 0 || e->changed_seq > l->stored_seq
+      || e->in_flight || e->given_up || now < e->retry_ms
+      || (!load && !unload))
+    return false;
+  *out = (struct order){
+    .kind = due_kind (e),
+    .order_id = load ? e->order_id : e->unload_id,
+    .fence = l->fence,
+    .instance = e->instance,
+    .key = e->key,
+    .bytes = e->bytes,
+  };
+  return true;
+}
+
+void
+ledger_order_sent (struct ledger_entry *e, enum order_kind kind, uint64_t now)
+{
+  e->in_flight = true;
+  if (kind == ORDER_LOAD)
+    e->sent_ms = now;
+}
+
+/* Is one copy of the load order, sent by this node and refused, the only one
+   there ever was? */
+static bool
+sole_copy (const struct ledger *l, const struct ledger_entry *e)
+{
+  return e->fence == l->fence && e->unanswered == 0;
+}
+
+static void
+load_answer (struct ledger *l, struct ledger_server *s, size_t i,
+             enum order_answer answer, uint64_t now)
+{
+  struct ledger_entry *e = s->entries[i];
+
+  e->in_flight = false;
+  e->retry_ms = now + RETRY_MS;
+  switch (answer)
+    {
+    case ORDER_ACCEPTED:
+      e->open = false;
+      e->known_ms = now;
+      l->dirty = true;
+      return;
+    case ORDER_REFUSED:
+      if (sole_copy (l, e))
+        ledger_entry_drop (l, s, i);
+      return;
+    case ORDER_WRONG_INSTANCE:
+    case ORDER_FAILED:
+      /* The process that the order was meant for has ended, or remembers the
+         order and refuses repeats: no copy will be carried out. */
+      ledger_entry_drop (l, s, i);
+      return;
+    case ORDER_BUSY:
+      e->retry_ms = now + BUSY_MS;
+      return;
+    case ORDER_NOT_SENT:
+      if (e->unanswered == 0)
+        e->sent_ms = 0;
+      return;
+    case ORDER_UNANSWERED:
+      e->unanswered++;
+      return;
+    case ORDER_OLD_FENCE:
+      return;
+    }
+}
+
+static void
+unload_answer (struct ledger_entry *e, enum order_answer answer, uint64_t now)
+{
+  e->in_flight = false;
+  e->retry_ms = now + (answer == ORDER_ACCEPTED ? UNLOAD_RETRY_MS : RETRY_MS);
+}
+
+void
+ledger_order_answer (struct ledger *l, struct str addr, struct str id,
+                     enum order_kind kind, enum order_answer answer,
+                     uint64_t now)
+{
+  struct ledger_server *s = ledger_server (l, addr);
+
+  for (size_t i = 0; s && i < s->entry_count; i++)
+    {
+      struct ledger_entry *e = s->entries[i];
+
+      if (kind == ORDER_LOAD && str_eq (e->order_id, id))
+        {
+          load_answer (l, s, i, answer, now);
+          return;
+        }
+      if (kind == ORDER_UNLOAD && str_eq (e->unload_id, id))
+        {
+          unload_answer (e, answer, now);
+          return;
+        }
+    }
+}
+
+void
+ledger_fence_known (struct ledger *l, struct str addr, uint64_t now)
+{
+  struct ledger_server *s = ledger_server (l, addr);
+
+  if (!s || s->fence_known)
+    return;
+  s->fence_known = true;
+  s->fence_known_ms = now;
+}
+
+/* A new process knows nothing of the former one's orders and refuses those
+   that are still on their way. */
+static void
+restarted (struct ledger *l, struct ledger_server *s, uint64_t instance)
+{
+  for (size_t i = s->entry_count; i-- > 0;)
+    if (s->entries[i]->instance != instance)
+      ledger_entry_drop (l, s, i);
+  s->instance = instance;
+  s->fence_known = false;
+  l->dirty = true;
+}
+
+static enum ledger_state
+state_of (enum target_state state)
+{
+  switch (state)
+    {
+    case TARGET_LOADING:
+      return LEDGER_INTENT_LOAD;
+    case TARGET_UNLOADING:
+      return LEDGER_INTENT_UNLOAD;
+    case TARGET_LOADED:
+    case TARGET_CACHED:
+      break;
+    }
+  return LEDGER_LOADED;
+}
+
+/* The server holds something that is not in the ledger: it is counted. */
+static void
+adopt (struct ledger *l, struct ledger_server *s, const struct target_entry *t,
+       uint64_t now)
+{
+  struct ledger_entry *e = xcalloc (1, sizeof *e);
+
+  e->key = replica_key_dup (&t->key);
+  e->order_id = str_dup (t->order_id);
+  e->state = state_of (t->state);
+  e->instance = s->instance;
+  e->bytes = t->bytes;
+  e->decided_ms = now;
+  if (e->state == LEDGER_LOADED)
+    e->loaded_ms = now;
+  ledger_entry_append (s, e);
+  l->dirty = true;
+}
+
+static void
+shown (struct ledger *l, struct ledger_entry *e, const struct target_entry *t,
+       uint64_t now)
+{
+  if (t->bytes > e->bytes)
+    e->bytes = t->bytes;
+  if (e->open && str_eq (e->order_id, t->order_id))
+    {
+      e->open = false;
+      l->dirty = true;
+    }
+  if (t->state == TARGET_LOADED && e->state == LEDGER_INTENT_LOAD)
+    {
+      e->state = LEDGER_LOADED;
+      l->dirty = true;
+    }
+  if (e->state == LEDGER_LOADED && e->loaded_ms == 0)
+    e->loaded_ms = now;
+  if (t->state == TARGET_UNLOADING && e->state != LEDGER_INTENT_UNLOAD)
+    {
+      e->state = LEDGER_INTENT_UNLOAD;
+      l->dirty = true;
+    }
+}
+
+/* May an entry that the server does not show be dropped: will nothing that
+   was ordered for it happen any more? */
+static bool
+is_over (const struct ledger *l, const struct ledger_server *s,
+         const struct ledger_entry *e, uint64_t asked_ms)
+{
+  const bool sent = e->sent_ms > 0 || e->in_flight;
+  const bool former = e->fence < l->fence;
+
+  if (!e->open)
+    return asked_ms >= e->known_ms;
+  if (e->in_flight || l->stamped_ms == 0)
+    return false;
+  if (sent && asked_ms < e->sent_ms + l->pause_bound_ms)
+    return false;
+  if (!former)
+    return sent;
+  if (l->fenced && s->fence_known && asked_ms >= s->fence_known_ms)
+    return true;
+  return asked_ms >= l->stamped_ms + l->pause_bound_ms;
+}
+
+void
+ledger_status (struct ledger *l, struct str addr,
+               const struct target_status *status, uint64_t asked_ms,
+               uint64_t now)
+{
+  struct ledger_server *s = ledger_server (l, addr);
+
+  if (!s || l->dropped)
+    return;
+  if (s->instance != status->instance)
+    restarted (l, s, status->instance);
+  s->memory_bytes = status->memory_bytes;
+  s->slots = status->slots;
+  s->running = status->running;
+  s->leaving = status->leaving;
+  s->seen = true;
+  /* A status with the fence proves that older orders are refused from the
+     moment that it describes. */
+  if (l->stamped_ms > 0 && status->fence >= l->fence)
+    ledger_fence_known (l, addr, asked_ms);
+  for (size_t i = s->entry_count; i-- > 0;)
+    {
+      const struct target_entry *t
+          = target_status_find (status, &s->entries[i]->key);
+
+      if (t && t->state != TARGET_CACHED)
+        shown (l, s->entries[i], t, now);
+      else if (is_over (l, s, s->entries[i], asked_ms))
+        ledger_entry_drop (l, s, i);
+    }
+  for (size_t i = 0; i < status->entry_count; i++)
+    if (status->entries[i].state != TARGET_CACHED
+        && !ledger_entry (s, &status->entries[i].key))
+      adopt (l, s, &status->entries[i], now);
+}
