--- a/src/peer.h
+++ b/src/peer.h
@@ -110,6 +110,7 @@
 		u_int excluded_len;
 		text *excluded_val;
 	} excluded;
+	node_id entry;
 };
 typedef struct grant_args grant_args;
 
--- a/src/peer.x
+++ b/src/peer.x
@@ -80,6 +80,7 @@
   unsigned int attempt;
   bool crash_seen;
   text excluded<8>;
+  node_id entry;
 };
 
 enum grant_code {
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -184,6 +184,8 @@
                       (u_int *)&objp->excluded.excluded_len, 8, sizeof (text),
                       (xdrproc_t)xdr_text))
         return FALSE;
+      if (!xdr_node_id (xdrs, &objp->entry))
+        return FALSE;
       return TRUE;
     }
   else if (xdrs->x_op == XDR_DECODE)
@@ -230,6 +232,8 @@
                       (u_int *)&objp->excluded.excluded_len, 8, sizeof (text),
                       (xdrproc_t)xdr_text))
         return FALSE;
+      if (!xdr_node_id (xdrs, &objp->entry))
+        return FALSE;
       return TRUE;
     }
 
@@ -265,6 +269,8 @@
                   (u_int *)&objp->excluded.excluded_len, 8, sizeof (text),
                   (xdrproc_t)xdr_text))
     return FALSE;
+  if (!xdr_node_id (xdrs, &objp->entry))
+    return FALSE;
   return TRUE;
 }
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -309,6 +309,19 @@
                    now_ms);
 }
 
+void
+sched_cancel (struct sched *s, const void *ctx)
+{
+  struct waiter *w;
+  struct waiter *next;
+
+  DL_FOREACH_SAFE (s->queue, w, next)
+  {
+    if (w->ctx == ctx)
+      waiter_remove (s, w);
+  }
+}
+
 /* ---- ends of grants ---- */
 
 static void
@@ -462,8 +475,20 @@
     refuse_waiter (s, s->queue, DRAINING, now_ms);
 }
 
+void
+sched_resume (struct sched *s)
+{
+  s->draining = false;
+}
+
 /* ---- queries ---- */
 
+uint64_t
+sched_idle_ms (const struct sched *s, uint64_t now_ms)
+{
+  return now_ms - s->model->used_ms;
+}
+
 size_t
 sched_waiting (const struct sched *s)
 {
@@ -510,13 +535,16 @@
 }
 
 size_t
-sched_adapters (const struct sched *s, struct str *out, size_t max)
+sched_adapters (const struct sched *s, uint64_t recent_ms, uint64_t now_ms,
+                struct str *out, size_t max)
 {
   size_t n = 0;
 
   for (const struct need *need = s->needs; need && n < max;
        need = need->hh.next)
-    if (need != s->model)
+    if (need != s->model
+        && (need->in_flight + need->queued > 0
+            || now_ms - need->used_ms < recent_ms))
       out[n++] = need->name;
   return n;
 }
--- a/src/sched.h
+++ b/src/sched.h
@@ -102,7 +102,7 @@
 /**
  * struct sched_action - something that the caller must do.
  * @wait_ms: time the request waited; with SCHED_WAKE the time until the
- *   earliest deadline that waits for the load, 0 when none does.
+ *   earliest deadline that waits for the load, or a long time when none does.
  */
 struct sched_action
 {
@@ -144,6 +144,8 @@
 
 void sched_submit (struct sched *sched, const struct sched_request *request,
                    uint64_t now_ms);
+/** sched_cancel() - a waiting request goes without an action. */
+void sched_cancel (struct sched *sched, const void *ctx);
 /** sched_release() - returns false when the grant is not (or no more) known.
  */
 bool sched_release (struct sched *sched, uint64_t grant,
@@ -156,9 +158,14 @@
 void sched_adapter (struct sched *sched, struct str adapter,
                     const struct sched_target *targets, size_t count,
                     uint64_t now_ms);
+/** sched_loaded() - targets that now have the model and, unless its name is
+ * empty, an adapter; others are kept. */
+void sched_loaded (struct sched *sched, struct str adapter,
+                   const struct sched_target *targets, size_t count,
+                   uint64_t now_ms);
 /**
  * sched_woken() - end of a wake.
- * @code: with WAKE_LOADED, sched_targets() or sched_adapter() was told before.
+ * @code: with WAKE_LOADED, sched_loaded() was told before.
  * @eta_ms: expected remaining load time, when the answer names one.
  */
 void sched_woken (struct sched *sched, struct str adapter, wake_code code,
@@ -175,17 +182,23 @@
 void sched_tick (struct sched *sched, uint64_t now_ms);
 /** sched_drain() - refuse all waiting and later requests: GRANT_DRAINING. */
 void sched_drain (struct sched *sched, uint64_t now_ms);
+/** sched_resume() - undo sched_drain(). */
+void sched_resume (struct sched *sched);
 /** sched_next() - take the oldest action; its strings are valid until the next
  * call of any other function of this scheduler. */
 bool sched_next (struct sched *sched, struct sched_action *out);
 
 size_t sched_waiting (const struct sched *sched);
 size_t sched_in_flight (const struct sched *sched);
+/** sched_idle_ms() - time since the last submit or release. */
+uint64_t sched_idle_ms (const struct sched *sched, uint64_t now_ms);
 size_t sched_target_count (const struct sched *sched);
 /** sched_target_in_flight() - grants out on a target. */
 uint32_t sched_target_in_flight (const struct sched *sched, struct str target);
 /** sched_load() - demand for the model as a whole (adapter empty) or for an
  * adapter; resets the request count. */
 struct sched_load sched_load (struct sched *sched, struct str adapter);
-/** sched_adapters() - names of adapters used so far; returns their number. */
-size_t sched_adapters (const struct sched *sched, struct str *out, size_t max);
+/** sched_adapters() - adapters in use or used within @recent_ms; returns their
+ * number. */
+size_t sched_adapters (const struct sched *sched, uint64_t recent_ms,
+                       uint64_t now_ms, struct str *out, size_t max);
--- a/src/sched_queue.c
+++ b/src/sched_queue.c
@@ -106,7 +106,8 @@
                          .retry_after_ms = RETRY_AFTER_MS,
                          .detail = "the queue is longer than the deadline" };
 
-  if (!(missing && need->unknown) && !s->policy->hopeless (s, w, p, now_ms))
+  if (!(missing && (need->unknown || s->config.plain))
+      && !s->policy->hopeless (s, w, p, now_ms))
     return false;
   if (missing)
     {
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -242,17 +242,12 @@
 }
 
 void
-sched_adapter (struct sched *s, struct str adapter,
-               const struct sched_target *targets, size_t count,
-               uint64_t now_ms)
+sched_loaded (struct sched *s, struct str adapter,
+              const struct sched_target *targets, size_t count,
+              uint64_t now_ms)
 {
   const struct need *need = need_get (s, adapter);
 
-  if (need == s->model)
-    return;
-  for (size_t i = 0; i < s->replica_cap; i++)
-    if (s->replicas[i].used)
-      replica_drop_adapter (&s->replicas[i], need);
   for (size_t i = 0; i < count; i++)
     {
       const size_t at = upsert (s, &targets[i], now_ms);
@@ -263,6 +258,21 @@
   settle (s, now_ms);
 }
 
+void
+sched_adapter (struct sched *s, struct str adapter,
+               const struct sched_target *targets, size_t count,
+               uint64_t now_ms)
+{
+  const struct need *need = need_get (s, adapter);
+
+  if (need == s->model)
+    return;
+  for (size_t i = 0; i < s->replica_cap; i++)
+    if (s->replicas[i].used && !listed (targets, count, s->replicas[i].hash))
+      replica_drop_adapter (&s->replicas[i], need);
+  sched_loaded (s, adapter, targets, count, now_ms);
+}
+
 void
 sched_leaving (struct sched *s, struct str target, uint64_t now_ms)
 {
--- a/src/sched_wake.c
+++ b/src/sched_wake.c
@@ -4,6 +4,9 @@
 #define BACKOFF_MAX_MS 5000
 /* Time between two wakes that ask for more replicas. */
 #define MORE_REPLICAS_MS 1000
+/* Deadline of a load that nobody waits for any more, but for which requests
+   were refused and told to come back. */
+#define MISSED_DEADLINE_MS 60000
 
 static void
 wake (struct sched *s, struct need *need, size_t replicas, uint64_t now_ms)
@@ -21,8 +24,8 @@
     if (!earliest || w->deadline_ms < earliest)
       earliest = w->deadline_ms;
   }
-  if (earliest > now_ms)
-    a->wait_ms = (uint32_t)(earliest - now_ms);
+  a->wait_ms
+      = earliest > now_ms ? (uint32_t)(earliest - now_ms) : MISSED_DEADLINE_MS;
   a->replicas = (uint32_t)replicas;
   need->waking = true;
   need->missed = false;
@@ -56,6 +59,15 @@
   need->wake_after_ms = now_ms + need->backoff_ms;
 }
 
+/* Loads are rare and differ much with the place of the checkpoint, so the
+   newest one counts for half. */
+static void
+measure_load (struct need *need, double ms)
+{
+  need->load.mean = need->load.samples ? (need->load.mean + ms) / 2 : ms;
+  need->load.samples++;
+}
+
 void
 sched_woken (struct sched *s, struct str adapter, wake_code code,
              uint32_t eta_ms, uint64_t now_ms)
@@ -64,9 +76,9 @@
   const bool present = capacity_of (s, need).replicas > 0;
 
   if (need->waking && code == WAKE_LOADED && present)
-    estimate_add (&need->load, (double)(now_ms - need->wake_start_ms));
+    measure_load (need, (double)(now_ms - need->wake_start_ms));
   need->waking = false;
-  need->failed = code != WAKE_LOADED;
+  need->failed = code != WAKE_LOADED && code != WAKE_TOO_LATE;
   need->unknown = code == WAKE_UNKNOWN_MODEL;
   need->eta_ms = code == WAKE_TOO_LATE && eta_ms ? now_ms + eta_ms : 0;
   if (present)
