Count replicas of a model over all engines in the stand-ins

Cause: "no more replicas are loaded than decided" holds over all engines, so one engine alone cannot check it, and polling their status misses peaks. Ruled out: polling; a report by each engine at the end (lost in a crash). Cases for the count, silenced connections and the sample lists.

--- a/tests/e2e_standins.c
+++ b/tests/e2e_standins.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "cluster.h"
+#include "lists.h"
 #include "suite.h"
 
 #define CALL_MS 5000
@@ -348,6 +349,111 @@
   cluster_destroy (cluster);
 }
 
+/* Guards against a replica count that forgets an engine or keeps one that has
+   died: it shows whether more replicas were loaded than decided. */
+static void
+test_replicas (void)
+{
+  start (true);
+  struct cluster_proc *first = engine;
+  struct cluster_proc *second = cluster_engine (
+      cluster, "lm", "b",
+      CLUSTER_FLAGS ("--load-ms", "20", "--max-replicas-check", "1"));
+
+  CU_ASSERT_TRUE (load ("o1", "m", 60, 1));
+  engine = second;
+  CU_ASSERT_TRUE (load ("o2", "m", 60, 1));
+  CU_ASSERT_EQUAL (cluster_count (second, "/counts", "replica_violations"), 1);
+  CU_ASSERT_EQUAL (cluster_count (store, "/weights/counts", "most_replicas/m"),
+                   2);
+  cluster_kill (first);
+  CU_ASSERT_TRUE (cluster_restart (second));
+  CU_ASSERT_TRUE (load ("o3", "m", 60, 1));
+  CU_ASSERT_EQUAL (cluster_count (second, "/counts", "replica_violations"), 0);
+  CU_ASSERT_EQUAL (cluster_count (store, "/weights/counts", "model_loads/m"),
+                   3);
+  cluster_destroy (cluster);
+}
+
+static struct str
+read_file (const char *path)
+{
+  struct buf b = { 0 };
+  char part[4096];
+  size_t n;
+  FILE *f = fopen (path, "r");
+
+  while (f && (n = fread (part, 1, sizeof part, f)) > 0)
+    buf_append (&b, (struct str){ .data = part, .len = n });
+  if (f)
+    fclose (f);
+  return buf_str (&b);
+}
+
+/* Guards against sample lists that the other tests cannot apply. */
+static void
+test_sample_lists (void)
+{
+  static const struct
+  {
+    const char *plans;
+    const char *uses;
+    const char *customer;
+    size_t adapters;
+  } samples[] = {
+    { "tests/lists/titlovi/plans.json", "tests/lists/titlovi/uses.json",
+      "hnk-split", 56 },
+    { "tests/lists/magnolia/plans.json", "tests/lists/magnolia/uses.json",
+      "desk-mobile", 64 },
+  };
+
+  for (size_t i = 0; i < sizeof samples / sizeof *samples; i++)
+    {
+      struct str plans = read_file (samples[i].plans);
+      struct str uses = read_file (samples[i].uses);
+      struct lists *lists = NULL;
+      struct lists_error error = { 0 };
+      size_t adapters = 0;
+      CU_ASSERT_EQUAL_FATAL (lists_parse (plans, uses, 1, &lists, &error), 0);
+      for (size_t j = 0; j < lists->model_count; j++)
+        adapters += lists->models[j].adapter_count;
+      CU_ASSERT_EQUAL (lists->model_count, 30);
+      CU_ASSERT_EQUAL (adapters, samples[i].adapters);
+      CU_ASSERT_PTR_NOT_NULL (
+          lists_customer_named (lists, str_from (samples[i].customer)));
+      lists_destroy (lists);
+      str_free (&plans);
+      str_free (&uses);
+    }
+}
+
+/* Guards against a silenced connection that speaks again, and new connections
+   that are silent too. */
+static void
+test_silence (void)
+{
+  start (true);
+  CU_ASSERT_TRUE (load ("o1", "m", 60, 1));
+  struct cluster_call *call = cluster_begin (
+      engine, "POST", "/v1/completions",
+      (const char *const[]){ "X-Attempt-Id: s", NULL },
+      "{\"model\":\"m\",\"stream\":true,\"prompt\":\"SLOW 3000 end\"}", 4000);
+  CU_ASSERT_TRUE (cluster_until (one_runs, NULL, CALL_MS));
+  struct cluster_reply r
+      = cluster_http (engine, "POST", "/silence", NULL, "", CALL_MS);
+  CU_ASSERT_EQUAL (r.status, 200);
+  cluster_reply_free (&r);
+  r = cluster_end (call);
+  CU_ASSERT_EQUAL (r.error, CURLE_OPERATION_TIMEDOUT);
+  CU_ASSERT_FALSE (cluster_contains (&r, "data:"));
+  cluster_reply_free (&r);
+  r = cluster_http (engine, "GET", "/streams/s?from=0", NULL, NULL, CALL_MS);
+  CU_ASSERT_EQUAL (r.error, CURLE_OK);
+  CU_ASSERT_TRUE (cluster_contains (&r, "data: [DONE]"));
+  cluster_reply_free (&r);
+  cluster_destroy (cluster);
+}
+
 static size_t
 discard (char *data, size_t size, size_t n, void *ctx)
 {
@@ -394,6 +500,9 @@
   { "resume", test_resume },
   { "unload while running", test_unload },
   { "crash and restart", test_crash },
+  { "replica count", test_replicas },
+  { "silent connection", test_silence },
   { "service runs", test_service },
+  { "sample lists", test_sample_lists },
 };
 TEST_SUITE ("standins", cases)
--- a/tests/standin_engine.c
+++ b/tests/standin_engine.c
@@ -17,6 +17,8 @@
 /* A stream can be resumed for this long after its end. */
 #define STREAM_KEEP_MS 60000
 #define LOADER_THREADS "64"
+#define SESSION_POLL_US 1000
+#define SESSION_POLLS 5000
 
 struct options
 {
@@ -28,6 +30,7 @@
   uint32_t load_ms;
   uint32_t token_ms;
   uint32_t tokens;
+  uint32_t max_replicas_check;
 };
 
 #define FIELD(f) .offset = offsetof (struct options, f)
@@ -48,6 +51,10 @@
     "5", 0, 60000 },
   { "tokens", "N", "longest answer", SETTING_U32, FIELD (tokens), "16", 1,
     100000 },
+  { "max-replicas-check", "N",
+    "count loads that make more replicas of a model than N on all engines; "
+    "0 is off",
+    SETTING_U32, FIELD (max_replicas_check), "0", 0, 100000 },
 };
 
 enum entry_state
@@ -71,15 +78,19 @@
   enum entry_state state;
   json_t *order_id;
   unsigned running;
+  bool releasing;
   struct entry *next;
 };
 
-struct loading
+/* A call to the weight store about an entry, made in a thread. */
+struct transfer
 {
   uv_work_t work;
   struct entry *entry;
-  char *order;
-  bool ok;
+  char *order; /* loads only */
+  const char *method;
+  long status;
+  struct buf body;
 };
 
 struct waiter
@@ -154,7 +165,8 @@
 static struct
 {
   json_int_t requests, repeated, loads, unloads, failed_loads, old_fences,
-      refused_memory, violations, not_loaded, cancelled, resumed;
+      refused_memory, violations, replica_violations, not_loaded, cancelled,
+      resumed;
   uint64_t most_bytes;
 } counts;
 
@@ -245,71 +257,150 @@
   free (entry);
 }
 
-static void
-entry_settle (struct entry *entry)
-{
-  if (entry->state != ENTRY_UNLOADING || entry->running > 0)
-    return;
-  counts.unloads++;
-  entry_remove (entry);
-  changed ();
-}
-
-/* Loads. */
+/* Transfers. */
 
 static size_t
-discard (char *data, size_t size, size_t n, void *ctx)
+collect (char *data, size_t size, size_t n, void *ctx)
 {
-  (void)data;
-  (void)ctx;
+  buf_append (ctx, (struct str){ .data = data, .len = size * n });
   return size * n;
 }
 
 static void
-load_work (uv_work_t *work)
+transfer_work (uv_work_t *work)
 {
-  struct loading *l = (struct loading *)work;
-  const struct entry *e = l->entry;
-  long status = 0;
+  struct transfer *t = (struct transfer *)work;
+  const struct entry *e = t->entry;
   CURL *curl = curl_easy_init ();
-  struct str url
-      = e->adapter[0]
-            ? str_printf (STR_FMT "/weights/adapter/%s",
-                          STR_ARG (options.store), e->adapter)
-            : str_printf (STR_FMT "/weights/%s?ms=%u", STR_ARG (options.store),
-                          e->model, options.load_ms);
+  struct str url = e->adapter[0]
+                       ? str_printf (STR_FMT "/weights/adapter/%s",
+                                     STR_ARG (options.store), e->adapter)
+                       : str_printf (STR_FMT "/weights/%s?ms=%u&engine=%u",
+                                     STR_ARG (options.store), e->model,
+                                     options.load_ms, options.port);
 
   curl_easy_setopt (curl, CURLOPT_URL, url.data);
+  curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, t->method);
   curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, discard);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, collect);
+  curl_easy_setopt (curl, CURLOPT_WRITEDATA, &t->body);
   if (curl_easy_perform (curl) == CURLE_OK)
-    curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
-  l->ok = status == 200;
+    curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &t->status);
   curl_easy_cleanup (curl);
   str_free (&url);
 }
 
+static void
+transfer_start (struct entry *entry, const char *method, const char *order,
+                uv_after_work_cb done)
+{
+  struct transfer *t = xcalloc (1, sizeof *t);
+
+  t->entry = entry;
+  t->method = method;
+  t->order = strdup (order);
+  uv_queue_work (standin_loop (), &t->work, transfer_work, done);
+}
+
+static void
+transfer_free (struct transfer *t)
+{
+  buf_free (&t->body);
+  free (t->order);
+  free (t);
+}
+
+static void
+release_done (uv_work_t *work, int status)
+{
+  struct transfer *t = (struct transfer *)work;
+
+  (void)status;
+  entry_remove (t->entry);
+  changed ();
+  transfer_free (t);
+}
+
+/* The weight store counts replicas, so it is told before the status shows that
+   the model is gone and another engine may load it. */
+static void
+entry_settle (struct entry *entry)
+{
+  if (entry->state != ENTRY_UNLOADING || entry->running > 0
+      || entry->releasing)
+    return;
+  counts.unloads++;
+  entry->releasing = true;
+  if (!entry->adapter[0])
+    {
+      transfer_start (entry, "DELETE", "", release_done);
+      return;
+    }
+  entry_remove (entry);
+  changed ();
+}
+
+static void
+check_replicas (const struct buf *body)
+{
+  json_t *root = json_loadb (body->data, body->len, 0, NULL);
+  const json_int_t n = json_integer_value (json_object_get (root, "replicas"));
+
+  counts.replica_violations
+      += options.max_replicas_check > 0 && n > options.max_replicas_check;
+  json_decref (root);
+}
+
 static void
 load_done (uv_work_t *work, int status)
 {
-  struct loading *l = (struct loading *)work;
-  struct entry *e = l->entry;
+  struct transfer *t = (struct transfer *)work;
+  struct entry *e = t->entry;
 
   (void)status;
-  if (l->ok)
+  if (t->status == 200)
     {
       counts.loads++;
       e->state = ENTRY_LOADED;
+      check_replicas (&t->body);
     }
   else
     {
       counts.failed_loads++;
-      json_object_set_new (order_results, l->order, json_integer (500));
+      json_object_set_new (order_results, t->order, json_integer (500));
       entry_remove (e);
     }
   changed ();
-  free (l->order);
-  free (l);
+  transfer_free (t);
+}
+
+/* Opens the connection whose end tells the weight store that this process and
+   its replicas have ended. It stays open unused. */
+static bool
+session_open (void)
+{
+  CURL *curl = curl_easy_init ();
+  struct str request
+      = str_printf ("GET /weights/session?engine=%u HTTP/1.1\r\n"
+                    "Host: weights\r\n\r\n",
+                    options.port);
+  char head[64];
+  size_t n = 0;
+
+  curl_easy_setopt (curl, CURLOPT_URL, options.store.data);
+  curl_easy_setopt (curl, CURLOPT_CONNECT_ONLY, 1L);
+  bool ok = curl_easy_perform (curl) == CURLE_OK
+            && curl_easy_send (curl, request.data, request.len, &n) == CURLE_OK
+            && n == request.len;
+  CURLcode rc = CURLE_AGAIN;
+  for (int i = 0; ok && rc == CURLE_AGAIN && i < SESSION_POLLS; i++)
+    {
+      usleep (SESSION_POLL_US);
+      rc = curl_easy_recv (curl, head, sizeof head, &n);
+    }
+  ok = ok && rc == CURLE_OK && n > 0;
+  str_free (&request);
+  return ok;
 }
 
 /* Orders. */
@@ -367,10 +458,7 @@
   if (used > counts.most_bytes)
     counts.most_bytes = used;
   counts.violations += used > memory_bytes;
-  struct loading *l = xcalloc (1, sizeof *l);
-  l->entry = e;
-  l->order = strdup (key);
-  uv_queue_work (standin_loop (), &l->work, load_work, load_done);
+  transfer_start (e, "GET", key, load_done);
   changed ();
   return 202;
 }
@@ -1020,13 +1108,14 @@
       req, 200,
       json_pack (
           "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, "
-          "s:O}",
+          "s:I, s:O}",
           "requests", counts.requests, "repeated", counts.repeated, "loads",
           counts.loads, "unloads", counts.unloads, "failed_loads",
           counts.failed_loads, "old_fences", counts.old_fences,
           "refused_memory", counts.refused_memory, "violations",
-          counts.violations, "not_loaded", counts.not_loaded, "cancelled",
-          counts.cancelled, "resumed", counts.resumed, "most_bytes",
+          counts.violations, "replica_violations", counts.replica_violations,
+          "not_loaded", counts.not_loaded, "cancelled", counts.cancelled,
+          "resumed", counts.resumed, "most_bytes",
           (json_int_t)counts.most_bytes, "memory_bytes",
           (json_int_t)memory_bytes, "attempts", attempts));
 }
@@ -1077,6 +1166,11 @@
     }
   setenv ("UV_THREADPOOL_SIZE", LOADER_THREADS, 1);
   curl_global_init (CURL_GLOBAL_DEFAULT);
+  if (!session_open ())
+    {
+      fprintf (stderr, "--store: '%s' does not answer\n", options.store.data);
+      return 1;
+    }
   instance = clock_wall_ms ();
   order_results = json_object ();
   attempts = json_object ();
--- a/tests/standin_store.c
+++ b/tests/standin_store.c
@@ -76,11 +76,29 @@
 {
   h2o_req_t *req;
   enum load_kind kind;
+  int replicas; /* of the model when the load began */
   uint64_t start_ms;
   double left_ms;
   struct load *next;
 };
 
+/* An engine process; the connection of @req lasts as long as the process. */
+struct session
+{
+  h2o_req_t *req;
+  char *engine;
+  struct session *next;
+};
+
+/* A model in the memory of an engine, from the begin of its load until the
+   engine has unloaded it or has ended. */
+struct replica
+{
+  char *model;
+  struct session *session;
+  struct replica *next;
+};
+
 /* @prefix limits lost answers and stale reads to some keys. */
 static struct
 {
@@ -106,6 +124,9 @@
 static int in_flight[LOAD_KINDS];
 static int most_in_flight[LOAD_KINDS];
 static json_t *model_loads;
+static json_t *most_replicas; /* per model */
+static struct session *sessions;
+static struct replica *replicas;
 static json_int_t adapter_loads;
 static uint64_t next_start_ms;
 static uint64_t last_tick_us;
@@ -316,13 +337,108 @@
 /* Weights. */
 
 static void
-start_load (h2o_req_t *req, enum load_kind kind, double work_ms)
+replica_free (struct replica **at)
+{
+  struct replica *r = *at;
+
+  *at = r->next;
+  free (r->model);
+  free (r);
+}
+
+static void
+drop_ended_sessions (void)
+{
+  for (struct session **at = &sessions; *at;)
+    {
+      struct session *s = *at;
+      if (!standin_gone (s->req))
+        {
+          at = &s->next;
+          continue;
+        }
+      *at = s->next;
+      for (struct replica **r = &replicas; *r;)
+        if ((*r)->session == s)
+          replica_free (r);
+        else
+          r = &(*r)->next;
+      standin_close (s->req);
+      free (s->engine);
+      free (s);
+    }
+}
+
+static struct session *
+session_find (struct str engine)
+{
+  for (struct session *s = sessions; s; s = s->next)
+    if (str_eq (str_from (s->engine), engine))
+      return s;
+  return NULL;
+}
+
+/* The request is not answered; only a head tells that the session exists. */
+static void
+start_session (h2o_req_t *req)
+{
+  const struct str engine = standin_query (req, "engine");
+  struct session *s = xcalloc (1, sizeof *s);
+
+  drop_ended_sessions ();
+  s->req = req;
+  s->engine = strndup (engine.data, engine.len);
+  s->next = sessions;
+  sessions = s;
+  standin_send_raw (req, STR ("HTTP/1.1 200 OK\r\n\r\n"));
+}
+
+/* Records a replica and returns how many of the model there are now. */
+static int
+add_replica (const char *model, struct str engine)
+{
+  int n = 0;
+
+  drop_ended_sessions ();
+  struct session *s = session_find (engine);
+  if (!s)
+    return 0;
+  struct replica *r = xcalloc (1, sizeof *r);
+  *r = (struct replica){ .model = strdup (model),
+                         .session = s,
+                         .next = replicas };
+  replicas = r;
+  for (r = replicas; r; r = r->next)
+    n += strcmp (r->model, model) == 0;
+  if (n > json_integer_value (json_object_get (most_replicas, model)))
+    json_object_set_new (most_replicas, model, json_integer (n));
+  return n;
+}
+
+static void
+remove_replica (h2o_req_t *req, struct str model)
+{
+  const struct session *s = session_find (standin_query (req, "engine"));
+
+  for (struct replica **at = &replicas; *at; at = &(*at)->next)
+    if ((*at)->session == s && str_eq (str_from ((*at)->model), model))
+      {
+        replica_free (at);
+        break;
+      }
+  standin_json (req, 200, json_object ());
+}
+
+static void
+start_load (h2o_req_t *req, enum load_kind kind, int replica_count,
+            double work_ms)
 {
   struct load *l = xcalloc (1, sizeof *l);
   const uint64_t now = clock_ms ();
 
   *l = (struct load){ .req = req,
                       .kind = kind,
+                      .replicas = replica_count,
                       .start_ms = now,
                       .left_ms = work_ms,
                       .next = loads };
@@ -345,14 +461,16 @@
   if (str_starts (name, STR ("adapter/")))
     {
       adapter_loads++;
-      start_load (req, LOAD_ADAPTER, ADAPTER_MS);
+      start_load (req, LOAD_ADAPTER, 0, ADAPTER_MS);
       return;
     }
   snprintf (model, sizeof model, STR_FMT, STR_ARG (name));
   const json_int_t n
       = json_integer_value (json_object_get (model_loads, model));
   json_object_set_new (model_loads, model, json_integer (n + 1));
-  start_load (req, LOAD_MODEL, (double)standin_query_u64 (req, "ms", 1000));
+  start_load (req, LOAD_MODEL,
+              add_replica (model, standin_query (req, "engine")),
+              (double)standin_query_u64 (req, "ms", 1000));
 }
 
 static void
@@ -384,7 +502,7 @@
         }
       *at = l->next;
       in_flight[l->kind]--;
-      standin_json (l->req, 200, json_object ());
+      standin_json (l->req, 200, json_pack ("{s:i}", "replicas", l->replicas));
       free (l);
     }
 }
@@ -469,6 +587,7 @@
 static bool
 handle_admin (h2o_req_t *req, struct str path)
 {
+  static const struct str weights_path = STR ("/weights/");
   const bool get = standin_method (req, "GET");
 
   if (get && str_eq (path, STR ("/counts")))
@@ -489,12 +608,22 @@
     set_faults (req);
   else if (get && str_eq (path, STR ("/weights/counts")))
     standin_json (req, 200,
-                  json_pack ("{s:i, s:i, s:I, s:O}", "most_models",
+                  json_pack ("{s:i, s:i, s:I, s:O, s:O}", "most_models",
                              most_in_flight[LOAD_MODEL], "most_adapters",
                              most_in_flight[LOAD_ADAPTER], "adapter_loads",
-                             adapter_loads, "model_loads", model_loads));
-  else if (get && str_starts (path, STR ("/weights/")))
-    weights (req, (struct str){ .data = path.data + 9, .len = path.len - 9 });
+                             adapter_loads, "model_loads", model_loads,
+                             "most_replicas", most_replicas));
+  else if (get && str_eq (path, STR ("/weights/session")))
+    start_session (req);
+  else if (str_starts (path, weights_path))
+    {
+      const struct str name = { .data = path.data + weights_path.len,
+                                .len = path.len - weights_path.len };
+      if (get)
+        weights (req, name);
+      else
+        remove_replica (req, name);
+    }
   else
     return false;
   return true;
@@ -574,6 +703,7 @@
       != 0)
     return 2;
   model_loads = json_object ();
+  most_replicas = json_object ();
   if (options.hosts.len == 0)
     set_hosts (STR ("[]"));
   else if (!read_hosts_file (options.hosts.data))
--- a/tests/standinlib.c
+++ b/tests/standinlib.c
@@ -1,5 +1,6 @@
 #include "standinlib.h"
 
+#include <errno.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -364,5 +365,6 @@
 {
   char byte;
 
-  return recv (conn_fd (req), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  const ssize_t n = recv (conn_fd (req), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
