--- a/src/configdoc.c
+++ b/src/configdoc.c
@@ -234,15 +234,20 @@
 }
 
 int
-configdoc_to_lists (const struct configdoc *doc, bool indent,
-                    struct buf *plans, struct buf *uses)
+configdoc_to_lists (const struct configdoc *doc, uint64_t revision,
+                    bool indent, struct buf *plans, struct buf *uses)
 {
   json_t *files[2] = { json_object (), json_object () };
   json_t *models = json_object ();
   int rc = 0;
 
   for (size_t i = 0; i < 2; i++)
-    json_object_set_new (files[i], "format", json_integer (1));
+    {
+      json_object_set_new (files[i], "format", json_integer (1));
+      if (revision > 0)
+        json_object_set_new (files[i], "revision",
+                             json_integer ((json_int_t)revision));
+    }
   for (int list = 0; list < CONFIG_LIST_COUNT; list++)
     if (list != CONFIG_ADAPTERS)
       json_object_set_new (files[infos[list].in_uses], infos[list].name,
--- a/src/configdoc.h
+++ b/src/configdoc.h
@@ -81,11 +81,13 @@
                           struct configdoc *out);
 /**
  * configdoc_to_lists() - text of both lists; adds to the buffers.
+ * @revision: written into the files for operators; 0 for none.
+ * @indent: for people; compact otherwise.
  *
  * Returns 0, or -EINVAL when an entry is not JSON.
  */
-int configdoc_to_lists (const struct configdoc *doc, bool indent,
-                        struct buf *plans, struct buf *uses);
+int configdoc_to_lists (const struct configdoc *doc, uint64_t revision,
+                        bool indent, struct buf *plans, struct buf *uses);
 void configdoc_free (struct configdoc *doc);
 
 /**
--- a/src/lists.c
+++ b/src/lists.c
@@ -217,6 +217,7 @@
 
 static const struct field plans_file_fields[] = {
   { .name = "format", .type = FIELD_FORMAT },
+  { "revision", FIELD_U64, true, AT (lists, revision) },
   { "plans", FIELD_OBJECTS, AT (lists, plans), COUNT (lists, plan_count),
     .items = &plan_spec },
   { "customers", FIELD_OBJECTS, AT (lists, customers),
@@ -226,6 +227,7 @@
 
 static const struct field uses_file_fields[] = {
   { .name = "format", .type = FIELD_FORMAT },
+  { "revision", FIELD_U64, true, AT (lists, revision) },
   { "services", FIELD_OBJECTS, AT (lists, services),
     COUNT (lists, service_count), .items = &service_spec },
   { "classes", FIELD_OBJECTS, AT (lists, classes), COUNT (lists, class_count),
@@ -833,7 +835,6 @@
   json_t *uses_root = NULL;
   int rc = -EINVAL;
 
-  l->revision = revision;
   l->index = x;
   json_t *plans_root = parse_json (&p, plans);
   if (!plans_root)
@@ -851,6 +852,8 @@
 out:
   json_decref (plans_root);
   json_decref (uses_root);
+  /* The files carry the revision that they were edited from. */
+  l->revision = revision;
   if (rc == 0)
     *out = l;
   else
--- a/src/member.c
+++ b/src/member.c
@@ -86,3 +86,27 @@
     }
   return c.member;
 }
+
+size_t
+member_place (const struct member_view *view, struct str region,
+              struct str key, struct str addr)
+{
+  const uint64_t seed = str_hash (key, 0);
+  const struct candidate own
+      = { .score = str_hash (addr, seed), .member = member_find (view, addr) };
+  size_t place = 0;
+
+  if (!own.member || !member_live (own.member)
+      || (region.len > 0 && !str_eq (region, own.member->region)))
+    return SIZE_MAX;
+  for (size_t i = 0; i < view->count; i++)
+    {
+      const struct member_info *m = &view->members[i];
+      const struct candidate c
+          = { .score = str_hash (m->addr, seed), .member = m };
+
+      if (member_live (m) && (region.len == 0 || str_eq (region, m->region)))
+        place += ahead (c, own);
+    }
+  return place;
+}
--- a/src/member.h
+++ b/src/member.h
@@ -45,3 +45,10 @@
 const struct member_info *member_rank (const struct member_view *view,
                                        struct str region, struct str key,
                                        size_t place);
+/**
+ * member_place() - place of a node in a key's rendezvous order.
+ *
+ * Returns SIZE_MAX when the node is not live in the view.
+ */
+size_t member_place (const struct member_view *view, struct str region,
+                     struct str key, struct str addr);
--- a/src/settings.c
+++ b/src/settings.c
@@ -37,7 +37,7 @@
 
   if (key >= KEY_FIRST && key < KEY_FIRST + (int)p->count)
     {
-      p->values[key - KEY_FIRST] = arg;
+      p->values[key - KEY_FIRST] = arg ? arg : "1";
       return 0;
     }
   if (key == ARGP_KEY_ARGS)
--- a/src/settings.h
+++ b/src/settings.h
@@ -39,6 +39,7 @@
 
 /**
  * struct setting - one flag "--name" and its variable GALENAGATE_NAME.
+ * @arg: name of the argument; NULL makes a flag without one, which gives 1.
  * @offset: of the field in the command's settings struct.
  * @fallback: default as text; NULL makes the setting required.
  * @min: smallest allowed value of a number.
--- a/tests/test_configdoc.c
+++ b/tests/test_configdoc.c
@@ -113,7 +113,7 @@
   CU_ASSERT_EQUAL (chunks_not_in (&decoded, &root), 0);
   CU_ASSERT_EQUAL (configdoc_join (&root, &joined), 0);
   CU_ASSERT_EQUAL (configdoc_diff (&doc, &joined, NULL, NULL), 0);
-  CU_ASSERT_EQUAL (configdoc_to_lists (&joined, true, &plans, &uses), 0);
+  CU_ASSERT_EQUAL (configdoc_to_lists (&joined, 5, true, &plans, &uses), 0);
   CU_ASSERT_EQUAL (
       configdoc_from_lists (buf_str (&plans), buf_str (&uses), &again), 0);
   CU_ASSERT_EQUAL (again.count, CUSTOMERS + 4);
