--- a/src/peer.h
+++ b/src/peer.h
@@ -71,6 +71,7 @@
 	GOSSIP_ACK = 2,
 	GOSSIP_PING_REQ = 3,
 	GOSSIP_PUSH = 4,
+	GOSSIP_JOIN = 5,
 };
 typedef enum gossip_kind gossip_kind;
 
@@ -79,6 +80,7 @@
 	gossip_kind kind;
 	u_quad_t seq;
 	member from;
+	u_quad_t digest;
 	text target;
 	struct {
 		u_int members_len;
--- a/src/peer.x
+++ b/src/peer.x
@@ -49,7 +49,8 @@
   GOSSIP_PING = 1,
   GOSSIP_ACK = 2,
   GOSSIP_PING_REQ = 3,
-  GOSSIP_PUSH = 4
+  GOSSIP_PUSH = 4,
+  GOSSIP_JOIN = 5
 };
 
 struct gossip {
@@ -57,6 +58,7 @@
   gossip_kind kind;
   unsigned hyper seq;
   member from;
+  unsigned hyper digest; /* of the sender's live members */
   text target;
   member members<16>;
   notice notices<8>;
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -122,6 +122,8 @@
     return FALSE;
   if (!xdr_member (xdrs, &objp->from))
     return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->digest))
+    return FALSE;
   if (!xdr_text (xdrs, &objp->target))
     return FALSE;
   if (!xdr_array (xdrs, (char **)&objp->members.members_val,
