Ask for more replicas while a load is in flight

Cause: a burst on a cold model waited for the one replica that its first request had asked for; more were asked for only after that load had ended. Change: a second wake may be sent while one is in flight, for more replicas than before, at most one in 200 ms. Conclusion: the new test in test_schedrules.c passes.

--- a/src/sched_impl.h
+++ b/src/sched_impl.h
@@ -32,9 +32,11 @@
 struct need
 {
   struct str name;
-  bool waking;
-  uint64_t wake_start_ms;
+  uint32_t waking;        /* wakes in flight */
+  size_t wanted;          /* replicas that they asked for */
+  uint64_t wake_start_ms; /* of the first of them */
   uint64_t wake_after_ms; /* next wake not before this time */
+  uint64_t more_after_ms; /* next one for more, while one is in flight */
   uint32_t backoff_ms;
   bool missed;  /* a request was refused for lack of a replica */
   bool failed;  /* the last wake failed */
--- a/src/sched_policy.c
+++ b/src/sched_policy.c
@@ -54,7 +54,7 @@
     left = s->config.load_ms;
   if (need->eta_ms > now_ms)
     left = (double)(need->eta_ms - now_ms);
-  else if (need->waking && left > 0)
+  else if (need->waking > 0 && left > 0)
     left -= (double)(now_ms - need->wake_start_ms);
   return left > 0 ? left : 0;
 }
@@ -252,16 +252,16 @@
 real_replicas (const struct sched *s, const struct need *need,
                const struct capacity *have)
 {
-  if (have->replicas == 0)
-    return 1;
-  if (have->unlimited || need->queued <= have->slots)
-    return have->replicas;
-  const size_t each = have->slots / have->replicas;
-  size_t wanted
-      = (need->in_flight + need->queued + each - 1) / (each ? each : 1);
+  const size_t each
+      = have->replicas > 0 ? have->slots / have->replicas : s->config.slots;
+  const size_t least = have->replicas > 0 ? have->replicas : 1;
+
+  if (have->unlimited || each == 0 || need->queued <= least * each)
+    return least;
+  const size_t wanted = (need->in_flight + need->queued + each - 1) / each;
 
   if (s->config.replicas_max && wanted > s->config.replicas_max)
-    wanted = s->config.replicas_max;
+    return s->config.replicas_max > least ? s->config.replicas_max : least;
   return wanted;
 }
 
--- a/src/sched_wake.c
+++ b/src/sched_wake.c
@@ -2,8 +2,9 @@
 
 #define BACKOFF_MS 200
 #define BACKOFF_MAX_MS 5000
-/* Time between two wakes that ask for more replicas. */
-#define MORE_REPLICAS_MS 1000
+/* Time between two wakes that ask for more replicas: a burst is seen as a
+   whole before it is answered with another load. */
+#define MORE_REPLICAS_MS 200
 /* Deadline of a load that nobody waits for any more, but for which requests
    were refused and told to come back. */
 #define MISSED_DEADLINE_MS 60000
@@ -27,9 +28,20 @@
   a->wait_ms
       = earliest > now_ms ? (uint32_t)(earliest - now_ms) : MISSED_DEADLINE_MS;
   a->replicas = (uint32_t)replicas;
-  need->waking = true;
+  if (need->waking++ == 0)
+    need->wake_start_ms = now_ms;
+  need->wanted = replicas;
   need->missed = false;
-  need->wake_start_ms = now_ms;
+  need->more_after_ms = now_ms + MORE_REPLICAS_MS;
+}
+
+/* While a wake is in flight, another one may only ask for more. */
+static bool
+wake_due (const struct need *need, size_t wanted, uint64_t now_ms)
+{
+  if (need->waking > 0)
+    return wanted > need->wanted && now_ms >= need->more_after_ms;
+  return now_ms >= need->wake_after_ms;
 }
 
 void
@@ -37,16 +49,15 @@
 {
   for (struct need *need = s->needs; need; need = need->hh.next)
     {
-      if (need->waking || now_ms < need->wake_after_ms
-          || (need->queued == 0 && !need->missed))
+      if (need->queued == 0 && !need->missed)
         continue;
       const struct capacity have = capacity_of (s, need);
       const size_t wanted = s->policy->replicas (s, need, &have);
 
-      if (wanted > have.replicas)
-        wake (s, need, wanted, now_ms);
-      else
+      if (wanted <= have.replicas)
         need->missed = false;
+      else if (wake_due (need, wanted, now_ms))
+        wake (s, need, wanted, now_ms);
     }
 }
 
@@ -75,9 +86,10 @@
   struct need *need = need_get (s, adapter);
   const bool present = capacity_of (s, need).replicas > 0;
 
-  if (need->waking && code == WAKE_LOADED && present)
+  if (need->waking > 0 && code == WAKE_LOADED && present)
     measure_load (need, (double)(now_ms - need->wake_start_ms));
-  need->waking = false;
+  if (need->waking > 0)
+    need->waking--;
   need->failed = code != WAKE_LOADED && code != WAKE_TOO_LATE;
   need->unknown = code == WAKE_UNKNOWN_MODEL;
   need->eta_ms = code == WAKE_TOO_LATE && eta_ms ? now_ms + eta_ms : 0;
--- a/tests/test_schedrules.c
+++ b/tests/test_schedrules.c
@@ -24,6 +24,7 @@
   const struct sched_config config = { .queue_max = 4,
                                        .use_ms = 2000,
                                        .hold_ms = 10000,
+                                       .slots = 2,
                                        .replicas_max = 3,
                                        .plain = plain };
   struct fixture f = { .crash = crash_create (64) };
@@ -104,6 +105,24 @@
   teardown (&f);
 }
 
+/* Guards against a burst that waits for a single replica. */
+static void
+test_wake_more (void)
+{
+  struct fixture f = setup (false, 0);
+  struct sched_action a = ask (&f, (struct sched_request){ 0 }, 0);
+
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (ask (&f, (struct sched_request){ 0 }, 1).kind, NOTHING);
+  sched_tick (f.s, 500);
+  a = next (&f);
+  CU_ASSERT_EQUAL (a.kind, SCHED_WAKE);
+  CU_ASSERT_EQUAL (a.replicas, 2);
+  sched_tick (f.s, 1000);
+  CU_ASSERT_EQUAL (next (&f).kind, NOTHING);
+  teardown (&f);
+}
+
 /* Guards against a model whose load is slower than every deadline and that is
    therefore never loaded. */
 static void
@@ -274,6 +293,7 @@
 
 static const struct suite_case cases[] = {
   { "one wake for many", test_wake_once },
+  { "more replicas for a burst", test_wake_more },
   { "load slower than the deadline", test_wake_too_late },
   { "adapters", test_adapter },
   { "leaving, dead and excluded targets", test_unusable },
