Add the host list, passed on by relays, and seeds from the store

Cause: 410 nodes that each watch the host list would take a large part of the store's read rate, and a leaving host must get no new work within 5 s.

A node that finds no other one reads lease holders from the store and uses them as seeds.

Ruled out: waiting calls (have_version, wait_ms), because each waiting bus link costs a heartbeat a second, which at 50 nodes per relay exceeds the 8 KB/s of control traffic; sending the whole list on each change, about 100 KB for 1,000 hosts.

--- a/src/membership.c
+++ b/src/membership.c
@@ -1,15 +1,19 @@
 #include "membership.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "clock.h"
 #include "err.h"
+#include "leasestate.h"
 #include "log.h"
 #include "metrics.h"
+#include "netaddr.h"
 #include "settings.h"
+#include "store.h"
 #include "swim.h"
 
 #define LOG_MODULE "membership"
@@ -18,6 +22,11 @@
 #define RECEIVE_BYTES 65536
 /* Bytes of the IP and UDP headers, for the traffic counters. */
 #define HEADER_BYTES 28
+/* A node that finds no other one looks for lease holders in the store. */
+#define LOOKUP_MS 10000
+#define LOOKUP_LEASES 8
+/* Time for the seeds of the settings to answer before that. */
+#define SEEDS_FIRST_MS 2000
 
 struct pending
 {
@@ -40,6 +49,7 @@
   uint64_t revisions;
   uint64_t other_formats;
   uint64_t logged_at;
+  uint64_t next_lookup;
   char buffer[RECEIVE_BYTES];
 };
 
@@ -51,23 +61,6 @@
 
 /* ---- sending ---- */
 
-static int
-parse_addr (struct str addr, struct sockaddr_in *out)
-{
-  char text[SWIM_NAME_MAX + 1];
-  uint64_t port;
-
-  if (addr.len > SWIM_NAME_MAX)
-    return -EINVAL;
-  memcpy (text, addr.data, addr.len);
-  text[addr.len] = '\0';
-  char *colon = strrchr (text, ':');
-  if (!colon || !str_u64 (str_from (colon + 1), &port) || port > UINT16_MAX)
-    return -EINVAL;
-  *colon = '\0';
-  return uv_ip4_addr (text, (int)port, out);
-}
-
 static void
 send_message (void *ctx, struct str to, const struct gossip *msg)
 {
@@ -76,7 +69,7 @@
   char bytes[SWIM_DATAGRAM_BYTES];
   XDR xdr;
 
-  if (!m->open || parse_addr (to, &sa) != 0)
+  if (!m->open || !netaddr_parse (to, &sa))
     return;
   xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
   if (!xdr_gossip (&xdr, (struct gossip *)msg))
@@ -256,12 +249,57 @@
   receive (m, buf->base, (size_t)n);
 }
 
+/* ---- seeds ---- */
+
+static void
+on_lease (void *ctx, struct err err, uint64_t version, struct str value)
+{
+  struct membership *m = ctx;
+  struct lease_record r;
+
+  (void)version;
+  if (err.code != 0 || lease_record_decode (value, &r) != 0)
+    return;
+  swim_seed (m->swim, r.holder);
+  str_free (&r.holder);
+}
+
+static void
+on_leases (void *ctx, struct err err, uint64_t version, struct str value)
+{
+  struct membership *m = ctx;
+  json_t *list
+      = err.code == 0 ? json_loadb (value.data, value.len, 0, NULL) : NULL;
+
+  (void)version;
+  for (size_t i = 0; i < json_array_size (list) && i < LOOKUP_LEASES; i++)
+    {
+      const char *key = json_string_value (
+          json_object_get (json_array_get (list, i), "key"));
+
+      if (key)
+        store_read (store_get (m->kernel), str_from (key), on_lease, m);
+    }
+  json_decref (list);
+}
+
+static void
+look_up_seeds (struct membership *m, uint64_t now)
+{
+  if (now < m->next_lookup || !swim_alone (m->swim))
+    return;
+  m->next_lookup = now + LOOKUP_MS;
+  store_list (store_get (m->kernel), STR ("lease/"), on_leases, m);
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
   struct membership *m = timer->data;
+  const uint64_t now = clock_ms ();
 
-  swim_tick (m->swim, clock_ms ());
+  swim_tick (m->swim, now);
+  look_up_seeds (m, now);
   publish (m, true);
 }
 
@@ -315,7 +353,7 @@
   m->udp.data = m;
   m->timer.data = m;
   m->open = true;
-  rc = parse_addr (s->bus_addr, &sa);
+  rc = netaddr_parse (s->bus_addr, &sa) ? 0 : -EINVAL;
   if (rc == 0)
     rc = uv_udp_bind (&m->udp, (const struct sockaddr *)&sa, 0);
   if (rc == 0)
@@ -326,6 +364,7 @@
                STR_ARG (s->bus_addr), err_str (rc));
       return rc;
     }
+  m->next_lookup = clock_ms () + (s->seeds.len > 0 ? SEEDS_FIRST_MS : 0);
   uv_timer_start (&m->timer, on_tick, 0, TICK_MS);
   publish (m, true);
   return 0;
--- a/src/peer.h
+++ b/src/peer.h
@@ -54,6 +54,7 @@
 	NOTICE_LEAVING_TARGET = 2,
 	NOTICE_CRASH_SUSPECT = 3,
 	NOTICE_QUARANTINE = 4,
+	NOTICE_HOSTS = 5,
 };
 typedef enum notice_kind notice_kind;
 
@@ -384,6 +385,17 @@
 };
 typedef struct config_fetch_res config_fetch_res;
 
+struct hosts_args {
+	u_quad_t have_version;
+};
+typedef struct hosts_args hosts_args;
+
+struct hosts_res {
+	u_quad_t list_version;
+	blob json;
+};
+typedef struct hosts_res hosts_res;
+
 struct status_res {
 	blob json;
 };
@@ -432,6 +444,9 @@
 #define PEER_STATUS 12
 extern  status_res * peer_status_1(void *, CLIENT *);
 extern  status_res * peer_status_1_svc(void *, struct svc_req *);
+#define PEER_HOSTS 13
+extern  hosts_res * peer_hosts_1(hosts_args *, CLIENT *);
+extern  hosts_res * peer_hosts_1_svc(hosts_args *, struct svc_req *);
 extern int galenagate_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -474,6 +489,9 @@
 #define PEER_STATUS 12
 extern  status_res * peer_status_1();
 extern  status_res * peer_status_1_svc();
+#define PEER_HOSTS 13
+extern  hosts_res * peer_hosts_1();
+extern  hosts_res * peer_hosts_1_svc();
 extern int galenagate_1_freeresult ();
 #endif /* K&R C */
 
@@ -519,6 +537,8 @@
 extern  bool_t xdr_config_fetch_args (XDR *, config_fetch_args*);
 extern  bool_t xdr_config_chunk (XDR *, config_chunk*);
 extern  bool_t xdr_config_fetch_res (XDR *, config_fetch_res*);
+extern  bool_t xdr_hosts_args (XDR *, hosts_args*);
+extern  bool_t xdr_hosts_res (XDR *, hosts_res*);
 extern  bool_t xdr_status_res (XDR *, status_res*);
 
 #else /* K&R C */
@@ -561,6 +581,8 @@
 extern bool_t xdr_config_fetch_args ();
 extern bool_t xdr_config_chunk ();
 extern bool_t xdr_config_fetch_res ();
+extern bool_t xdr_hosts_args ();
+extern bool_t xdr_hosts_res ();
 extern bool_t xdr_status_res ();
 
 #endif /* K&R C */
--- a/src/peer.x
+++ b/src/peer.x
@@ -32,7 +32,8 @@
   NOTICE_REVISION = 1,
   NOTICE_LEAVING_TARGET = 2,
   NOTICE_CRASH_SUSPECT = 3,
-  NOTICE_QUARANTINE = 4
+  NOTICE_QUARANTINE = 4,
+  NOTICE_HOSTS = 5 /* number: version of the platform's host list */
 };
 
 /* A short fact spread to all nodes. A higher number replaces a lower one of
@@ -309,6 +310,18 @@
   config_chunk chunks<64>;
 };
 
+/* ---- hosts ---- */
+
+struct hosts_args {
+  unsigned hyper have_version;
+};
+
+/* json is empty when the versions are equal; see hostlist.h. */
+struct hosts_res {
+  unsigned hyper list_version;
+  blob json;
+};
+
 /* ---- status ---- */
 
 struct status_res {
@@ -330,5 +343,6 @@
     quota_res PEER_QUOTA (quota_args) = 10;
     config_fetch_res PEER_CONFIG_FETCH (config_fetch_args) = 11;
     status_res PEER_STATUS (void) = 12;
+    hosts_res PEER_HOSTS (hosts_args) = 13;
   } = 1;
 } = 0x2f0a17e0;
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -779,6 +779,28 @@
   return TRUE;
 }
 
+bool_t
+xdr_hosts_args (XDR *xdrs, hosts_args *objp)
+{
+  register int32_t *buf;
+
+  if (!xdr_u_quad_t (xdrs, &objp->have_version))
+    return FALSE;
+  return TRUE;
+}
+
+bool_t
+xdr_hosts_res (XDR *xdrs, hosts_res *objp)
+{
+  register int32_t *buf;
+
+  if (!xdr_u_quad_t (xdrs, &objp->list_version))
+    return FALSE;
+  if (!xdr_blob (xdrs, &objp->json))
+    return FALSE;
+  return TRUE;
+}
+
 bool_t
 xdr_status_res (XDR *xdrs, status_res *objp)
 {
--- a/src/rpcmsg.c
+++ b/src/rpcmsg.c
@@ -50,6 +50,7 @@
   [PEER_CONFIG_FETCH]
   = { CODEC (config_fetch_args), CODEC (config_fetch_res) },
   [PEER_STATUS] = { NOTHING, CODEC (status_res) },
+  [PEER_HOSTS] = { CODEC (hosts_args), CODEC (hosts_res) },
 };
 
 bool
