--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -186,6 +186,8 @@
                       (u_int *)&objp->excluded.excluded_len, 8, sizeof (text),
                       (xdrproc_t)xdr_text))
         return FALSE;
+      if (!xdr_node_id (xdrs, &objp->entry))
+        return FALSE;
       return TRUE;
     }
   else if (xdrs->x_op == XDR_DECODE)
@@ -232,6 +234,8 @@
                       (u_int *)&objp->excluded.excluded_len, 8, sizeof (text),
                       (xdrproc_t)xdr_text))
         return FALSE;
+      if (!xdr_node_id (xdrs, &objp->entry))
+        return FALSE;
       return TRUE;
     }
 
@@ -267,6 +271,8 @@
                   (u_int *)&objp->excluded.excluded_len, 8, sizeof (text),
                   (xdrproc_t)xdr_text))
     return FALSE;
+  if (!xdr_node_id (xdrs, &objp->entry))
+    return FALSE;
   return TRUE;
 }
 
