--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -8,811 +8,783 @@
 bool_t
 xdr_text (XDR *xdrs, text *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_bytes (xdrs, (char **)&objp->text_val, (u_int *)&objp->text_len,
-                  4096))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->text_val, (u_int *) &objp->text_len, 4096))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_blob (XDR *xdrs, blob *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_bytes (xdrs, (char **)&objp->blob_val, (u_int *)&objp->blob_len,
-                  1048576))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->blob_val, (u_int *) &objp->blob_len, 1048576))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_node_id (XDR *xdrs, node_id *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_text (xdrs, &objp->addr))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->instance))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_text (xdrs, &objp->addr))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->instance))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_member_state (XDR *xdrs, member_state *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_enum (xdrs, (enum_t *)objp))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_member (XDR *xdrs, member *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_node_id (xdrs, &objp->id))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-    return FALSE;
-  if (!xdr_member_state (xdrs, &objp->state))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->http_addr))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->region))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->domain))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->revision))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_node_id (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_member_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->http_addr))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->region))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_notice_kind (XDR *xdrs, notice_kind *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_enum (xdrs, (enum_t *)objp))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_notice (XDR *xdrs, notice *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_notice_kind (xdrs, &objp->kind))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->key))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->value))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->number))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->ttl_ms))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_notice_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->value))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ttl_ms))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_gossip_kind (XDR *xdrs, gossip_kind *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_enum (xdrs, (enum_t *)objp))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_gossip (XDR *xdrs, gossip *objp)
 {
-  register int32_t *buf;
-
-  if (!xdr_u_int (xdrs, &objp->format))
-    return FALSE;
-  if (!xdr_gossip_kind (xdrs, &objp->kind))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->seq))
-    return FALSE;
-  if (!xdr_member (xdrs, &objp->from))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->digest))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->target))
-    return FALSE;
-  if (!xdr_array (xdrs, (char **)&objp->members.members_val,
-                  (u_int *)&objp->members.members_len, 16, sizeof (member),
-                  (xdrproc_t)xdr_member))
-    return FALSE;
-  if (!xdr_array (xdrs, (char **)&objp->notices.notices_val,
-                  (u_int *)&objp->notices.notices_len, 8, sizeof (notice),
-                  (xdrproc_t)xdr_notice))
-    return FALSE;
-  return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_gossip_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_member (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 16,
+		sizeof (member), (xdrproc_t) xdr_member))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->notices.notices_val, (u_int *) &objp->notices.notices_len, 8,
+		sizeof (notice), (xdrproc_t) xdr_notice))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_grant_args (XDR *xdrs, grant_args *objp)
 {
-  register int32_t *buf;
-
-  if (xdrs->x_op == XDR_ENCODE)
-    {
-      if (!xdr_text (xdrs, &objp->request_id))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->customer))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->class_name))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->service))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->model))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->model_version))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->adapter))
-        return FALSE;
-      if (!xdr_int (xdrs, &objp->priority))
-        return FALSE;
-      if (!xdr_u_int (xdrs, &objp->deadline_ms))
-        return FALSE;
-      if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
-        return FALSE;
-      if (!xdr_u_quad_t (xdrs, &objp->prefix_hash))
-        return FALSE;
-      buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-      if (buf == NULL)
-        {
-          if (!xdr_u_int (xdrs, &objp->tokens_estimate))
-            return FALSE;
-          if (!xdr_u_int (xdrs, &objp->attempt))
-            return FALSE;
-          if (!xdr_bool (xdrs, &objp->crash_seen))
-            return FALSE;
-        }
-      else
-        {
-          IXDR_PUT_U_LONG (buf, objp->tokens_estimate);
-          IXDR_PUT_U_LONG (buf, objp->attempt);
-          IXDR_PUT_BOOL (buf, objp->crash_seen);
-        }
-      if (!xdr_array (xdrs, (char **)&objp->excluded.excluded_val,
-                      (u_int *)&objp->excluded.excluded_len, 8, sizeof (text),
-                      (xdrproc_t)xdr_text))
-        return FALSE;
-      if (!xdr_node_id (xdrs, &objp->entry))
-        return FALSE;
-      return TRUE;
-    }
-  else if (xdrs->x_op == XDR_DECODE)
-    {
-      if (!xdr_text (xdrs, &objp->request_id))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->customer))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->class_name))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->service))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->model))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->model_version))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->adapter))
-        return FALSE;
-      if (!xdr_int (xdrs, &objp->priority))
-        return FALSE;
-      if (!xdr_u_int (xdrs, &objp->deadline_ms))
-        return FALSE;
-      if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
-        return FALSE;
-      if (!xdr_u_quad_t (xdrs, &objp->prefix_hash))
-        return FALSE;
-      buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-      if (buf == NULL)
-        {
-          if (!xdr_u_int (xdrs, &objp->tokens_estimate))
-            return FALSE;
-          if (!xdr_u_int (xdrs, &objp->attempt))
-            return FALSE;
-          if (!xdr_bool (xdrs, &objp->crash_seen))
-            return FALSE;
-        }
-      else
-        {
-          objp->tokens_estimate = IXDR_GET_U_LONG (buf);
-          objp->attempt = IXDR_GET_U_LONG (buf);
-          objp->crash_seen = IXDR_GET_BOOL (buf);
-        }
-      if (!xdr_array (xdrs, (char **)&objp->excluded.excluded_val,
-                      (u_int *)&objp->excluded.excluded_len, 8, sizeof (text),
-                      (xdrproc_t)xdr_text))
-        return FALSE;
-      if (!xdr_node_id (xdrs, &objp->entry))
-        return FALSE;
-      return TRUE;
-    }
-
-  if (!xdr_text (xdrs, &objp->request_id))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->customer))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->class_name))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->service))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->model))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->model_version))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->adapter))
-    return FALSE;
-  if (!xdr_int (xdrs, &objp->priority))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->deadline_ms))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->prefix_hash))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->tokens_estimate))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->attempt))
-    return FALSE;
-  if (!xdr_bool (xdrs, &objp->crash_seen))
-    return FALSE;
-  if (!xdr_array (xdrs, (char **)&objp->excluded.excluded_val,
-                  (u_int *)&objp->excluded.excluded_len, 8, sizeof (text),
-                  (xdrproc_t)xdr_text))
-    return FALSE;
-  if (!xdr_node_id (xdrs, &objp->entry))
-    return FALSE;
-  return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_text (xdrs, &objp->request_id))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->customer))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->class_name))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->model))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->model_version))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->adapter))
+			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->priority))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->prefix_hash))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->tokens_estimate))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempt))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->crash_seen))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->tokens_estimate);
+		IXDR_PUT_U_LONG(buf, objp->attempt);
+		IXDR_PUT_BOOL(buf, objp->crash_seen);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->excluded.excluded_val, (u_int *) &objp->excluded.excluded_len, 8,
+			sizeof (text), (xdrproc_t) xdr_text))
+			 return FALSE;
+		 if (!xdr_node_id (xdrs, &objp->entry))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_text (xdrs, &objp->request_id))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->customer))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->class_name))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->model))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->model_version))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->adapter))
+			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->priority))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->prefix_hash))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->tokens_estimate))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempt))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->crash_seen))
+				 return FALSE;
+
+		} else {
+		objp->tokens_estimate = IXDR_GET_U_LONG(buf);
+		objp->attempt = IXDR_GET_U_LONG(buf);
+		objp->crash_seen = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->excluded.excluded_val, (u_int *) &objp->excluded.excluded_len, 8,
+			sizeof (text), (xdrproc_t) xdr_text))
+			 return FALSE;
+		 if (!xdr_node_id (xdrs, &objp->entry))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_text (xdrs, &objp->request_id))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->class_name))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->model_version))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->adapter))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->prefix_hash))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens_estimate))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->crash_seen))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->excluded.excluded_val, (u_int *) &objp->excluded.excluded_len, 8,
+		sizeof (text), (xdrproc_t) xdr_text))
+		 return FALSE;
+	 if (!xdr_node_id (xdrs, &objp->entry))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_grant_code (XDR *xdrs, grant_code *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_enum (xdrs, (enum_t *)objp))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_grant_res (XDR *xdrs, grant_res *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_grant_code (xdrs, &objp->code))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->target))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->attempt_id))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->fence))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->expires_ms))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->retry_after_ms))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->detail))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_grant_code (xdrs, &objp->code))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->attempt_id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->expires_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->detail))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_attempt_outcome (XDR *xdrs, attempt_outcome *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_enum (xdrs, (enum_t *)objp))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_release_args (XDR *xdrs, release_args *objp)
 {
-  register int32_t *buf;
-
-  if (!xdr_text (xdrs, &objp->attempt_id))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->service))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->model))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->model_version))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->adapter))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->target))
-    return FALSE;
-  if (!xdr_attempt_outcome (xdrs, &objp->outcome))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->first_byte_ms))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->total_ms))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->tokens))
-    return FALSE;
-  return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_text (xdrs, &objp->attempt_id))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->model_version))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->adapter))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_attempt_outcome (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->first_byte_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->total_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_replica (XDR *xdrs, replica *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_text (xdrs, &objp->target))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->domain))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->fence))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->target_instance))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->slots))
-    return FALSE;
-  if (!xdr_bool (xdrs, &objp->leaving))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_text (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target_instance))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_wake_args (XDR *xdrs, wake_args *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_text (xdrs, &objp->service))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->model))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->model_version))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->adapter))
-    return FALSE;
-  if (!xdr_int (xdrs, &objp->priority))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->deadline_ms))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->replicas_wanted))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_text (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->model_version))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->adapter))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->replicas_wanted))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_wake_code (XDR *xdrs, wake_code *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_enum (xdrs, (enum_t *)objp))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_wake_res (XDR *xdrs, wake_res *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_wake_code (xdrs, &objp->code))
-    return FALSE;
-  if (!xdr_array (xdrs, (char **)&objp->replicas.replicas_val,
-                  (u_int *)&objp->replicas.replicas_len, 64, sizeof (replica),
-                  (xdrproc_t)xdr_replica))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->eta_ms))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->detail))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_wake_code (xdrs, &objp->code))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->replicas.replicas_val, (u_int *) &objp->replicas.replicas_len, 64,
+		sizeof (replica), (xdrproc_t) xdr_replica))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->eta_ms))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->detail))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_usage_item (XDR *xdrs, usage_item *objp)
 {
-  register int32_t *buf;
-
-  if (xdrs->x_op == XDR_ENCODE)
-    {
-      if (!xdr_text (xdrs, &objp->model))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->model_version))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->adapter))
-        return FALSE;
-      buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-      if (buf == NULL)
-        {
-          if (!xdr_u_int (xdrs, &objp->in_flight))
-            return FALSE;
-          if (!xdr_u_int (xdrs, &objp->queued))
-            return FALSE;
-          if (!xdr_u_int (xdrs, &objp->idle_ms))
-            return FALSE;
-          if (!xdr_u_int (xdrs, &objp->requests))
-            return FALSE;
-        }
-      else
-        {
-          IXDR_PUT_U_LONG (buf, objp->in_flight);
-          IXDR_PUT_U_LONG (buf, objp->queued);
-          IXDR_PUT_U_LONG (buf, objp->idle_ms);
-          IXDR_PUT_U_LONG (buf, objp->requests);
-        }
-      return TRUE;
-    }
-  else if (xdrs->x_op == XDR_DECODE)
-    {
-      if (!xdr_text (xdrs, &objp->model))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->model_version))
-        return FALSE;
-      if (!xdr_text (xdrs, &objp->adapter))
-        return FALSE;
-      buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-      if (buf == NULL)
-        {
-          if (!xdr_u_int (xdrs, &objp->in_flight))
-            return FALSE;
-          if (!xdr_u_int (xdrs, &objp->queued))
-            return FALSE;
-          if (!xdr_u_int (xdrs, &objp->idle_ms))
-            return FALSE;
-          if (!xdr_u_int (xdrs, &objp->requests))
-            return FALSE;
-        }
-      else
-        {
-          objp->in_flight = IXDR_GET_U_LONG (buf);
-          objp->queued = IXDR_GET_U_LONG (buf);
-          objp->idle_ms = IXDR_GET_U_LONG (buf);
-          objp->requests = IXDR_GET_U_LONG (buf);
-        }
-      return TRUE;
-    }
-
-  if (!xdr_text (xdrs, &objp->model))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->model_version))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->adapter))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->in_flight))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->queued))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->idle_ms))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->requests))
-    return FALSE;
-  return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_text (xdrs, &objp->model))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->model_version))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->adapter))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->in_flight))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queued))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->idle_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->requests))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->in_flight);
+			IXDR_PUT_U_LONG(buf, objp->queued);
+			IXDR_PUT_U_LONG(buf, objp->idle_ms);
+			IXDR_PUT_U_LONG(buf, objp->requests);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_text (xdrs, &objp->model))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->model_version))
+			 return FALSE;
+		 if (!xdr_text (xdrs, &objp->adapter))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->in_flight))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queued))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->idle_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->requests))
+				 return FALSE;
+		} else {
+			objp->in_flight = IXDR_GET_U_LONG(buf);
+			objp->queued = IXDR_GET_U_LONG(buf);
+			objp->idle_ms = IXDR_GET_U_LONG(buf);
+			objp->requests = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_text (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->model_version))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->adapter))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->in_flight))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->queued))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->idle_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->requests))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_usage_args (XDR *xdrs, usage_args *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_text (xdrs, &objp->service))
-    return FALSE;
-  if (!xdr_array (xdrs, (char **)&objp->items.items_val,
-                  (u_int *)&objp->items.items_len, 512, sizeof (usage_item),
-                  (xdrproc_t)xdr_usage_item))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_text (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, 512,
+		sizeof (usage_item), (xdrproc_t) xdr_usage_item))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_usage_item_res (XDR *xdrs, usage_item_res *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_text (xdrs, &objp->model))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->model_version))
-    return FALSE;
-  if (!xdr_array (xdrs, (char **)&objp->replicas.replicas_val,
-                  (u_int *)&objp->replicas.replicas_len, 64, sizeof (replica),
-                  (xdrproc_t)xdr_replica))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_text (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->model_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->replicas.replicas_val, (u_int *) &objp->replicas.replicas_len, 64,
+		sizeof (replica), (xdrproc_t) xdr_replica))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_usage_res (XDR *xdrs, usage_res *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_array (xdrs, (char **)&objp->items.items_val,
-                  (u_int *)&objp->items.items_len, 512,
-                  sizeof (usage_item_res), (xdrproc_t)xdr_usage_item_res))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, 512,
+		sizeof (usage_item_res), (xdrproc_t) xdr_usage_item_res))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_load_kind (XDR *xdrs, load_kind *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_enum (xdrs, (enum_t *)objp))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_load_slot_args (XDR *xdrs, load_slot_args *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_text (xdrs, &objp->service))
-    return FALSE;
-  if (!xdr_load_kind (xdrs, &objp->kind))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->count))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->hold_ms))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_text (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_load_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->count))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hold_ms))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_load_slot_res (XDR *xdrs, load_slot_res *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_u_int (xdrs, &objp->granted))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->retry_after_ms))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_u_int (xdrs, &objp->granted))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_fence_off_args (XDR *xdrs, fence_off_args *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_text (xdrs, &objp->service))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->fence))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_text (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_fence_off_res (XDR *xdrs, fence_off_res *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_array (xdrs, (char **)&objp->voided.voided_val,
-                  (u_int *)&objp->voided.voided_len, 512, sizeof (text),
-                  (xdrproc_t)xdr_text))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_array (xdrs, (char **)&objp->voided.voided_val, (u_int *) &objp->voided.voided_len, 512,
+		sizeof (text), (xdrproc_t) xdr_text))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_claim_args (XDR *xdrs, claim_args *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_text (xdrs, &objp->customer))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->key))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->service))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->request_id))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->deadline_ms))
-    return FALSE;
-  if (!xdr_node_id (xdrs, &objp->entry))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_text (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->request_id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+		 return FALSE;
+	 if (!xdr_node_id (xdrs, &objp->entry))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_claim_code (XDR *xdrs, claim_code *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_enum (xdrs, (enum_t *)objp))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_claim_res (XDR *xdrs, claim_res *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_claim_code (xdrs, &objp->code))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->request_id))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->service))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->status))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->content_type))
-    return FALSE;
-  if (!xdr_blob (xdrs, &objp->body))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->claimed_at_ms))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->settled_at_ms))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_claim_code (xdrs, &objp->code))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->request_id))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->content_type))
+		 return FALSE;
+	 if (!xdr_blob (xdrs, &objp->body))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->claimed_at_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->settled_at_ms))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_settle_state (XDR *xdrs, settle_state *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_enum (xdrs, (enum_t *)objp))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_settle_args (XDR *xdrs, settle_args *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_text (xdrs, &objp->customer))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->key))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->request_id))
-    return FALSE;
-  if (!xdr_settle_state (xdrs, &objp->state))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->status))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->content_type))
-    return FALSE;
-  if (!xdr_blob (xdrs, &objp->body))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_text (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->request_id))
+		 return FALSE;
+	 if (!xdr_settle_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->content_type))
+		 return FALSE;
+	 if (!xdr_blob (xdrs, &objp->body))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_settle_res (XDR *xdrs, settle_res *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_bool (xdrs, &objp->stored))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_bool (xdrs, &objp->stored))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_lookup_args (XDR *xdrs, lookup_args *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_text (xdrs, &objp->customer))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->key))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_text (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->key))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_quota_args (XDR *xdrs, quota_args *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_text (xdrs, &objp->customer))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->request_id))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->requests))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->finished))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_text (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->request_id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->requests))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->finished))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_quota_res (XDR *xdrs, quota_res *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_u_int (xdrs, &objp->granted))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->retry_after_ms))
-    return FALSE;
-  if (!xdr_text (xdrs, &objp->detail))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_u_int (xdrs, &objp->granted))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->detail))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_config_fetch_args (XDR *xdrs, config_fetch_args *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_u_quad_t (xdrs, &objp->have_revision))
-    return FALSE;
-  if (!xdr_array (xdrs, (char **)&objp->wanted.wanted_val,
-                  (u_int *)&objp->wanted.wanted_len, 64, sizeof (text),
-                  (xdrproc_t)xdr_text))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_u_quad_t (xdrs, &objp->have_revision))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->wanted.wanted_val, (u_int *) &objp->wanted.wanted_len, 64,
+		sizeof (text), (xdrproc_t) xdr_text))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_config_chunk (XDR *xdrs, config_chunk *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_text (xdrs, &objp->hash))
-    return FALSE;
-  if (!xdr_blob (xdrs, &objp->body))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_text (xdrs, &objp->hash))
+		 return FALSE;
+	 if (!xdr_blob (xdrs, &objp->body))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_config_fetch_res (XDR *xdrs, config_fetch_res *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_u_quad_t (xdrs, &objp->revision))
-    return FALSE;
-  if (!xdr_blob (xdrs, &objp->root))
-    return FALSE;
-  if (!xdr_array (xdrs, (char **)&objp->chunks.chunks_val,
-                  (u_int *)&objp->chunks.chunks_len, 64, sizeof (config_chunk),
-                  (xdrproc_t)xdr_config_chunk))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_blob (xdrs, &objp->root))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->chunks.chunks_val, (u_int *) &objp->chunks.chunks_len, 64,
+		sizeof (config_chunk), (xdrproc_t) xdr_config_chunk))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_hosts_args (XDR *xdrs, hosts_args *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_u_quad_t (xdrs, &objp->have_version))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_u_quad_t (xdrs, &objp->have_version))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_hosts_res (XDR *xdrs, hosts_res *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_u_quad_t (xdrs, &objp->list_version))
-    return FALSE;
-  if (!xdr_blob (xdrs, &objp->json))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_u_quad_t (xdrs, &objp->list_version))
+		 return FALSE;
+	 if (!xdr_blob (xdrs, &objp->json))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_status_res (XDR *xdrs, status_res *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_blob (xdrs, &objp->json))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_blob (xdrs, &objp->json))
+		 return FALSE;
+	return TRUE;
 }
