--- /dev/null
+++ b/src/policynaive.c
@@ -0,0 +1,164 @@
+#include "policy.h"
+
+#include <stdlib.h>
+
+#include <uthash.h>
+
+#include "err.h"
+
+struct last_use
+{
+  struct str name;
+  uint64_t at_ms;
+  UT_hash_handle hh;
+};
+
+struct naive
+{
+  struct policy base;
+  uint64_t idle_timeout_ms;
+  struct last_use *uses;
+};
+
+static struct last_use *
+find_or_add (struct naive *p, const struct replica_key *key, uint64_t now)
+{
+  struct str name = str_printf (STR_FMT "/" STR_FMT, STR_ARG (key->model),
+                                STR_ARG (key->adapter));
+  struct last_use *u;
+
+  HASH_FIND (hh, p->uses, name.data, name.len, u);
+  if (u)
+    {
+      str_free (&name);
+      return u;
+    }
+  u = xcalloc (1, sizeof *u);
+  u->name = name;
+  u->at_ms = now;
+  HASH_ADD_KEYPTR (hh, p->uses, u->name.data, u->name.len, u);
+  return u;
+}
+
+static void
+used (struct policy *policy, const struct policy_use *use, uint64_t now)
+{
+  struct last_use *u = find_or_add ((struct naive *)policy, &use->key, now);
+
+  if (use->in_flight > 0 || use->queued > 0 || use->requests > 0)
+    u->at_ms = now;
+}
+
+static uint32_t
+want (struct policy *policy, const struct replica_key *key, uint32_t loaded,
+      uint64_t now, const char **reason)
+{
+  struct naive *p = (struct naive *)policy;
+  const struct last_use *u = find_or_add (p, key, now);
+
+  *reason = "idle-timeout";
+  return now - u->at_ms < p->idle_timeout_ms ? loaded : 0;
+}
+
+static bool
+evict_oldest (struct naive *p, const struct policy_view *view,
+              const struct policy_want *w, uint64_t now,
+              struct policy_choice *c)
+{
+  const struct policy_server *s = &view->servers[c->server];
+  uint64_t used_bytes = s->used_bytes;
+
+  while (used_bytes + w->bytes > s->memory_bytes)
+    {
+      size_t best = view->replica_count;
+      uint64_t best_ms = UINT64_MAX;
+
+      for (size_t i = 0; i < view->replica_count; i++)
+        {
+          const struct policy_replica *r = &view->replicas[i];
+          bool out = r->server != c->server || r->pinned;
+
+          for (size_t j = 0; j < c->evict_count; j++)
+            out |= c->evict[j] == i;
+          if (out)
+            continue;
+          const uint64_t at = find_or_add (p, &r->key, now)->at_ms;
+          if (at < best_ms)
+            {
+              best_ms = at;
+              best = i;
+            }
+        }
+      if (best == view->replica_count || c->evict_count == POLICY_EVICT_MAX)
+        return false;
+      c->evict[c->evict_count++] = best;
+      used_bytes -= view->replicas[best].bytes;
+    }
+  return true;
+}
+
+static bool
+choose (struct policy *policy, const struct policy_view *view,
+        const struct policy_want *w, uint64_t now, struct policy_choice *out)
+{
+  struct naive *p = (struct naive *)policy;
+
+  for (int evict = 0; evict < 2; evict++)
+    for (size_t i = 0; i < view->server_count; i++)
+      {
+        const struct policy_server *s = &view->servers[i];
+
+        if (!s->usable || s->holds || w->bytes > s->memory_bytes)
+          continue;
+        *out = (struct policy_choice){
+          .server = i,
+          .estimate_ms = policy_load_ms (w, s->cache),
+          .reason = evict ? "least-recently-used" : "first-free",
+        };
+        if (s->used_bytes + w->bytes <= s->memory_bytes
+            || (evict && evict_oldest (p, view, w, now, out)))
+          return true;
+      }
+  return false;
+}
+
+static bool
+before (const struct policy_want *a, const struct policy_want *b)
+{
+  return a->asked_ms < b->asked_ms;
+}
+
+static void
+destroy (struct policy *policy)
+{
+  struct naive *p = (struct naive *)policy;
+  struct last_use *u;
+  struct last_use *next;
+
+  HASH_ITER (hh, p->uses, u, next)
+  {
+    HASH_DEL (p->uses, u);
+    str_free (&u->name);
+    free (u);
+  }
+  free (p);
+}
+
+static const struct policy_ops naive_ops = {
+  .name = "naive",
+  .used = used,
+  .choose = choose,
+  .want = want,
+  .before = before,
+  .destroy = destroy,
+};
+
+struct policy *
+policy_create_naive (uint64_t idle_timeout_ms)
+{
+  struct naive *p = xcalloc (1, sizeof *p);
+
+  p->base.ops = &naive_ops;
+  p->idle_timeout_ms = idle_timeout_ms;
+  return &p->base;
+}
--- /dev/null
+++ b/tests/test_policy.c
@@ -0,0 +1,273 @@
+#include "policy.h"
+
+#include "suite.h"
+
+#define SECOND_MS 1000ULL
+#define MINUTE_MS (60 * SECOND_MS)
+#define START_MS (1000 * MINUTE_MS)
+#define LOAD_MS 9000
+#define COUNT(a) (sizeof (a) / sizeof *(a))
+
+static const struct replica_key wanted
+    = { .model = STR ("w"), .version = STR ("1") };
+
+static struct replica_key
+key (struct str model)
+{
+  return (struct replica_key){ .model = model, .version = STR ("1") };
+}
+
+/* Guards against a load far from a cached copy, beside a replica in the same
+   failure domain, on an unusable server or without memory. */
+static void
+test_choose (void)
+{
+  static const struct
+  {
+    const char *name;
+    struct policy_server servers[3];
+    int chosen; /* -1: none */
+  } cases[] = {
+    { "nearest copy",
+      { { STR ("a"), STR ("x"), 100, 0, CACHE_REMOTE, true, false },
+        { STR ("b"), STR ("y"), 100, 50, CACHE_MEMORY, true, false },
+        { STR ("c"), STR ("z"), 100, 0, CACHE_DISK, true, false } },
+      1 },
+    { "other failure domain",
+      { { STR ("a"), STR ("x"), 100, 0, CACHE_REMOTE, true, true },
+        { STR ("b"), STR ("x"), 100, 0, CACHE_REMOTE, true, false },
+        { STR ("c"), STR ("y"), 100, 40, CACHE_REMOTE, true, false } },
+      2 },
+    { "most free memory",
+      { { STR ("a"), STR ("x"), 100, 40, CACHE_REMOTE, true, false },
+        { STR ("b"), STR ("x"), 100, 10, CACHE_REMOTE, true, false },
+        { STR ("c"), STR ("y"), 100, 20, CACHE_REMOTE, true, false } },
+      1 },
+    { "unusable, full or too small",
+      { { STR ("a"), STR ("x"), 100, 0, CACHE_MEMORY, false, false },
+        { STR ("b"), STR ("x"), 100, 51, CACHE_REMOTE, true, false },
+        { STR ("c"), STR ("y"), 49, 0, CACHE_REMOTE, true, false } },
+      -1 },
+  };
+  struct policy *p = policy_create (PREFER_COLD_START);
+
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      const struct policy_view view
+          = { .servers = cases[i].servers, .server_count = 3 };
+      const struct policy_want want
+          = { .key = wanted, .bytes = 50, .load_ms = LOAD_MS };
+      struct policy_choice c = { 0 };
+      const bool found = p->ops->choose (p, &view, &want, START_MS, &c);
+
+      CU_ASSERT_EQUAL (found ? (int)c.server : -1, cases[i].chosen);
+    }
+  p->ops->destroy (p);
+}
+
+static void
+report (struct policy *p, const struct replica_key *k, uint32_t in_flight,
+        uint64_t now)
+{
+  const struct policy_use use = { .key = *k,
+                                  .in_flight = in_flight,
+                                  .requests = in_flight,
+                                  .slots = 4,
+                                  .load_ms = LOAD_MS };
+
+  p->ops->used (p, &use, now);
+}
+
+/* Guards against the eviction of a replica that must stay, and of one that is
+   likely used sooner than another. */
+static void
+test_evict (void)
+{
+  struct policy *p = policy_create (PREFER_COLD_START);
+  const struct policy_server server = { .addr = STR ("a"),
+                                        .memory_bytes = 100,
+                                        .used_bytes = 90,
+                                        .usable = true,
+                                        .cache = CACHE_REMOTE };
+  struct policy_replica replicas[3] = {
+    { .key = key (STR ("pinned")),
+      .bytes = 30,
+      .load_ms = LOAD_MS,
+      .pinned = true },
+    { .key = key (STR ("recent")), .bytes = 30, .load_ms = LOAD_MS },
+    { .key = key (STR ("old")), .bytes = 30, .load_ms = LOAD_MS },
+  };
+  const struct policy_view view = { .servers = &server,
+                                    .server_count = 1,
+                                    .replicas = replicas,
+                                    .replica_count = 3 };
+  struct policy_want want = { .key = wanted, .bytes = 40, .load_ms = LOAD_MS };
+  struct policy_choice c;
+
+  report (p, &replicas[2].key, 1, START_MS);
+  report (p, &replicas[2].key, 0, START_MS);
+  report (p, &replicas[1].key, 1, START_MS + 5 * MINUTE_MS);
+  report (p, &replicas[1].key, 0, START_MS + 5 * MINUTE_MS);
+  const uint64_t now = START_MS + 6 * MINUTE_MS;
+  CU_ASSERT (p->ops->choose (p, &view, &want, now, &c));
+  CU_ASSERT (c.evict_count == 1 && c.evict[0] == 2);
+  want.bytes = 70;
+  CU_ASSERT (p->ops->choose (p, &view, &want, now, &c));
+  CU_ASSERT_EQUAL (c.evict_count, 2);
+  want.bytes = 71;
+  CU_ASSERT_FALSE (p->ops->choose (p, &view, &want, now, &c));
+  p->ops->destroy (p);
+}
+
+struct outcome
+{
+  uint64_t idle_ms; /* loaded without use */
+  unsigned cold;    /* uses that found the model unloaded */
+};
+
+/* One model, used for a second at each of the times; asked every second as
+   the placement task does. */
+static struct outcome
+drive (struct policy *p, const uint64_t *gaps_ms, size_t n)
+{
+  const struct replica_key k = key (STR ("m"));
+  struct outcome o = { 0 };
+  uint64_t now = START_MS;
+  bool loaded = false;
+  const char *reason;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      for (const uint64_t end = now + gaps_ms[i]; now < end; now += SECOND_MS)
+        {
+          loaded = p->ops->want (p, &k, loaded, now, &reason) > 0;
+          o.idle_ms += loaded ? SECOND_MS : 0;
+        }
+      o.cold += !loaded;
+      loaded = true;
+      report (p, &k, 1, now);
+      now += SECOND_MS;
+      report (p, &k, 0, now);
+    }
+  p->ops->destroy (p);
+  return o;
+}
+
+/* Guards against a keep-alive that ignores a model's own idle times or the
+   service's preference. */
+static void
+test_keep_alive (void)
+{
+  uint64_t bursts[80];
+  uint64_t hourly[40];
+
+  /* Bursts of four uses half a minute apart, every 40 minutes. */
+  for (size_t i = 0; i < COUNT (bursts); i++)
+    bursts[i] = i % 4 == 0 ? 40 * MINUTE_MS : 30 * SECOND_MS;
+  for (size_t i = 0; i < COUNT (hourly); i++)
+    hourly[i] = 60 * MINUTE_MS;
+
+  const struct outcome cold_start
+      = drive (policy_create (PREFER_COLD_START), bursts, COUNT (bursts));
+  const struct outcome idle_hours
+      = drive (policy_create (PREFER_IDLE_HOURS), bursts, COUNT (bursts));
+  const struct outcome naive
+      = drive (policy_create_naive (5 * MINUTE_MS), bursts, COUNT (bursts));
+  CU_ASSERT (idle_hours.idle_ms <= cold_start.idle_ms);
+  CU_ASSERT (cold_start.cold <= idle_hours.cold);
+  /* No more cold starts than the naive policy, for less idle time. */
+  CU_ASSERT (idle_hours.cold <= naive.cold);
+  CU_ASSERT (idle_hours.idle_ms < naive.idle_ms);
+
+  /* A regular use is met by a load ahead of it. */
+  const struct outcome regular
+      = drive (policy_create (PREFER_COLD_START), hourly, COUNT (hourly));
+  const struct outcome naive_regular
+      = drive (policy_create_naive (5 * MINUTE_MS), hourly, COUNT (hourly));
+  CU_ASSERT_EQUAL (naive_regular.cold, COUNT (hourly));
+  CU_ASSERT (regular.cold < COUNT (hourly) / 2);
+}
+
+/* Guards against surplus replicas that stay after a peak, and against fewer
+   replicas than the requests in flight need. */
+static void
+test_surplus (void)
+{
+  struct policy *p = policy_create (PREFER_COLD_START);
+  const struct replica_key k = key (STR ("m"));
+  const char *reason;
+
+  report (p, &k, 12, START_MS);
+  CU_ASSERT_EQUAL (p->ops->want (p, &k, 3, START_MS, &reason), 3);
+  report (p, &k, 5, START_MS + MINUTE_MS);
+  report (p, &k, 5, START_MS + 2 * MINUTE_MS);
+  CU_ASSERT_EQUAL (p->ops->want (p, &k, 3, START_MS + 2 * MINUTE_MS, &reason),
+                   2);
+  p->ops->destroy (p);
+}
+
+/* Guards against a load that waits behind a less urgent one. */
+static void
+test_order (void)
+{
+  static const struct policy_want sorted[] = {
+    { .priority = 9, .deadline_ms = 50, .asked_ms = 3 },
+    { .priority = 9, .deadline_ms = 60, .asked_ms = 1 },
+    { .priority = 9, .deadline_ms = 60, .asked_ms = 2 },
+    { .priority = 1, .deadline_ms = 10, .asked_ms = 0 },
+  };
+  struct policy *p = policy_create (PREFER_COLD_START);
+  struct policy *naive = policy_create_naive (MINUTE_MS);
+
+  for (size_t i = 0; i < COUNT (sorted); i++)
+    for (size_t j = 0; j < COUNT (sorted); j++)
+      {
+        CU_ASSERT_EQUAL (p->ops->before (&sorted[i], &sorted[j]), i < j);
+        CU_ASSERT_EQUAL (naive->ops->before (&sorted[i], &sorted[j]),
+                         sorted[i].asked_ms < sorted[j].asked_ms);
+      }
+  p->ops->destroy (p);
+  naive->ops->destroy (naive);
+}
+
+/* Guards against more loads than the weight store serves at full speed. */
+static void
+test_budget (void)
+{
+  struct budget *b = budget_create (3000, START_MS);
+  uint64_t now = START_MS;
+  uint32_t retry;
+  uint32_t granted = 0;
+
+  budget_limits (b, 5, 4);
+  CU_ASSERT_EQUAL (
+      budget_take (b, STR ("s"), BUDGET_MODEL, 1, 9000, now, &retry), 0);
+  CU_ASSERT (retry > 0);
+  for (now += 3000; now < START_MS + 4000; now += 50)
+    granted += budget_take (b, STR ("s"), BUDGET_MODEL, 1, 9000, now, &retry);
+  CU_ASSERT_EQUAL (granted, 4);
+  CU_ASSERT_EQUAL (
+      budget_take (b, STR ("s"), BUDGET_ADAPTER, 40, 100, now, &retry), 32);
+  budget_give_back (b, STR ("other"), BUDGET_MODEL, 1);
+  CU_ASSERT_EQUAL (
+      budget_take (b, STR ("s"), BUDGET_MODEL, 1, 9000, now, &retry), 0);
+  budget_give_back (b, STR ("s"), BUDGET_MODEL, 1);
+  CU_ASSERT_EQUAL (
+      budget_take (b, STR ("s"), BUDGET_MODEL, 2, 9000, now, &retry), 1);
+  /* Held slots come back by themselves, at the rate of the store. */
+  CU_ASSERT_EQUAL (
+      budget_take (b, STR ("s"), BUDGET_MODEL, 4, 9000, now + 20000, &retry),
+      1);
+  CU_ASSERT_EQUAL (retry, 200);
+  budget_destroy (b);
+}
+
+static const struct suite_case cases[] = {
+  { "choice of a server", test_choose },
+  { "evictions", test_evict },
+  { "keep-alive and pre-warming", test_keep_alive },
+  { "surplus replicas", test_surplus },
+  { "order of loads", test_order },
+  { "load budget", test_budget },
+};
+TEST_SUITE ("policy", cases)
