Add the placement task

The holder stamps the ledger, follows the status of each server by a long poll, answers PEER_WAKE and PEER_USAGE, and stores all changes of a turn in one conditional update before the orders leave. The lease is checked immediately before each order. Former intents are carried out under the same order id, after the former owner had a second to void those that it never sent (PEER_FENCE_OFF). A load that comes too late for its caller is refused at once but goes on, so that the next request finds the model.

Ruled out: a load at the moment of an eviction, because memory counts as used until the status shows that it is free; the load is planned and its bytes are reserved on the server.

--- a/src/ledger.c
+++ b/src/ledger.c
@@ -53,6 +53,16 @@
   free (l);
 }
 
+static void
+taken_over (struct ledger_entry *e, uint64_t now)
+{
+  e->decided_ms = now;
+  if (e->state == LEDGER_INTENT_LOAD)
+    return;
+  e->loaded_ms = now;
+  e->told = true;
+}
+
 int
 ledger_take_over (struct ledger *l, uint64_t fence, struct str writer,
                   uint64_t instance, uint64_t now)
@@ -72,7 +82,7 @@
   l->dirty = true;
   for (size_t i = 0; i < l->server_count; i++)
     for (size_t j = 0; j < l->servers[i]->entry_count; j++)
-      l->servers[i]->entries[j]->decided_ms = now;
+      taken_over (l->servers[i]->entries[j], now);
   return 0;
 }
 
@@ -223,13 +233,26 @@
   return NULL;
 }
 
+struct ledger_entry *
+ledger_holds (const struct ledger_server *s, const struct replica_key *key)
+{
+  for (size_t i = 0; i < s->entry_count; i++)
+    {
+      const struct replica_key *k = &s->entries[i]->key;
+
+      if (str_eq (k->model, key->model) && str_eq (k->adapter, key->adapter))
+        return s->entries[i];
+    }
+  return NULL;
+}
+
 size_t
 ledger_replicas (const struct ledger *l, const struct replica_key *key)
 {
   size_t n = 0;
 
   for (size_t i = 0; i < l->server_count; i++)
-    n += ledger_entry (l->servers[i], key) != NULL;
+    n += ledger_holds (l->servers[i], key) != NULL;
   return n;
 }
 
@@ -297,7 +320,7 @@
   const int rc = check_server (s);
   if (rc != 0)
     return rc;
-  if (ledger_entry (s, key))
+  if (ledger_holds (s, key))
     return -EEXIST;
   if (__builtin_add_overflow (ledger_used_bytes (s), bytes, &sum)
       || sum > s->memory_bytes)
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -47,6 +47,7 @@
   uint32_t unanswered;  /* copies of the load order whose answer was lost */
   bool in_flight;       /* an order is being sent */
   bool slot;            /* counted in the load budget */
+  bool told;            /* its load was logged */
   bool given_up;        /* FENCE_OFF: never to be sent by this node */
 };
 
@@ -151,7 +152,12 @@
 uint64_t ledger_used_bytes (const struct ledger_server *s);
 struct ledger_entry *ledger_entry (const struct ledger_server *s,
                                    const struct replica_key *key);
-/** ledger_replicas() - entries of a model in any state, on all servers. */
+/** ledger_holds() - entry of the model or adapter in any version. */
+struct ledger_entry *ledger_holds (const struct ledger_server *s,
+                                   const struct replica_key *key);
+/** ledger_replicas() - entries of a model in any state and version, on all
+ * servers.
+ */
 size_t ledger_replicas (const struct ledger *l, const struct replica_key *key);
 
 /* Decisions. */
--- /dev/null
+++ b/src/placestore.c
@@ -0,0 +1,180 @@
+#include "place.h"
+
+#include <errno.h>
+
+#include "clock.h"
+#include "lease.h"
+#include "log.h"
+#include "settings.h"
+#include "store.h"
+
+#define LOG_MODULE "placement"
+#define RETRY_MS 250
+#define UNREADABLE_RETRY_MS 5000
+
+static void
+store_ended (struct place_service *s)
+{
+  s->store_busy = false;
+}
+
+static void
+discard (struct place_service *s)
+{
+  if (s->ledger)
+    ledger_destroy (s->ledger);
+  s->ledger = NULL;
+  s->compare = false;
+}
+
+/* Becomes the owner of what was read; the stamp is written next. */
+static void
+take_over (struct place_service *s, struct ledger *l)
+{
+  const struct settings *set = kernel_settings (s->kernel);
+  const int rc = ledger_take_over (l, s->fence, set->bus_addr,
+                                   kernel_instance (s->kernel), clock_ms ());
+
+  if (rc == 0)
+    {
+      discard (s);
+      s->ledger = l;
+      s->former_asked = false;
+      return;
+    }
+  LOG_WARN ("takeover-refused",
+            "service=" STR_FMT " fence=%lu ledger_fence=%lu",
+            STR_ARG (s->name), s->fence, l->fence);
+  s->store_retry_ms = clock_ms () + UNREADABLE_RETRY_MS;
+  ledger_destroy (l);
+}
+
+static void
+on_takeover_read (void *ctx, struct err err, uint64_t version,
+                  struct str value)
+{
+  struct place_service *s = ctx;
+  const struct settings *set = kernel_settings (s->kernel);
+
+  store_ended (s);
+  if (s->store_epoch != s->epoch || !s->held)
+    return;
+  if (err.code != 0 && err.code != -ENOENT)
+    {
+      LOG_WARN ("ledger-read-failed", "service=" STR_FMT " " LOG_E_FMT,
+                STR_ARG (s->name), LOG_E_ARG (err));
+      s->store_retry_ms = clock_ms () + RETRY_MS;
+      return;
+    }
+  struct ledger *l = ledger_create (s->name, s->fenced, set->pause_bound_ms);
+  if (err.code == 0 && ledger_decode (l, value) != 0)
+    {
+      /* Replicas may be loaded that an empty ledger would not count. */
+      LOG_ERR ("ledger-unreadable", "service=" STR_FMT " version=%lu",
+               STR_ARG (s->name), version);
+      s->store_retry_ms = clock_ms () + UNREADABLE_RETRY_MS;
+      ledger_destroy (l);
+      return;
+    }
+  s->version = err.code == 0 ? version : STORE_NEW;
+  take_over (s, l);
+  place_store_step (s);
+}
+
+static void
+write_done (struct place_service *s, enum ledger_write result)
+{
+  const bool stamp = s->ledger->stamped_ms == 0;
+
+  ledger_write_done (s->ledger, result, clock_ms ());
+  if (result == LEDGER_SUPERSEDED)
+    LOG_WARN ("ledger-superseded", "service=" STR_FMT " fence=%lu",
+              STR_ARG (s->name), s->ledger->fence);
+  if (stamp && result == LEDGER_STORED)
+    LOG_INFO ("takeover",
+              "service=" STR_FMT " fence=%lu former=%lu former_writer=" STR_FMT
+              " servers=%zu",
+              STR_ARG (s->name), s->ledger->fence, s->ledger->former_fence,
+              STR_ARG (s->ledger->former_writer), s->ledger->server_count);
+  /* What was read may be out of date: the former owner can have written in
+     between. */
+  if (stamp && result == LEDGER_NOT_STORED)
+    discard (s);
+}
+
+static void
+on_written (void *ctx, struct err err, uint64_t version, struct str value)
+{
+  struct place_service *s = ctx;
+
+  (void)value;
+  store_ended (s);
+  if (s->store_epoch != s->epoch || !s->ledger)
+    return;
+  if (err.code == 0)
+    {
+      s->version = version;
+      write_done (s, LEDGER_STORED);
+    }
+  else if (err.code == -EEXIST || err.code == -EINPROGRESS)
+    s->compare = true;
+  else
+    {
+      LOG_WARN ("ledger-write-failed", "service=" STR_FMT " " LOG_E_FMT,
+                STR_ARG (s->name), LOG_E_ARG (err));
+      s->store_retry_ms = clock_ms () + RETRY_MS;
+      write_done (s, LEDGER_NOT_STORED);
+    }
+  place_store_step (s);
+  place_send_orders (s);
+}
+
+static void
+on_compared (void *ctx, struct err err, uint64_t version, struct str value)
+{
+  struct place_service *s = ctx;
+
+  store_ended (s);
+  if (s->store_epoch != s->epoch || !s->ledger)
+    return;
+  if (err.code != 0 && err.code != -ENOENT)
+    {
+      s->store_retry_ms = clock_ms () + RETRY_MS;
+      return;
+    }
+  s->compare = false;
+  s->version = err.code == 0 ? version : STORE_NEW;
+  write_done (s, ledger_compare (s->ledger,
+                                 err.code == 0 ? value : (struct str){ 0 }));
+  place_store_step (s);
+  place_send_orders (s);
+}
+
+void
+place_store_step (struct place_service *s)
+{
+  struct store *store = store_get (s->kernel);
+
+  if (s->store_busy || clock_ms () < s->store_retry_ms || !s->held)
+    return;
+  s->store_epoch = s->epoch;
+  if (!s->ledger || s->ledger->dropped || s->ledger->fence != s->fence)
+    {
+      s->store_busy = true;
+      store_read (store, s->key, on_takeover_read, s);
+      return;
+    }
+  if (s->compare)
+    {
+      s->store_busy = true;
+      store_read (store, s->key, on_compared, s);
+      return;
+    }
+  struct str json = ledger_write_begin (s->ledger);
+  if (json.len > 0)
+    {
+      s->store_busy = true;
+      store_write (store, s->key, s->version, json, on_written, s);
+    }
+  str_free (&json);
+}
--- /dev/null
+++ b/src/placewake.c
@@ -0,0 +1,309 @@
+#include "place.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+#include "clock.h"
+#include "err.h"
+#include "lease.h"
+#include "log.h"
+#include "metrics.h"
+
+#define LOG_MODULE "placement"
+#define REPLICAS_MAX 64
+#define USAGE_MAX 512
+#define WAKES_MAX 4096
+
+static bool
+offered (const struct ledger_server *server, const struct replica_key *key)
+{
+  const struct replica_key model
+      = { .model = key->model, .version = key->version };
+  const struct ledger_entry *m = ledger_entry (server, &model);
+  const struct ledger_entry *a
+      = key->adapter.len > 0 ? ledger_entry (server, key) : m;
+
+  return server->seen && !ledger_leaving (server) && m && a
+         && m->state == LEDGER_LOADED && a->state == LEDGER_LOADED;
+}
+
+size_t
+place_loaded (const struct place_service *s, const struct replica_key *key)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < s->ledger->server_count; i++)
+    n += offered (s->ledger->servers[i], key);
+  return n;
+}
+
+/* Borrows the strings of the ledger; free the array. */
+static replica *
+list_replicas (const struct place_service *s, const struct replica_key *key,
+               u_int *count)
+{
+  const struct model *m = place_model (s, key);
+  replica *out = xcalloc (REPLICAS_MAX, sizeof *out);
+
+  *count = 0;
+  for (size_t i = 0; i < s->ledger->server_count && *count < REPLICAS_MAX; i++)
+    {
+      const struct ledger_server *server = s->ledger->servers[i];
+
+      if (!offered (server, key))
+        continue;
+      out[(*count)++] = (replica){
+        .target = TEXT_STR (server->addr),
+        .domain = TEXT_STR (server->domain),
+        .fence = s->ledger->fence,
+        .target_instance = server->instance,
+        .slots = m ? m->slots : server->slots,
+      };
+    }
+  return out;
+}
+
+static const char *const code_names[] = {
+  [WAKE_LOADED] = "loaded", [WAKE_NO_MEMORY] = "no-memory",
+  [WAKE_LIMIT] = "limit",   [WAKE_TOO_LATE] = "too-late",
+  [WAKE_FAILED] = "failed", [WAKE_UNKNOWN_MODEL] = "unknown-model",
+};
+
+static void
+answer (struct place_service *s, struct bus_request *req,
+        const struct policy_want *want, enum wake_code code, uint32_t eta_ms,
+        const char *detail)
+{
+  wake_res res = { .code = code,
+                   .eta_ms = eta_ms,
+                   .detail = TEXT_STR (str_from (detail)) };
+
+  if (s->ledger)
+    res.replicas.replicas_val
+        = list_replicas (s, &want->key, &res.replicas.replicas_len);
+  LOG_INFO ("wake-answer",
+            "service=" STR_FMT " model=" STR_FMT " adapter=" STR_FMT
+            " code=%s replicas=%u waited_ms=%lu reason=%s",
+            STR_ARG (s->name), STR_ARG (want->key.model),
+            STR_ARG (want->key.adapter), code_names[code],
+            res.replicas.replicas_len, clock_ms () - want->asked_ms, detail);
+  bus_reply (req, &res);
+  free (res.replicas.replicas_val);
+}
+
+static void
+wake_free (struct place_service *s, struct place_wake *w)
+{
+  DL_DELETE (s->wakes, w);
+  replica_key_free (&w->want.key);
+  free (w);
+}
+
+static void
+finish (struct place_service *s, struct place_wake *w, enum wake_code code,
+        uint32_t eta_ms, const char *detail)
+{
+  answer (s, w->req, &w->want, code, eta_ms, detail);
+  wake_free (s, w);
+}
+
+void
+place_refuse (struct place_service *s, const struct replica_key *key,
+              enum wake_code code, uint32_t eta_ms, const char *detail)
+{
+  struct place_wake *w;
+  struct place_wake *next;
+
+  DL_FOREACH_SAFE (s->wakes, w, next)
+  if (replica_key_eq (&w->want.key, key))
+    finish (s, w, code, eta_ms, detail);
+}
+
+void
+place_refuse_late (struct place_service *s, const struct replica_key *key,
+                   uint64_t ready_ms, uint64_t now)
+{
+  struct place_wake *w;
+  struct place_wake *next;
+
+  DL_FOREACH_SAFE (s->wakes, w, next)
+  if (replica_key_eq (&w->want.key, key) && ready_ms > w->want.deadline_ms)
+    finish (s, w, WAKE_TOO_LATE, (uint32_t)(ready_ms - now), "load-estimate");
+}
+
+void
+place_fail_wakes (struct place_service *s, int err)
+{
+  const struct str holder = lease_holder (lease_get (s->kernel), s->lease);
+
+  while (s->wakes)
+    {
+      bus_fail (s->wakes->req, err, holder);
+      wake_free (s, s->wakes);
+    }
+}
+
+void
+place_settle_wakes (struct place_service *s)
+{
+  const uint64_t now = clock_ms ();
+  struct place_wake *w;
+  struct place_wake *next;
+
+  DL_FOREACH_SAFE (s->wakes, w, next)
+  {
+    if (s->ledger && place_ready (s)
+        && place_loaded (s, &w->want.key) >= w->replicas)
+      finish (s, w, WAKE_LOADED, 0, "loaded");
+    else if (now >= w->want.deadline_ms)
+      finish (s, w, w->failed ? WAKE_FAILED : WAKE_TOO_LATE, 0, "deadline");
+  }
+}
+
+/* Bytes and load estimate of what is asked for; false if it isn't listed. */
+static bool
+describe (const struct place_service *s, struct policy_want *want)
+{
+  const struct model *m = place_model (s, &want->key);
+
+  if (!m
+      || (want->key.version.len > 0
+          && !str_eq (want->key.version, m->version)))
+    return false;
+  want->key.version = m->version;
+  want->bytes = m->bytes;
+  want->load_ms = m->load_ms;
+  if (want->key.adapter.len == 0)
+    return true;
+  const struct adapter *a = lists_adapter (m, want->key.adapter);
+  if (!a)
+    return false;
+  want->bytes = a->bytes;
+  want->load_ms = 0;
+  return true;
+}
+
+static size_t
+waiting (const struct place_service *s)
+{
+  const struct place_wake *w;
+  size_t n = 0;
+
+  DL_COUNT (s->wakes, w, n);
+  return n;
+}
+
+void
+place_on_wake (struct place_service *s, struct bus_request *req,
+               const struct wake_args *args)
+{
+  const uint64_t now = clock_ms ();
+  struct policy_want want = {
+    .key = { .model = STR_TEXT (args->model),
+             .version = STR_TEXT (args->model_version),
+             .adapter = STR_TEXT (args->adapter) },
+    .priority = args->priority,
+    .deadline_ms = now + args->deadline_ms,
+    .asked_ms = now,
+  };
+
+  metrics_add ("galenagate_wakes_total", s->labels, 1);
+  if (!describe (s, &want))
+    {
+      answer (s, req, &want, WAKE_UNKNOWN_MODEL, 0, "not-listed");
+      return;
+    }
+  if (waiting (s) >= WAKES_MAX)
+    {
+      answer (s, req, &want, WAKE_LIMIT, 1000, "too-many-callers");
+      return;
+    }
+  struct place_wake *w = xcalloc (1, sizeof *w);
+  w->req = req;
+  w->want = want;
+  w->want.key = replica_key_dup (&want.key);
+  w->replicas = args->replicas_wanted > 0 ? args->replicas_wanted : 1;
+  DL_APPEND (s->wakes, w);
+  place_settle_wakes (s);
+  place_decide (s);
+}
+
+/* Use. */
+
+static struct str
+use_name (const struct replica_key *key)
+{
+  return str_printf (STR_FMT "/" STR_FMT, STR_ARG (key->model),
+                     STR_ARG (key->adapter));
+}
+
+const struct place_use *
+place_use (const struct place_service *s, const struct replica_key *key)
+{
+  struct str name = use_name (key);
+  struct place_use *u;
+
+  HASH_FIND (hh, s->uses, name.data, name.len, u);
+  str_free (&name);
+  return u;
+}
+
+static void
+record_use (struct place_service *s, const struct replica_key *key,
+            const struct usage_item *item, uint64_t now)
+{
+  const struct model *m = place_model (s, key);
+  struct place_use *u = (struct place_use *)place_use (s, key);
+
+  if (!m)
+    return;
+  if (!u)
+    {
+      u = xcalloc (1, sizeof *u);
+      u->name = use_name (key);
+      HASH_ADD_KEYPTR (hh, s->uses, u->name.data, u->name.len, u);
+    }
+  u->in_flight = item->in_flight;
+  u->queued = item->queued;
+  u->at_ms = now;
+  const struct policy_use use = {
+    .key = *key,
+    .in_flight = item->in_flight,
+    .queued = item->queued,
+    .requests = item->requests,
+    .slots = m->slots,
+    .load_ms = key->adapter.len > 0 ? 0 : m->load_ms,
+  };
+  s->policy->ops->used (s->policy, &use, now);
+}
+
+void
+place_on_usage (struct place_service *s, struct bus_request *req,
+                const struct usage_args *args)
+{
+  const uint64_t now = clock_ms ();
+  usage_item_res *items = xcalloc (USAGE_MAX, sizeof *items);
+  usage_res res = { .items = { .items_val = items } };
+
+  for (u_int i = 0; i < args->items.items_len && i < USAGE_MAX; i++)
+    {
+      const usage_item *item = &args->items.items_val[i];
+      struct policy_want want
+          = { .key = { .model = STR_TEXT (item->model),
+                       .version = STR_TEXT (item->model_version),
+                       .adapter = STR_TEXT (item->adapter) } };
+      usage_item_res *out = &items[res.items.items_len++];
+
+      out->model = item->model;
+      out->model_version = item->model_version;
+      if (!describe (s, &want))
+        continue;
+      record_use (s, &want.key, item, now);
+      out->replicas.replicas_val
+          = list_replicas (s, &want.key, &out->replicas.replicas_len);
+    }
+  bus_reply (req, &res);
+  for (u_int i = 0; i < res.items.items_len; i++)
+    free (items[i].replicas.replicas_val);
+  free (items);
+}
