--- a/src/sched_wake.c
+++ b/src/sched_wake.c
@@ -52,8 +52,12 @@
       if (need->queued == 0 && !need->missed)
         continue;
       const struct capacity have = capacity_of (s, need);
-      const size_t wanted = s->policy->replicas (s, need, &have);
+      size_t wanted = s->policy->replicas (s, need, &have);
 
+      /* A wake ends when all its replicas are there, so the first one of a
+         cold model is asked for by itself. */
+      if (have.replicas == 0 && need->waking == 0)
+        wanted = 1;
       if (wanted <= have.replicas)
         need->missed = false;
       else if (wake_due (need, wanted, now_ms))
--- /dev/null
+++ b/src/scheduler_unit.c
@@ -0,0 +1,350 @@
+#include "scheduler_impl.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+#include "clock.h"
+#include "err.h"
+#include "log.h"
+#include "membership.h"
+#include "metrics.h"
+#include "settings.h"
+
+#define LOG_MODULE "scheduler"
+#define QUEUE_MAX 1024
+/* An entry begins an attempt at once; a grant older than this was delayed on
+   the way, and its slot may be given to somebody else before long. */
+#define USE_MS 2000
+/* Longest run that is assumed when no release arrives. */
+#define HOLD_MS (10 * 60 * 1000)
+#define SUSPECT_TTL_MS (10 * 60 * 1000)
+
+static struct str
+unit_id (struct str service, struct str model, struct str version)
+{
+  return str_printf (STR_FMT "\n" STR_FMT "\n" STR_FMT, STR_ARG (service),
+                     STR_ARG (model), STR_ARG (version));
+}
+
+struct unit *
+unit_find (const struct scheduler *s, struct str service, struct str model,
+           struct str version)
+{
+  struct str id = unit_id (service, model, version);
+  struct unit *u;
+
+  HASH_FIND (hh, s->units, id.data, id.len, u);
+  str_free (&id);
+  return u;
+}
+
+/* The listed load time is that of a load from remote. It is not used as an
+   estimate, because it would refuse what a cached checkpoint can serve;
+   placement answers WAKE_TOO_LATE when a load takes too long. */
+static struct sched_config
+config_of (const struct scheduler *s, const struct unit *u)
+{
+  const struct lists *lists = kernel_latest (s->kernel, TOPIC_LISTS);
+  const struct model *m
+      = lists ? lists_model (lists, u->model, u->version) : NULL;
+
+  return (struct sched_config){
+    .queue_max = QUEUE_MAX,
+    .use_ms = USE_MS,
+    .hold_ms = HOLD_MS,
+    .slots = m ? m->slots : 0,
+    .replicas_max = m ? m->max_replicas : 0,
+    .plain = u->plain,
+  };
+}
+
+void
+unit_configure (struct scheduler *s, struct unit *u)
+{
+  const struct sched_config config = config_of (s, u);
+
+  sched_configure (u->sched, &config);
+}
+
+struct unit *
+unit_get (struct scheduler *s, const struct grant_args *args)
+{
+  const struct str service = STR_TEXT (args->service);
+  const struct str model = STR_TEXT (args->model);
+  const struct str version = STR_TEXT (args->model_version);
+  struct unit *u = unit_find (s, service, model, version);
+
+  if (u)
+    return u;
+  u = xcalloc (1, sizeof *u);
+  u->id = unit_id (service, model, version);
+  u->key = sched_key_make (s, service, model).key;
+  u->service = str_dup (service);
+  u->model = str_dup (model);
+  u->version = str_dup (version);
+  u->plain = model.len == 0;
+  u->epoch = ++s->last_epoch;
+  u->owned = true;
+  const struct sched_config config = config_of (s, u);
+  u->sched = sched_create (&sched_real, &config, s->crash, clock_ms ());
+  HASH_ADD_KEYPTR (hh, s->units, u->id.data, u->id.len, u);
+  unit_refresh (s, u);
+  return u;
+}
+
+void
+unit_destroy (struct scheduler *s, struct unit *u)
+{
+  struct call *c;
+  struct call *next;
+
+  HASH_ITER (hh, s->calls, c, next)
+  {
+    if (c->unit == u)
+      call_free (s, c);
+  }
+  HASH_DEL (s->units, u);
+  sched_destroy (u->sched);
+  str_free (&u->id);
+  str_free (&u->key);
+  str_free (&u->service);
+  str_free (&u->model);
+  str_free (&u->version);
+  free (u);
+}
+
+void
+call_free (struct scheduler *s, struct call *c)
+{
+  HASH_DELETE (hh, s->calls, c);
+  if (c->key.grant)
+    HASH_DELETE (by_grant, s->granted, c);
+  str_free (&c->request_id);
+  str_free (&c->customer);
+  str_free (&c->class_name);
+  free (c);
+}
+
+/* ---- targets from the host list ---- */
+
+static void
+plain_targets (struct unit *u, const struct host_view *hosts)
+{
+  struct sched_target *list = xcalloc (hosts->count + 1, sizeof *list);
+  size_t n = 0;
+
+  for (size_t i = 0; i < hosts->count; i++)
+    {
+      const struct host *h = &hosts->hosts[i];
+
+      if (str_eq (h->service, u->service))
+        list[n++] = (struct sched_target){ .target = h->addr,
+                                           .domain = h->domain,
+                                           .leaving = h->leaving };
+    }
+  sched_targets (u->sched, list, n, clock_ms ());
+  free (list);
+}
+
+void
+unit_refresh (struct scheduler *s, struct unit *u)
+{
+  const struct host_view *hosts = kernel_latest (s->kernel, TOPIC_HOSTS);
+
+  if (!hosts)
+    return;
+  if (u->plain)
+    plain_targets (u, hosts);
+  for (size_t i = 0; i < hosts->count; i++)
+    if (hosts->hosts[i].leaving
+        && str_eq (hosts->hosts[i].service, u->service))
+      sched_leaving (u->sched, hosts->hosts[i].addr, clock_ms ());
+}
+
+/* ---- actions ---- */
+
+static const char *
+reason (grant_code code)
+{
+  static const char *const names[]
+      = { "ok",          "deadline",     "queue-full",  "no-capacity",
+          "quarantined", "retry-budget", "unavailable", "draining" };
+
+  return (size_t)code < sizeof names / sizeof *names ? names[code] : "other";
+}
+
+static struct str
+caller_labels (const struct call *c)
+{
+  return str_printf ("customer=\"" STR_FMT "\",class=\"" STR_FMT "\"",
+                     STR_ARG (c->customer), STR_ARG (c->class_name));
+}
+
+static void
+count_grant (const struct call *c, uint32_t wait_ms)
+{
+  struct str labels = caller_labels (c);
+
+  metrics_observe ("galenagate_grant_wait_ms", labels, wait_ms);
+  str_free (&labels);
+  if (!c->cold)
+    return;
+  labels = str_printf ("service=\"" STR_FMT "\",class=\"" STR_FMT "\"",
+                       STR_ARG (c->unit->service), STR_ARG (c->class_name));
+  metrics_observe ("galenagate_cold_start_ms", labels, wait_ms);
+  str_free (&labels);
+}
+
+static void
+count_refusal (const struct call *c, grant_code code)
+{
+  struct str labels = str_printf (
+      "customer=\"" STR_FMT "\",class=\"" STR_FMT "\",reason=\"%s\"",
+      STR_ARG (c->customer), STR_ARG (c->class_name), reason (code));
+
+  metrics_add ("galenagate_grant_refusals_total", labels, 1);
+  str_free (&labels);
+}
+
+/* An attempt id names the scheduler that granted it, which gets its release:
+   "ADDR-INSTANCE-EPOCH-GRANT". */
+static void
+answer_grant (struct scheduler *s, struct call *c,
+              const struct sched_action *a)
+{
+  const struct str self = kernel_settings (s->kernel)->bus_addr;
+  struct str id
+      = str_printf (STR_FMT "-%lx-%lu-%lu", STR_ARG (self),
+                    kernel_instance (s->kernel), c->unit->epoch, a->grant);
+  const struct grant_res res = {
+    .code = GRANT_OK,
+    .target = TEXT_STR (a->target),
+    .attempt_id = TEXT_STR (id),
+    .fence = a->fence,
+    .expires_ms = a->expires_ms,
+  };
+
+  c->key = (struct grant_key){ c->unit->epoch, a->grant };
+  c->granted_ms = clock_ms ();
+  HASH_ADD (by_grant, s->granted, key, sizeof c->key, c);
+  count_grant (c, a->wait_ms);
+  bus_reply (c->req, &res);
+  c->req = NULL;
+  str_free (&id);
+}
+
+/* Names the node to ask instead, if there is one. */
+static bool
+pass_on (struct scheduler *s, struct call *c)
+{
+  struct sched_key key = sched_key_make (s, c->unit->service, c->unit->model);
+  const struct member_info *owner = scheduler_owner (s, &key);
+  const struct str self = kernel_settings (s->kernel)->bus_addr;
+  const bool other = owner && !str_eq (owner->addr, self);
+
+  if (other)
+    bus_fail (c->req, -ESTALE, owner->addr);
+  str_free (&key.key);
+  return other;
+}
+
+static void
+answer_refusal (struct scheduler *s, struct call *c,
+                const struct sched_action *a)
+{
+  const struct grant_res res = {
+    .code = a->code,
+    .retry_after_ms = a->retry_after_ms,
+    .detail = TEXT_STR (str_from (a->detail)),
+  };
+
+  if (a->code != GRANT_DRAINING || !pass_on (s, c))
+    {
+      count_refusal (c, a->code);
+      LOG_INFO ("grant-refused",
+                "request=" STR_FMT " customer=" STR_FMT " class=" STR_FMT
+                " model=" STR_FMT " reason=%s wait_ms=%u",
+                STR_ARG (c->request_id), STR_ARG (c->customer),
+                STR_ARG (c->class_name), STR_ARG (c->unit->model),
+                reason (a->code), a->wait_ms);
+      bus_reply (c->req, &res);
+    }
+  call_free (s, c);
+}
+
+/* Tells all nodes; the value names the sender, which ignores its own news. */
+static void
+spread (struct scheduler *s, struct unit *u, const struct sched_action *a)
+{
+  const struct str self = kernel_settings (s->kernel)->bus_addr;
+  const bool quarantine = a->kind == SCHED_QUARANTINE;
+  const char *what = a->kind == SCHED_CLEARED ? "cleared" : "crashed";
+  struct str key = str_printf ("%016lx", a->fingerprint);
+  struct str value = str_printf ("%s " STR_FMT, what, STR_ARG (self));
+  const struct notice notice = {
+    .kind = quarantine ? NOTICE_QUARANTINE : NOTICE_CRASH_SUSPECT,
+    .key = TEXT_STR (key),
+    .value = TEXT_STR (value),
+    .number = clock_wall_ms (),
+    .ttl_ms = quarantine ? CRASH_QUARANTINE_MS : SUSPECT_TTL_MS,
+  };
+
+  LOG_WARN (quarantine ? "quarantine" : "crash-suspect",
+            "fingerprint=" STR_FMT " state=%s service=" STR_FMT
+            " model=" STR_FMT " target=" STR_FMT,
+            STR_ARG (key), what, STR_ARG (u->service), STR_ARG (u->model),
+            STR_ARG (a->target));
+  membership_spread (membership_get (s->kernel), &notice);
+  str_free (&key);
+  str_free (&value);
+}
+
+/* A server that dies takes the replicas of other models with it. */
+static void
+lose_target (struct scheduler *s, struct unit *u, const struct sched_action *a)
+{
+  LOG_WARN ("target-lost", "target=" STR_FMT " instance=%lu service=" STR_FMT,
+            STR_ARG (a->target), a->fence, STR_ARG (u->service));
+  for (struct unit *other = s->units; other; other = other->hh.next)
+    {
+      if (other == u || !str_eq (other->service, u->service))
+        continue;
+      sched_lost (other->sched, a->target, a->fence, a->grant, clock_ms ());
+      unit_pump (s, other);
+    }
+}
+
+static void
+act (struct scheduler *s, struct unit *u, const struct sched_action *a)
+{
+  switch (a->kind)
+    {
+    case SCHED_GRANT:
+      answer_grant (s, a->ctx, a);
+      break;
+    case SCHED_REFUSE:
+      answer_refusal (s, a->ctx, a);
+      break;
+    case SCHED_WAKE:
+      unit_wake (s, u, a);
+      break;
+    case SCHED_LOST:
+      lose_target (s, u, a);
+      break;
+    case SCHED_SUSPECT:
+    case SCHED_QUARANTINE:
+    case SCHED_CLEARED:
+      spread (s, u, a);
+      break;
+    }
+}
+
+void
+unit_pump (struct scheduler *s, struct unit *u)
+{
+  struct sched_action a;
+
+  while (sched_next (u->sched, &a))
+    act (s, u, &a);
+  quick_timer (s);
+}
--- a/tests/test_schedrules.c
+++ b/tests/test_schedrules.c
@@ -110,12 +110,13 @@
 test_wake_more (void)
 {
   struct fixture f = setup (false, 0);
-  struct sched_action a = ask (&f, (struct sched_request){ 0 }, 0);
 
+  CU_ASSERT_EQUAL (ask (&f, (struct sched_request){ 0 }, 0).kind, SCHED_WAKE);
   for (int i = 0; i < 3; i++)
     CU_ASSERT_EQUAL (ask (&f, (struct sched_request){ 0 }, 1).kind, NOTHING);
   sched_tick (f.s, 500);
-  a = next (&f);
+  const struct sched_action a = next (&f);
+
   CU_ASSERT_EQUAL (a.kind, SCHED_WAKE);
   CU_ASSERT_EQUAL (a.replicas, 2);
   sched_tick (f.s, 1000);
