--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 STANDIN_LIB = $(wildcard tests/standinlib*.c)
 PEER_CFLAGS = -Wno-unused-variable -Wno-unused-parameter
 
-.PHONY: all setup check unit e2e demo format lint clean
+.PHONY: all setup check unit e2e demo format lint clean traces
 all: $(BUILD)/galenagate $(STANDINS) $(BENCHES)
 
 setup:
@@ -50,6 +50,21 @@
 $(BUILD)/bench_%: $(BUILD)/tests/bench_%.o $(LIB_OBJ)
 	$(CC) $(SAN) $^ -o $@ $(LDLIBS)
 
+$(BUILD)/make_traces: $(BUILD)/tests/make_traces.o $(LIB_OBJ)
+	$(CC) $(SAN) $^ -o $@ $(LDLIBS)
+
+# Writes the traces and their stated outcomes anew.
+TRACES = titlovi-day titlovi-burst magnolia-day magnolia-burst
+traces: $(BUILD)/make_traces $(BUILD)/galenagate
+	@for t in $(TRACES); do \
+	  $(BUILD)/make_traces $${t%-*} $${t#*-} tests/lists/$${t%-*} \
+	    >tests/traces/$$t.jsonl || exit 1; \
+	  for p in real naive; do \
+	    $(BUILD)/galenagate replay tests/traces/$$t.jsonl --policy $$p \
+	      --report tests/traces/$$t.$$p.json || exit 1; \
+	  done; \
+	done
+
 .SECONDARY:
 
 unit: $(BUILD)/unit
--- /dev/null
+++ b/src/replay.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <stdbool.h>
+
+#include "str.h"
+
+/**
+ * replay_run() - replay a trace (docs/traces.md).
+ * @path: of the trace.
+ * @naive: with the naive scheduler and placement policy, for comparison.
+ * @out: report as JSON text; free with str_free().
+ *
+ * Returns 0, or a negative errno value after a message on stderr.
+ */
+int replay_run (const char *path, bool naive, struct str *out);
