Limit replicas that do not take requests

Cause: in a trial with stand-in engines whose slots are shared by three models, requests that were answered "full" went back to the same engine at once, until their attempts were used up. Ruled out: the retry budget as the bound (an attempt that is proved not to have run is refunded, rightly); a pause alone (the next completion ended it, and all that waited went there again: 4 of 712 still failed). Change: a replica that did not take a request gets no more requests than run there now, and one more for each round that completes; an empty one gets none for 50 ms, doubled each time up to 2 s.

--- a/src/sched.c
+++ b/src/sched.c
@@ -378,6 +378,10 @@
     not_loaded (s, g, now_ms);
   if (outcome == ATTEMPT_LEAVING && g->replica != NO_REPLICA)
     s->replicas[g->replica].leaving = true;
+  if (outcome == ATTEMPT_NOT_RUN && g->replica != NO_REPLICA)
+    replica_not_run (&s->replicas[g->replica], now_ms);
+  if (outcome == ATTEMPT_DONE && g->replica != NO_REPLICA)
+    replica_done (&s->replicas[g->replica]);
   if (outcome == ATTEMPT_CRASHED && !g->died)
     target_died (s, g, now_ms);
 }
@@ -462,6 +466,7 @@
 sched_tick (struct sched *s, uint64_t now_ms)
 {
   expire_grants (s, now_ms);
+  replica_unpause (s, now_ms);
   if (s->waiting > 0)
     review (s, now_ms);
   settle (s, now_ms);
--- a/src/sched_impl.h
+++ b/src/sched_impl.h
@@ -76,6 +76,11 @@
   bool leaving;
   bool alone;    /* runs a suspect */
   bool reserved; /* kept empty for a waiting suspect */
+  bool paused;   /* empty, and did not take a request a moment ago */
+  uint32_t pause_ms;
+  uint64_t paused_until_ms;
+  uint32_t limit; /* requests that it takes at present; 0 is no limit */
+  uint32_t done;  /* completed since the limit was changed */
   struct str target;
   struct str domain;
   uint64_t hash;
@@ -199,6 +204,16 @@
 void replica_distrust (struct sched *s, const struct replica_slot *r,
                        uint64_t until_ms);
 void replica_drop_adapter (struct replica_slot *r, const struct need *need);
+/**
+ * replica_not_run() - a replica did not take a request: others run on the same
+ * server, or it cannot be reached.
+ *
+ * It gets no more requests than run there now, and one more for each round
+ * that completes. An empty one gets none for a pause, which doubles each time.
+ */
+void replica_not_run (struct replica_slot *r, uint64_t now_ms);
+void replica_done (struct replica_slot *r);
+void replica_unpause (struct sched *s, uint64_t now_ms);
 /** reserve() - replica kept empty for a suspect; NO_REPLICA if none. */
 size_t reserve (struct sched *s, struct waiter *w);
 void grants_died (struct sched *s, uint64_t target, uint64_t instance,
--- a/src/sched_policy.c
+++ b/src/sched_policy.c
@@ -39,8 +39,8 @@
       c.replicas++;
       c.slots += r->slots;
       c.unlimited |= r->slots == 0;
-      if (replica_open (r) && r->slots > r->in_flight)
-        c.free += r->slots - r->in_flight;
+      if (replica_open (r) && replica_free (r))
+        c.free += (r->limit ? r->limit : r->slots) - r->in_flight;
     }
   return c;
 }
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -8,17 +8,20 @@
    lags, and a target restarts in less time than that. */
 #define DEAD_DISTRUST_MS 5000
 #define REPLICA_MAX 1024
+#define PAUSE_MS 50
+#define PAUSE_MAX_MS 2000
 
 bool
 replica_open (const struct replica_slot *r)
 {
-  return r->used && !r->leaving && !r->alone && !r->reserved;
+  return r->used && !r->leaving && !r->alone && !r->reserved && !r->paused;
 }
 
 bool
 replica_free (const struct replica_slot *r)
 {
-  return r->slots == 0 || r->in_flight < r->slots;
+  return (r->slots == 0 || r->in_flight < r->slots)
+         && (r->limit == 0 || r->in_flight < r->limit);
 }
 
 bool
@@ -88,6 +91,43 @@
   };
 }
 
+void
+replica_not_run (struct replica_slot *r, uint64_t now_ms)
+{
+  const uint32_t others = r->in_flight - 1;
+
+  r->limit = others > 0 ? others : 1;
+  r->done = 0;
+  if (others > 0)
+    return;
+  r->paused = true;
+  r->pause_ms = r->pause_ms ? r->pause_ms * 2 : PAUSE_MS;
+  if (r->pause_ms > PAUSE_MAX_MS)
+    r->pause_ms = PAUSE_MAX_MS;
+  r->paused_until_ms = now_ms + r->pause_ms;
+}
+
+void
+replica_done (struct replica_slot *r)
+{
+  r->paused = false;
+  r->pause_ms = 0;
+  if (r->limit == 0 || ++r->done < r->limit)
+    return;
+  r->done = 0;
+  r->limit++;
+  if (r->slots > 0 && r->limit >= r->slots)
+    r->limit = 0;
+}
+
+void
+replica_unpause (struct sched *s, uint64_t now_ms)
+{
+  for (size_t i = 0; i < s->replica_cap; i++)
+    if (now_ms >= s->replicas[i].paused_until_ms)
+      s->replicas[i].paused = false;
+}
+
 static bool
 distrusted (const struct sched *s, uint64_t hash, uint64_t instance,
             uint64_t now_ms)
