Let one suspect at a time run on a server, over all models

Cause: in a trial a request that crashes its engine took down two servers; an innocent request of another model, scheduled by another node, was on the first one, ran "alone" on the second one beside the guilty request, and was quarantined for its second crash. Ruled out: choosing different servers by hash (collisions stay likely with few servers); telling others by notice (too late for two suspects that start at once). Change: before a suspect runs, its scheduler takes the server's one slot for suspects from the node that schedules the service (src/scheduler_lock.c, as an ordinary grant); without such a node the suspect runs all the same. Conclusion: new test for locks in test_schedrules.c passes.

--- a/src/sched.c
+++ b/src/sched.c
@@ -166,8 +166,14 @@
   r->in_flight++;
   w->need->in_flight++;
   crash_begin (s->crash, w->fingerprint, r->hash, now_ms);
+  /* From here on the reservation belongs to the grant. */
+  if (alone)
+    {
+      w->reserved = NO_REPLICA;
+      r->reserved = false;
+      r->alone = true;
+    }
   waiter_remove (s, w);
-  r->alone |= alone;
 }
 
 /* Grants a waiting request if a replica may take it now. */
@@ -185,7 +191,7 @@
   else if (v.rule == CRASH_ANYWHERE)
     i = s->policy->choose (s, w, 0);
   if (i == NO_REPLICA
-      || (v.rule == CRASH_ALONE && s->replicas[i].in_flight > 0))
+      || (v.rule == CRASH_ALONE && !ready_alone (s, &s->replicas[i])))
     return false;
   grant (s, w, i, v.rule == CRASH_ALONE, now_ms);
   return true;
@@ -395,7 +401,10 @@
 
       r->in_flight--;
       if (g->alone)
-        r->alone = false;
+        {
+          r->alone = false;
+          unreserve (s, r);
+        }
     }
   g->need->in_flight--;
   touch_need (s, g->need, now_ms);
--- a/src/sched.h
+++ b/src/sched.h
@@ -30,6 +30,8 @@
  * @service_ms: assumed time to the first byte until some were measured.
  * @replicas_max: upper bound for wakes; 0 means none.
  * @plain: a plain service; its targets need no wake.
+ * @lock: ask by SCHED_LOCK before a suspect runs. Without it, a suspect is
+ *   alone among this scheduler's requests only.
  */
 struct sched_config
 {
@@ -41,6 +43,7 @@
   uint32_t slots;
   uint32_t replicas_max;
   bool plain;
+  bool lock;
 };
 
 /**
@@ -96,6 +99,8 @@
   SCHED_SUSPECT,    /* @fingerprint, @target: it was running when one died */
   SCHED_QUARANTINE, /* @fingerprint: its second crash */
   SCHED_CLEARED,    /* @fingerprint: a suspect completed */
+  SCHED_LOCK,       /* @target: no other suspect may run there meanwhile */
+  SCHED_UNLOCK,     /* @target: ends SCHED_LOCK, answered or not */
   SCHED_LOST, /* @target with instance @fence died; @grant: crash event */
 };
 
@@ -170,6 +175,9 @@
  */
 void sched_woken (struct sched *sched, struct str adapter, wake_code code,
                   uint32_t eta_ms, uint64_t now_ms);
+/** sched_locked() - answer to SCHED_LOCK; not @held: try again later. */
+void sched_locked (struct sched *sched, struct str target, bool held,
+                   uint64_t now_ms);
 /** sched_leaving() - a target gets no new work. */
 void sched_leaving (struct sched *sched, struct str target, uint64_t now_ms);
 /** sched_lost() - a target died, as seen by another scheduler. */
--- a/src/sched_impl.h
+++ b/src/sched_impl.h
@@ -76,7 +76,9 @@
   bool leaving;
   bool alone;    /* runs a suspect */
   bool reserved; /* kept empty for a waiting suspect */
-  bool paused;   /* empty, and did not take a request a moment ago */
+  bool locking;  /* SCHED_LOCK was sent, and no SCHED_UNLOCK */
+  bool locked;
+  bool paused; /* empty, and did not take a request a moment ago */
   uint32_t pause_ms;
   uint64_t paused_until_ms;
   uint32_t limit; /* requests that it takes at present; 0 is no limit */
@@ -216,6 +218,10 @@
 void replica_unpause (struct sched *s, uint64_t now_ms);
 /** reserve() - replica kept empty for a suspect; NO_REPLICA if none. */
 size_t reserve (struct sched *s, struct waiter *w);
+/** unreserve() - end a reservation, or the run of a suspect. */
+void unreserve (struct sched *s, struct replica_slot *r);
+/** ready_alone() - may the reserved replica run its suspect now. */
+bool ready_alone (const struct sched *s, const struct replica_slot *r);
 void grants_died (struct sched *s, uint64_t target, uint64_t instance,
                   uint64_t event, uint64_t now_ms);
 
--- a/src/sched_queue.c
+++ b/src/sched_queue.c
@@ -20,7 +20,7 @@
 waiter_remove (struct sched *s, struct waiter *w)
 {
   if (w->reserved != NO_REPLICA)
-    s->replicas[w->reserved].reserved = false;
+    unreserve (s, &s->replicas[w->reserved]);
   DL_DELETE (s->queue, w);
   s->waiting--;
   w->need->queued--;
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -157,6 +157,7 @@
     if (g->replica == index)
       g->replica = NO_REPLICA;
   }
+  unreserve (s, r);
   str_free (&r->target);
   str_free (&r->domain);
   free (r->adapters);
@@ -324,6 +325,44 @@
   settle (s, now_ms);
 }
 
+void
+unreserve (struct sched *s, struct replica_slot *r)
+{
+  if (r->locking)
+    action_add (s, SCHED_UNLOCK, r->target);
+  r->reserved = false;
+  r->locking = false;
+  r->locked = false;
+}
+
+bool
+ready_alone (const struct sched *s, const struct replica_slot *r)
+{
+  return r->in_flight == 0 && (!s->config.lock || r->locked);
+}
+
+void
+sched_locked (struct sched *s, struct str target, bool held, uint64_t now_ms)
+{
+  const size_t i = replica_find (s, str_hash (target, 0));
+  struct waiter *w;
+
+  if (i == NO_REPLICA || !s->replicas[i].locking)
+    return;
+  s->replicas[i].locked = held;
+  s->replicas[i].locking = held;
+  if (!held)
+    {
+      s->replicas[i].reserved = false;
+      DL_FOREACH (s->queue, w)
+      {
+        if (w->reserved == i)
+          w->reserved = NO_REPLICA;
+      }
+    }
+  settle (s, now_ms);
+}
+
 /* At most a quarter of the replicas, and one at least, serve suspects, so
    that the suspects of a busy target do not stop all other work. */
 static bool
@@ -350,7 +389,7 @@
 
   if (w->reserved != NO_REPLICA && s->replicas[w->reserved].leaving)
     {
-      s->replicas[w->reserved].reserved = false;
+      unreserve (s, &s->replicas[w->reserved]);
       w->reserved = NO_REPLICA;
     }
   if (w->reserved != NO_REPLICA || !may_reserve (s))
@@ -360,9 +399,13 @@
         && (best == NO_REPLICA
             || s->replicas[i].in_flight < s->replicas[best].in_flight))
       best = i;
-  if (best != NO_REPLICA)
-    s->replicas[best].reserved = true;
   w->reserved = best;
+  if (best == NO_REPLICA)
+    return best;
+  s->replicas[best].reserved = true;
+  s->replicas[best].locking = s->config.lock;
+  if (s->config.lock)
+    action_add (s, SCHED_LOCK, s->replicas[best].target);
   return best;
 }
 
--- a/src/sched_wake.c
+++ b/src/sched_wake.c
@@ -65,10 +65,14 @@
     }
 }
 
+/* After "loaded" the replicas named were not believed: placement has not yet
+   seen that a server died, and will soon. */
 static void
-back_off (struct need *need, uint64_t now_ms)
+back_off (struct need *need, wake_code code, uint64_t now_ms)
 {
-  need->backoff_ms = need->backoff_ms ? need->backoff_ms * 2 : BACKOFF_MS;
+  need->backoff_ms = need->backoff_ms && code != WAKE_LOADED
+                         ? need->backoff_ms * 2
+                         : BACKOFF_MS;
   if (need->backoff_ms > BACKOFF_MAX_MS)
     need->backoff_ms = BACKOFF_MAX_MS;
   need->wake_after_ms = now_ms + need->backoff_ms;
@@ -103,7 +107,7 @@
       need->wake_after_ms = now_ms + MORE_REPLICAS_MS;
     }
   else
-    back_off (need, now_ms);
+    back_off (need, code, now_ms);
   review (s, now_ms);
   settle (s, now_ms);
 }
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -544,6 +544,7 @@
 
   while (s->units)
     unit_destroy (s, s->units);
+  locks_free (s);
   HASH_ITER (hh, s->entries, e, next)
   {
     HASH_DEL (s->entries, e);
--- a/src/scheduler_impl.h
+++ b/src/scheduler_impl.h
@@ -12,8 +12,12 @@
 #include "scheduler.h"
 
 struct ask;
+struct lock;
 struct placement;
 
+/* Version under which a service schedules its servers' slots for suspects. */
+#define LOCK_VERSION STR ("suspect-lock")
+
 /** struct unit - one model version or plain service that this node schedules.
  * @id: service, model and version, separated by line feeds.
  * @key: of the rendezvous order, "model/NAME" or "service/NAME".
@@ -27,6 +31,7 @@
   struct str model;
   struct str version;
   bool plain;
+  bool locks; /* of the servers' slots for suspects */
   bool owned; /* false once another node took over */
   uint64_t epoch;
   struct sched *sched;
@@ -77,7 +82,9 @@
   struct call *calls;
   struct call *granted;
   struct entry_node *entries;
-  struct ask *asks; /* scheduler_client.c */
+  struct ask *asks;   /* scheduler_client.c */
+  struct lock *locks; /* scheduler_lock.c */
+  uint64_t last_lock;
   uint64_t last_epoch;
   uv_timer_t second;
   uv_timer_t quick; /* runs while requests wait */
@@ -119,6 +126,13 @@
 void unit_destroy (struct scheduler *s, struct unit *u);
 void call_free (struct scheduler *s, struct call *c);
 
+/* scheduler_lock.c */
+/** unit_lock() - ask for a server's slot for suspects; ends in
+ * sched_locked(). */
+void unit_lock (struct scheduler *s, struct unit *u, struct str target);
+void unit_unlock (struct scheduler *s, struct unit *u, struct str target);
+void locks_free (struct scheduler *s);
+
 /* scheduler_usage.c */
 void unit_wake (struct scheduler *s, struct unit *u,
                 const struct sched_action *a);
--- a/src/scheduler_unit.c
+++ b/src/scheduler_unit.c
@@ -55,6 +55,7 @@
     .slots = m ? m->slots : 0,
     .replicas_max = m ? m->max_replicas : 0,
     .plain = u->plain,
+    .lock = !u->plain,
   };
 }
 
@@ -83,6 +84,7 @@
   u->model = str_dup (model);
   u->version = str_dup (version);
   u->plain = model.len == 0;
+  u->locks = u->plain && str_eq (version, LOCK_VERSION);
   u->epoch = ++s->last_epoch;
   u->owned = true;
   const struct sched_config config = config_of (s, u);
@@ -140,9 +142,12 @@
       if (str_eq (h->service, u->service))
         list[n++] = (struct sched_target){ .target = h->addr,
                                            .domain = h->domain,
+                                           .slots = u->locks,
                                            .leaving = h->leaving };
     }
   sched_targets (u->sched, list, n, clock_ms ());
+  for (size_t i = 0; i < n && u->locks; i++)
+    sched_adapter (u->sched, list[i].target, &list[i], 1, clock_ms ());
   free (list);
 }
 
@@ -183,6 +188,8 @@
 static void
 count_grant (const struct call *c, uint32_t wait_ms)
 {
+  if (c->unit->locks)
+    return;
   struct str labels = caller_labels (c);
 
   metrics_observe ("galenagate_grant_wait_ms", labels, wait_ms);
@@ -198,6 +205,8 @@
 static void
 count_refusal (const struct call *c, grant_code code)
 {
+  if (c->unit->locks)
+    return;
   struct str labels = str_printf (
       "customer=\"" STR_FMT "\",class=\"" STR_FMT "\",reason=\"%s\"",
       STR_ARG (c->customer), STR_ARG (c->class_name), reason (code));
@@ -331,6 +340,12 @@
     case SCHED_LOST:
       lose_target (s, u, a);
       break;
+    case SCHED_LOCK:
+      unit_lock (s, u, a->target);
+      break;
+    case SCHED_UNLOCK:
+      unit_unlock (s, u, a->target);
+      break;
     case SCHED_SUSPECT:
     case SCHED_QUARANTINE:
     case SCHED_CLEARED:
--- a/tests/test_schedrules.c
+++ b/tests/test_schedrules.c
@@ -256,6 +256,39 @@
   teardown (&f);
 }
 
+/* Guards against a suspect that runs without its lock, and locks that are
+   never given back. */
+static void
+test_suspect_lock (void)
+{
+  const struct sched_config config
+      = { .queue_max = 4, .hold_ms = 60000, .lock = true };
+  const struct sched_request suspect = {
+    .fingerprint = 9, .attempt = 2, .crash_seen = true, .deadline_ms = 3000
+  };
+  struct fixture f = setup (false, 1);
+
+  sched_configure (f.s, &config);
+  CU_ASSERT_EQUAL (ask (&f, suspect, 0).kind, SCHED_LOCK);
+  CU_ASSERT_EQUAL (next (&f).kind, NOTHING);
+  sched_locked (f.s, STR ("t1"), false, 1);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_LOCK);
+  sched_locked (f.s, STR ("t1"), true, 2);
+  const struct sched_action a = next (&f);
+
+  CU_ASSERT_EQUAL (a.kind, SCHED_GRANT);
+  release (&f, a.grant, ATTEMPT_DONE, 3);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_UNLOCK);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_CLEARED);
+  /* A suspect that is refused gives back the lock that it waits for. */
+  crash_merge (f.crash, 9, 1, 0, 4);
+  CU_ASSERT_EQUAL (ask (&f, suspect, 5).kind, SCHED_LOCK);
+  sched_tick (f.s, 3000);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_REFUSE);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_UNLOCK);
+  teardown (&f);
+}
+
 /* Guards against a prefix that overloads its replica, and load that gathers
    in one failure domain. */
 static void
@@ -339,6 +372,7 @@
   { "leaving, dead and excluded targets", test_unusable },
   { "target that does not take requests", test_not_run },
   { "suspect alone", test_suspect_alone },
+  { "lock for a suspect", test_suspect_lock },
   { "affinity and spread", test_affinity },
   { "lost entries, full queue", test_lost_entries },
   { "refusals", test_refusals },
