Limit customers by their plans over all nodes

Cause: a plan's rate and requests in flight must hold however a customer's requests are spread over the entries, and while owners die, pause and join. Ruled out: a share of the limit per node (a customer that uses one entry gets a fraction of its plan); a lease per customer (the store's rate); a new owner that starts at once with an empty bucket beside a former one that still grants. Change: src/quota.c decides at the node that owns the customer. It remembers the member views of the last changes, so it knows since when it has been the only owner: a new bucket is empty at that time. If another node may hold the bucket, that node hands over tokens and requests in flight and refers callers to the new owner from then on.

--- a/src/peer.h
+++ b/src/peer.h
@@ -348,16 +348,36 @@
 
 struct quota_args {
 	text customer;
-	text request_id;
-	u_int requests;
-	u_int finished;
+	u_quad_t take;
+	struct {
+		u_int finished_len;
+		u_quad_t *finished_val;
+	} finished;
+	struct {
+		u_int held_len;
+		u_quad_t *held_val;
+	} held;
+	text handover;
 };
 typedef struct quota_args quota_args;
 
+struct quota_hold {
+	u_quad_t id;
+	u_int left_ms;
+};
+typedef struct quota_hold quota_hold;
+
 struct quota_res {
 	u_int granted;
 	u_int retry_after_ms;
 	text detail;
+	bool_t known;
+	u_quad_t tokens;
+	u_int settling_ms;
+	struct {
+		u_int holds_len;
+		quota_hold *holds_val;
+	} holds;
 };
 typedef struct quota_res quota_res;
 
@@ -534,6 +554,7 @@
 extern  bool_t xdr_settle_res (XDR *, settle_res*);
 extern  bool_t xdr_lookup_args (XDR *, lookup_args*);
 extern  bool_t xdr_quota_args (XDR *, quota_args*);
+extern  bool_t xdr_quota_hold (XDR *, quota_hold*);
 extern  bool_t xdr_quota_res (XDR *, quota_res*);
 extern  bool_t xdr_config_fetch_args (XDR *, config_fetch_args*);
 extern  bool_t xdr_config_chunk (XDR *, config_chunk*);
@@ -578,6 +599,7 @@
 extern bool_t xdr_settle_res ();
 extern bool_t xdr_lookup_args ();
 extern bool_t xdr_quota_args ();
+extern bool_t xdr_quota_hold ();
 extern bool_t xdr_quota_res ();
 extern bool_t xdr_config_fetch_args ();
 extern bool_t xdr_config_chunk ();
--- a/src/peer.x
+++ b/src/peer.x
@@ -277,17 +277,32 @@
 
 /* ---- limits ---- */
 
+/* Requests are named by a hash of customer and request id. One call may take a
+   request (unless 0), report finished ones, renew those that still run, and
+   ask a former owner to hand over what it knows to the node at the address. */
 struct quota_args {
   text customer;
-  text request_id;
-  unsigned int requests;
-  unsigned int finished;
+  unsigned hyper take;
+  unsigned hyper finished<64>;
+  unsigned hyper held<512>;
+  text handover;
+};
+
+struct quota_hold {
+  unsigned hyper id;
+  unsigned int left_ms;
 };
 
+/* The members from known on answer a handover; tokens are thousandths of a
+   request. */
 struct quota_res {
   unsigned int granted;
   unsigned int retry_after_ms;
   text detail;
+  bool known;
+  unsigned hyper tokens;
+  unsigned int settling_ms;
+  quota_hold holds<8192>;
 };
 
 /* ---- configuration ---- */
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -694,11 +694,27 @@
 
 	 if (!xdr_text (xdrs, &objp->customer))
 		 return FALSE;
-	 if (!xdr_text (xdrs, &objp->request_id))
+	 if (!xdr_u_quad_t (xdrs, &objp->take))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->requests))
+	 if (!xdr_array (xdrs, (char **)&objp->finished.finished_val, (u_int *) &objp->finished.finished_len, 64,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, 512,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->handover))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_quota_hold (XDR *xdrs, quota_hold *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->finished))
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
 		 return FALSE;
 	return TRUE;
 }
@@ -714,6 +730,15 @@
 		 return FALSE;
 	 if (!xdr_text (xdrs, &objp->detail))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->known))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->settling_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->holds.holds_val, (u_int *) &objp->holds.holds_len, 8192,
+		sizeof (quota_hold), (xdrproc_t) xdr_quota_hold))
+		 return FALSE;
 	return TRUE;
 }
 
