Pause replicas that do not take requests

Cause: in a trial with stand-in engines whose slots are shared by three models, requests that were answered "full" went back to the same engine at once, until their attempts were used up. Ruled out: the retry budget as the bound; an attempt that is proved not to have run is refunded, rightly. Change: a replica that did not take a request gets none for 50 ms, doubled each time up to 2 s, or until a request completes there. Conclusion: the new test in test_schedrules.c passes.

--- a/src/sched.c
+++ b/src/sched.c
@@ -378,6 +378,13 @@
     not_loaded (s, g, now_ms);
   if (outcome == ATTEMPT_LEAVING && g->replica != NO_REPLICA)
     s->replicas[g->replica].leaving = true;
+  if (outcome == ATTEMPT_NOT_RUN && g->replica != NO_REPLICA)
+    replica_pause (&s->replicas[g->replica], now_ms);
+  if (outcome == ATTEMPT_DONE && g->replica != NO_REPLICA)
+    {
+      s->replicas[g->replica].paused = false;
+      s->replicas[g->replica].pause_ms = 0;
+    }
   if (outcome == ATTEMPT_CRASHED && !g->died)
     target_died (s, g, now_ms);
 }
@@ -462,6 +469,7 @@
 sched_tick (struct sched *s, uint64_t now_ms)
 {
   expire_grants (s, now_ms);
+  replica_unpause (s, now_ms);
   if (s->waiting > 0)
     review (s, now_ms);
   settle (s, now_ms);
--- a/src/sched_impl.h
+++ b/src/sched_impl.h
@@ -76,6 +76,9 @@
   bool leaving;
   bool alone;    /* runs a suspect */
   bool reserved; /* kept empty for a waiting suspect */
+  bool paused;   /* did not take a request a moment ago */
+  uint32_t pause_ms;
+  uint64_t paused_until_ms;
   struct str target;
   struct str domain;
   uint64_t hash;
@@ -199,6 +202,11 @@
 void replica_distrust (struct sched *s, const struct replica_slot *r,
                        uint64_t until_ms);
 void replica_drop_adapter (struct replica_slot *r, const struct need *need);
+/** replica_pause() - a replica did not take a request: others run on the same
+ * server, or it cannot be reached. It gets none until another one completes
+ * there or the pause ends; each next pause is twice as long. */
+void replica_pause (struct replica_slot *r, uint64_t now_ms);
+void replica_unpause (struct sched *s, uint64_t now_ms);
 /** reserve() - replica kept empty for a suspect; NO_REPLICA if none. */
 size_t reserve (struct sched *s, struct waiter *w);
 void grants_died (struct sched *s, uint64_t target, uint64_t instance,
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -8,11 +8,13 @@
    lags, and a target restarts in less time than that. */
 #define DEAD_DISTRUST_MS 5000
 #define REPLICA_MAX 1024
+#define PAUSE_MS 50
+#define PAUSE_MAX_MS 2000
 
 bool
 replica_open (const struct replica_slot *r)
 {
-  return r->used && !r->leaving && !r->alone && !r->reserved;
+  return r->used && !r->leaving && !r->alone && !r->reserved && !r->paused;
 }
 
 bool
@@ -88,6 +90,24 @@
   };
 }
 
+void
+replica_pause (struct replica_slot *r, uint64_t now_ms)
+{
+  r->paused = true;
+  r->pause_ms = r->pause_ms ? r->pause_ms * 2 : PAUSE_MS;
+  if (r->pause_ms > PAUSE_MAX_MS)
+    r->pause_ms = PAUSE_MAX_MS;
+  r->paused_until_ms = now_ms + r->pause_ms;
+}
+
+void
+replica_unpause (struct sched *s, uint64_t now_ms)
+{
+  for (size_t i = 0; i < s->replica_cap; i++)
+    if (now_ms >= s->replicas[i].paused_until_ms)
+      s->replicas[i].paused = false;
+}
+
 static bool
 distrusted (const struct sched *s, uint64_t hash, uint64_t instance,
             uint64_t now_ms)
--- a/tests/test_schedrules.c
+++ b/tests/test_schedrules.c
@@ -194,6 +194,37 @@
   teardown (&f);
 }
 
+/* Guards against a request that goes back at once to a target that is full or
+   cannot be reached, until its attempts are used up. */
+static void
+test_not_run (void)
+{
+  struct fixture f = setup (false, 1);
+  struct sched_action a = ask (&f, (struct sched_request){ 0 }, 0);
+  const uint64_t other = ask (&f, (struct sched_request){ 0 }, 0).grant;
+
+  release (&f, a.grant, ATTEMPT_NOT_RUN, 1);
+  CU_ASSERT_EQUAL (ask (&f, (struct sched_request){ .attempt = 2 }, 1).kind,
+                   NOTHING);
+  sched_tick (f.s, 40);
+  CU_ASSERT_EQUAL (next (&f).kind, NOTHING);
+  release (&f, other, ATTEMPT_DONE, 45);
+  a = next (&f);
+  CU_ASSERT_EQUAL (a.kind, SCHED_GRANT);
+  release (&f, a.grant, ATTEMPT_NOT_RUN, 46);
+  ask (&f, (struct sched_request){ 0 }, 46);
+  sched_tick (f.s, 100);
+  a = next (&f);
+  CU_ASSERT_EQUAL (a.kind, SCHED_GRANT);
+  release (&f, a.grant, ATTEMPT_NOT_RUN, 100);
+  ask (&f, (struct sched_request){ 0 }, 100);
+  sched_tick (f.s, 180);
+  CU_ASSERT_EQUAL (next (&f).kind, NOTHING);
+  sched_tick (f.s, 200);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_GRANT);
+  teardown (&f);
+}
+
 /* Guards against other work beside a suspect, before and while it runs. */
 static void
 test_suspect_alone (void)
@@ -298,6 +329,7 @@
   { "load slower than the deadline", test_wake_too_late },
   { "adapters", test_adapter },
   { "leaving, dead and excluded targets", test_unusable },
+  { "target that does not take requests", test_not_run },
   { "suspect alone", test_suspect_alone },
   { "affinity and spread", test_affinity },
   { "lost entries, full queue", test_lost_entries },
