Recover slots after a scheduler was paused

Cause: in a trial with a scheduler paused for 6 s, releases to it were lost, and calls that lay in its receive buffers were granted to entries that had gone elsewhere. Ruled out: a shorter hold time (long answers run for minutes). Wakes for more replicas back off when they fail.

--- a/src/sched_wake.c
+++ b/src/sched_wake.c
@@ -101,7 +101,7 @@
   need->failed = code != WAKE_LOADED && code != WAKE_TOO_LATE;
   need->unknown = code == WAKE_UNKNOWN_MODEL;
   need->eta_ms = code == WAKE_TOO_LATE && eta_ms ? now_ms + eta_ms : 0;
-  if (present)
+  if (present && code == WAKE_LOADED)
     {
       need->backoff_ms = 0;
       need->wake_after_ms = now_ms + MORE_REPLICAS_MS;
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -15,6 +15,10 @@
 #define LOG_MODULE "scheduler"
 #define SECOND_MS 1000
 #define QUICK_MS 20
+/* Longer than this between two runs of the second timer is a pause; the bus
+   gives up a silent connection after 3 s. */
+#define PAUSE_MS 2500
+#define STALE_MS 300
 #define FINGERPRINTS_MAX 65536
 /* A unit without targets, requests and grants is kept this long. */
 #define IDLE_UNIT_MS (60 * 1000)
@@ -140,6 +144,29 @@
   unit_pump (s, u);
 }
 
+/* After a pause of the process the entries have gone elsewhere with what
+   waits here and with what still lies in the receive buffers: they gave up
+   their connections as silent. A grant would reach nobody and keep its slot
+   occupied. */
+static void
+check_pause (struct scheduler *s)
+{
+  const uint64_t now_ms = clock_ms ();
+
+  if (!s->second_ms || now_ms - s->second_ms <= PAUSE_MS)
+    return;
+  LOG_WARN ("paused", "ms=%lu", now_ms - s->second_ms);
+  s->second_ms = now_ms;
+  s->stale_until_ms = now_ms + STALE_MS;
+  for (struct unit *u = s->units; u; u = u->hh.next)
+    {
+      sched_drain (u->sched, now_ms);
+      unit_pump (s, u);
+      if (u->owned)
+        sched_resume (u->sched);
+    }
+}
+
 static struct str
 note_entry (struct scheduler *s, const node_id *id)
 {
@@ -192,6 +219,13 @@
   const struct member_info *owner = own ? NULL : scheduler_owner (s, &key);
 
   str_free (&key.key);
+  check_pause (s);
+  if (clock_ms () < s->stale_until_ms)
+    {
+      /* A live caller asks again in a moment. */
+      bus_fail (req, -ESTALE, (struct str){ 0 });
+      return;
+    }
   if (!own)
     {
       bus_fail (req, -ESTALE, owner ? owner->addr : (struct str){ 0 });
@@ -418,6 +452,8 @@
 {
   struct scheduler *s = timer->data;
 
+  check_pause (s);
+
   for (struct unit *u = s->units; u; u = u->hh.next)
     if (sched_waiting (u->sched) > 0)
       {
@@ -480,6 +516,9 @@
   struct unit *u;
   struct unit *next;
 
+  check_pause (s);
+  s->second_ms = clock_ms ();
+  releases_tick (s);
   HASH_ITER (hh, s->units, u, next)
   {
     sched_tick (u->sched, clock_ms ());
@@ -545,6 +584,7 @@
   while (s->units)
     unit_destroy (s, s->units);
   locks_free (s);
+  releases_free (s);
   HASH_ITER (hh, s->entries, e, next)
   {
     HASH_DEL (s->entries, e);
--- a/src/scheduler_impl.h
+++ b/src/scheduler_impl.h
@@ -14,6 +14,7 @@
 struct ask;
 struct lock;
 struct placement;
+struct release;
 
 /* Version under which a service schedules its servers' slots for suspects. */
 #define LOCK_VERSION STR ("suspect-lock")
@@ -85,6 +86,10 @@
   struct ask *asks;   /* scheduler_client.c */
   struct lock *locks; /* scheduler_lock.c */
   uint64_t last_lock;
+  struct release *releases; /* scheduler_release.c */
+  size_t release_count;
+  uint64_t second_ms;      /* time of the last run of the second timer */
+  uint64_t stale_until_ms; /* requests that arrive before are from a pause */
   uint64_t last_epoch;
   uv_timer_t second;
   uv_timer_t quick; /* runs while requests wait */
@@ -142,3 +147,7 @@
 /* scheduler_client.c */
 void asks_tick (struct scheduler *s);
 void asks_cancel (struct scheduler *s);
+
+/* scheduler_release.c */
+void releases_tick (struct scheduler *s);
+void releases_free (struct scheduler *s);
--- a/src/scheduler_unit.c
+++ b/src/scheduler_unit.c
@@ -215,6 +215,18 @@
   str_free (&labels);
 }
 
+/* The entry asks again over a new connection, or has given up. */
+static void
+give_up (struct scheduler *s, struct call *c, uint64_t grant)
+{
+  static const struct sched_result unused = { .outcome = ATTEMPT_UNUSED };
+  struct unit *u = c->unit;
+
+  bus_fail (c->req, -ECANCELED, (struct str){ 0 });
+  call_free (s, c);
+  sched_release (u->sched, grant, &unused, clock_ms ());
+}
+
 /* An attempt id names the scheduler that granted it, which gets its release:
    "ADDR-INSTANCE-EPOCH-GRANT". */
 static void
@@ -233,6 +245,12 @@
     .expires_ms = a->expires_ms,
   };
 
+  if (bus_gone (c->req))
+    {
+      give_up (s, c, a->grant);
+      str_free (&id);
+      return;
+    }
   c->key = (struct grant_key){ c->unit->epoch, a->grant };
   c->granted_ms = clock_ms ();
   HASH_ADD (by_grant, s->granted, key, sizeof c->key, c);
