Ask for a load with the latest deadline that waits for it

Cause: placement forgets a wake at its deadline. Ruled out: no deadline at all; placement orders loads by it and answers "too late" from it. Change: a wake carries the latest deadline that waits for the load.

--- a/src/sched.h
+++ b/src/sched.h
@@ -107,7 +107,7 @@
 /**
  * struct sched_action - something that the caller must do.
  * @wait_ms: time the request waited; with SCHED_WAKE the time until the
- *   earliest deadline that waits for the load, or a long time when none does.
+ *   latest deadline that waits for the load, or a long time when none does.
  */
 struct sched_action
 {
--- a/src/sched_wake.c
+++ b/src/sched_wake.c
@@ -14,19 +14,21 @@
 {
   struct sched_action *a = action_add (s, SCHED_WAKE, need->name);
   const struct waiter *w;
-  uint64_t earliest = 0;
+  uint64_t latest = 0;
 
   DL_FOREACH (s->queue, w)
   {
     if (w->need != need)
       continue;
-    if (!earliest || w->priority > a->priority)
+    if (!latest || w->priority > a->priority)
       a->priority = w->priority;
-    if (!earliest || w->deadline_ms < earliest)
-      earliest = w->deadline_ms;
+    if (w->deadline_ms > latest)
+      latest = w->deadline_ms;
   }
+  /* Placement forgets a wake at its deadline; by the earliest one, a steady
+     stream of requests with short deadlines would never get a load done. */
   a->wait_ms
-      = earliest > now_ms ? (uint32_t)(earliest - now_ms) : MISSED_DEADLINE_MS;
+      = latest > now_ms ? (uint32_t)(latest - now_ms) : MISSED_DEADLINE_MS;
   a->replicas = (uint32_t)replicas;
   if (need->waking++ == 0)
     need->wake_start_ms = now_ms;
