Add claims: at-most-once calls with group commit

Cause: a cue release or a box charge must run at most once, also when owners change, answers of the store are lost, or a holder was paused.

Change: claim.c is the pure state of a partition: stamp of the fence, loading, one conditional update for all claims that wait, reading back after a write in doubt, sealing, removal after the lifetime, limits. claims.c connects it to the lease, the store and the bus, and offers claims_claim(), claims_settle() and claims_lookup() (claims.h). The stored objects are XDR (struct claim_object in peer.x) with a format number.

Faults found by the random schedule and fixed, each with a test: - After a lease was lost and regained with the same fence, an older write of the same process was taken for the new stamp. With a late stamp and a lost write, a claim could be granted that was not stored (test "lease regained"). The version must have changed, and a sequence number is never used twice. - A claim was answered after its wait had ended while the process was paused (random schedules). Waits are checked before a result is used.

Ruled out: JSON, which would need an encoding for bodies; overwriting a segment whose write is in doubt, since a stale owner could destroy one that the head names.

--- /dev/null
+++ b/src/claims.c
@@ -0,0 +1,518 @@
+#include "claims.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "bus.h"
+#include "claim.h"
+#include "clock.h"
+#include "err.h"
+#include "lease.h"
+#include "log.h"
+#include "metrics.h"
+#include "settings.h"
+#include "store.h"
+
+#define LOG_MODULE "claims"
+#define TICK_MS 25
+#define CLAIM_WAIT_MS 3000
+/* Longer than the owner's own bound, so that its answer arrives. */
+#define CALL_WAIT_MS 2500
+#define SETTLE_TRIES 5
+#define SETTLE_PAUSE_MS 300
+/* Together with the other state a node that owns all of the four partitions
+   stays below 256 MB. */
+#define BYTES_MAX ((size_t)40 << 20)
+#define REPORT_GAP_MS 60000
+
+struct partition
+{
+  struct claims *claims;
+  struct str name; /* of the lease and of the head object */
+  struct claim *claim;
+  const char *reported;
+  uint64_t reported_at;
+};
+
+/* A claim or lookup of this node. */
+struct call
+{
+  struct claims *claims;
+  claims_fn fn;
+  void *ctx;
+  struct settle_args give_up; /* for a claim: voids it; owned texts */
+};
+
+/* A settling of this node. */
+struct settling
+{
+  struct claims *claims;
+  struct settle_args args; /* owned texts */
+  claims_settled_fn fn;
+  void *ctx;
+  uint32_t tries;
+  uint64_t retry_at; /* 0 while a try is in progress */
+  struct settling *prev;
+  struct settling *next;
+};
+
+struct claims
+{
+  struct plugin plugin;
+  struct kernel *kernel;
+  uv_timer_t timer;
+  struct partition *partitions;
+  size_t count;
+  struct settling *settlings;
+  bool draining;
+};
+
+static struct claims *
+of (struct plugin *plugin)
+{
+  return (struct claims *)plugin;
+}
+
+static struct claim_clock
+times (void)
+{
+  return (struct claim_clock){ .now = clock_ms (), .wall = clock_wall_ms () };
+}
+
+static struct partition *
+partition_of (struct claims *c, text customer, text key)
+{
+  struct str id
+      = str_printf (STR_FMT "\n" STR_FMT, STR_ARG (STR_TEXT (customer)),
+                    STR_ARG (STR_TEXT (key)));
+  const size_t i = (size_t)(str_hash (id, 0) % c->count);
+
+  str_free (&id);
+  return &c->partitions[i];
+}
+
+/* ---- owner: actions ---- */
+
+static struct store *
+store_of (const struct partition *p)
+{
+  return store_get (p->claims->kernel);
+}
+
+static struct lease_table *
+leases_of (const struct partition *p)
+{
+  return lease_get (p->claims->kernel);
+}
+
+static bool
+valid (void *ctx, uint64_t fence)
+{
+  const struct partition *p = ctx;
+
+  return lease_valid (leases_of (p), p->name)
+         && lease_fence (leases_of (p), p->name) == fence;
+}
+
+static void
+on_stored (void *ctx, struct err err, uint64_t version, struct str value)
+{
+  struct partition *p = ctx;
+
+  claim_stored (p->claim, err.code, version, value, times ());
+}
+
+static void
+read_object (void *ctx, struct str key)
+{
+  store_read (store_of (ctx), key, on_stored, ctx);
+}
+
+static void
+write_object (void *ctx, struct str key, uint64_t version, struct str value)
+{
+  store_write (store_of (ctx), key, version, value, on_stored, ctx);
+}
+
+static void
+remove_object (void *ctx, struct str key, uint64_t version)
+{
+  store_remove (store_of (ctx), key, version, on_stored, ctx);
+}
+
+static void
+answer (void *ctx, void *request, const struct claim_res *res)
+{
+  static const char *const names[]
+      = { "granted",  "done",       "running", "unknown",
+          "mismatch", "store-down", "full",    "none" };
+  char label[32];
+
+  (void)ctx;
+  snprintf (label, sizeof label, "code=\"%s\"", names[res->code]);
+  metrics_add ("galenagate_claim_answers_total", str_from (label), 1);
+  bus_reply (request, res);
+}
+
+static void
+settled (void *ctx, void *request, bool stored)
+{
+  const struct settle_res res = { .stored = stored };
+
+  (void)ctx;
+  bus_reply (request, &res);
+}
+
+static void
+refuse (void *ctx, void *request, int err)
+{
+  const struct partition *p = ctx;
+  const struct settings *s = kernel_settings (p->claims->kernel);
+  struct str hint = STR ("");
+
+  if (err == -ESTALE)
+    hint = lease_holder (leases_of (p), p->name);
+  /* This node does not serve although it holds the lease. */
+  if (str_eq (hint, s->bus_addr))
+    hint = STR ("");
+  bus_fail (request, err, hint);
+}
+
+static void
+report (void *ctx, const char *what, uint64_t number)
+{
+  struct partition *p = ctx;
+  const uint64_t now = clock_ms ();
+
+  if (p->reported == what && now - p->reported_at < REPORT_GAP_MS)
+    return;
+  p->reported = what;
+  p->reported_at = now;
+  LOG_ERR (what, "partition=" STR_FMT " number=%lu", STR_ARG (p->name),
+           number);
+}
+
+static const struct claim_actions actions = {
+  .valid = valid,
+  .read = read_object,
+  .write = write_object,
+  .remove = remove_object,
+  .answer = answer,
+  .settled = settled,
+  .refuse = refuse,
+  .report = report,
+};
+
+static void
+on_lease (void *ctx, struct str name, bool held, uint64_t fence)
+{
+  struct partition *p = ctx;
+
+  (void)name;
+  if (held)
+    claim_gain (p->claim, fence, times ());
+  else
+    claim_lose (p->claim);
+}
+
+/* ---- owner: handlers ---- */
+
+static void
+serve_claim (void *ctx, struct bus_request *req, const void *args)
+{
+  const struct claim_args *a = args;
+
+  claim_request (partition_of (ctx, a->customer, a->key)->claim, a, req,
+                 times ());
+}
+
+static void
+serve_settle (void *ctx, struct bus_request *req, const void *args)
+{
+  const struct settle_args *a = args;
+
+  claim_settle (partition_of (ctx, a->customer, a->key)->claim, a, req,
+                times ());
+}
+
+static void
+serve_lookup (void *ctx, struct bus_request *req, const void *args)
+{
+  const struct lookup_args *a = args;
+
+  claim_lookup (partition_of (ctx, a->customer, a->key)->claim, a, req,
+                times ());
+}
+
+/* ---- client ---- */
+
+static void
+call_owner (struct claims *c, text customer, text key, uint32_t proc,
+            const void *args, uint32_t wait_ms, bus_reply_fn fn, void *ctx)
+{
+  lease_call (lease_get (c->kernel), partition_of (c, customer, key)->name,
+              STR (""), proc, args, wait_ms, fn, ctx);
+}
+
+static text
+copy_text (text t)
+{
+  return TEXT_STR (str_dup (STR_TEXT (t)));
+}
+
+static void
+free_settle_args (struct settle_args *a)
+{
+  xdr_free ((xdrproc_t)xdr_settle_args, a);
+}
+
+/* Could the claim be recorded although its answer did not arrive. */
+static bool
+may_be_recorded (int err)
+{
+  return err != 0 && err != -EINVAL && err != -EBUSY && err != -ECONNREFUSED;
+}
+
+static void
+on_result (void *ctx, int err, struct str hint, const void *result)
+{
+  struct call *call = ctx;
+
+  (void)hint;
+  if (call->give_up.key.text_len > 0 && may_be_recorded (err))
+    claims_settle (call->claims, &call->give_up, NULL, NULL);
+  call->fn (call->ctx, err, err == 0 ? result : NULL);
+  free_settle_args (&call->give_up);
+  free (call);
+}
+
+void
+claims_claim (struct claims *c, const struct claim_args *args, claims_fn fn,
+              void *ctx)
+{
+  struct call *call = xcalloc (1, sizeof *call);
+  const uint32_t wait
+      = args->deadline_ms < CLAIM_WAIT_MS ? args->deadline_ms : CLAIM_WAIT_MS;
+
+  *call = (struct call){ .claims = c, .fn = fn, .ctx = ctx };
+  call->give_up.customer = copy_text (args->customer);
+  call->give_up.key = copy_text (args->key);
+  call->give_up.request_id = copy_text (args->request_id);
+  call->give_up.state = SETTLE_VOID;
+  call_owner (c, args->customer, args->key, PEER_CLAIM, args, wait, on_result,
+              call);
+}
+
+void
+claims_lookup (struct claims *c, const struct lookup_args *args, claims_fn fn,
+               void *ctx)
+{
+  struct call *call = xcalloc (1, sizeof *call);
+
+  *call = (struct call){ .claims = c, .fn = fn, .ctx = ctx };
+  call_owner (c, args->customer, args->key, PEER_LOOKUP, args, CALL_WAIT_MS,
+              on_result, call);
+}
+
+static void
+drained_if_done (struct claims *c)
+{
+  if (!c->draining || c->settlings)
+    return;
+  c->draining = false;
+  kernel_drained (c->kernel, &c->plugin);
+}
+
+static void
+end_settling (struct settling *s, int err, bool stored)
+{
+  struct claims *c = s->claims;
+
+  DL_DELETE (c->settlings, s);
+  if (err != 0 || !stored)
+    LOG_WARN ("not-settled",
+              "customer=" STR_FMT " request=" STR_FMT
+              " state=%d stored=%d error=\"%s\"",
+              STR_ARG (STR_TEXT (s->args.customer)),
+              STR_ARG (STR_TEXT (s->args.request_id)), (int)s->args.state,
+              stored, err_str (err));
+  if (s->fn)
+    s->fn (s->ctx, err, stored);
+  free_settle_args (&s->args);
+  free (s);
+  drained_if_done (c);
+}
+
+static void
+on_settle_result (void *ctx, int err, struct str hint, const void *result)
+{
+  struct settling *s = ctx;
+  const struct settle_res *res = result;
+
+  (void)hint;
+  if (err == 0 || err == -EINVAL || err == -ECANCELED
+      || s->tries >= SETTLE_TRIES)
+    end_settling (s, err, err == 0 && res->stored);
+  else
+    s->retry_at = clock_ms () + SETTLE_PAUSE_MS;
+}
+
+static void
+try_settling (struct settling *s)
+{
+  s->tries++;
+  s->retry_at = 0;
+  call_owner (s->claims, s->args.customer, s->args.key, PEER_SETTLE, &s->args,
+              CALL_WAIT_MS, on_settle_result, s);
+}
+
+void
+claims_settle (struct claims *c, const struct settle_args *args,
+               claims_settled_fn fn, void *ctx)
+{
+  struct settling *s = xcalloc (1, sizeof *s);
+
+  *s = (struct settling){ .claims = c, .args = *args, .fn = fn, .ctx = ctx };
+  s->args.customer = copy_text (args->customer);
+  s->args.key = copy_text (args->key);
+  s->args.request_id = copy_text (args->request_id);
+  s->args.content_type = copy_text (args->content_type);
+  s->args.body = (blob){ 0 };
+  if (args->body.blob_len <= CLAIM_BODY_MAX)
+    s->args.body = BLOB_STR (str_dup (STR_BLOB (args->body)));
+  DL_APPEND (c->settlings, s);
+  try_settling (s);
+}
+
+/* ---- plug-in ---- */
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct claims *c = timer->data;
+  const uint64_t now = clock_ms ();
+  struct settling *s;
+  struct settling *next;
+
+  for (size_t i = 0; i < c->count; i++)
+    claim_tick (c->partitions[i].claim, times ());
+  DL_FOREACH_SAFE (c->settlings, s, next)
+  {
+    if (s->retry_at > 0 && now >= s->retry_at)
+      try_settling (s);
+  }
+}
+
+static int
+start (struct plugin *plugin)
+{
+  struct claims *c = of (plugin);
+  struct bus *bus = bus_get (c->kernel);
+
+  bus_handle (bus, PEER_CLAIM, serve_claim, c);
+  bus_handle (bus, PEER_SETTLE, serve_settle, c);
+  bus_handle (bus, PEER_LOOKUP, serve_lookup, c);
+  for (size_t i = 0; i < c->count; i++)
+    lease_campaign (lease_get (c->kernel), c->partitions[i].name, STR (""),
+                    on_lease, &c->partitions[i]);
+  uv_timer_init (kernel_loop (c->kernel), &c->timer);
+  c->timer.data = c;
+  uv_timer_start (&c->timer, on_tick, TICK_MS, TICK_MS);
+  return 0;
+}
+
+/* Requests in flight have ended; their outcomes are still to be recorded. */
+static void
+drain (struct plugin *plugin)
+{
+  struct claims *c = of (plugin);
+
+  c->draining = true;
+  drained_if_done (c);
+}
+
+static void
+stop (struct plugin *plugin)
+{
+  struct claims *c = of (plugin);
+
+  if (c->timer.data)
+    uv_close ((uv_handle_t *)&c->timer, NULL);
+}
+
+static void
+destroy (struct plugin *plugin)
+{
+  struct claims *c = of (plugin);
+
+  while (c->settlings)
+    {
+      struct settling *s = c->settlings;
+
+      DL_DELETE (c->settlings, s);
+      free_settle_args (&s->args);
+      free (s);
+    }
+  for (size_t i = 0; i < c->count; i++)
+    {
+      claim_destroy (c->partitions[i].claim);
+      str_free (&c->partitions[i].name);
+    }
+  free (c->partitions);
+  free (c);
+}
+
+static struct plugin *create (struct kernel *kernel);
+
+static const struct plugin_ops ops = {
+  .name = "claims",
+  .rank = RANK_CLAIMS,
+  .create = create,
+  .start = start,
+  .drain = drain,
+  .stop = stop,
+  .destroy = destroy,
+};
+KERNEL_PLUGIN (ops)
+
+static void
+create_partition (struct claims *c, size_t i)
+{
+  const struct settings *s = kernel_settings (c->kernel);
+  struct partition *p = &c->partitions[i];
+
+  p->claims = c;
+  p->name = str_printf ("claims/%zu", i);
+  const struct claim_config config = {
+    .key = p->name,
+    .self = { .addr = TEXT_STR (s->bus_addr),
+              .instance = kernel_instance (c->kernel) },
+    .interval_ms = s->claim_interval_ms,
+    .lifetime_s = s->claim_lifetime_s,
+    .bytes_max = BYTES_MAX,
+  };
+  p->claim = claim_create (&config, &actions, p);
+}
+
+static struct plugin *
+create (struct kernel *kernel)
+{
+  struct claims *c = xcalloc (1, sizeof *c);
+
+  c->plugin.ops = &ops;
+  c->kernel = kernel;
+  c->count = kernel_settings (kernel)->claim_partitions;
+  c->partitions = xcalloc (c->count, sizeof *c->partitions);
+  for (size_t i = 0; i < c->count; i++)
+    create_partition (c, i);
+  return &c->plugin;
+}
+
+struct claims *
+claims_get (struct kernel *kernel)
+{
+  return of (kernel_find (kernel, "claims"));
+}
--- a/src/peer.h
+++ b/src/peer.h
@@ -346,6 +346,53 @@
 };
 typedef struct lookup_args lookup_args;
 
+enum claim_state {
+	CLAIM_STATE_CLAIMED = 0,
+	CLAIM_STATE_DONE = 1,
+	CLAIM_STATE_VOID = 2,
+	CLAIM_STATE_UNKNOWN = 3,
+};
+typedef enum claim_state claim_state;
+
+struct claim_record {
+	text customer;
+	text key;
+	text service;
+	text request_id;
+	u_quad_t fingerprint;
+	node_id entry;
+	claim_state state;
+	u_quad_t claimed_at_ms;
+	u_quad_t deadline_at_ms;
+	u_quad_t settled_at_ms;
+	u_int status;
+	text content_type;
+	blob body;
+};
+typedef struct claim_record claim_record;
+
+struct claim_segment {
+	u_quad_t number;
+	u_quad_t last_claim_ms;
+};
+typedef struct claim_segment claim_segment;
+
+struct claim_object {
+	u_int format;
+	u_quad_t fence;
+	u_quad_t sequence;
+	node_id writer;
+	struct {
+		u_int segments_len;
+		claim_segment *segments_val;
+	} segments;
+	struct {
+		u_int records_len;
+		claim_record *records_val;
+	} records;
+};
+typedef struct claim_object claim_object;
+
 struct quota_args {
 	text customer;
 	text request_id;
@@ -533,6 +580,10 @@
 extern  bool_t xdr_settle_args (XDR *, settle_args*);
 extern  bool_t xdr_settle_res (XDR *, settle_res*);
 extern  bool_t xdr_lookup_args (XDR *, lookup_args*);
+extern  bool_t xdr_claim_state (XDR *, claim_state*);
+extern  bool_t xdr_claim_record (XDR *, claim_record*);
+extern  bool_t xdr_claim_segment (XDR *, claim_segment*);
+extern  bool_t xdr_claim_object (XDR *, claim_object*);
 extern  bool_t xdr_quota_args (XDR *, quota_args*);
 extern  bool_t xdr_quota_res (XDR *, quota_res*);
 extern  bool_t xdr_config_fetch_args (XDR *, config_fetch_args*);
@@ -577,6 +628,10 @@
 extern bool_t xdr_settle_args ();
 extern bool_t xdr_settle_res ();
 extern bool_t xdr_lookup_args ();
+extern bool_t xdr_claim_state ();
+extern bool_t xdr_claim_record ();
+extern bool_t xdr_claim_segment ();
+extern bool_t xdr_claim_object ();
 extern bool_t xdr_quota_args ();
 extern bool_t xdr_quota_res ();
 extern bool_t xdr_config_fetch_args ();
--- a/src/peer.x
+++ b/src/peer.x
@@ -275,6 +275,47 @@
   text key;
 };
 
+/* Values of the objects claims/P and claims/P/seg/N. Times are wall-clock ms.
+   A format that a node does not know makes it leave the partition alone. */
+
+enum claim_state {
+  CLAIM_STATE_CLAIMED = 0,
+  CLAIM_STATE_DONE = 1,
+  CLAIM_STATE_VOID = 2,
+  CLAIM_STATE_UNKNOWN = 3
+};
+
+struct claim_record {
+  text customer;
+  text key;
+  text service;
+  text request_id;
+  unsigned hyper fingerprint;
+  node_id entry;
+  claim_state state;
+  unsigned hyper claimed_at_ms;
+  unsigned hyper deadline_at_ms;
+  unsigned hyper settled_at_ms;
+  unsigned int status;
+  text content_type;
+  blob body;
+};
+
+/* number is the N of claims/P/seg/N; its upper 32 bits are the fence. */
+struct claim_segment {
+  unsigned hyper number;
+  unsigned hyper last_claim_ms;
+};
+
+struct claim_object {
+  unsigned int format;
+  unsigned hyper fence;
+  unsigned hyper sequence;
+  node_id writer;
+  claim_segment segments<8192>;
+  claim_record records<16384>;
+};
+
 /* ---- limits ---- */
 
 struct quota_args {
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -687,6 +687,84 @@
 	return TRUE;
 }
 
+bool_t
+xdr_claim_state (XDR *xdrs, claim_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_claim_record (XDR *xdrs, claim_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_text (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->request_id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_node_id (xdrs, &objp->entry))
+		 return FALSE;
+	 if (!xdr_claim_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->claimed_at_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->deadline_at_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->settled_at_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_text (xdrs, &objp->content_type))
+		 return FALSE;
+	 if (!xdr_blob (xdrs, &objp->body))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_claim_segment (XDR *xdrs, claim_segment *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->last_claim_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_claim_object (XDR *xdrs, claim_object *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_node_id (xdrs, &objp->writer))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->segments.segments_val, (u_int *) &objp->segments.segments_len, 8192,
+		sizeof (claim_segment), (xdrproc_t) xdr_claim_segment))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, 16384,
+		sizeof (claim_record), (xdrproc_t) xdr_claim_record))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_quota_args (XDR *xdrs, quota_args *objp)
 {
