Test apply and the distribution of the configuration end to end

Ruled out: timed assertions on how fast an edit arrives; the tests wait for the nodes' log lines with a wide bound and check which revisions were adopted. Change: tests/e2e_config.c: exit codes of apply over outages, lost answers and conflicting edits; spreading, stale reads, a start during an outage, a paused node, a damaged configuration.

--- /dev/null
+++ b/tests/e2e_config.c
@@ -0,0 +1,330 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "cluster.h"
+#include "configdoc.h"
+#include "suite.h"
+
+#define WAIT_MS 30000
+#define CALL_MS 5000
+
+/* Edits of the lists: what operators are told, and that each accepted edit
+   reaches all nodes and stays. Nodes are observed by their logs. */
+
+static struct cluster *cluster;
+
+static void
+write_file (char path[128], const char *name, struct str text)
+{
+  snprintf (path, 128, "%s/%s", cluster->dir, name);
+  FILE *f = fopen (path, "wb");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (f);
+  if (!f)
+    return;
+  fwrite (text.data, 1, text.len, f);
+  fclose (f);
+}
+
+/* Applies lists with two plans of the given bursts. Returns the exit code. */
+static int
+apply (int burst_a, int burst_b, const char *const *flags)
+{
+  static const char uses[] = "{\"format\":1,\"services\":[],\"classes\":[],"
+                             "\"models\":[],\"uses\":[]}";
+  static const char plan[] = "{\"name\":\"%s\",\"requests_per_s\":1,"
+                             "\"burst\":%d,\"in_flight\":0}";
+  struct buf plans = { 0 };
+  char plans_path[128];
+  char uses_path[128];
+
+  buf_append (&plans, STR ("{\"format\":1,\"customers\":[],\"plans\":["));
+  buf_printf (&plans, plan, "a", burst_a);
+  buf_append (&plans, STR (","));
+  buf_printf (&plans, plan, "b", burst_b);
+  buf_append (&plans, STR ("]}"));
+  write_file (plans_path, "plans.json", buf_str (&plans));
+  write_file (uses_path, "uses.json", STR (uses));
+  buf_free (&plans);
+  const int code = cluster_apply (cluster, plans_path, uses_path, flags);
+  unlink (plans_path);
+  unlink (uses_path);
+  return code;
+}
+
+static json_int_t
+stored_revision (void)
+{
+  return cluster_count (cluster->store, "/objects/config/root", "revision");
+}
+
+static void
+start (void)
+{
+  cluster = cluster_create ("test");
+  cluster_store (cluster, NULL);
+}
+
+/* Guards against an operator who is not told, or told wrongly, what became of
+   an edit. */
+static void
+test_exit_codes (void)
+{
+  static const struct
+  {
+    int burst_a;
+    int burst_b;
+    const char *flags[4];
+    const char *faults;
+    int code;
+    json_int_t revision;
+  } cases[] = {
+    { 1, 1, { NULL }, NULL, 0, 1 },
+    { 1, 1, { NULL }, NULL, 0, 1 },
+    { 2, 1, { "--dry-run", NULL }, NULL, 0, 1 },
+    { 2, 1, { "--base", "1", NULL }, NULL, 0, 2 },
+    /* Another entry than the edit of revision 2: both hold. */
+    { 1, 2, { "--base", "1", NULL }, NULL, 0, 3 },
+    /* The entry that revision 2 edited. */
+    { 3, 1, { "--base", "1", NULL }, NULL, 3, 3 },
+    { 3, 1, { "--base", "9", NULL }, NULL, 1, 3 },
+    { 3, 1, { "--base", "x", NULL }, NULL, 2, 3 },
+    { 3, 1, { "--wait", NULL }, NULL, 2, 3 },
+    /* An invalid list: a burst of 0 with a rate. */
+    { 0, 1, { NULL }, NULL, 1, 3 },
+    /* Lost answers to writes that took effect. */
+    { 3,
+      3,
+      { NULL },
+      "{\"lose_answers\":1,\"prefix\":\"config/root\"}",
+      0,
+      4 },
+    { 4, 3, { NULL }, "{\"lose_answers\":3,\"prefix\":\"config/\"}", 0, 5 },
+    { 5, 3, { NULL }, "{\"down\":true}", 1, 5 },
+    /* No node answers there, so the edit is not known to be in force. */
+    { 6,
+      3,
+      { "--wait", "--wait-ms=1", "--node=127.0.0.1:9", NULL },
+      NULL,
+      4,
+      6 },
+  };
+
+  start ();
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      if (cases[i].faults)
+        CU_ASSERT (cluster_faults (cluster, cases[i].faults));
+      const int code
+          = apply (cases[i].burst_a, cases[i].burst_b, cases[i].flags);
+      CU_ASSERT (cluster_faults (
+          cluster, "{\"down\":false,\"lose_answers\":0,\"prefix\":\"\"}"));
+      const json_int_t revision = stored_revision ();
+      CU_ASSERT_EQUAL (code, cases[i].code);
+      CU_ASSERT_EQUAL (revision, cases[i].revision);
+      if (code != cases[i].code || revision != cases[i].revision)
+        printf ("case %zu: code %d, revision %lld\n", i, code,
+                (long long)revision);
+    }
+  cluster_destroy (cluster);
+}
+
+/* ---- nodes ---- */
+
+struct expected
+{
+  const struct cluster_proc *node;
+  const char *text;
+};
+
+static bool
+logged (void *ctx)
+{
+  const struct expected *e = ctx;
+  char line[4096];
+  bool found = false;
+  FILE *f = fopen (e->node->log, "rb");
+
+  while (f && !found && fgets (line, sizeof line, f))
+    found = strstr (line, e->text) != NULL;
+  if (f)
+    fclose (f);
+  return found;
+}
+
+static bool
+wait_logged (const struct cluster_proc *node, const char *text)
+{
+  struct expected e = { .node = node, .text = text };
+  const bool ok = cluster_until (logged, &e, WAIT_MS);
+
+  if (!ok)
+    printf ("%s has not logged '%s'\n", node->bus_addr, text);
+  return ok;
+}
+
+static bool
+wait_adopted (const struct cluster_proc *node, int revision)
+{
+  char text[64];
+
+  snprintf (text, sizeof text, "event=adopted revision=%d ", revision);
+  return wait_logged (node, text);
+}
+
+/* Do the revisions that a node adopted only rise. */
+static bool
+only_rises (const struct cluster_proc *node)
+{
+  static const char event[] = "event=adopted revision=";
+  char line[4096];
+  long last = 0;
+  bool ok = true;
+  FILE *f = fopen (node->log, "rb");
+
+  while (f && fgets (line, sizeof line, f))
+    {
+      const char *p = strstr (line, event);
+      const long n = p ? strtol (p + sizeof event - 1, NULL, 10) : 0;
+
+      if (p && n <= last)
+        ok = false;
+      if (p)
+        last = n;
+    }
+  if (f)
+    fclose (f);
+  return ok && last > 0;
+}
+
+static void
+start_nodes (struct cluster_proc *nodes[3])
+{
+  static const char *const domains[3] = { "a", "a", "b" };
+
+  start ();
+  CU_ASSERT_EQUAL (apply (1, 1, NULL), 0);
+  for (size_t i = 0; i < 3; i++)
+    nodes[i] = cluster_node (cluster, domains[i], NULL);
+  for (size_t i = 0; i < 3; i++)
+    {
+      CU_ASSERT (wait_adopted (nodes[i], 1));
+      CU_ASSERT (wait_logged (nodes[i], "module=config event=ready"));
+    }
+}
+
+/* Guards against an edit that misses a node, and against a node that starts
+   during an outage or after a stale read with an old configuration. */
+static void
+test_spread (void)
+{
+  struct cluster_proc *nodes[3];
+
+  start_nodes (nodes);
+  CU_ASSERT_EQUAL (apply (2, 1, NULL), 0);
+  for (size_t i = 0; i < 3; i++)
+    CU_ASSERT (wait_adopted (nodes[i], 2));
+  CU_ASSERT (cluster_faults (
+      cluster, "{\"stale_reads\":2,\"prefix\":\"config/root\"}"));
+  const struct cluster_proc *stale = cluster_node (cluster, "b", NULL);
+  CU_ASSERT (wait_adopted (stale, 2));
+  CU_ASSERT (cluster_faults (cluster, "{\"stale_reads\":0,\"down\":true}"));
+  const struct cluster_proc *cut = cluster_node (cluster, "b", NULL);
+  CU_ASSERT (wait_adopted (cut, 2));
+  CU_ASSERT (wait_logged (cut, "event=ready revision=2 store=no peer=yes"));
+  CU_ASSERT (cluster_faults (cluster, "{\"down\":false}"));
+  CU_ASSERT_EQUAL (apply (3, 1, NULL), 0);
+  CU_ASSERT (wait_adopted (cut, 3));
+  CU_ASSERT (only_rises (stale));
+  cluster_destroy (cluster);
+}
+
+/* Guards against a node that goes on with an old configuration after a
+   pause. */
+static void
+test_pause (void)
+{
+  struct cluster_proc *nodes[3];
+
+  start_nodes (nodes);
+  CU_ASSERT (cluster_signal (nodes[1], SIGSTOP));
+  CU_ASSERT_EQUAL (apply (2, 1, NULL), 0);
+  CU_ASSERT_EQUAL (apply (3, 1, NULL), 0);
+  CU_ASSERT (wait_adopted (nodes[2], 3));
+  CU_ASSERT (cluster_signal (nodes[1], SIGCONT));
+  for (size_t i = 0; i < 3; i++)
+    {
+      CU_ASSERT (wait_adopted (nodes[i], 3));
+      CU_ASSERT (only_rises (nodes[i]));
+    }
+  cluster_destroy (cluster);
+}
+
+/* Writes a chunk and a root that names it alone; the chunk is JSON, but no
+   list of plans that can be used. */
+static void
+damage_root (void)
+{
+  static const char chunk[] = "[{\"name\":\"a\"}]";
+  struct str hash = config_hash (STR (chunk));
+  struct str path
+      = str_printf ("/objects/config/chunk/" STR_FMT, STR_ARG (hash));
+  struct str root = str_printf (
+      "{\"format\":1,\"revision\":2,\"writer\":\"test\",\"sequence\":1,"
+      "\"applied_at_ms\":1,\"chunks\":[{\"name\":\"plans/0\","
+      "\"hash\":\"" STR_FMT "\"}]}",
+      STR_ARG (hash));
+  struct cluster_reply r = cluster_http (
+      cluster->store, "PUT", path.data,
+      (const char *const[]){ "If-Match: 0", NULL }, chunk, CALL_MS);
+  char if_match[64];
+
+  CU_ASSERT_EQUAL (r.status, 200);
+  cluster_reply_free (&r);
+  r = cluster_http (cluster->store, "GET", "/objects/config/root", NULL, NULL,
+                    CALL_MS);
+  snprintf (if_match, sizeof if_match, "If-Match: " STR_FMT,
+            STR_ARG (cluster_header (&r, "x-version")));
+  cluster_reply_free (&r);
+  r = cluster_http (cluster->store, "PUT", "/objects/config/root",
+                    (const char *const[]){ if_match, NULL }, root.data,
+                    CALL_MS);
+  CU_ASSERT_EQUAL (r.status, 200);
+  cluster_reply_free (&r);
+  str_free (&hash);
+  str_free (&path);
+  str_free (&root);
+}
+
+/* Guards against a damaged configuration that is adopted, or that keeps nodes
+   from the next sound one. */
+static void
+test_damaged (void)
+{
+  struct cluster_proc *nodes[3];
+
+  start_nodes (nodes);
+  damage_root ();
+  for (size_t i = 0; i < 3; i++)
+    CU_ASSERT (wait_logged (nodes[i], "event=rejected revision=2 "));
+  CU_ASSERT_EQUAL (apply (2, 1, NULL), 0);
+  for (size_t i = 0; i < 3; i++)
+    {
+      struct expected e
+          = { .node = nodes[i], .text = "event=adopted revision=2 " };
+
+      CU_ASSERT (wait_adopted (nodes[i], 3));
+      CU_ASSERT_FALSE (logged (&e));
+    }
+  cluster_destroy (cluster);
+}
+
+static const struct suite_case cases[] = {
+  { "exit codes of apply", test_exit_codes },
+  { "an edit reaches all nodes", test_spread },
+  { "a paused node catches up", test_pause },
+  { "a damaged configuration", test_damaged },
+};
+TEST_SUITE ("config", cases)
