Test the plan limits over nodes end to end

Cause: the limiter's messages between nodes were only covered by the pure randomised schedule. Change: tests/e2e_limits.c speaks PEER_QUOTA to three nodes: rate with the owner killed, requests in flight with a repeat, a finish and an expiry. The bound on the rate is computed from the time that really passed.

--- /dev/null
+++ b/tests/e2e_limits.c
@@ -0,0 +1,304 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "cluster.h"
+#include "netaddr.h"
+#include "peer.h"
+#include "rpcmsg.h"
+#include "suite.h"
+
+#define WAIT_MS 30000
+#define CALL_MS 2000
+#define HOPS 4
+#define RATE 20
+#define BURST 5
+#define IN_FLIGHT 2
+
+/* The limits of a plan as nodes keep them for each other: the test speaks the
+   nodes' protocol and asks any node, as an entry does. */
+
+static struct cluster *cluster;
+static struct cluster_proc *nodes[3];
+
+static void
+write_file (char path[128], const char *name, const char *text)
+{
+  snprintf (path, 128, "%s/%s", cluster->dir, name);
+  FILE *f = fopen (path, "wb");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (f);
+  if (!f)
+    return;
+  fputs (text, f);
+  fclose (f);
+}
+
+static void
+start (void)
+{
+  static const char *const domains[3] = { "a", "b", "c" };
+  char plans[512];
+  char plans_path[128];
+  char uses_path[128];
+
+  cluster = cluster_create ("test");
+  cluster_store (cluster, NULL);
+  snprintf (plans, sizeof plans,
+            "{\"format\":1,\"plans\":["
+            "{\"name\":\"rated\",\"requests_per_s\":%d,\"burst\":%d,"
+            "\"in_flight\":0},"
+            "{\"name\":\"counted\",\"requests_per_s\":0,\"burst\":0,"
+            "\"in_flight\":%d}],\"customers\":["
+            "{\"name\":\"r\",\"plan\":\"rated\",\"key_sha256\":[]},"
+            "{\"name\":\"c\",\"plan\":\"counted\",\"key_sha256\":[]}]}",
+            RATE, BURST, IN_FLIGHT);
+  write_file (plans_path, "plans.json", plans);
+  write_file (uses_path, "uses.json",
+              "{\"format\":1,\"services\":[],\"classes\":[],\"models\":[],"
+              "\"uses\":[]}");
+  CU_ASSERT_EQUAL (cluster_apply (cluster, plans_path, uses_path, NULL), 0);
+  unlink (plans_path);
+  unlink (uses_path);
+  for (size_t i = 0; i < 3; i++)
+    nodes[i] = cluster_node (cluster, domains[i], NULL);
+}
+
+static int
+connect_to (struct str addr)
+{
+  const struct timeval limit = { .tv_sec = CALL_MS / 1000 };
+  struct sockaddr_in sa;
+  const int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  if (netaddr_parse (addr, &sa)
+      && connect (fd, (struct sockaddr *)&sa, sizeof sa) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+/* Reads one record without its mark; empty when the node did not answer. */
+static struct str
+read_record (int fd)
+{
+  uint32_t mark = 0;
+
+  if (recv (fd, &mark, sizeof mark, MSG_WAITALL) != sizeof mark)
+    return (struct str){ 0 };
+  const size_t n = ntohl (mark) & 0x7fffffff;
+  char *data = malloc (n + 1);
+  if (recv (fd, data, n, MSG_WAITALL) == (ssize_t)n)
+    return (struct str){ data, n };
+  free (data);
+  return (struct str){ 0 };
+}
+
+/* One call of PEER_QUOTA. Returns 1 if granted, 0 if not, or the error; *hint
+   is the owner to ask instead. */
+static int
+call (struct str addr, const struct quota_args *args, struct str *hint)
+{
+  const int fd = connect_to (addr);
+  struct str record = rpcmsg_call (1, PEER_QUOTA, args);
+  struct rpcmsg msg;
+  struct str body;
+  int rc = -ECONNREFUSED;
+
+  *hint = (struct str){ 0 };
+  if (fd >= 0)
+    {
+      struct str reply = { 0 };
+
+      if (send (fd, record.data, record.len, MSG_NOSIGNAL)
+          == (ssize_t)record.len)
+        reply = read_record (fd);
+      rc = -ETIMEDOUT;
+      if (reply.len > 0 && rpcmsg_header (reply, &msg, hint, &body) == 0)
+        rc = msg.err;
+      struct quota_res *res
+          = rc == 0 ? rpcmsg_body (PEER_QUOTA, RPCMSG_RESULT, body) : NULL;
+      if (res)
+        {
+          rc = res->granted > 0;
+          rpcmsg_free (PEER_QUOTA, RPCMSG_RESULT, res);
+        }
+      str_free (&reply);
+      close (fd);
+    }
+  str_free (&record);
+  return rc;
+}
+
+/* Takes or finishes a request, beginning at a node. *answered is the node that
+   answered last. */
+static int
+ask (size_t first, const struct quota_args *args, char answered[32])
+{
+  struct str addr = str_dup (str_from (nodes[first]->bus_addr));
+  int rc = -ESTALE;
+
+  for (int hop = 0; hop < HOPS && rc == -ESTALE && addr.len > 0; hop++)
+    {
+      struct str hint;
+
+      rc = call (addr, args, &hint);
+      snprintf (answered, 32, STR_FMT, STR_ARG (addr));
+      str_free (&addr);
+      addr = hint;
+    }
+  str_free (&addr);
+  return rc;
+}
+
+static int
+take (size_t first, const char *customer, uint64_t id, char answered[32])
+{
+  const struct quota_args args
+      = { .customer = TEXT_STR (str_from (customer)), .take = id };
+
+  return ask (first, &args, answered);
+}
+
+static void
+finish (const char *addr, const char *customer, uint64_t id)
+{
+  u_quad_t ids[1] = { id };
+  const struct quota_args args
+      = { .customer = TEXT_STR (str_from (customer)),
+          .finished = { .finished_len = 1, .finished_val = ids } };
+  struct str hint;
+
+  CU_ASSERT_EQUAL (call (str_from (addr), &args, &hint), 0);
+  str_free (&hint);
+}
+
+/* Do all nodes send a customer's requests to one owner that decides. */
+static bool
+agreed (void *ctx)
+{
+  static uint64_t id = 1u << 20;
+  char owners[3][32] = { "", "", "" };
+
+  for (size_t i = 0; i < 3; i++)
+    if (take (i, ctx, ++id, owners[i]) < 0)
+      return false;
+  return strcmp (owners[0], owners[1]) == 0
+         && strcmp (owners[0], owners[2]) == 0;
+}
+
+struct counted
+{
+  uint64_t id;
+  uint64_t first_ms; /* shortly before the first grant */
+  unsigned granted;
+  char owner[32];
+  char not_owner[32]; /* wait for a grant from another node */
+};
+
+/* One try at each live node. True once the awaited grant came. */
+static bool
+take_some (void *ctx)
+{
+  struct counted *c = ctx;
+  bool done = false;
+
+  for (size_t i = 0; i < 3; i++)
+    {
+      char answered[32] = "";
+      const uint64_t now_ms = clock_ms ();
+
+      if (nodes[i]->pid == 0 || take (i, "r", ++c->id, answered) != 1)
+        continue;
+      if (c->granted++ == 0)
+        c->first_ms = now_ms;
+      memcpy (c->owner, answered, sizeof c->owner);
+      done |= strcmp (answered, c->not_owner) != 0;
+    }
+  return done;
+}
+
+static void
+check_rate (const struct counted *c)
+{
+  /* One more for the request that the bucket gives at both ends. */
+  const uint64_t allowed
+      = BURST + 1 + (clock_ms () - c->first_ms) * RATE / 1000;
+
+  CU_ASSERT (c->granted <= allowed);
+  if (c->granted > allowed)
+    printf ("%u granted, %lu allowed\n", c->granted, allowed);
+}
+
+/* Guards against a rate that grows with the nodes that a customer asks, or
+   with the death of the owner. */
+static void
+test_rate (void)
+{
+  struct counted c = { 0 };
+
+  start ();
+  CU_ASSERT (cluster_until (agreed, "r", WAIT_MS));
+  CU_ASSERT (cluster_until (take_some, &c, WAIT_MS));
+  for (int i = 0; i < 200; i++)
+    take_some (&c);
+  check_rate (&c);
+  for (size_t i = 0; i < 3; i++)
+    if (strcmp (nodes[i]->bus_addr, c.owner) == 0)
+      cluster_kill (nodes[i]);
+  memcpy (c.not_owner, c.owner, sizeof c.owner);
+  CU_ASSERT (cluster_until (take_some, &c, WAIT_MS));
+  for (int i = 0; i < 200; i++)
+    take_some (&c);
+  check_rate (&c);
+  cluster_destroy (cluster);
+}
+
+struct slot
+{
+  uint64_t id;
+  char answered[32];
+};
+
+static bool
+take_slot (void *ctx)
+{
+  struct slot *s = ctx;
+
+  return take (s->id % 3, "c", s->id, s->answered) == 1;
+}
+
+/* Guards against more requests in flight than the plan allows, and slots that
+   are never free again. */
+static void
+test_in_flight (void)
+{
+  struct slot slots[4] = { { 1, "" }, { 2, "" }, { 3, "" }, { 4, "" } };
+
+  start ();
+  /* What this takes expires by itself. */
+  CU_ASSERT (cluster_until (agreed, "c", WAIT_MS));
+  CU_ASSERT (cluster_until (take_slot, &slots[0], WAIT_MS));
+  CU_ASSERT (cluster_until (take_slot, &slots[1], WAIT_MS));
+  CU_ASSERT_FALSE (take_slot (&slots[2]));
+  CU_ASSERT_FALSE (take_slot (&slots[3]));
+  /* A repeat of one in flight, for example after a lost answer. */
+  CU_ASSERT (take_slot (&slots[1]));
+  finish (slots[1].answered, "c", 1);
+  CU_ASSERT (cluster_until (take_slot, &slots[2], WAIT_MS));
+  CU_ASSERT_FALSE (take_slot (&slots[3]));
+  /* Nobody renews them, as if the entry had died. */
+  CU_ASSERT (cluster_until (take_slot, &slots[3], WAIT_MS));
+  cluster_destroy (cluster);
+}
+
+static const struct suite_case cases[] = {
+  { "rate over all nodes", test_rate },
+  { "requests in flight over all nodes", test_in_flight },
+};
+TEST_SUITE ("limits", cases)
