Serve present replicas during an outage of the store

A lease that expires because the store is down cannot be taken by anybody, yet callers lost their owner of placement until the store came back.

The last known holder now goes on to follow its servers and tells callers which replicas are there; it decides nothing. A wake for several replicas is answered at the first new one, since its caller can serve with that. A server that refuses connections is not offered. A candidate watches a lease already while the nodes before it are suspected. Calls that may be repeated go on to the next holder when a connection breaks.

Ruled out: a full stop of the holder at the end of its lease, which made each outage of the store an outage of every cold start and every new scheduler.

--- a/src/lease.c
+++ b/src/lease.c
@@ -159,19 +159,36 @@
   str_free (&json);
 }
 
-/* The first live node of the rendezvous order campaigns for the lease. */
+/* The first live node of the rendezvous order campaigns for the lease. A node
+   begins to watch it already while those before it are suspected, so that the
+   wait for the lease's end runs together with the detection. */
+static bool
+is_first (const struct lease *l, const struct member_view *view)
+{
+  const struct settings *s = kernel_settings (l->table->kernel);
+
+  for (size_t place = 0;; place++)
+    {
+      const struct member_info *m
+          = member_rank (view, l->region, l->name, place);
+
+      if (!m)
+        return false;
+      if (str_eq (m->addr, s->bus_addr))
+        return true;
+      if (m->state != MEMBER_SUSPECT)
+        return false;
+    }
+}
+
 static void
 update_candidate (struct lease *l)
 {
-  const struct settings *s = kernel_settings (l->table->kernel);
   const struct member_view *view
       = kernel_latest (l->table->kernel, TOPIC_MEMBERS);
-  const struct member_info *first
-      = view ? member_rank (view, l->region, l->name, 0) : NULL;
 
   leasestate_candidate (l->state, l->campaigning && !l->table->releasing
-                                      && first
-                                      && str_eq (first->addr, s->bus_addr));
+                                      && view && is_first (l, view));
 }
 
 static bool
--- a/src/leasecall.c
+++ b/src/leasecall.c
@@ -19,22 +19,27 @@
 
 struct proc_type
 {
-  uint32_t proc;
   xdrproc_t xdr;
   size_t size;
+  uint32_t proc;
+  bool repeatable;
 };
 
-#define PROC(p, type)                                                         \
+#define PROC(p, type, repeatable)                                             \
   {                                                                           \
-    (p), (xdrproc_t)xdr_##type, sizeof (type)                                 \
+    (xdrproc_t) xdr_##type, sizeof (type), (p), (repeatable)                  \
   }
 
-/* Procedures whose handler is a lease holder. */
+/* Procedures whose handler is a lease holder. The repeatable ones are called
+   again when a connection breaks, although the call may have run. */
 static const struct proc_type procs[] = {
-  PROC (PEER_WAKE, wake_args),           PROC (PEER_USAGE, usage_args),
-  PROC (PEER_LOAD_SLOT, load_slot_args), PROC (PEER_FENCE_OFF, fence_off_args),
-  PROC (PEER_CLAIM, claim_args),         PROC (PEER_SETTLE, settle_args),
-  PROC (PEER_LOOKUP, lookup_args),
+  PROC (PEER_WAKE, wake_args, true),
+  PROC (PEER_USAGE, usage_args, true),
+  PROC (PEER_LOAD_SLOT, load_slot_args, false),
+  PROC (PEER_FENCE_OFF, fence_off_args, false),
+  PROC (PEER_CLAIM, claim_args, false),
+  PROC (PEER_SETTLE, settle_args, false),
+  PROC (PEER_LOOKUP, lookup_args, true),
 };
 
 struct leasecall
@@ -146,7 +151,8 @@
 on_reply (void *ctx, int err, struct str hint, const void *result)
 {
   struct leasecall *c = ctx;
-  const bool elsewhere = err == -ESTALE || err == -ECONNREFUSED;
+  const bool elsewhere = err == -ESTALE || err == -ECONNREFUSED
+                         || (err == -EPIPE && c->type->repeatable);
 
   c->p.remember (c->p.remember_ctx, c->p.name,
                  err == 0 ? c->to : (struct str){ 0 });
--- a/src/place.h
+++ b/src/place.h
@@ -35,8 +35,9 @@
 {
   struct bus_request *req;
   struct policy_want want;
-  uint32_t replicas;
-  bool failed; /* a load for it failed meanwhile */
+  uint32_t replicas; /* wanted */
+  size_t enough;     /* answered when so many are there */
+  bool failed;       /* a load for it failed meanwhile */
   struct place_wake *prev;
   struct place_wake *next;
 };
@@ -55,6 +56,7 @@
 struct place_use
 {
   struct str name;
+  struct replica_key key;
   uint32_t in_flight;
   uint32_t queued;
   uint64_t at_ms;
@@ -101,6 +103,13 @@
   UT_hash_handle hh;
 };
 
+/**
+ * place_serving() - was the last known holder of the lease.
+ *
+ * During an outage of the store the lease expires but nobody else can take it:
+ * the present replicas are still told to callers, and nothing is decided.
+ */
+bool place_serving (const struct place_service *s);
 /** place_ready() - holds the lease at this moment and its stamp is stored. */
 bool place_ready (const struct place_service *s);
 /** place_model() - the listed model of a key, in this service; else NULL. */
@@ -139,6 +148,9 @@
 /** place_loaded() - replicas that can be offered to callers. */
 size_t place_loaded (const struct place_service *s,
                      const struct replica_key *key);
+/** place_expire_uses() - a report that is not renewed counts as no use. */
+void place_expire_uses (struct place_service *s, uint64_t now);
+void place_uses_free (struct place_service *s);
 const struct place_use *place_use (const struct place_service *s,
                                    const struct replica_key *key);
 
--- a/src/placedecide.c
+++ b/src/placedecide.c
@@ -419,7 +419,7 @@
   return ahead / (s->loads_at_once > 0 ? s->loads_at_once : 1) * estimate_ms;
 }
 
-/* Begins a load if one is missing; refuses all callers of @key when none can
+/* Begins the loads that are missing; refuses all callers of @key when none can
    be had. @want is the model of @key, or the adapter itself. */
 static void
 provide (struct place_service *s, const struct replica_key *key,
@@ -427,34 +427,31 @@
 {
   struct policy_choice choice;
   uint64_t first_ms;
-  const size_t under_way = place_under_way (s, &want->key, &first_ms);
-
-  if (place_loaded (s, &want->key) + under_way >= replicas)
-    {
-      if (under_way > 0 && first_ms != UINT64_MAX)
-        place_refuse_late (s, key,
-                           first_ms + policy_load_ms (want, CACHE_DISK), now);
-      return;
-    }
-  switch (place_begin_load (s, want, true, "demand", now, &choice))
+  uint64_t ready_ms = UINT64_MAX;
+  size_t under_way = place_under_way (s, &want->key, &first_ms);
+  size_t missing = place_loaded (s, &want->key) + under_way;
+  enum begun result = BEGUN;
+
+  missing = missing < replicas ? replicas - missing : 0;
+  if (first_ms != UINT64_MAX)
+    ready_ms = first_ms + policy_load_ms (want, CACHE_DISK);
+  for (; missing > 0 && result == BEGUN; missing--)
     {
-    case BEGUN:
-      /* The load goes on for those who ask again. */
-      place_refuse_late (
-          s, key, now + choice.estimate_ms + queue_ms (s, choice.estimate_ms),
-          now);
-      return;
-    case BEGUN_LATER:
-      return;
-    case BEGUN_NO_MEMORY:
-      if (under_way == 0)
-        place_refuse (s, key, WAKE_NO_MEMORY, 0, "no-memory");
-      return;
-    case BEGUN_LIMIT:
-      if (under_way == 0)
-        place_refuse (s, key, WAKE_LIMIT, 0, "max-replicas");
-      return;
+      result = place_begin_load (s, want, true, "demand", now, &choice);
+      if (result != BEGUN)
+        break;
+      if (under_way++ == 0)
+        ready_ms = now + choice.estimate_ms + queue_ms (s, choice.estimate_ms);
     }
+  /* The load goes on for those who ask again. */
+  if (ready_ms != UINT64_MAX)
+    place_refuse_late (s, key, ready_ms, now);
+  if (under_way > 0)
+    return;
+  if (result == BEGUN_NO_MEMORY)
+    place_refuse (s, key, WAKE_NO_MEMORY, 0, "no-memory");
+  if (result == BEGUN_LIMIT)
+    place_refuse (s, key, WAKE_LIMIT, 0, "max-replicas");
 }
 
 static void
--- a/src/placekeep.c
+++ b/src/placekeep.c
@@ -139,6 +139,7 @@
   if (!lists || now < s->next_keep_ms)
     return;
   s->next_keep_ms = now + KEEP_INTERVAL_MS;
+  place_expire_uses (s, now);
   count_idle (s, now);
   for (size_t i = 0; i < lists->model_count; i++)
     {
--- a/src/placement.c
+++ b/src/placement.c
@@ -24,7 +24,7 @@
 /* A new holder of the budget waits for loads of a former one. */
 #define BUDGET_BUSY_MS 3000
 /* Slack for the owner's answer at the end of the caller's deadline. */
-#define WAKE_SLACK_MS 500
+#define WAKE_SLACK_MS 250
 #define SERVICES_MAX 64
 
 struct placement
@@ -66,11 +66,18 @@
   return m && str_eq (m->service, s->name) ? m : NULL;
 }
 
+bool
+place_serving (const struct place_service *s)
+{
+  return s->ledger && !s->ledger->dropped && s->ledger->stamped_ms > 0
+         && s->ledger->fence == s->fence
+         && lease_fence (lease_get (s->kernel), s->lease) == s->fence;
+}
+
 bool
 place_ready (const struct place_service *s)
 {
-  return s->held && s->ledger && !s->ledger->dropped
-         && s->ledger->stamped_ms > 0 && s->ledger->fence == s->fence
+  return s->held && place_serving (s)
          && lease_valid (lease_get (s->kernel), s->lease);
 }
 
@@ -262,7 +269,6 @@
   s->held = held;
   if (!held)
     {
-      place_poll_stop (s);
       place_plans_clear (s);
       place_fail_wakes (s, -ESTALE);
       s->idle_counted_ms = 0;
@@ -282,7 +288,7 @@
 {
   struct place_service *s = find (p, name);
 
-  if (s && s->held)
+  if (s && (s->held || place_serving (s)))
     return s;
   bus_fail (req, -ESTALE,
             s ? lease_holder (lease_get (p->kernel), s->lease) : STR (""));
@@ -307,7 +313,7 @@
 
   if (!s)
     return;
-  if (place_ready (s))
+  if (place_serving (s))
     place_on_usage (s, req, a);
   else
     bus_fail (req, -EAGAIN, STR (""));
@@ -429,7 +435,6 @@
       if (!s->listed || (service && service->kind == SERVICE_ENGINE))
         continue;
       s->listed = false;
-      s->held = false;
       on_lease (s, s->lease, false, s->fence);
       lease_withdraw (lease_get (p->kernel), s->lease);
     }
@@ -470,15 +475,17 @@
     return;
   s->next_turn_ms = now + TURN_MS;
   place_store_step (s);
-  if (place_ready (s))
+  if (!place_serving (s))
     {
-      ask_former (s);
-      place_sync_hosts (s);
-      place_poll (s);
-      place_decide (s);
+      place_poll_stop (s);
+      return;
     }
-  else
-    place_send_orders (s);
+  if (place_ready (s))
+    ask_former (s);
+  place_sync_hosts (s);
+  place_poll (s);
+  place_decide (s);
+  place_send_orders (s);
 }
 
 static void
@@ -546,15 +553,7 @@
 static void
 service_free (struct place_service *s)
 {
-  struct place_use *u;
-  struct place_use *next;
-
-  HASH_ITER (hh, s->uses, u, next)
-  {
-    HASH_DEL (s->uses, u);
-    str_free (&u->name);
-    free (u);
-  }
+  place_uses_free (s);
   place_plans_clear (s);
   if (s->ledger)
     ledger_destroy (s->ledger);
--- a/src/placetarget.c
+++ b/src/placetarget.c
@@ -18,7 +18,7 @@
 #define ORDER_LIMIT_MS 5000
 /* A server whose address refuses connections for this long has ended: its
    process holds no memory any more. */
-#define REFUSED_MS 3000
+#define REFUSED_MS 2000
 /* No load is tried on a server for this time after one failed there. */
 #define AVOID_MS 10000
 #define CACHED_MAX 64
@@ -112,7 +112,7 @@
 {
   const struct host_view *view = kernel_latest (s->kernel, TOPIC_HOSTS);
 
-  if (!view || !place_ready (s))
+  if (!view || !place_serving (s))
     return;
   remove_unlisted (s, view);
   for (size_t i = 0; i < view->count; i++)
@@ -242,7 +242,7 @@
   (void)call;
   (void)sent;
   t->poll = NULL;
-  if (!place_ready (s))
+  if (!place_serving (s))
     {
       t->next_poll_ms = clock_ms () + POLL_RETRY_MS;
       return;
@@ -292,7 +292,7 @@
 {
   const uint64_t now = clock_ms ();
 
-  if (!place_ready (s))
+  if (!place_serving (s))
     return;
   for (struct place_target *t = s->targets; t; t = t->hh.next)
     if (!t->poll && now >= t->next_poll_ms)
@@ -403,9 +403,10 @@
 static bool
 may_send (const struct place_service *s, const struct order *o)
 {
-  if (lease_valid (lease_get (s->kernel), s->lease))
-    return lease_fence (lease_get (s->kernel), s->lease) == s->ledger->fence;
-  return s->fenced && o->kind == ORDER_LOAD;
+  if (!place_serving (s))
+    return false;
+  return lease_valid (lease_get (s->kernel), s->lease)
+         || (s->fenced && o->kind == ORDER_LOAD);
 }
 
 static bool
--- a/src/placewake.c
+++ b/src/placewake.c
@@ -15,16 +15,19 @@
 #define WAKES_MAX 4096
 
 static bool
-offered (const struct ledger_server *server, const struct replica_key *key)
+offered (const struct place_service *s, const struct ledger_server *server,
+         const struct replica_key *key)
 {
+  const struct place_target *t = place_target (s, server->addr);
   const struct replica_key model
       = { .model = key->model, .version = key->version };
   const struct ledger_entry *m = ledger_entry (server, &model);
   const struct ledger_entry *a
       = key->adapter.len > 0 ? ledger_entry (server, key) : m;
 
-  return server->seen && !ledger_leaving (server) && m && a
-         && m->state == LEDGER_LOADED && a->state == LEDGER_LOADED;
+  return server->seen && !ledger_leaving (server) && t
+         && t->refused_since_ms == 0 && m && a && m->state == LEDGER_LOADED
+         && a->state == LEDGER_LOADED;
 }
 
 size_t
@@ -33,7 +36,7 @@
   size_t n = 0;
 
   for (size_t i = 0; i < s->ledger->server_count; i++)
-    n += offered (s->ledger->servers[i], key);
+    n += offered (s, s->ledger->servers[i], key);
   return n;
 }
 
@@ -50,7 +53,7 @@
     {
       const struct ledger_server *server = s->ledger->servers[i];
 
-      if (!offered (server, key))
+      if (!offered (s, server, key))
         continue;
       out[(*count)++] = (replica){
         .target = TEXT_STR (server->addr),
@@ -152,9 +155,10 @@
 
   DL_FOREACH_SAFE (s->wakes, w, next)
   {
-    if (s->ledger && place_ready (s)
-        && place_loaded (s, &w->want.key) >= w->replicas)
+    if (place_serving (s) && place_loaded (s, &w->want.key) >= w->enough)
       finish (s, w, WAKE_LOADED, 0, "loaded");
+    else if (!s->held)
+      finish (s, w, WAKE_FAILED, 0, "lease-expired");
     else if (now >= w->want.deadline_ms)
       finish (s, w, w->failed ? WAKE_FAILED : WAKE_TOO_LATE, 0, "deadline");
   }
@@ -183,6 +187,100 @@
   return true;
 }
 
+/* Use. */
+
+static struct str
+use_name (const struct replica_key *key)
+{
+  return str_printf (STR_FMT "/" STR_FMT, STR_ARG (key->model),
+                     STR_ARG (key->adapter));
+}
+
+const struct place_use *
+place_use (const struct place_service *s, const struct replica_key *key)
+{
+  struct str name = use_name (key);
+  struct place_use *u;
+
+  HASH_FIND (hh, s->uses, name.data, name.len, u);
+  str_free (&name);
+  return u;
+}
+
+static void
+tell_policy (struct place_service *s, const struct place_use *u,
+             uint32_t requests, uint32_t idle_ms, uint64_t now)
+{
+  const struct model *m = place_model (s, &u->key);
+  const struct policy_use use = {
+    .key = u->key,
+    .in_flight = u->in_flight,
+    .queued = u->queued,
+    .requests = requests,
+    .idle_ms = idle_ms,
+    .slots = m ? m->slots : 1,
+    .load_ms = m && u->key.adapter.len == 0 ? m->load_ms : 0,
+  };
+
+  s->policy->ops->used (s->policy, &use, now);
+}
+
+static struct place_use *
+use_or_add (struct place_service *s, const struct replica_key *key)
+{
+  struct place_use *u = (struct place_use *)place_use (s, key);
+
+  if (u)
+    return u;
+  u = xcalloc (1, sizeof *u);
+  u->name = use_name (key);
+  u->key = replica_key_dup (key);
+  HASH_ADD_KEYPTR (hh, s->uses, u->name.data, u->name.len, u);
+  return u;
+}
+
+static void
+record_use (struct place_service *s, const struct replica_key *key,
+            const struct usage_item *item, uint64_t now)
+{
+  struct place_use *u = use_or_add (s, key);
+
+  u->in_flight = item->in_flight;
+  u->queued = item->queued;
+  u->at_ms = now;
+  tell_policy (s, u, item->requests, item->idle_ms, now);
+}
+
+void
+place_expire_uses (struct place_service *s, uint64_t now)
+{
+  for (struct place_use *u = s->uses; u; u = u->hh.next)
+    {
+      if (now < u->at_ms + PLACE_USE_FRESH_MS || u->in_flight + u->queued == 0)
+        continue;
+      u->in_flight = 0;
+      u->queued = 0;
+      tell_policy (s, u, 0, 0, now);
+    }
+}
+
+void
+place_uses_free (struct place_service *s)
+{
+  struct place_use *u;
+  struct place_use *next;
+
+  HASH_ITER (hh, s->uses, u, next)
+  {
+    HASH_DEL (s->uses, u);
+    str_free (&u->name);
+    replica_key_free (&u->key);
+    free (u);
+  }
+}
+
+/* Procedures. */
+
 static size_t
 waiting (const struct place_service *s)
 {
@@ -213,6 +311,11 @@
       answer (s, req, &want, WAKE_UNKNOWN_MODEL, 0, "not-listed");
       return;
     }
+  if (!s->held && place_loaded (s, &want.key) == 0)
+    {
+      bus_fail (req, -ESTALE, STR (""));
+      return;
+    }
   if (waiting (s) >= WAKES_MAX)
     {
       answer (s, req, &want, WAKE_LIMIT, 1000, "too-many-callers");
@@ -223,60 +326,21 @@
   w->want = want;
   w->want.key = replica_key_dup (&want.key);
   w->replicas = args->replicas_wanted > 0 ? args->replicas_wanted : 1;
+  /* A caller that wants several goes on with the first new one. */
+  w->enough = place_serving (s) ? place_loaded (s, &want.key) + 1 : 1;
+  if (w->enough > w->replicas)
+    w->enough = w->replicas;
   DL_APPEND (s->wakes, w);
+  /* The callers' requests wait for this many replicas until the scheduler
+     reports them. */
+  const struct model *m = place_model (s, &want.key);
+  const struct usage_item item
+      = { .queued = (w->replicas - 1) * m->slots + 1, .requests = 1 };
+  record_use (s, &w->want.key, &item, now);
   place_settle_wakes (s);
   place_decide (s);
 }
 
-/* Use. */
-
-static struct str
-use_name (const struct replica_key *key)
-{
-  return str_printf (STR_FMT "/" STR_FMT, STR_ARG (key->model),
-                     STR_ARG (key->adapter));
-}
-
-const struct place_use *
-place_use (const struct place_service *s, const struct replica_key *key)
-{
-  struct str name = use_name (key);
-  struct place_use *u;
-
-  HASH_FIND (hh, s->uses, name.data, name.len, u);
-  str_free (&name);
-  return u;
-}
-
-static void
-record_use (struct place_service *s, const struct replica_key *key,
-            const struct usage_item *item, uint64_t now)
-{
-  const struct model *m = place_model (s, key);
-  struct place_use *u = (struct place_use *)place_use (s, key);
-
-  if (!m)
-    return;
-  if (!u)
-    {
-      u = xcalloc (1, sizeof *u);
-      u->name = use_name (key);
-      HASH_ADD_KEYPTR (hh, s->uses, u->name.data, u->name.len, u);
-    }
-  u->in_flight = item->in_flight;
-  u->queued = item->queued;
-  u->at_ms = now;
-  const struct policy_use use = {
-    .key = *key,
-    .in_flight = item->in_flight,
-    .queued = item->queued,
-    .requests = item->requests,
-    .slots = m->slots,
-    .load_ms = key->adapter.len > 0 ? 0 : m->load_ms,
-  };
-  s->policy->ops->used (s->policy, &use, now);
-}
-
 void
 place_on_usage (struct place_service *s, struct bus_request *req,
                 const struct usage_args *args)
--- a/src/policy.c
+++ b/src/policy.c
@@ -165,6 +165,12 @@
       m->idle_since_ms = now;
       m->known = true;
     }
+  else if (!m->known && use->idle_ms > 0)
+    {
+      /* A new owner of placement goes on with the idle time so far. */
+      m->idle_since_ms = now > use->idle_ms ? now - use->idle_ms : 0;
+      m->known = true;
+    }
   m->busy = busy;
 }
 
--- a/src/policy.h
+++ b/src/policy.h
@@ -78,13 +78,17 @@
   const char *reason;
 };
 
-/** struct policy_use - use of a model since the last report. */
+/**
+ * struct policy_use - use of a model since the last report.
+ * @idle_ms: time without use so far; counts for a model not known before.
+ */
 struct policy_use
 {
   struct replica_key key;
   uint32_t in_flight;
   uint32_t queued;
   uint32_t requests;
+  uint32_t idle_ms;
   uint32_t slots; /* of one replica */
   uint32_t load_ms;
 };
