--- a/src/kernel.c
+++ b/src/kernel.c
@@ -13,6 +13,8 @@
 #define LOG_MODULE "kernel"
 #define PLUGINS_MAX 32
 #define SUBSCRIBERS_MAX 16
+/* Loop turns for close callbacks after the plug-ins have stopped. */
+#define CLOSE_TURNS 16
 
 struct subscriber
 {
@@ -185,7 +187,12 @@
 
   if (rc != 0)
     stop (k);
-  uv_run (&k->loop, UV_RUN_DEFAULT);
+  while (!k->stopping)
+    uv_run (&k->loop, UV_RUN_ONCE);
+  /* h2o keeps handles of idle connections that it gives no way to close, so
+     the loop would not end by itself. */
+  for (int i = 0; i < CLOSE_TURNS; i++)
+    uv_run (&k->loop, UV_RUN_NOWAIT);
   return rc;
 }
 
--- /dev/null
+++ b/src/reqclaim.c
@@ -0,0 +1,171 @@
+#include "request_impl.h"
+
+#include <jansson.h>
+
+#include "claims.h"
+#include "kernel.h"
+#include "log.h"
+#include "settings.h"
+
+#define LOG_MODULE "request"
+#define RECORDED_BODY_MAX_BYTES 4096
+#define SETTLE_RETRY_MS 500
+#define SETTLE_TRIES 20
+
+/* ---- claim ---- */
+
+static void
+replay_outcome (struct request *r, const struct claim_res *res)
+{
+  caller_header (r->caller, "x-galenagate-replayed", STR ("true"));
+  r->may_have_run = true;
+  request_answer (r, (int)res->status, STR_TEXT (res->content_type),
+                  STR_BLOB (res->body));
+}
+
+static void
+refuse_repeat (struct request *r, const struct claim_res *res)
+{
+  static const struct
+  {
+    enum api_error error;
+    const char *message;
+    uint32_t retry_after_ms;
+    bool may_have_run;
+  } refusals[] = {
+    [CLAIM_RUNNING]
+    = { API_CALL_RUNNING, "the call with this key is still running", 1000,
+        true },
+    [CLAIM_UNKNOWN] = { API_OUTCOME_UNKNOWN,
+                        "the call with this key may have run; its outcome is "
+                        "not known",
+                        0, true },
+    [CLAIM_MISMATCH]
+    = { API_KEY_REUSED, "the key was used with another request", 0, false },
+    [CLAIM_STORE_DOWN]
+    = { API_STORE_DOWN, "the claim could not be stored", 1000, false },
+    [CLAIM_FULL] = { API_UNAVAILABLE, "too many open claims", 1000, false },
+  };
+  const size_t n = sizeof refusals / sizeof *refusals;
+
+  if ((size_t)res->code >= n || !refusals[res->code].message)
+    {
+      request_refuse (r, API_UNAVAILABLE, 1000,
+                      STR ("unexpected answer to the claim"), "claim",
+                      (struct str){ 0 });
+      return;
+    }
+  r->may_have_run = refusals[res->code].may_have_run;
+  request_refuse (
+      r, refusals[res->code].error, refusals[res->code].retry_after_ms,
+      str_from (refusals[res->code].message), "claim", (struct str){ 0 });
+}
+
+static void
+on_claim (void *ctx, int err, struct str hint, const void *result)
+{
+  struct request *r = ctx;
+  const struct claim_res *res = result;
+
+  (void)hint;
+  if (err == 0 && res->code == CLAIM_GRANTED)
+    r->claimed = true;
+  if (r->ended)
+    {
+      if (r->claimed)
+        reqclaim_settle (r, SETTLE_VOID, 0, (struct str){ 0 },
+                         (struct str){ 0 });
+    }
+  else if (err != 0)
+    request_refuse (r, API_STORE_DOWN, 1000, str_from (err_str (err)), "claim",
+                    (struct str){ 0 });
+  else if (r->claimed)
+    reqflow_ask_grant (r);
+  else if (res->code == CLAIM_DONE)
+    replay_outcome (r, res);
+  else
+    refuse_repeat (r, res);
+  request_unref (r);
+}
+
+void
+reqclaim_begin (struct request *r)
+{
+  const struct settings *s = kernel_settings (r->owner->kernel);
+  const struct claim_args args = {
+    .customer = TEXT_STR (r->customer),
+    .key = TEXT_STR (r->key),
+    .service = TEXT_STR (r->service),
+    .request_id = TEXT_STR (r->id),
+    .fingerprint = r->fingerprint,
+    .deadline_ms = request_left_ms (r),
+    .entry = { .addr = TEXT_STR (s->bus_addr),
+               .instance = kernel_instance (r->owner->kernel) },
+  };
+
+  request_ref (r);
+  claims_claim (r->owner->claims, &args, on_claim, r);
+}
+
+/* ---- settlement ---- */
+
+static void send_settlement (struct request *r);
+
+static void
+on_retry (uv_timer_t *timer)
+{
+  send_settlement (timer->data);
+}
+
+static void
+on_settled (void *ctx, int err, struct str hint, const void *result)
+{
+  struct request *r = ctx;
+  const struct settle_res *res = result;
+
+  (void)hint;
+  if (err == 0 && res->stored)
+    request_unref (r);
+  else if (++r->settle_tries < SETTLE_TRIES)
+    uv_timer_start (&r->timer, on_retry, SETTLE_RETRY_MS, 0);
+  else
+    {
+      /* The owner will report "outcome unknown" after the deadline. */
+      LOG_ERR ("settle-failed", "request=" STR_FMT " key=" STR_FMT,
+               STR_ARG (r->id), STR_ARG (r->key));
+      request_unref (r);
+    }
+}
+
+static void
+send_settlement (struct request *r)
+{
+  const struct settle_args args = {
+    .customer = TEXT_STR (r->customer),
+    .key = TEXT_STR (r->key),
+    .request_id = TEXT_STR (r->id),
+    .state = r->settle_state,
+    .status = (u_int)r->settle_status,
+    .content_type = TEXT_STR (r->settle_type),
+    .body = BLOB_STR (r->settle_body),
+  };
+
+  claims_settle (r->owner->claims, &args, on_settled, r);
+}
+
+void
+reqclaim_settle (struct request *r, enum settle_state state, int status,
+                 struct str content_type, struct str body)
+{
+  r->claimed = false;
+  r->settle_state = state;
+  r->settle_status = status;
+  r->settle_type = str_dup (content_type);
+  r->settle_body = str_dup (
+      body.len <= RECORDED_BODY_MAX_BYTES
+          ? body
+          : STR ("{\"galenagate\":\"the recorded body was left out\"}\n"));
+  request_ref (r);
+  uv_timer_stop (&r->timer);
+  send_settlement (r);
+}
--- /dev/null
+++ b/src/request.c
@@ -0,0 +1,512 @@
+#include "request_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <openssl/sha.h>
+
+#include "callbody.h"
+#include "claims.h"
+#include "clock.h"
+#include "config.h"
+#include "hosts.h"
+#include "limiter.h"
+#include "lists.h"
+#include "log.h"
+#include "metrics.h"
+#include "scheduler.h"
+#include "settings.h"
+
+#define LOG_MODULE "request"
+#define CALLER_CHECK_MS 1000
+#define DEADLINE_MAX_MS 3600000
+
+/* ---- life ---- */
+
+static void
+free_request (uv_handle_t *handle)
+{
+  struct request *r = handle->data;
+  struct str *const strings[] = {
+    &r->id,         &r->customer,      &r->class_name,  &r->service,
+    &r->model,      &r->model_version, &r->adapter,     &r->method,
+    &r->path,       &r->content_type,  &r->key,         &r->body,
+    &r->attempt_id, &r->target,        &r->settle_body, &r->settle_type
+  };
+
+  for (size_t i = 0; i < sizeof strings / sizeof *strings; i++)
+    str_free (strings[i]);
+  for (size_t i = 0; i < r->excluded_count; i++)
+    str_free (&r->excluded[i]);
+  free (r);
+}
+
+void
+request_ref (struct request *r)
+{
+  r->refs++;
+}
+
+void
+request_unref (struct request *r)
+{
+  if (--r->refs > 0)
+    return;
+  if (r->prev)
+    r->prev->next = r->next;
+  else
+    r->owner->open = r->next;
+  if (r->next)
+    r->next->prev = r->prev;
+  r->owner->open_count--;
+  uv_close ((uv_handle_t *)&r->timer, free_request);
+}
+
+uint32_t
+request_left_ms (const struct request *r)
+{
+  const uint64_t now_ms = clock_ms ();
+
+  return now_ms < r->deadline_ms ? (uint32_t)(r->deadline_ms - now_ms) : 0;
+}
+
+enum ran
+request_ran (const struct request *r)
+{
+  return r->may_have_run || r->attempt ? RAN_MAY_HAVE : RAN_NO;
+}
+
+/* ---- ends ---- */
+
+static void
+record (const struct request *r, const char *outcome, enum ran ran, int status,
+        const char *code)
+{
+  const uint64_t ms = clock_ms () - r->begun_ms;
+  struct str labels = str_printf (
+      "customer=\"" STR_FMT "\",class=\"" STR_FMT "\",outcome=\"%s\"",
+      STR_ARG (r->customer), STR_ARG (r->class_name), outcome);
+
+  metrics_add ("galenagate_requests_total", labels, 1);
+  metrics_observe ("galenagate_request_ms", labels, (double)ms);
+  str_free (&labels);
+  LOG_INFO ("request",
+            "request=" STR_FMT " customer=" STR_FMT " class=" STR_FMT
+            " service=" STR_FMT " model=" STR_FMT " key=\"" STR_FMT
+            "\" target=" STR_FMT " attempts=%u outcome=%s ran=%s status=%d "
+            "code=%s ms=%lu",
+            STR_ARG (r->id), STR_ARG (r->customer), STR_ARG (r->class_name),
+            STR_ARG (r->service), STR_ARG (r->model), STR_ARG (r->key),
+            STR_ARG (r->target), r->attempts, outcome, ran_name (ran), status,
+            code, ms);
+}
+
+/* Gives back all that the request holds. Call once, after the answer. */
+static void
+end (struct request *r)
+{
+  r->ended = true;
+  uv_timer_stop (&r->timer);
+  reqflow_release (r, NULL, ATTEMPT_UNUSED);
+  if (r->quota_taken)
+    limiter_finish (r->owner->limiter, r->customer, r->id);
+  if (r->claimed)
+    reqclaim_settle (r, r->may_have_run ? SETTLE_UNKNOWN : SETTLE_VOID, 0,
+                     (struct str){ 0 }, (struct str){ 0 });
+  if (r->caller)
+    caller_release (r->caller);
+  r->caller = NULL;
+  request_unref (r);
+}
+
+static void
+set_outcome_headers (struct request *r, enum ran ran, uint32_t retry_after_ms)
+{
+  caller_header (r->caller, "x-galenagate-ran", str_from (ran_name (ran)));
+  caller_header (r->caller, "x-request-id", r->id);
+  if (retry_after_ms == 0)
+    return;
+  struct str seconds = str_printf ("%u", (retry_after_ms + 999) / 1000);
+  caller_header (r->caller, "retry-after", seconds);
+  str_free (&seconds);
+}
+
+void
+request_refuse (struct request *r, enum api_error error,
+                uint32_t retry_after_ms, struct str message, const char *step,
+                struct str peer)
+{
+  const enum ran ran = request_ran (r);
+  const int status = api_error_status (error);
+  struct str body = api_error_body (error, ran, message, step, peer, r->id);
+
+  set_outcome_headers (r, ran, retry_after_ms);
+  record (r, ran == RAN_NO ? "refused" : "failed", ran, status,
+          api_error_code (error));
+  caller_send (r->caller, status, STR ("application/json"), body);
+  str_free (&body);
+  end (r);
+}
+
+void
+request_answer (struct request *r, int status, struct str content_type,
+                struct str body)
+{
+  set_outcome_headers (r, RAN_YES, 0);
+  record (r, "answered", RAN_YES, status, "-");
+  if (r->claimed)
+    reqclaim_settle (r, SETTLE_DONE, status, content_type, body);
+  caller_send (r->caller, status, content_type, body);
+  end (r);
+}
+
+void
+request_end_stream (struct request *r, bool whole)
+{
+  record (r, whole ? "answered" : "failed", whole ? RAN_YES : RAN_MAY_HAVE,
+          200, whole ? "-" : "incomplete");
+  caller_end (r->caller, whole);
+  end (r);
+}
+
+void
+request_abandon (struct request *r)
+{
+  record (r, "abandoned", request_ran (r), 0, "caller_gone");
+  /* h2o keeps the request of an HTTP/1.1 caller until it is answered. */
+  if (!r->delivering)
+    caller_send (r->caller, api_error_status (API_CALLER_GONE),
+                 STR ("application/json"), STR ("{}\n"));
+  else
+    caller_end (r->caller, false);
+  end (r);
+}
+
+static void
+drop_attempt (struct request *r, enum attempt_outcome outcome)
+{
+  if (!r->attempt)
+    return;
+  attempt_cancel (r->attempt);
+  r->attempt = NULL;
+  r->may_have_run = true;
+  reqflow_release (r, NULL, outcome);
+}
+
+/* A call that may not be repeated goes on without its caller, so that its
+   outcome is recorded. */
+static bool
+goes_on_alone (const struct request *r)
+{
+  return r->attempt && !r->repeatable;
+}
+
+static void
+check (struct request *r)
+{
+  if (caller_left (r->caller) && !goes_on_alone (r))
+    {
+      drop_attempt (r, ATTEMPT_CANCELLED);
+      request_abandon (r);
+    }
+  else if (!r->delivering && request_left_ms (r) == 0)
+    {
+      struct str peer = str_dup (r->attempt ? r->target : (struct str){ 0 });
+
+      drop_attempt (r, ATTEMPT_TIMEOUT);
+      request_refuse (
+          r, API_DEADLINE, 0, STR ("the deadline passed before the answer"),
+          r->granted || r->attempts > 0 ? "attempt" : "queue", peer);
+      str_free (&peer);
+    }
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  struct request *r = timer->data;
+  const uint32_t left_ms = request_left_ms (r);
+  uint32_t next_ms = CALLER_CHECK_MS;
+
+  if (left_ms > 0 && left_ms < next_ms)
+    next_ms = left_ms;
+  uv_timer_start (timer, on_timer, next_ms, 0);
+  check (r);
+}
+
+/* Runs inside h2o; the request ends in a later loop turn. */
+static void
+on_gone (void *ctx)
+{
+  struct request *r = ctx;
+
+  if (!r->ended)
+    uv_timer_start (&r->timer, on_timer, 0, 0);
+}
+
+/* ---- creation ---- */
+
+static struct str
+header_of (const h2o_req_t *req, const char *name)
+{
+  for (size_t i = 0; i < req->headers.size; i++)
+    {
+      const h2o_header_t *h = &req->headers.entries[i];
+
+      if (h->name->len == strlen (name)
+          && strncasecmp (h->name->base, name, h->name->len) == 0)
+        return (struct str){ h->value.base, h->value.len };
+    }
+  return (struct str){ 0 };
+}
+
+static struct str
+iovec_str (h2o_iovec_t v)
+{
+  return (struct str){ v.base, v.len };
+}
+
+static struct request *
+create (struct requests *owner, h2o_req_t *req)
+{
+  struct request *r = xcalloc (1, sizeof *r);
+
+  r->owner = owner;
+  r->refs = 1;
+  r->begun_ms = clock_ms ();
+  r->id = str_printf ("%lx-%lx", kernel_instance (owner->kernel),
+                      ++owner->next_id);
+  r->method = str_dup (iovec_str (req->method));
+  r->content_type = str_dup (header_of (req, "content-type"));
+  r->key = str_dup (header_of (req, "idempotency-key"));
+  r->body = str_dup (iovec_str (req->entity));
+  uv_timer_init (kernel_loop (owner->kernel), &r->timer);
+  r->timer.data = r;
+  r->caller = caller_create (req, on_gone, r);
+  r->next = owner->open;
+  if (owner->open)
+    owner->open->prev = r;
+  owner->open = r;
+  owner->open_count++;
+  return r;
+}
+
+static const struct lists *
+lists_of (const struct requests *owner)
+{
+  return kernel_latest (owner->kernel, TOPIC_LISTS);
+}
+
+static const struct customer *
+authenticate (const struct lists *lists, const h2o_req_t *req)
+{
+  static const struct str bearer = { "Bearer ", 7 };
+  const struct str value = header_of (req, "authorization");
+  unsigned char digest[SHA256_DIGEST_LENGTH];
+  char hex[2 * SHA256_DIGEST_LENGTH + 1];
+
+  if (!lists || !str_starts (value, bearer))
+    return NULL;
+  SHA256 ((const unsigned char *)value.data + bearer.len,
+          value.len - bearer.len, digest);
+  for (size_t i = 0; i < sizeof digest; i++)
+    snprintf (hex + 2 * i, 3, "%02x", digest[i]);
+  return lists_customer (lists, str_from (hex));
+}
+
+static void
+refuse_early (struct request *r, enum api_error error, const char *message)
+{
+  request_refuse (r, error, 0, str_from (message), "check", (struct str){ 0 });
+}
+
+/* Sets class, urgency and deadline; answers the caller on a bad header. */
+static bool
+set_class (struct request *r, const struct lists *lists, const struct use *use,
+           const h2o_req_t *req)
+{
+  const struct class_spec *class = lists_class (lists, use->class_name);
+  const struct str header = header_of (req, "x-deadline-ms");
+  uint64_t deadline_ms = class ? class->deadline_ms : 0;
+
+  if (header.len > 0
+      && (!str_u64 (header, &deadline_ms) || deadline_ms == 0
+          || deadline_ms > DEADLINE_MAX_MS))
+    {
+      refuse_early (r, API_INVALID_REQUEST,
+                    "X-Deadline-Ms must be a number from 1 to 3600000");
+      return false;
+    }
+  r->class_name = str_dup (use->class_name);
+  r->priority = class ? class->priority : 0;
+  r->deadline_ms = r->begun_ms + deadline_ms;
+  return true;
+}
+
+static void
+begin (struct request *r)
+{
+  struct buf seed = { 0 };
+
+  buf_printf (&seed, STR_FMT "\n" STR_FMT "\n" STR_FMT "\n",
+              STR_ARG (r->customer), STR_ARG (r->method), STR_ARG (r->path));
+  buf_append (&seed, r->body);
+  r->fingerprint = str_hash (buf_str (&seed), 0);
+  buf_free (&seed);
+  uv_timer_start (&r->timer, on_timer, 0, 0);
+  reqflow_begin (r);
+}
+
+/* Customer of the request, or NULL after the caller got its refusal. */
+static const struct customer *
+admit (struct request *r, const h2o_req_t *req)
+{
+  const struct lists *lists = lists_of (r->owner);
+  const struct customer *customer;
+
+  if (!lists || !config_ready (config_get (r->owner->kernel)))
+    {
+      refuse_early (r, API_NOT_READY, "this node has no configuration yet");
+      return NULL;
+    }
+  customer = authenticate (lists, req);
+  if (!customer)
+    refuse_early (r, API_INVALID_KEY, "the bearer key is not known");
+  else
+    r->customer = str_dup (customer->name);
+  return customer;
+}
+
+void
+requests_model (struct requests *owner, h2o_req_t *req)
+{
+  struct request *r = create (owner, req);
+  const struct lists *lists = lists_of (owner);
+  const struct customer *customer = admit (r, req);
+  struct callbody body = { 0 };
+  enum api_error error;
+  const char *message;
+
+  if (!customer)
+    return;
+  if (!callbody_parse (r->body, &body, &error, &message))
+    {
+      refuse_early (r, error, message);
+      goto out;
+    }
+  const struct model *model
+      = lists_model (lists, body.model, (struct str){ 0 });
+  if (!model || (body.adapter.len > 0 && !lists_adapter (model, body.adapter)))
+    {
+      refuse_early (r, API_MODEL_NOT_FOUND, "no such model or adapter");
+      goto out;
+    }
+  const struct use *use
+      = lists_use_model (lists, customer->plan, body.model, body.adapter);
+  if (!use)
+    {
+      refuse_early (r, API_NOT_ALLOWED, "the plan may not use this model");
+      goto out;
+    }
+  if (!set_class (r, lists, use, req))
+    goto out;
+  r->service = str_dup (model->service);
+  r->model = str_dup (model->name);
+  r->model_version = str_dup (model->version);
+  r->adapter = str_dup (body.adapter);
+  r->path = str_dup (iovec_str (req->path_normalized));
+  r->kind = body.stream ? ATTEMPT_STREAM : ATTEMPT_WHOLE;
+  r->repeatable = true;
+  r->prefix_hash = body.prefix_hash;
+  r->tokens_max = body.tokens_max;
+  begin (r);
+
+out:
+  callbody_free (&body);
+}
+
+/* May a call be sent again without harm? */
+static bool
+is_idempotent (const struct service *service, struct str method,
+               struct str path)
+{
+  if (str_eq (method, STR ("GET")) || str_eq (method, STR ("HEAD")))
+    return true;
+  for (size_t i = 0; i < service->idempotent_path_count; i++)
+    if (str_starts (path, service->idempotent_paths[i]))
+      return true;
+  return false;
+}
+
+void
+requests_service (struct requests *owner, h2o_req_t *req, struct str name,
+                  struct str path)
+{
+  struct request *r = create (owner, req);
+  const struct lists *lists = lists_of (owner);
+  const struct customer *customer = admit (r, req);
+
+  if (!customer)
+    return;
+  const struct service *service = lists_service (lists, name);
+  if (!service || service->kind != SERVICE_PLAIN)
+    {
+      refuse_early (r, API_NOT_FOUND, "no such service");
+      return;
+    }
+  const struct use *use = lists_use_service (lists, customer->plan, name);
+  if (!use)
+    {
+      refuse_early (r, API_NOT_ALLOWED, "the plan may not use this service");
+      return;
+    }
+  if (!set_class (r, lists, use, req))
+    return;
+  r->service = str_dup (name);
+  r->path = str_dup (path);
+  r->kind = ATTEMPT_PLAIN;
+  r->repeatable = is_idempotent (service, r->method, path);
+  begin (r);
+}
+
+void
+requests_refuse (struct requests *owner, h2o_req_t *req, enum api_error error,
+                 const char *message)
+{
+  refuse_early (create (owner, req), error, message);
+}
+
+struct str
+requests_customer (struct requests *owner, h2o_req_t *req)
+{
+  const struct customer *customer = authenticate (lists_of (owner), req);
+
+  return customer ? customer->name : (struct str){ 0 };
+}
+
+size_t
+requests_open (const struct requests *owner)
+{
+  return owner->open_count;
+}
+
+struct requests *
+requests_create (struct kernel *kernel)
+{
+  struct requests *owner = xcalloc (1, sizeof *owner);
+
+  owner->kernel = kernel;
+  owner->http = http_get (kernel);
+  owner->limiter = limiter_get (kernel);
+  owner->scheduler = scheduler_get (kernel);
+  owner->claims = claims_get (kernel);
+  owner->hosts = hosts_get (kernel);
+  return owner;
+}
+
+void
+requests_destroy (struct requests *owner)
+{
+  free (owner);
+}
--- /dev/null
+++ b/src/sse.c
@@ -0,0 +1,74 @@
+#include "sse.h"
+
+#include <string.h>
+
+static struct str
+after_prefix (struct str line, struct str prefix)
+{
+  struct str rest = { line.data + prefix.len, line.len - prefix.len };
+
+  if (rest.len > 0 && rest.data[0] == ' ')
+    rest = (struct str){ rest.data + 1, rest.len - 1 };
+  return rest;
+}
+
+static void
+read_line (struct str line, struct sse_event *event)
+{
+  static const struct str data = { "data:", 5 };
+  static const struct str id = { "id:", 3 };
+
+  if (line.len > 0 && line.data[line.len - 1] == '\r')
+    line.len--;
+  if (str_starts (line, data))
+    event->data = after_prefix (line, data);
+  else if (str_starts (line, id))
+    event->has_id = str_u64 (after_prefix (line, id), &event->id);
+}
+
+/* Reads one event at the front. Returns its length, 0 if it is incomplete. */
+static size_t
+take_event (struct str in, struct sse_event *event)
+{
+  size_t pos = 0;
+
+  *event = (struct sse_event){ 0 };
+  while (pos < in.len)
+    {
+      const char *end = memchr (in.data + pos, '\n', in.len - pos);
+      if (!end)
+        return 0;
+      const struct str line = { in.data + pos, (size_t)(end - in.data) - pos };
+      pos += line.len + 1;
+      if (line.len == 0 || (line.len == 1 && line.data[0] == '\r'))
+        {
+          event->raw = (struct str){ in.data, pos };
+          return pos;
+        }
+      read_line (line, event);
+    }
+  return 0;
+}
+
+void
+sse_feed (struct sse *s, struct str part,
+          bool (*on_event) (void *ctx, const struct sse_event *event),
+          void *ctx)
+{
+  struct sse_event event;
+  size_t pos = 0;
+  size_t n;
+  bool go_on = true;
+
+  buf_append (&s->in, part);
+  while (go_on
+         && (n = take_event ((struct str){ s->in.data + pos, s->in.len - pos },
+                             &event))
+                > 0)
+    {
+      pos += n;
+      go_on = on_event (ctx, &event);
+    }
+  memmove (s->in.data, s->in.data + pos, s->in.len - pos);
+  s->in.len -= pos;
+}
