--- /dev/null
+++ b/tests/clusterfleet.c
@@ -0,0 +1,171 @@
+#include "clusterfleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "suite.h"
+
+#define PLANS "tests/lists/small/plans.json"
+#define USES "tests/lists/small/uses.json"
+#define HEADER_BYTES 128
+
+static const char *const domains[] = { "a", "b", "c", "a" };
+
+static bool
+start_targets (struct fleet *f, const struct fleet_options *o)
+{
+  for (size_t i = 0; i < FLEET_ENGINES; i++)
+    {
+      f->engines[i] = cluster_engine (
+          f->cluster, "engines", domains[i],
+          o->engine_flags
+              ? o->engine_flags
+              : CLUSTER_FLAGS ("--memory", "100", "--slots", "4", "--load-ms",
+                               "200", "--token-ms", "5", "--tokens", "12"));
+      if (!f->engines[i])
+        return false;
+    }
+  f->service = cluster_service (f->cluster, "stage", "a",
+                                o->service_flags ? o->service_flags
+                                                 : CLUSTER_FLAGS ());
+  return f->service != NULL;
+}
+
+bool
+fleet_start (struct fleet *f, const struct fleet_options *options)
+{
+  static const struct fleet_options usual;
+  const struct fleet_options *o = options ? options : &usual;
+
+  *f = (struct fleet){ 0 };
+  f->cluster = cluster_create ("test");
+  f->store
+      = cluster_store (f->cluster, CLUSTER_FLAGS ("--loads-per-s", "50",
+                                                  "--loads-at-once", "4"));
+  if (!f->store || !start_targets (f, o) || !cluster_put_hosts (f->cluster))
+    return false;
+  const int rc = cluster_apply (f->cluster, PLANS, o->uses ? o->uses : USES,
+                                CLUSTER_FLAGS ());
+  CU_ASSERT_EQUAL (rc, 0);
+  for (size_t i = 0; i < FLEET_NODES; i++)
+    f->nodes[i]
+        = cluster_node (f->cluster, domains[i],
+                        o->node_flags ? o->node_flags : CLUSTER_FLAGS ());
+  const bool ready = cluster_ready (f->cluster);
+  CU_ASSERT_TRUE (ready);
+  return ready && rc == 0;
+}
+
+void
+fleet_stop (struct fleet *f)
+{
+  if (f->cluster)
+    cluster_destroy (f->cluster);
+  f->cluster = NULL;
+}
+
+/* ---- calls ---- */
+
+static const char *const chat_headers[]
+    = { "Authorization: Bearer key-opera", "Content-Type: application/json",
+        NULL };
+
+static struct str
+chat_body (const char *model, const char *text, bool stream)
+{
+  return str_printf ("{\"model\":\"%s\",\"stream\":%s,\"messages\":[{\"role\":"
+                     "\"user\",\"content\":\"%s\"}]}",
+                     model, stream ? "true" : "false", text);
+}
+
+struct cluster_call *
+fleet_chat_begin (const struct cluster_proc *node, const char *model,
+                  const char *text, bool stream)
+{
+  struct str body = chat_body (model, text, stream);
+  struct cluster_call *call
+      = cluster_begin (node, "POST", "/v1/chat/completions", chat_headers,
+                       body.data, FLEET_CALL_MS);
+
+  str_free (&body);
+  return call;
+}
+
+struct cluster_reply
+fleet_chat (const struct cluster_proc *node, const char *model,
+            const char *text, bool stream)
+{
+  return cluster_end (fleet_chat_begin (node, model, text, stream));
+}
+
+struct cluster_call *
+fleet_release_begin (const struct cluster_proc *node, const char *key,
+                     const char *body)
+{
+  char header[HEADER_BYTES];
+  const char *headers[] = { "Authorization: Bearer key-opera", NULL, NULL };
+
+  if (key)
+    {
+      snprintf (header, sizeof header, "Idempotency-Key: %s", key);
+      headers[1] = header;
+    }
+  return cluster_begin (node, "POST", "/services/stage/release", headers, body,
+                        FLEET_CALL_MS);
+}
+
+struct cluster_reply
+fleet_release (const struct cluster_proc *node, const char *key,
+               const char *body)
+{
+  return cluster_end (fleet_release_begin (node, key, body));
+}
+
+/* ---- checks ---- */
+
+bool
+fleet_whole (const struct cluster_reply *r, const char *text)
+{
+  /* The engine stand-in puts a hash of the prompt into its answer. */
+  struct str mark = str_printf (
+      "%016llx", (unsigned long long)str_hash (str_from (text), 0));
+  const bool stream = cluster_contains (r, "chat.completion.chunk");
+  const bool whole = r->error == CURLE_OK && r->status == 200
+                     && cluster_contains (r, mark.data)
+                     && (!stream || cluster_contains (r, "[DONE]"));
+
+  str_free (&mark);
+  return whole;
+}
+
+bool
+fleet_ran (const struct cluster_reply *r, const char *ran)
+{
+  return str_eq (cluster_header (r, "x-galenagate-ran"), str_from (ran));
+}
+
+json_int_t
+fleet_sum (const struct fleet *f, const char *member)
+{
+  json_int_t sum = 0;
+
+  for (size_t i = 0; i < FLEET_ENGINES; i++)
+    if (f->engines[i]->pid != 0)
+      {
+        const json_int_t n = cluster_count (f->engines[i], "/counts", member);
+
+        sum += n > 0 ? n : 0;
+      }
+  return sum;
+}
+
+json_int_t
+fleet_runs (const struct fleet *f, const char *key)
+{
+  struct str member = str_printf ("keys/%s", key);
+  const json_int_t n = cluster_count (f->service, "/counts", member.data);
+
+  str_free (&member);
+  return n > 0 ? n : 0;
+}
--- /dev/null
+++ b/tests/e2e_path.c
@@ -0,0 +1,228 @@
+#include <stdio.h>
+
+#include "clusterfleet.h"
+#include "suite.h"
+
+/* The whole path: caller, entry, scheduler, placement, engine. */
+
+static struct fleet fleet;
+
+/* Guards against a path that loses or cuts an answer, cold or warm. */
+static void
+test_cold_and_warm (void)
+{
+  static const struct
+  {
+    const char *model;
+    const char *text;
+    bool stream;
+  } cases[] = {
+    { "lm-1", "cold stream", true },     { "lm-1", "warm stream", true },
+    { "lm-1", "warm whole", false },     { "lm-2", "cold whole", false },
+    { "lm-1:hr", "cold adapter", true }, { "lm-1:hr", "warm adapter", false },
+  };
+
+  if (fleet_start (&fleet, NULL))
+    for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+      {
+        struct cluster_reply r
+            = fleet_chat (fleet.nodes[i % FLEET_NODES], cases[i].model,
+                          cases[i].text, cases[i].stream);
+
+        CU_ASSERT_TRUE (fleet_whole (&r, cases[i].text));
+        CU_ASSERT_TRUE (fleet_ran (&r, "yes"));
+        if (!fleet_whole (&r, cases[i].text))
+          printf ("\n%s: status %ld curl %d " STR_FMT "\n", cases[i].text,
+                  r.status, r.error, STR_ARG (buf_str (&r.body)));
+        cluster_reply_free (&r);
+      }
+  fleet_stop (&fleet);
+}
+
+#define BURST_PER_NODE 20
+
+/* Guards against one load per entry, or per caller, when a burst comes to an
+   idle model at all entries at once. */
+static void
+test_burst_loads_once (void)
+{
+  struct cluster_call *calls[FLEET_NODES * BURST_PER_NODE];
+  const size_t n = sizeof calls / sizeof *calls;
+  size_t whole = 0;
+
+  if (fleet_start (&fleet, NULL))
+    {
+      for (size_t i = 0; i < n; i++)
+        calls[i] = fleet_chat_begin (fleet.nodes[i % FLEET_NODES], "lm-2",
+                                     "burst", i % 2 == 0);
+      for (size_t i = 0; i < n; i++)
+        {
+          struct cluster_reply r = cluster_end (calls[i]);
+
+          whole += fleet_whole (&r, "burst");
+          cluster_reply_free (&r);
+        }
+      CU_ASSERT_EQUAL (whole, n);
+      CU_ASSERT_EQUAL (fleet_sum (&fleet, "loads"), 1);
+      CU_ASSERT_EQUAL (fleet_sum (&fleet, "repeated"), 0);
+    }
+  fleet_stop (&fleet);
+}
+
+/* Guards against bad input that is passed on, mislabelled or harms others. */
+static void
+test_bad_input (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *method;
+    const char *path;
+    const char *headers[4];
+    const char *body;
+    long status;
+    const char *code;
+  } cases[] = {
+    { "no key",
+      "POST",
+      "/v1/chat/completions",
+      { NULL },
+      "{}",
+      401,
+      "invalid_key" },
+    { "wrong key",
+      "POST",
+      "/v1/chat/completions",
+      { "Authorization: Bearer nobody", NULL },
+      "{}",
+      401,
+      "invalid_key" },
+    { "broken JSON",
+      "POST",
+      "/v1/chat/completions",
+      { "Authorization: Bearer key-opera", NULL },
+      "{\"model\":",
+      400,
+      "invalid_json" },
+    { "no model",
+      "POST",
+      "/v1/completions",
+      { "Authorization: Bearer key-opera", NULL },
+      "{\"prompt\":\"x\"}",
+      400,
+      "invalid_request" },
+    { "unknown model",
+      "POST",
+      "/v1/completions",
+      { "Authorization: Bearer key-opera", NULL },
+      "{\"model\":\"none\",\"prompt\":\"x\"}",
+      404,
+      "model_not_found" },
+    { "model not in plan",
+      "POST",
+      "/v1/completions",
+      { "Authorization: Bearer key-school", NULL },
+      "{\"model\":\"lm-2\",\"prompt\":\"x\"}",
+      403,
+      "not_in_plan" },
+    { "service not in plan",
+      "POST",
+      "/services/stage/release",
+      { "Authorization: Bearer key-school", NULL },
+      "",
+      403,
+      "not_in_plan" },
+    { "unknown service",
+      "POST",
+      "/services/none/x",
+      { "Authorization: Bearer key-opera", NULL },
+      "",
+      404,
+      "not_found" },
+    { "bad deadline",
+      "POST",
+      "/v1/completions",
+      { "Authorization: Bearer key-opera", "X-Deadline-Ms: soon", NULL },
+      "{\"model\":\"lm-1\",\"prompt\":\"x\"}",
+      400,
+      "invalid_request" },
+    { "wrong method",
+      "GET",
+      "/v1/completions",
+      { "Authorization: Bearer key-opera", NULL },
+      NULL,
+      405,
+      "method_not_allowed" },
+    { "unknown path", "GET", "/v2/x", { NULL }, NULL, 404, "not_found" },
+    { "too late",
+      "POST",
+      "/v1/completions",
+      { "Authorization: Bearer key-opera", "X-Deadline-Ms: 1", NULL },
+      "{\"model\":\"lm-6\",\"prompt\":\"x\"}",
+      0,
+      NULL },
+  };
+
+  if (fleet_start (&fleet, NULL))
+    {
+      for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+        {
+          struct cluster_reply r = cluster_http (
+              fleet.nodes[i % FLEET_NODES], cases[i].method, cases[i].path,
+              cases[i].headers, cases[i].body, FLEET_CALL_MS);
+
+          if (cases[i].status != 0)
+            {
+              CU_ASSERT_EQUAL (r.status, cases[i].status);
+              CU_ASSERT_TRUE (cluster_contains (&r, cases[i].code));
+            }
+          else
+            CU_ASSERT_TRUE (r.status == 503 || r.status == 504);
+          CU_ASSERT_TRUE (fleet_ran (&r, "no"));
+          CU_ASSERT_TRUE (cluster_contains (&r, "\"ran\":\"no\""));
+          cluster_reply_free (&r);
+        }
+      CU_ASSERT_EQUAL (fleet_sum (&fleet, "requests"), 0);
+      CU_ASSERT_EQUAL (cluster_count (fleet.service, "/counts", "runs"), 0);
+    }
+  fleet_stop (&fleet);
+}
+
+/* Guards against a plan limit that each node applies by itself: 4 nodes would
+   then admit 4 times as much. */
+static void
+test_limit_over_nodes (void)
+{
+  static const char *const headers[]
+      = { "Authorization: Bearer key-school", NULL };
+  size_t admitted = 0;
+
+  if (fleet_start (&fleet, NULL))
+    {
+      for (size_t i = 0; i < 3 * FLEET_NODES; i++)
+        {
+          struct cluster_reply r = cluster_http (
+              fleet.nodes[i % FLEET_NODES], "POST", "/v1/completions", headers,
+              "{\"model\":\"lm-1\",\"prompt\":\"x\"}", FLEET_CALL_MS);
+
+          admitted += r.status == 200;
+          if (r.status != 200)
+            {
+              CU_ASSERT_EQUAL (r.status, 429);
+              CU_ASSERT_TRUE (cluster_contains (&r, "plan_limit"));
+              CU_ASSERT_TRUE (cluster_header (&r, "retry-after").len > 0);
+            }
+          cluster_reply_free (&r);
+        }
+      CU_ASSERT_TRUE (admitted < 3 * FLEET_NODES);
+    }
+  fleet_stop (&fleet);
+}
+
+static const struct suite_case cases[] = {
+  { "cold and warm answers", test_cold_and_warm },
+  { "burst at all entries loads once", test_burst_loads_once },
+  { "bad input", test_bad_input },
+  { "plan limit over all nodes", test_limit_over_nodes },
+};
+TEST_SUITE ("path", cases)
