--- a/tests/e2e_calls.c
+++ b/tests/e2e_calls.c
@@ -44,7 +44,7 @@
 static void
 test_repeat_while_running (void)
 {
-  static const struct fleet_options options
+  const struct fleet_options options
       = { .service_flags
           = (const char *const[]){ "--delay-ms", "800", NULL } };
   struct cluster_call *calls[FLEET_NODES];
@@ -107,7 +107,7 @@
 static void
 test_entry_dies (void)
 {
-  static const struct fleet_options options
+  const struct fleet_options options
       = { .service_flags
           = (const char *const[]){ "--delay-ms", "1500", NULL } };
 
