Make request ids unique over nodes

Cause: the id was the node's start time and a counter. Nodes that started in the same millisecond shared ids, and a scheduler takes a second request with an id for a repetition of the first; 20 of 80 callers of a burst waited until their deadline. Ruled out: lost replies on the bus (no silent connections, no time-outs); schedulers with different views. Change: the id begins with the node's address.

--- a/src/admin.c
+++ b/src/admin.c
@@ -23,7 +23,7 @@
   struct requests *requests;
 };
 
-static const struct str json_type = { "application/json", 16 };
+static const struct str json_content = { "application/json", 16 };
 static const struct str text_type = { "text/plain; charset=utf-8", 25 };
 
 static void
@@ -42,7 +42,7 @@
   char *text = json_dumps (json, JSON_INDENT (2) | JSON_SORT_KEYS);
   struct str body = str_printf ("%s\n", text ? text : "{}");
 
-  answer (req, status, json_type, body);
+  answer (req, status, json_content, body);
   str_free (&body);
   free (text);
   json_decref (json);
@@ -204,7 +204,7 @@
   else
     json = json_pack ("{s:s}", "error", err_str (err));
   text = json_dumps (json, JSON_INDENT (2));
-  caller_send (caller, err == 0 ? 200 : 503, json_type, str_from (text));
+  caller_send (caller, err == 0 ? 200 : 503, json_content, str_from (text));
   caller_release (caller);
   free (text);
   json_decref (json);
@@ -266,7 +266,7 @@
   struct str key = query_value (req, STR ("key"));
 
   if (customer.len == 0 || key.len == 0)
-    answer (req, 400, json_type,
+    answer (req, 400, json_content,
             STR ("{\"error\":\"customer and key are required\"}\n"));
   else
     {
--- a/src/request.c
+++ b/src/request.c
@@ -15,6 +15,7 @@
 #include "lists.h"
 #include "log.h"
 #include "metrics.h"
+#include "netaddr.h"
 #include "scheduler.h"
 #include "settings.h"
 
@@ -275,7 +276,7 @@
   r->owner = owner;
   r->refs = 1;
   r->begun_ms = clock_ms ();
-  r->id = str_printf ("%lx-%lx", kernel_instance (owner->kernel),
+  r->id = str_printf (STR_FMT "-%lx", STR_ARG (owner->id_prefix),
                       ++owner->next_id);
   r->method = str_dup (iovec_str (req->method));
   r->content_type = str_dup (header_of (req, "content-type"));
@@ -491,12 +492,26 @@
   return owner->open_count;
 }
 
+/* Address and start time of the node, in hexadecimal. The start time alone is
+   not unique: nodes that start in the same millisecond would share ids, and a
+   scheduler takes a second request of an id for a repetition of the first. */
+static struct str
+make_id_prefix (const struct kernel *kernel)
+{
+  struct sockaddr_in addr = { 0 };
+
+  netaddr_parse (kernel_settings (kernel)->bus_addr, &addr);
+  return str_printf ("%08x%04x-%lx", ntohl (addr.sin_addr.s_addr),
+                     ntohs (addr.sin_port), kernel_instance (kernel));
+}
+
 struct requests *
 requests_create (struct kernel *kernel)
 {
   struct requests *owner = xcalloc (1, sizeof *owner);
 
   owner->kernel = kernel;
+  owner->id_prefix = make_id_prefix (kernel);
   owner->http = http_get (kernel);
   owner->limiter = limiter_get (kernel);
   owner->scheduler = scheduler_get (kernel);
@@ -508,5 +523,6 @@
 void
 requests_destroy (struct requests *owner)
 {
+  str_free (&owner->id_prefix);
   free (owner);
 }
--- a/src/request_impl.h
+++ b/src/request_impl.h
@@ -74,6 +74,7 @@
   struct hosts *hosts;
   struct request *open;
   size_t open_count;
+  struct str id_prefix;
   uint64_t next_id;
 };
 
--- a/tests/e2e_path.c
+++ b/tests/e2e_path.c
@@ -60,6 +60,9 @@
           struct cluster_reply r = cluster_end (calls[i]);
 
           whole += fleet_whole (&r, "burst");
+          if (!fleet_whole (&r, "burst"))
+            printf ("\nstatus %ld curl %d " STR_FMT "\n", r.status, r.error,
+                    STR_ARG (buf_str (&r.body)));
           cluster_reply_free (&r);
         }
       CU_ASSERT_EQUAL (whole, n);
