Add end-to-end tests of kills, freezes, outages and restarts

Change: e2e_faults; a refused retry reports the failure of the last attempt (target_failed) instead of unavailable. Found while writing it: two tests were wrong and are corrected to the same strictness (the crashing request must be the same body each time, since the fingerprint covers the body; the leaving test marked all four engines).

--- a/src/reqflow.c
+++ b/src/reqflow.c
@@ -229,15 +229,20 @@
   scheduler_release (r->owner->scheduler, &args);
 }
 
+/* Without a retry the last attempt's failure is what the caller should see. */
 static void
 refused_grant (struct request *r, const struct grant_res *res)
 {
   const size_t n = sizeof grant_errors / sizeof *grant_errors;
-  const enum api_error error
-      = (size_t)res->code < n ? grant_errors[res->code] : API_UNAVAILABLE;
+  enum api_error error = API_UNAVAILABLE;
 
+  if ((size_t)res->code < n)
+    error = grant_errors[res->code];
+  if (r->may_have_run && res->code == GRANT_RETRY_BUDGET)
+    error = API_TARGET_FAILED;
   request_refuse (r, error, res->retry_after_ms, STR_TEXT (res->detail),
-                  "grant", (struct str){ 0 });
+                  error == API_TARGET_FAILED ? "attempt" : "grant",
+                  error == API_TARGET_FAILED ? r->target : (struct str){ 0 });
 }
 
 static void
--- a/tests/clusterfleet.c
+++ b/tests/clusterfleet.c
@@ -169,3 +169,37 @@
   str_free (&member);
   return n > 0 ? n : 0;
 }
+
+struct cluster_proc *
+fleet_holder (const struct fleet *f, const char *lease)
+{
+  struct str path = str_printf ("/objects/lease/%s", lease);
+  json_t *json = cluster_json (f->store, path.data);
+  const char *holder = json_string_value (json_object_get (json, "holder"));
+  struct cluster_proc *found = NULL;
+
+  for (size_t i = 0; holder && i < FLEET_NODES; i++)
+    if (strcmp (holder, f->nodes[i]->bus_addr) == 0)
+      found = f->nodes[i];
+  json_decref (json);
+  str_free (&path);
+  return found;
+}
+
+size_t
+fleet_running (const struct fleet *f)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < FLEET_ENGINES; i++)
+    n += f->engines[i]->pid != 0 && cluster_wait_exit (f->engines[i], 0) < 0;
+  return n;
+}
+
+void
+fleet_check_limits (const struct fleet *f)
+{
+  CU_ASSERT_EQUAL (fleet_sum (f, "violations"), 0);
+  CU_ASSERT_EQUAL (fleet_sum (f, "replica_violations"), 0);
+  CU_ASSERT_EQUAL (fleet_sum (f, "repeated"), 0);
+}
--- a/tests/clusterfleet.h
+++ b/tests/clusterfleet.h
@@ -51,3 +51,11 @@
 json_int_t fleet_sum (const struct fleet *f, const char *member);
 /** fleet_runs() - how often the service ran the call with a key. */
 json_int_t fleet_runs (const struct fleet *f, const char *key);
+/** fleet_holder() - node that holds a lease according to the store, or NULL.
+ */
+struct cluster_proc *fleet_holder (const struct fleet *f, const char *lease);
+/** fleet_running() - engines that have not died. */
+size_t fleet_running (const struct fleet *f);
+/** fleet_check_limits() - no engine and not the weight store saw memory or
+    replicas exceeded. */
+void fleet_check_limits (const struct fleet *f);
--- /dev/null
+++ b/tests/e2e_faults.c
@@ -0,0 +1,372 @@
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "clusterfleet.h"
+#include "suite.h"
+
+/* The whole system under kills, freezes, cuts and outages. The stand-ins
+   themselves check memory, replicas and repeated attempts. */
+
+#define LEASE "placement/engines"
+/* Longer than a lease of the short settings below and its margin. */
+#define PAUSE_US 3000000
+
+static struct fleet fleet;
+
+static const char *const short_leases[] = { "--lease-ttl-ms",
+                                            "1500",
+                                            "--lease-margin-ms",
+                                            "300",
+                                            "--drain-delay-ms",
+                                            "300",
+                                            NULL };
+
+/* ---- broken and crossed answers ---- */
+
+/* Guards against an answer that is cut, crossed or silent and reaches the
+   caller as a whole one, or without the truth about its run. */
+static void
+test_broken_answers (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool stream;
+    bool whole;      /* the caller gets the whole answer all the same */
+    bool incomplete; /* the caller's client sees a cut */
+  } cases[] = {
+    { "DROP one", true, true, false },
+    { "CUT two", true, false, true },
+    { "CUT three", false, false, false },
+    { "CROSS four", true, false, false },
+    { "CROSS five", false, false, false },
+  };
+
+  if (fleet_start (&fleet, NULL))
+    {
+      for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+        {
+          struct cluster_reply r
+              = fleet_chat (fleet.nodes[i % FLEET_NODES], "lm-1",
+                            cases[i].text, cases[i].stream);
+
+          CU_ASSERT_EQUAL (fleet_whole (&r, cases[i].text), cases[i].whole);
+          if (cases[i].incomplete)
+            CU_ASSERT_NOT_EQUAL (r.error, CURLE_OK);
+          if (!cases[i].whole && !cases[i].incomplete)
+            {
+              CU_ASSERT_EQUAL (r.status, 502);
+              CU_ASSERT_TRUE (fleet_ran (&r, "may-have"));
+            }
+          cluster_reply_free (&r);
+        }
+      CU_ASSERT_TRUE (fleet_sum (&fleet, "resumed") >= 1);
+      fleet_check_limits (&fleet);
+    }
+  fleet_stop (&fleet);
+}
+
+/* Guards against a caller that waits without end for a silent target, and
+   against "not run" for a request that was sent. */
+static void
+test_silent_target (void)
+{
+  static const char *const headers[]
+      = { "Authorization: Bearer key-opera", "X-Deadline-Ms: 2500", NULL };
+
+  if (fleet_start (&fleet, NULL))
+    {
+      struct cluster_reply warm
+          = fleet_chat (fleet.nodes[0], "lm-1", "hello", true);
+      CU_ASSERT_TRUE (fleet_whole (&warm, "hello"));
+      cluster_reply_free (&warm);
+      struct cluster_reply r = cluster_http (
+          fleet.nodes[1], "POST", "/v1/chat/completions", headers,
+          "{\"model\":\"lm-1\",\"stream\":true,\"messages\":[{\"role\":"
+          "\"user\",\"content\":\"SILENCE\"}]}",
+          FLEET_CALL_MS);
+      CU_ASSERT_EQUAL (r.status, 504);
+      CU_ASSERT_TRUE (fleet_ran (&r, "may-have"));
+      cluster_reply_free (&r);
+      r = fleet_chat (fleet.nodes[2], "lm-1", "after", true);
+      CU_ASSERT_TRUE (fleet_whole (&r, "after"));
+      cluster_reply_free (&r);
+    }
+  fleet_stop (&fleet);
+}
+
+/* ---- crashing requests ---- */
+
+#define INNOCENT 8
+
+/* Guards against one request that takes down the fleet when its caller repeats
+   it at every entry, and against innocent requests lost in its crashes. */
+static void
+test_crashing_request (void)
+{
+  struct cluster_call *calls[INNOCENT];
+
+  if (fleet_start (&fleet, NULL))
+    {
+      for (size_t i = 0; i < INNOCENT; i++)
+        calls[i] = fleet_chat_begin (fleet.nodes[i % FLEET_NODES], "lm-6",
+                                     "SLOW 300 innocent", false);
+      for (size_t i = 0; i < 2 * FLEET_NODES; i++)
+        {
+          struct cluster_reply r = fleet_chat (fleet.nodes[i % FLEET_NODES],
+                                               "lm-6", "CRASH", false);
+
+          CU_ASSERT_NOT_EQUAL (r.status, 200);
+          cluster_reply_free (&r);
+        }
+      for (size_t i = 0; i < INNOCENT; i++)
+        {
+          struct cluster_reply r = cluster_end (calls[i]);
+
+          CU_ASSERT_TRUE (fleet_whole (&r, "SLOW 300 innocent"));
+          cluster_reply_free (&r);
+        }
+      CU_ASSERT_TRUE (fleet_running (&fleet) >= FLEET_ENGINES - 2);
+    }
+  fleet_stop (&fleet);
+}
+
+/* ---- the owner of the placement ---- */
+
+static bool
+load_begun (void *ctx)
+{
+  (void)ctx;
+  for (size_t i = 0; i < FLEET_ENGINES; i++)
+    {
+      json_t *status = cluster_json (fleet.engines[i], "/status");
+      const size_t n = json_array_size (json_object_get (status, "entries"));
+
+      json_decref (status);
+      if (n > 0)
+        return true;
+    }
+  return false;
+}
+
+static const char *const slow_fenced[] = { "--memory",
+                                           "100",
+                                           "--slots",
+                                           "4",
+                                           "--load-ms",
+                                           "1500",
+                                           "--token-ms",
+                                           "5",
+                                           "--tokens",
+                                           "12",
+                                           "--max-replicas-check",
+                                           "1",
+                                           "--fenced",
+                                           "1",
+                                           NULL };
+static const char *const slow_unfenced[] = { "--memory",
+                                             "100",
+                                             "--slots",
+                                             "4",
+                                             "--load-ms",
+                                             "1500",
+                                             "--token-ms",
+                                             "5",
+                                             "--tokens",
+                                             "12",
+                                             "--max-replicas-check",
+                                             "1",
+                                             "--fenced",
+                                             "0",
+                                             NULL };
+
+static struct cluster_proc *
+other_node (const struct cluster_proc *not_this)
+{
+  return fleet.nodes[0] == not_this ? fleet.nodes[1] : fleet.nodes[0];
+}
+
+/* Kills or freezes the placement owner while its load runs; the model has one
+   replica at most. */
+static void
+owner_lost (const char *const *engine_flags, const char *uses, bool freeze)
+{
+  const struct fleet_options options = { .node_flags = short_leases,
+                                         .engine_flags = engine_flags,
+                                         .uses = uses };
+
+  if (fleet_start (&fleet, &options))
+    {
+      struct cluster_proc *owner = fleet_holder (&fleet, LEASE);
+      CU_ASSERT_PTR_NOT_NULL (owner);
+      if (owner)
+        {
+          struct cluster_call *first
+              = fleet_chat_begin (other_node (owner), "lm-2", "first", false);
+          CU_ASSERT_TRUE (cluster_until (load_begun, NULL, FLEET_CALL_MS));
+          cluster_signal (owner, freeze ? SIGSTOP : SIGKILL);
+          struct cluster_call *second
+              = fleet_chat_begin (other_node (owner), "lm-2", "second", false);
+          if (freeze)
+            {
+              usleep (PAUSE_US);
+              cluster_signal (owner, SIGCONT);
+            }
+          struct cluster_reply r = cluster_end (first);
+          CU_ASSERT_TRUE (fleet_whole (&r, "first"));
+          cluster_reply_free (&r);
+          r = cluster_end (second);
+          CU_ASSERT_TRUE (fleet_whole (&r, "second"));
+          cluster_reply_free (&r);
+          CU_ASSERT_EQUAL (fleet_sum (&fleet, "loads"), 1);
+          fleet_check_limits (&fleet);
+        }
+    }
+  fleet_stop (&fleet);
+}
+
+/* Guards against a second load by the successor of a killed owner. */
+static void
+test_owner_killed (void)
+{
+  owner_lost (slow_fenced, NULL, false);
+}
+
+/* Guards against orders of a paused owner after its lease passed on. */
+static void
+test_owner_frozen (void)
+{
+  owner_lost (slow_fenced, NULL, true);
+}
+
+/* The same where engines do not look at the fence. */
+static void
+test_owner_killed_unfenced (void)
+{
+  owner_lost (slow_unfenced, "tests/lists/small/uses-unfenced.json", false);
+}
+
+static void
+test_owner_frozen_unfenced (void)
+{
+  owner_lost (slow_unfenced, "tests/lists/small/uses-unfenced.json", true);
+}
+
+/* ---- outage, leaving targets, shutdown ---- */
+
+/* Guards against warm models that fail with the store, and against a cold one
+   that is refused after the store came back. */
+static void
+test_store_outage (void)
+{
+  const struct fleet_options options = { .node_flags = short_leases };
+
+  if (fleet_start (&fleet, &options))
+    {
+      struct cluster_reply r
+          = fleet_chat (fleet.nodes[0], "lm-1", "warm up", false);
+      CU_ASSERT_TRUE (fleet_whole (&r, "warm up"));
+      cluster_reply_free (&r);
+      cluster_faults (fleet.cluster, "{\"down\":true}");
+      usleep (PAUSE_US);
+      for (size_t i = 0; i < FLEET_NODES; i++)
+        {
+          r = fleet_chat (fleet.nodes[i], "lm-1", "in the outage", true);
+          CU_ASSERT_TRUE (fleet_whole (&r, "in the outage"));
+          cluster_reply_free (&r);
+        }
+      struct cluster_call *cold
+          = fleet_chat_begin (fleet.nodes[1], "lm-3", "cold", false);
+      cluster_faults (fleet.cluster, "{\"down\":false}");
+      r = cluster_end (cold);
+      CU_ASSERT_TRUE (fleet_whole (&r, "cold") || fleet_ran (&r, "no"));
+      cluster_reply_free (&r);
+      r = fleet_chat (fleet.nodes[2], "lm-3", "cold again", false);
+      CU_ASSERT_TRUE (fleet_whole (&r, "cold again"));
+      cluster_reply_free (&r);
+      fleet_check_limits (&fleet);
+    }
+  fleet_stop (&fleet);
+}
+
+/* Guards against new work for a target that said itself that it leaves. */
+static void
+test_leaving_target (void)
+{
+  if (fleet_start (&fleet, NULL))
+    {
+      struct cluster_reply r
+          = fleet_chat (fleet.nodes[0], "lm-2", "before", false);
+      CU_ASSERT_TRUE (fleet_whole (&r, "before"));
+      cluster_reply_free (&r);
+      for (size_t i = 0; i < FLEET_ENGINES; i++)
+        {
+          if (cluster_count (fleet.engines[i], "/counts", "requests") < 1)
+            continue;
+          r = cluster_http (fleet.engines[i], "POST", "/leaving", NULL, "",
+                            FLEET_CALL_MS);
+          cluster_reply_free (&r);
+          /* The bound of the design: no new work after 5 s. */
+          usleep (5000000);
+          const json_int_t before
+              = cluster_count (fleet.engines[i], "/counts", "requests");
+          for (size_t j = 0; j < FLEET_NODES; j++)
+            {
+              r = fleet_chat (fleet.nodes[j], "lm-2", "after", false);
+              CU_ASSERT_TRUE (fleet_whole (&r, "after"));
+              cluster_reply_free (&r);
+            }
+          CU_ASSERT_EQUAL (
+              cluster_count (fleet.engines[i], "/counts", "requests"), before);
+        }
+    }
+  fleet_stop (&fleet);
+}
+
+#define STREAMS 4
+
+/* Guards against a shutdown that cuts a stream or loses a request: all nodes
+   are restarted in turn while streams run. */
+static void
+test_rolling_restart (void)
+{
+  const struct fleet_options options = { .node_flags = short_leases };
+  struct cluster_call *calls[STREAMS];
+
+  if (fleet_start (&fleet, &options))
+    for (size_t i = 0; i < FLEET_NODES; i++)
+      {
+        for (size_t j = 0; j < STREAMS; j++)
+          calls[j] = fleet_chat_begin (fleet.nodes[i], "lm-1",
+                                       "SLOW 800 stream", true);
+        usleep (200000);
+        cluster_signal (fleet.nodes[i], SIGTERM);
+        for (size_t j = 0; j < STREAMS; j++)
+          {
+            struct cluster_reply r = cluster_end (calls[j]);
+
+            CU_ASSERT_TRUE (fleet_whole (&r, "SLOW 800 stream"));
+            cluster_reply_free (&r);
+          }
+        CU_ASSERT_EQUAL (cluster_wait_exit (fleet.nodes[i], FLEET_CALL_MS), 0);
+        CU_ASSERT_TRUE (cluster_restart (fleet.nodes[i]));
+        CU_ASSERT_TRUE (cluster_ready (fleet.cluster));
+      }
+  fleet_stop (&fleet);
+}
+
+static const struct suite_case cases[] = {
+  { "broken and crossed answers", test_broken_answers },
+  { "silent target", test_silent_target },
+  { "crashing request", test_crashing_request },
+  { "owner killed while loading", test_owner_killed },
+  { "owner frozen while loading", test_owner_frozen },
+  { "owner killed, engines without fence", test_owner_killed_unfenced },
+  { "owner frozen, engines without fence", test_owner_frozen_unfenced },
+  { "store outage", test_store_outage },
+  { "leaving target", test_leaving_target },
+  { "rolling restart", test_rolling_restart },
+};
+TEST_SUITE ("faults", cases)
