Join unheard seeds quickly; tell dying targets from broken connections

Cause 1: nodes that start together sent their first join before the seed listened and asked again after 5 s; two groups had schedulers of their own, and a crashing request took 4 engines. Cause 2: the listening socket of a dying process still accepted the probe, so the crash was reported as a broken connection. Cause 3: attempts that certainly did not run used up the attempts of a request long before its deadline. Ruled out: wrong crash counts in the scheduler (each scheduler counted right). Change: unheard seeds are asked after 0.1, 0.2, 0.4 s and so on; only an answer to the probe shows that the target lives; only attempts that may have run are bounded in number.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -90,6 +90,8 @@
 
 /* ---- did the target die? ---- */
 
+/* Only an answer shows that the target lives: the listening socket of a
+   process that is just dying still takes connections and then resets them. */
 static void
 on_probe_done (void *ctx, struct http_call *call, struct err err, int status,
                bool sent, struct str body)
@@ -100,13 +102,12 @@
   (void)status;
   (void)sent;
   (void)body;
-  report_failure (a,
-                  err.code == -ECONNREFUSED ? ATTEMPT_CRASHED : ATTEMPT_BROKEN,
+  report_failure (a, err.code == 0 ? ATTEMPT_BROKEN : ATTEMPT_CRASHED,
                   a->first_err);
 }
 
 /* A broken connection may mean that the target died while it ran the request;
-   a refused new connection tells the two apart. */
+   a new connection tells the two apart. */
 static void
 probe (struct attempt *a)
 {
--- a/src/reqflow.c
+++ b/src/reqflow.c
@@ -9,7 +9,10 @@
 #include "scheduler.h"
 
 #define LOG_MODULE "request"
-#define ATTEMPTS_MAX 5
+/* Attempts that may have run at their target. Those that certainly did not
+   run are bounded by the deadline and paced by the scheduler. */
+#define FAILURES_MAX 3
+#define ATTEMPTS_MAX 100
 
 /* ---- limits of the plan ---- */
 
@@ -119,7 +122,7 @@
       return;
     }
   exclude_target (r);
-  if (r->repeatable && r->attempts < ATTEMPTS_MAX)
+  if (r->repeatable && ++r->failures < FAILURES_MAX)
     reqflow_ask_grant (r);
   else
     request_refuse (r, API_TARGET_FAILED, 0,
--- a/src/request_impl.h
+++ b/src/request_impl.h
@@ -43,6 +43,7 @@
   struct str attempt_id;
   struct str target;
   unsigned attempts;
+  unsigned failures; /* attempts that may have run */
   bool crash_seen;
   bool granted; /* a grant is held and not released */
   struct str excluded[EXCLUDED_MAX];
--- a/src/swim.c
+++ b/src/swim.c
@@ -16,6 +16,10 @@
    the loss of one or two datagrams does not make a live member dead. */
 #define SUSPECT_MS 3000
 #define REJOIN_MS 5000
+/* Nodes that start together do not listen yet when the first joins arrive, so
+   seeds that nothing was heard of are asked again after this time, then after
+   twice as long each, until REJOIN_MS. */
+#define GREET_FIRST_MS 100
 #define PUSH_TARGETS 3
 /* Pushes are collected over this time, which bounds the traffic when many
    notices arrive together. */
@@ -117,6 +121,8 @@
   uint64_t last_tick;
   uint64_t next_probe;
   uint64_t next_rejoin;
+  uint64_t next_greet;
+  uint64_t greet_gap_ms;
   uint64_t next_push;
   uint64_t next_list;
   bool push_pending;
@@ -846,6 +852,18 @@
     send_join (s, addr);
 }
 
+static void
+greet_seeds (struct swim *s, uint64_t now)
+{
+  if (now < s->next_greet || s->greet_gap_ms > REJOIN_MS)
+    return;
+  s->greet_gap_ms = s->greet_gap_ms > 0 ? s->greet_gap_ms * 2 : GREET_FIRST_MS;
+  s->next_greet = now + s->greet_gap_ms;
+  for (size_t i = 0; i < s->seed_count; i++)
+    if (!find (s, s->seeds[i]))
+      send_join (s, s->seeds[i]);
+}
+
 /* ---- probing ---- */
 
 static void
@@ -1037,6 +1055,7 @@
       s->probe.indirect = true;
       ask_others (s);
     }
+  greet_seeds (s, now);
   if (now >= s->next_rejoin)
     {
       s->next_rejoin = now + REJOIN_MS;
--- a/tests/e2e_faults.c
+++ b/tests/e2e_faults.c
@@ -320,6 +320,7 @@
             }
           CU_ASSERT_EQUAL (
               cluster_count (fleet.engines[i], "/counts", "requests"), before);
+          break;
         }
     }
   fleet_stop (&fleet);
--- a/tests/test_swim.c
+++ b/tests/test_swim.c
@@ -514,6 +514,31 @@
   net_destroy (n);
 }
 
+/* Guards against nodes that start together and stay two groups, because the
+   first joins went to seeds that did not listen yet: each group would then
+   have schedulers of its own. */
+static void
+test_start_together (void)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      struct net *n = net_create (4, seed);
+
+      for (size_t i = 0; i < n->count; i++)
+        for (size_t j = 0; j < i; j++)
+          {
+            char addr[32];
+            swim_seed (n->peers[i].swim, addr_of (j, addr));
+          }
+      n->loss_percent = 100;
+      run (n, 300);
+      n->loss_percent = 0;
+      run (n, 700);
+      CU_ASSERT_EQUAL (wrong (n), 0);
+      net_destroy (n);
+    }
+}
+
 static const struct suite_case cases[] = {
   { "precedence of records", test_precedence },
   { "notices", test_notices },
@@ -524,5 +549,6 @@
   { "leave", test_leave },
   { "traffic", test_traffic },
   { "join", test_join },
+  { "start together", test_start_together },
 };
 TEST_SUITE ("swim", cases)
