Use the claims task in the entry

Change: the entry follows the interface of claims (which retries a settlement by itself); the entry's own retry is dropped.

--- a/src/admin.c
+++ b/src/admin.c
@@ -192,15 +192,14 @@
 }
 
 static void
-on_lookup (void *ctx, int err, struct str hint, const void *result)
+on_lookup (void *ctx, int err, const struct claim_res *res)
 {
   struct caller *caller = ctx;
   char *text = NULL;
   json_t *json;
 
-  (void)hint;
   if (err == 0)
-    json = claim_json (result);
+    json = claim_json (res);
   else
     json = json_pack ("{s:s}", "error", err_str (err));
   text = json_dumps (json, JSON_INDENT (2));
--- a/src/reqclaim.c
+++ b/src/reqclaim.c
@@ -1,16 +1,14 @@
 #include "request_impl.h"
 
-#include <jansson.h>
+#include <errno.h>
 
+#include "claim.h"
 #include "claims.h"
 #include "kernel.h"
 #include "log.h"
 #include "settings.h"
 
 #define LOG_MODULE "request"
-#define RECORDED_BODY_MAX_BYTES 4096
-#define SETTLE_RETRY_MS 500
-#define SETTLE_TRIES 20
 
 /* ---- claim ---- */
 
@@ -62,12 +60,10 @@
 }
 
 static void
-on_claim (void *ctx, int err, struct str hint, const void *result)
+on_claim (void *ctx, int err, const struct claim_res *res)
 {
   struct request *r = ctx;
-  const struct claim_res *res = result;
 
-  (void)hint;
   if (err == 0 && res->code == CLAIM_GRANTED)
     r->claimed = true;
   if (r->ended)
@@ -109,63 +105,38 @@
 
 /* ---- settlement ---- */
 
-static void send_settlement (struct request *r);
-
-static void
-on_retry (uv_timer_t *timer)
-{
-  send_settlement (timer->data);
-}
-
 static void
-on_settled (void *ctx, int err, struct str hint, const void *result)
+on_settled (void *ctx, int err, bool stored)
 {
   struct request *r = ctx;
-  const struct settle_res *res = result;
 
-  (void)hint;
-  if (err == 0 && res->stored)
-    request_unref (r);
-  else if (++r->settle_tries < SETTLE_TRIES)
-    uv_timer_start (&r->timer, on_retry, SETTLE_RETRY_MS, 0);
-  else
-    {
-      /* The owner will report "outcome unknown" after the deadline. */
-      LOG_ERR ("settle-failed", "request=" STR_FMT " key=" STR_FMT,
-               STR_ARG (r->id), STR_ARG (r->key));
-      request_unref (r);
-    }
+  /* Without a record the owner reports "outcome unknown" after the deadline.
+   */
+  if (err != 0 || !stored)
+    LOG_ERR ("settle-failed", "request=" STR_FMT " key=\"" STR_FMT "\"",
+             STR_ARG (r->id), STR_ARG (r->key));
+  request_unref (r);
 }
 
-static void
-send_settlement (struct request *r)
+void
+reqclaim_settle (struct request *r, enum settle_state state, int status,
+                 struct str content_type, struct str body)
 {
+  const struct str kept
+      = body.len <= CLAIM_BODY_MAX
+            ? body
+            : STR ("{\"galenagate\":\"the recorded body was left out\"}\n");
   const struct settle_args args = {
     .customer = TEXT_STR (r->customer),
     .key = TEXT_STR (r->key),
     .request_id = TEXT_STR (r->id),
-    .state = r->settle_state,
-    .status = (u_int)r->settle_status,
-    .content_type = TEXT_STR (r->settle_type),
-    .body = BLOB_STR (r->settle_body),
+    .state = state,
+    .status = (u_int)status,
+    .content_type = TEXT_STR (content_type),
+    .body = BLOB_STR (kept),
   };
 
-  claims_settle (r->owner->claims, &args, on_settled, r);
-}
-
-void
-reqclaim_settle (struct request *r, enum settle_state state, int status,
-                 struct str content_type, struct str body)
-{
   r->claimed = false;
-  r->settle_state = state;
-  r->settle_status = status;
-  r->settle_type = str_dup (content_type);
-  r->settle_body = str_dup (
-      body.len <= RECORDED_BODY_MAX_BYTES
-          ? body
-          : STR ("{\"galenagate\":\"the recorded body was left out\"}\n"));
   request_ref (r);
-  uv_timer_stop (&r->timer);
-  send_settlement (r);
+  claims_settle (r->owner->claims, &args, on_settled, r);
 }
--- a/src/request.c
+++ b/src/request.c
@@ -29,12 +29,11 @@
 free_request (uv_handle_t *handle)
 {
   struct request *r = handle->data;
-  struct str *const strings[] = {
-    &r->id,         &r->customer,      &r->class_name,  &r->service,
-    &r->model,      &r->model_version, &r->adapter,     &r->method,
-    &r->path,       &r->content_type,  &r->key,         &r->body,
-    &r->attempt_id, &r->target,        &r->settle_body, &r->settle_type
-  };
+  struct str *const strings[]
+      = { &r->id,         &r->customer,      &r->class_name, &r->service,
+          &r->model,      &r->model_version, &r->adapter,    &r->method,
+          &r->path,       &r->content_type,  &r->key,        &r->body,
+          &r->attempt_id, &r->target };
 
   for (size_t i = 0; i < sizeof strings / sizeof *strings; i++)
     str_free (strings[i]);
--- a/src/request_impl.h
+++ b/src/request_impl.h
@@ -51,11 +51,6 @@
 
   bool quota_taken;
   bool claimed;
-  unsigned settle_tries;
-  struct str settle_body;
-  struct str settle_type;
-  int settle_status;
-  enum settle_state settle_state;
 
   bool may_have_run; /* some attempt may have run at its target */
   bool delivering;   /* parts of a stream went to the caller */
