Free the copies of texts in claims and notices

Cause: TEXT_STR and BLOB_STR name their argument twice, so a str_dup() inside them was done twice and one copy was never freed: about 7 bytes for each text of a claim or notice. The unit suites did not show it because their exit code under the address sanitizer had not been looked at, only their last lines. Change: the copy is made before the macro.

--- a/src/claim.c
+++ b/src/claim.c
@@ -135,7 +135,18 @@
 static text
 copy_text (text t)
 {
-  return TEXT_STR (str_dup (STR_TEXT (t)));
+  /* TEXT_STR names its argument twice. */
+  const struct str copy = str_dup (STR_TEXT (t));
+
+  return TEXT_STR (copy);
+}
+
+static blob
+copy_blob (blob b)
+{
+  const struct str copy = str_dup (STR_BLOB (b));
+
+  return BLOB_STR (copy);
 }
 
 static void
@@ -174,7 +185,7 @@
   r.request_id = copy_text (from->request_id);
   r.entry.addr = copy_text (from->entry.addr);
   r.content_type = copy_text (from->content_type);
-  r.body = BLOB_STR (str_dup (STR_BLOB (from->body)));
+  r.body = copy_blob (from->body);
   return r;
 }
 
@@ -1284,7 +1295,7 @@
   w->args.settle.key = copy_text (a->key);
   w->args.settle.request_id = copy_text (a->request_id);
   w->args.settle.content_type = copy_text (a->content_type);
-  w->args.settle.body = BLOB_STR (str_dup (STR_BLOB (a->body)));
+  w->args.settle.body = copy_blob (a->body);
   decide (c, w, t);
   step (c, t);
 }
--- a/src/claims.c
+++ b/src/claims.c
@@ -260,7 +260,18 @@
 static text
 copy_text (text t)
 {
-  return TEXT_STR (str_dup (STR_TEXT (t)));
+  /* TEXT_STR names its argument twice. */
+  const struct str copy = str_dup (STR_TEXT (t));
+
+  return TEXT_STR (copy);
+}
+
+static blob
+copy_blob (blob b)
+{
+  const struct str copy = str_dup (STR_BLOB (b));
+
+  return BLOB_STR (copy);
 }
 
 static void
@@ -382,7 +393,7 @@
   s->args.content_type = copy_text (args->content_type);
   s->args.body = (blob){ 0 };
   if (args->body.blob_len <= CLAIM_BODY_MAX)
-    s->args.body = BLOB_STR (str_dup (STR_BLOB (args->body)));
+    s->args.body = copy_blob (args->body);
   DL_APPEND (c->settlings, s);
   try_settling (s);
 }
--- a/src/membership.c
+++ b/src/membership.c
@@ -94,7 +94,10 @@
 static text
 copy_text (text t)
 {
-  return TEXT_STR (str_dup (STR_TEXT (t)));
+  /* TEXT_STR names its argument twice. */
+  const struct str copy = str_dup (STR_TEXT (t));
+
+  return TEXT_STR (copy);
 }
 
 static void
