--- /dev/null
+++ b/src/placetarget.c
@@ -0,0 +1,325 @@
+#include "place.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+#include "clock.h"
+#include "err.h"
+#include "lease.h"
+#include "log.h"
+#include "metrics.h"
+
+#define LOG_MODULE "placement"
+#define POLL_WAIT_MS 20000
+/* While something is to happen on a server its polls are short, because a
+   connection that went silent would hide it for the whole wait. */
+#define POLL_PENDING_WAIT_MS 1000
+#define POLL_GRACE_MS 1500
+#define POLL_RETRY_MS 500
+/* Pause between polls that wait for something to vanish from the status. */
+#define POLL_UNSETTLED_MS 300
+/* A server whose address refuses connections for this long has ended: its
+   process holds no memory any more. */
+#define REFUSED_MS 2000
+#define CACHED_MAX 64
+
+static void
+target_free (struct place_target *t)
+{
+  if (t->poll)
+    http_cancel (t->poll);
+  for (size_t i = 0; i < t->cached_count; i++)
+    replica_key_free (&t->cached[i]);
+  free (t->cached);
+  str_free (&t->addr);
+  free (t);
+}
+
+struct place_target *
+place_target (const struct place_service *s, struct str addr)
+{
+  struct place_target *t;
+
+  HASH_FIND (hh, s->targets, addr.data, addr.len, t);
+  return t;
+}
+
+static void
+add_target (struct place_service *s, struct str addr)
+{
+  struct place_target *t = xcalloc (1, sizeof *t);
+
+  t->service = s;
+  t->addr = str_dup (addr);
+  HASH_ADD_KEYPTR (hh, s->targets, t->addr.data, t->addr.len, t);
+}
+
+static bool
+listed (const struct place_service *s, const struct host_view *view,
+        struct str addr)
+{
+  const struct host *h = hosts_find (view, addr);
+
+  return h && str_eq (h->service, s->name);
+}
+
+/* The list of hosts names the platform's live hosts: what is gone from it has
+   no process any more. */
+static void
+remove_unlisted (struct place_service *s, const struct host_view *view)
+{
+  struct place_target *t;
+  struct place_target *next;
+
+  HASH_ITER (hh, s->targets, t, next)
+  {
+    if (listed (s, view, t->addr))
+      continue;
+    HASH_DEL (s->targets, t);
+    target_free (t);
+  }
+  for (size_t i = s->ledger->server_count; i-- > 0;)
+    {
+      const struct ledger_server *server = s->ledger->servers[i];
+
+      if (listed (s, view, server->addr))
+        continue;
+      LOG_INFO ("server-gone",
+                "service=" STR_FMT " target=" STR_FMT
+                " entries=%zu reason=not-listed",
+                STR_ARG (s->name), STR_ARG (server->addr),
+                server->entry_count);
+      ledger_server_gone (s->ledger, server->addr, true);
+    }
+}
+
+void
+place_sync_hosts (struct place_service *s)
+{
+  const struct host_view *view = kernel_latest (s->kernel, TOPIC_HOSTS);
+
+  if (!view || !place_serving (s))
+    return;
+  remove_unlisted (s, view);
+  for (size_t i = 0; i < view->count; i++)
+    {
+      const struct host *h = &view->hosts[i];
+
+      if (!str_eq (h->service, s->name))
+        continue;
+      if (!place_target (s, h->addr))
+        add_target (s, h->addr);
+      ledger_server_add (s->ledger, h->addr, h->domain)->listed_leaving
+          = h->leaving;
+    }
+}
+
+/* Status polls. */
+
+static void
+remember_cached (struct place_target *t, const struct replica_key *key)
+{
+  for (size_t i = 0; i < t->cached_count; i++)
+    if (replica_key_eq (&t->cached[i], key))
+      return;
+  if (t->cached_count == CACHED_MAX)
+    {
+      replica_key_free (&t->cached[0]);
+      t->cached[0] = t->cached[--t->cached_count];
+    }
+  t->cached = xrealloc (t->cached, CACHED_MAX * sizeof *t->cached);
+  t->cached[t->cached_count++] = replica_key_dup (key);
+}
+
+/* Is anything counted that the server does not show? */
+static bool
+unsettled (const struct ledger_server *server,
+           const struct target_status *status)
+{
+  for (size_t i = 0; i < server->entry_count; i++)
+    if (!target_status_find (status, &server->entries[i]->key))
+      return true;
+  return false;
+}
+
+static void
+note_loaded (struct place_service *s, struct place_target *t,
+             struct ledger_entry *e, uint64_t now)
+{
+  const uint64_t ms = now - e->decided_ms;
+
+  remember_cached (t, &e->key);
+  e->told = true;
+  LOG_INFO ("loaded",
+            "service=" STR_FMT " target=" STR_FMT " model=" STR_FMT
+            " adapter=" STR_FMT " order=" STR_FMT " ms=%lu",
+            STR_ARG (s->name), STR_ARG (t->addr), STR_ARG (e->key.model),
+            STR_ARG (e->key.adapter), STR_ARG (e->order_id), ms);
+  if (!e->slot)
+    return;
+  e->slot = false;
+  place_slot_done (s, e->key.adapter.len > 0 ? BUDGET_ADAPTER : BUDGET_MODEL);
+  metrics_add ("galenagate_loads_total", s->labels, 1);
+  metrics_observe ("galenagate_load_ms", s->labels, (double)ms);
+}
+
+static void
+reconcile (struct place_target *t, const struct target_status *status)
+{
+  struct place_service *s = t->service;
+  const uint64_t now = clock_ms ();
+  struct ledger_server *server = ledger_server (s->ledger, t->addr);
+
+  if (!server)
+    return;
+  if (status->leaving && !server->leaving)
+    {
+      LOG_INFO ("target-leaving", "service=" STR_FMT " target=" STR_FMT,
+                STR_ARG (s->name), STR_ARG (t->addr));
+      hosts_mark_leaving (hosts_get (s->kernel), t->addr);
+    }
+  ledger_status (s->ledger, t->addr, status, t->asked_ms, now);
+  for (size_t i = 0; i < server->entry_count; i++)
+    if (server->entries[i]->loaded_ms > 0 && !server->entries[i]->told)
+      note_loaded (s, t, server->entries[i], now);
+  t->seq = status->seq;
+  t->next_poll_ms = now;
+  if (unsettled (server, status))
+    {
+      t->seq = 0;
+      t->next_poll_ms = now + POLL_UNSETTLED_MS;
+    }
+}
+
+static void
+poll_failed (struct place_target *t, const struct err *err)
+{
+  struct place_service *s = t->service;
+  const uint64_t now = clock_ms ();
+
+  t->next_poll_ms = now + POLL_RETRY_MS;
+  t->seq = 0;
+  t->silent = err->code == -ETIMEDOUT;
+  if (err->code != -ECONNREFUSED)
+    {
+      t->refused_since_ms = 0;
+      return;
+    }
+  if (t->refused_since_ms == 0)
+    t->refused_since_ms = now;
+  struct ledger_server *server = ledger_server (s->ledger, t->addr);
+  if (!server || now < t->refused_since_ms + REFUSED_MS
+      || (!server->seen && server->entry_count == 0))
+    return;
+  LOG_WARN ("server-gone",
+            "service=" STR_FMT " target=" STR_FMT
+            " entries=%zu reason=connection-refused",
+            STR_ARG (s->name), STR_ARG (t->addr), server->entry_count);
+  ledger_server_gone (s->ledger, t->addr, false);
+}
+
+static void
+on_status (void *ctx, struct http_call *call, struct err err, int status,
+           bool sent, struct str body)
+{
+  struct place_target *t = ctx;
+  struct place_service *s = t->service;
+  struct target_status st = { 0 };
+
+  (void)call;
+  (void)sent;
+  t->poll = NULL;
+  if (!place_serving (s))
+    {
+      t->next_poll_ms = clock_ms () + POLL_RETRY_MS;
+      return;
+    }
+  if (err.code == 0
+      && (status != 200 || target_status_decode (body, &st) != 0))
+    {
+      err = err_make (-EBADMSG, "status", t->addr);
+      LOG_WARN ("status-unreadable", "target=" STR_FMT " status=%d",
+                STR_ARG (t->addr), status);
+    }
+  if (err.code != 0)
+    poll_failed (t, &err);
+  else
+    {
+      t->refused_since_ms = 0;
+      t->silent = false;
+      reconcile (t, &st);
+      target_status_free (&st);
+    }
+  place_settle_wakes (s);
+  place_decide (s);
+  place_poll (s);
+}
+
+static const struct http_events status_events = { .done = on_status };
+
+static bool
+is_pending (const struct place_target *t)
+{
+  const struct ledger_server *server
+      = ledger_server (t->service->ledger, t->addr);
+
+  for (size_t i = 0; server && i < server->entry_count; i++)
+    if (server->entries[i]->state != LEDGER_LOADED)
+      return true;
+  return false;
+}
+
+static void
+poll_target (struct place_target *t)
+{
+  struct place_service *s = t->service;
+  const uint32_t wait_ms
+      = is_pending (t) ? POLL_PENDING_WAIT_MS : POLL_WAIT_MS;
+  struct str url
+      = str_printf ("http://" STR_FMT "/status?since=%lu&wait_ms=%u",
+                    STR_ARG (t->addr), t->seq, wait_ms);
+  const struct http_request req = {
+    .method = STR ("GET"),
+    .url = url,
+    .total_ms = wait_ms + POLL_GRACE_MS,
+    .fresh = t->silent,
+  };
+
+  t->asked_ms = clock_ms ();
+  t->poll = http_send (http_get (s->kernel), &req, &status_events, t);
+  str_free (&url);
+}
+
+void
+place_poll (struct place_service *s)
+{
+  const uint64_t now = clock_ms ();
+
+  if (!place_serving (s))
+    return;
+  for (struct place_target *t = s->targets; t; t = t->hh.next)
+    {
+      if (t->poll && now >= t->asked_ms + POLL_PENDING_WAIT_MS + POLL_GRACE_MS
+          && is_pending (t))
+        {
+          http_cancel (t->poll);
+          t->poll = NULL;
+          t->next_poll_ms = now;
+        }
+      if (!t->poll && now >= t->next_poll_ms)
+        poll_target (t);
+    }
+}
+
+void
+place_poll_stop (struct place_service *s)
+{
+  struct place_target *t;
+  struct place_target *next;
+
+  HASH_ITER (hh, s->targets, t, next)
+  {
+    HASH_DEL (s->targets, t);
+    target_free (t);
+  }
+}
--- a/tests/test_schedrules.c
+++ b/tests/test_schedrules.c
@@ -24,6 +24,7 @@
   const struct sched_config config = { .queue_max = 4,
                                        .use_ms = 2000,
                                        .hold_ms = 10000,
+                                       .slots = 2,
                                        .replicas_max = 3,
                                        .plain = plain };
   struct fixture f = { .crash = crash_create (64) };
@@ -104,6 +105,25 @@
   teardown (&f);
 }
 
+/* Guards against a burst that waits for a single replica. */
+static void
+test_wake_more (void)
+{
+  struct fixture f = setup (false, 0);
+
+  CU_ASSERT_EQUAL (ask (&f, (struct sched_request){ 0 }, 0).kind, SCHED_WAKE);
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (ask (&f, (struct sched_request){ 0 }, 1).kind, NOTHING);
+  sched_tick (f.s, 500);
+  const struct sched_action a = next (&f);
+
+  CU_ASSERT_EQUAL (a.kind, SCHED_WAKE);
+  CU_ASSERT_EQUAL (a.replicas, 2);
+  sched_tick (f.s, 1000);
+  CU_ASSERT_EQUAL (next (&f).kind, NOTHING);
+  teardown (&f);
+}
+
 /* Guards against a model whose load is slower than every deadline and that is
    therefore never loaded. */
 static void
@@ -174,6 +194,37 @@
   teardown (&f);
 }
 
+/* Guards against a request that goes back at once to a target that is full or
+   cannot be reached, until its attempts are used up. */
+static void
+test_not_run (void)
+{
+  struct fixture f = setup (false, 1);
+  struct sched_action a = ask (&f, (struct sched_request){ 0 }, 0);
+  const uint64_t other = ask (&f, (struct sched_request){ 0 }, 0).grant;
+
+  release (&f, a.grant, ATTEMPT_NOT_RUN, 1);
+  CU_ASSERT_EQUAL (ask (&f, (struct sched_request){ .attempt = 2 }, 1).kind,
+                   NOTHING);
+  sched_tick (f.s, 40);
+  CU_ASSERT_EQUAL (next (&f).kind, NOTHING);
+  release (&f, other, ATTEMPT_DONE, 45);
+  a = next (&f);
+  CU_ASSERT_EQUAL (a.kind, SCHED_GRANT);
+  release (&f, a.grant, ATTEMPT_NOT_RUN, 46);
+  ask (&f, (struct sched_request){ 0 }, 46);
+  sched_tick (f.s, 100);
+  a = next (&f);
+  CU_ASSERT_EQUAL (a.kind, SCHED_GRANT);
+  release (&f, a.grant, ATTEMPT_NOT_RUN, 100);
+  ask (&f, (struct sched_request){ 0 }, 100);
+  sched_tick (f.s, 180);
+  CU_ASSERT_EQUAL (next (&f).kind, NOTHING);
+  sched_tick (f.s, 200);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_GRANT);
+  teardown (&f);
+}
+
 /* Guards against other work beside a suspect, before and while it runs. */
 static void
 test_suspect_alone (void)
@@ -274,9 +325,11 @@
 
 static const struct suite_case cases[] = {
   { "one wake for many", test_wake_once },
+  { "more replicas for a burst", test_wake_more },
   { "load slower than the deadline", test_wake_too_late },
   { "adapters", test_adapter },
   { "leaving, dead and excluded targets", test_unusable },
+  { "target that does not take requests", test_not_run },
   { "suspect alone", test_suspect_alone },
   { "affinity and spread", test_affinity },
   { "lost entries, full queue", test_lost_entries },
