--- a/src/place.h
+++ b/src/place.h
@@ -25,6 +25,7 @@
   uint64_t refused_since_ms; /* 0: reachable */
   uint64_t avoid_until_ms;   /* a load failed there */
   bool fence_in_flight;
+  bool silent;                /* the last poll got no answer */
   struct replica_key *cached; /* loaded there before: still on its disk */
   size_t cached_count;
   UT_hash_handle hh;
@@ -35,8 +36,9 @@
 {
   struct bus_request *req;
   struct policy_want want;
-  uint32_t replicas;
-  bool failed; /* a load for it failed meanwhile */
+  uint32_t replicas; /* wanted */
+  size_t enough;     /* answered when so many are there */
+  bool failed;       /* a load for it failed meanwhile */
   struct place_wake *prev;
   struct place_wake *next;
 };
@@ -55,6 +57,7 @@
 struct place_use
 {
   struct str name;
+  struct replica_key key;
   uint32_t in_flight;
   uint32_t queued;
   uint64_t at_ms;
@@ -101,6 +104,13 @@
   UT_hash_handle hh;
 };
 
+/**
+ * place_serving() - was the last known holder of the lease.
+ *
+ * During an outage of the store the lease expires but nobody else can take it:
+ * the present replicas are still told to callers, and nothing is decided.
+ */
+bool place_serving (const struct place_service *s);
 /** place_ready() - holds the lease at this moment and its stamp is stored. */
 bool place_ready (const struct place_service *s);
 /** place_model() - the listed model of a key, in this service; else NULL. */
@@ -110,14 +120,16 @@
 /* placestore.c: takeover and group commit. */
 void place_store_step (struct place_service *s);
 
-/* placetarget.c: status polls and orders. */
+/* placetarget.c: status polls. */
 void place_sync_hosts (struct place_service *s);
 void place_poll (struct place_service *s);
 void place_poll_stop (struct place_service *s);
-void place_send_orders (struct place_service *s);
 struct place_target *place_target (const struct place_service *s,
                                    struct str addr);
 
+/* placeorder.c: orders to the servers. */
+void place_send_orders (struct place_service *s);
+
 /* placewake.c: callers. */
 void place_on_wake (struct place_service *s, struct bus_request *req,
                     const struct wake_args *args);
@@ -139,6 +151,9 @@
 /** place_loaded() - replicas that can be offered to callers. */
 size_t place_loaded (const struct place_service *s,
                      const struct replica_key *key);
+/** place_expire_uses() - a report that is not renewed counts as no use. */
+void place_expire_uses (struct place_service *s, uint64_t now);
+void place_uses_free (struct place_service *s);
 const struct place_use *place_use (const struct place_service *s,
                                    const struct replica_key *key);
 
