Let requests wait for a new owner of the plan limits

Cause: for about 2 s after a node joins or leaves, the new owner of a customer's limits refuses all requests, because it does not know yet what is in flight; callers of a limited plan got 429 in each restart of a node. Ruled out: granting in that time, which would let the limit be exceeded. Change: the asking node waits and asks again while the deadline allows.

--- a/src/limiter.c
+++ b/src/limiter.c
@@ -53,6 +53,7 @@
   unsigned hops;
   bus_reply_fn fn;
   void *ctx;
+  struct take *next; /* of those that wait for a new owner to settle */
 };
 
 /* An answer without a call, given in the next loop turn. */
@@ -92,6 +93,7 @@
   struct deferred *deferred;
   struct deferred **deferred_end;
   struct holder *holders;
+  struct take *parked;
   struct handover *handovers;
   uint64_t ticked_ms;
   uint64_t reported_ms;
@@ -329,13 +331,45 @@
   return m ? m->addr : (struct str){ 0 };
 }
 
+/* A new owner of the limits settles within seconds; a request that has the
+   time waits for it instead of being refused. */
+static bool
+waits_for_owner (const struct take *t, const struct quota_res *res)
+{
+  return res->granted == 0 && res->settling_ms > 0
+         && clock_ms () + TICK_MS < t->ends_ms;
+}
+
+static void
+ask_parked (struct limiter *l)
+{
+  struct take *t = l->parked;
+
+  l->parked = NULL;
+  while (t)
+    {
+      struct take *next = t->next;
+      const struct member_info *owner = ranked (l, t->customer, 0);
+
+      t->hops = 0;
+      t->second = false;
+      ask (t, owner ? owner->addr : STR (""));
+      t = next;
+    }
+}
+
 static void
 on_taken (void *ctx, int err, struct str hint, const void *result)
 {
   struct take *t = ctx;
   struct limiter *l = t->limiter;
 
-  if (err == 0)
+  if (err == 0 && waits_for_owner (t, result))
+    {
+      t->next = l->parked;
+      l->parked = t;
+    }
+  else if (err == 0)
     end_take (t, 0, hint, result);
   else if (err == -ESTALE && hint.len > 0 && t->hops++ < HOPS_MAX)
     ask (t, hint);
@@ -401,10 +435,11 @@
 
 static void
 refuse (struct bus_request *req, struct str customer, const char *reason,
-        uint32_t retry_after_ms, struct str detail)
+        uint32_t retry_after_ms, uint32_t settling_ms, struct str detail)
 {
-  const struct quota_res res
-      = { .retry_after_ms = retry_after_ms, .detail = TEXT_STR (detail) };
+  const struct quota_res res = { .retry_after_ms = retry_after_ms,
+                                 .settling_ms = settling_ms,
+                                 .detail = TEXT_STR (detail) };
   struct str labels = str_printf ("customer=\"" STR_FMT "\",reason=\"%s\"",
                                   STR_ARG (customer), reason);
 
@@ -418,6 +453,7 @@
               const struct plan *plan, const struct quota_answer *a)
 {
   struct str detail = { 0 };
+  uint32_t retry_after_ms;
 
   switch (a->code)
     {
@@ -426,18 +462,19 @@
                            "bursts of %u",
                            STR_ARG (plan->name), plan->requests_per_s,
                            plan->burst);
-      refuse (req, customer, "rate", a->retry_after_ms, detail);
+      refuse (req, customer, "rate", a->retry_after_ms, 0, detail);
       break;
     case QUOTA_IN_FLIGHT:
       detail = str_printf ("plan " STR_FMT " allows %u requests in flight",
                            STR_ARG (plan->name), plan->in_flight);
-      refuse (req, customer, "in-flight", a->retry_after_ms, detail);
+      refuse (req, customer, "in-flight", a->retry_after_ms, 0, detail);
       break;
     default:
+      retry_after_ms = a->retry_after_ms > 0 ? a->retry_after_ms : RETRY_MS;
       detail = str_printf ("the node that counts for plan " STR_FMT " changed",
                            STR_ARG (plan->name));
-      refuse (req, customer, "owner-changed",
-              a->retry_after_ms > 0 ? a->retry_after_ms : RETRY_MS, detail);
+      refuse (req, customer, "owner-changed", retry_after_ms, retry_after_ms,
+              detail);
       break;
     }
   str_free (&detail);
@@ -456,7 +493,7 @@
 
   if (!plan)
     {
-      refuse (req, customer, "unknown", RETRY_MS,
+      refuse (req, customer, "unknown", RETRY_MS, 0,
               STR ("the customer is not in the owner's lists"));
       return;
     }
@@ -610,6 +647,7 @@
   const uint64_t now_ms = clock_ms ();
 
   quota_tick (l->quota, now_ms);
+  ask_parked (l);
   metrics_set ("galenagate_quota_customers", STR (""),
                (double)quota_count (l->quota));
   /* After a pause another owner may have missed this node's reports. */
@@ -674,6 +712,15 @@
   struct holder *next;
 
   HASH_ITER (hh, l->holders, h, next) { holder_free (l, h); }
+  while (l->parked)
+    {
+      struct take *t = l->parked;
+
+      l->parked = t->next;
+      str_free (&t->customer);
+      str_free (&t->asked);
+      free (t);
+    }
   while (l->deferred)
     {
       struct deferred *d = l->deferred;
