--- a/src/apply.c
+++ b/src/apply.c
@@ -21,6 +21,8 @@
 #define RETRY_MS 400
 #define POLL_MS 200
 #define STATUS_LIMIT_MS 2000
+/* Nodes are asked one after another; a paused one must not use up the wait. */
+#define MEMBER_LIMIT_MS 300
 
 struct options
 {
@@ -583,68 +585,117 @@
 
 /* ---- waiting ---- */
 
-/* Adds the live nodes that lack the revision. Returns false if the status
-   could not be read. */
+/* struct wait - which nodes have the revision. */
+struct wait
+{
+  struct apply *apply;
+  uint64_t start_ms;
+  json_t *in_force; /* members: addresses of nodes that have it */
+  struct buf lagging;
+};
+
+static uint64_t
+waited_ms (const struct wait *w)
+{
+  return clock_ms () - w->start_ms;
+}
+
+/* GET /admin/status of a node; NULL when it gives none. */
+static json_t *
+read_status (struct wait *w, struct str http_addr, uint32_t limit_ms)
+{
+  struct client_reply r = client_get (w->apply->client, http_addr,
+                                      STR ("/admin/status"), limit_ms);
+  json_t *o = r.err.code == 0 && r.status == 200
+                  ? json_loadb (r.value.data, r.value.len, 0, NULL)
+                  : NULL;
+
+  client_reply_free (&r);
+  return o;
+}
+
+static json_int_t
+member_revision (const json_t *o)
+{
+  return json_integer_value (json_object_get (o, "revision"));
+}
+
+/* Revision in force on a member. Other nodes hear of it late in a large fleet,
+   so a node that seems to lag is asked itself, unless it is suspect. */
+static json_int_t
+present_revision (struct wait *w, const json_t *member, const char *state)
+{
+  const char *http_addr
+      = json_string_value (json_object_get (member, "http_addr"));
+  json_int_t revision = member_revision (member);
+
+  if ((uint64_t)revision >= w->apply->revision || !http_addr
+      || strcmp (state, "alive") != 0
+      || waited_ms (w) >= w->apply->options.wait_ms)
+    return revision;
+  json_t *status = read_status (w, str_from (http_addr), MEMBER_LIMIT_MS);
+  if (member_revision (status) > revision)
+    revision = member_revision (status);
+  json_decref (status);
+  return revision;
+}
+
+static void
+check_member (struct wait *w, const json_t *member)
+{
+  const char *state = json_string_value (json_object_get (member, "state"));
+  const char *addr = json_string_value (json_object_get (member, "addr"));
+
+  if (!state || !addr || json_object_get (w->in_force, addr)
+      || (strcmp (state, "alive") != 0 && strcmp (state, "suspect") != 0))
+    return;
+  const json_int_t revision = present_revision (w, member, state);
+  if ((uint64_t)revision >= w->apply->revision)
+    json_object_set_new (w->in_force, addr, json_true ());
+  else
+    buf_printf (&w->lagging, " %s (revision %lld)", addr, (long long)revision);
+}
+
+/* Returns true if all live nodes have the revision. */
 static bool
-lagging (struct apply *a, struct buf *out)
-{
-  struct client_reply r = client_get (a->client, a->options.node,
-                                      STR ("/admin/status"), STATUS_LIMIT_MS);
-  json_t *root = r.err.code == 0 && r.status == 200
-                     ? json_loadb (r.value.data, r.value.len, 0, NULL)
-                     : NULL;
-  const json_t *members = json_object_get (root, "members");
-  const bool ok = json_is_array (members) && json_array_size (members) > 0;
+check_nodes (struct wait *w)
+{
+  json_t *status = read_status (w, w->apply->options.node, STATUS_LIMIT_MS);
+  const json_t *members = json_object_get (status, "members");
   size_t i;
   json_t *m;
 
-  json_array_foreach (members, i, m)
-  {
-    const char *state = json_string_value (json_object_get (m, "state"));
-    const char *addr = json_string_value (json_object_get (m, "addr"));
-    const json_t *revision = json_object_get (m, "revision");
-
-    if (!state || !addr
-        || (strcmp (state, "alive") != 0 && strcmp (state, "suspect") != 0))
-      continue;
-    if ((uint64_t)json_integer_value (revision) < a->revision)
-      buf_printf (out, " %s (revision %lld)", addr,
-                  (long long)json_integer_value (revision));
-  }
-  if (!ok)
-    buf_printf (out, " %s (no status: %s)", a->options.node.data,
-                r.err.code != 0 ? err_str (r.err.code) : "not readable");
-  json_decref (root);
-  client_reply_free (&r);
-  return ok;
+  buf_reset (&w->lagging);
+  if (json_array_size (members) == 0)
+    buf_printf (&w->lagging, " %s (no status)", w->apply->options.node.data);
+  json_array_foreach (members, i, m) { check_member (w, m); }
+  json_decref (status);
+  return w->lagging.len == 0;
 }
 
 static int
 wait_in_force (struct apply *a)
 {
-  const uint64_t start_ms = clock_ms ();
+  struct wait w
+      = { .apply = a, .start_ms = clock_ms (), .in_force = json_object () };
+  bool done = check_nodes (&w);
 
-  for (;;)
+  while (!done && waited_ms (&w) < a->options.wait_ms)
     {
-      struct buf nodes = { 0 };
-      const bool done = lagging (a, &nodes) && nodes.len == 0;
-      const uint64_t waited_ms = clock_ms () - start_ms;
-
-      if (done)
-        printf ("revision %lu in force on all live nodes after %lu ms\n",
-                a->revision, waited_ms);
-      else if (waited_ms >= a->options.wait_ms)
-        fprintf (stderr,
-                 "galenagate: revision %lu is accepted but not in force "
-                 "after %lu ms on:" STR_FMT "\n",
-                 a->revision, waited_ms, STR_ARG (buf_str (&nodes)));
-      buf_free (&nodes);
-      if (done)
-        return EXIT_DONE;
-      if (waited_ms >= a->options.wait_ms)
-        return EXIT_NOT_IN_FORCE;
       client_sleep (POLL_MS);
+      done = check_nodes (&w);
     }
+  if (done)
+    printf ("revision %lu in force on all live nodes after %lu ms\n",
+            a->revision, waited_ms (&w));
+  else
+    fprintf (stderr,
+             "galenagate: revision %lu is accepted but not in force after "
+             "%lu ms on:" STR_FMT "\n",
+             a->revision, waited_ms (&w), STR_ARG (buf_str (&w.lagging)));
+  buf_free (&w.lagging);
+  json_decref (w.in_force);
+  return done ? EXIT_DONE : EXIT_NOT_IN_FORCE;
 }
 
 /* ---- sub-commands ---- */
