Count servers until they are gone for certain; slow down failed loads

A holder whose host list was older than a server dropped the server's entries from the ledger, so a second replica could have been loaded. A load that the engine accepted and then gave up was tried again at once, with a ledger write each time.

A server that the list does not name gets no work and is unloaded; its entries go once it also does not answer for 3 s. A failed load keeps further loads off its server for 10 s, a refused one for 1 s. A refusal is final too when the engine is known to refuse the fences of former owners. Orders that a process sent before it took the same fence again count as unanswered. The notice of a leaving target is sent after the status is applied, because the new host list can remove the target.

Ruled out: a longer wait for the host list alone, because its age is not known.

Unit tests pass plain and with the address and undefined-behaviour sanitizers; the end-to-end suite "placement" passes.

--- a/src/ledger.c
+++ b/src/ledger.c
@@ -54,9 +54,15 @@
 }
 
 static void
-taken_over (struct ledger_entry *e, uint64_t now)
+taken_over (const struct ledger *l, struct ledger_entry *e, uint64_t now)
 {
   e->decided_ms = now;
+  if (e->open && e->fence == l->fence)
+    {
+      /* Own orders whose fate is not in the stored form. */
+      e->unanswered = 1;
+      e->sent_ms = now;
+    }
   if (e->state == LEDGER_INTENT_LOAD)
     return;
   e->loaded_ms = now;
@@ -82,7 +88,7 @@
   l->dirty = true;
   for (size_t i = 0; i < l->server_count; i++)
     for (size_t j = 0; j < l->servers[i]->entry_count; j++)
-      taken_over (l->servers[i]->entries[j], now);
+      taken_over (l, l->servers[i]->entries[j], now);
   return 0;
 }
 
--- a/src/ledgerorder.c
+++ b/src/ledgerorder.c
@@ -49,12 +49,15 @@
     e->sent_ms = now;
 }
 
-/* Is one copy of the load order, sent by this node and refused, the only one
-   there ever was? */
+/* Does a refusal prove that no copy of the load order will be carried out?
+   Copies of this node were all answered, and those of former owners are either
+   none or refused from now on. */
 static bool
-sole_copy (const struct ledger *l, const struct ledger_entry *e)
+is_final (const struct ledger *l, const struct ledger_server *s,
+          const struct ledger_entry *e)
 {
-  return e->fence == l->fence && e->unanswered == 0;
+  return e->unanswered == 0
+         && (e->fence == l->fence || (l->fenced && s->fence_known));
 }
 
 static void
@@ -73,7 +76,7 @@
       l->dirty = true;
       return;
     case ORDER_REFUSED:
-      if (sole_copy (l, e))
+      if (is_final (l, s, e))
         ledger_entry_drop (l, s, i);
       return;
     case ORDER_WRONG_INSTANCE:
--- a/src/place.h
+++ b/src/place.h
@@ -22,10 +22,13 @@
   uint64_t asked_ms;
   uint64_t seq;
   uint64_t next_poll_ms;
-  uint64_t refused_since_ms; /* 0: reachable */
-  uint64_t avoid_until_ms;   /* a load failed there */
+  uint64_t refused_since_ms;  /* 0: reachable */
+  uint64_t avoid_until_ms;    /* a load failed there */
+  uint64_t unlisted_since_ms; /* 0: in the host list */
   bool fence_in_flight;
-  bool silent;                /* the last poll got no answer */
+  bool leaving_found;         /* the last status said so first */
+  bool failed;                /* the last poll failed */
+  bool silent;                /* because there was no answer */
   struct replica_key *cached; /* loaded there before: still on its disk */
   size_t cached_count;
   UT_hash_handle hh;
@@ -129,6 +132,9 @@
 
 /* placeorder.c: orders to the servers. */
 void place_send_orders (struct place_service *s);
+/** place_load_failed() - a load was refused by a server, or failed there. */
+void place_load_failed (struct place_service *s, struct str addr,
+                        const struct replica_key *key, bool refused);
 
 /* placewake.c: callers. */
 void place_on_wake (struct place_service *s, struct bus_request *req,
--- a/src/placeorder.c
+++ b/src/placeorder.c
@@ -6,11 +6,15 @@
 #include "err.h"
 #include "lease.h"
 #include "log.h"
+#include "metrics.h"
 
 #define LOG_MODULE "placement"
-#define ORDER_LIMIT_MS 5000
-/* No load is tried on a server for this time after one failed there. */
-#define AVOID_MS 10000
+/* An engine answers an order before it carries it out. */
+#define ORDER_LIMIT_MS 2000
+/* No load is tried on a server for this time after one was refused there, or
+   failed. */
+#define AVOID_REFUSED_MS 1000
+#define AVOID_FAILED_MS 10000
 /* Slots of the load budget come back by themselves after this multiple of the
    estimated load time. */
 #define HOLD_FACTOR 2
@@ -35,16 +39,19 @@
   free (o);
 }
 
-static void
-load_failed (struct place_service *s, const struct sent_order *o)
+void
+place_load_failed (struct place_service *s, struct str addr,
+                   const struct replica_key *key, bool refused)
 {
-  struct place_target *t = place_target (s, o->addr);
+  struct place_target *t = place_target (s, addr);
   struct place_wake *w;
 
   if (t)
-    t->avoid_until_ms = clock_ms () + AVOID_MS;
+    t->avoid_until_ms
+        = clock_ms () + (refused ? AVOID_REFUSED_MS : AVOID_FAILED_MS);
+  metrics_add ("galenagate_loads_failed_total", s->labels, 1);
   DL_FOREACH (s->wakes, w)
-  if (str_eq (w->want.key.model, o->key.model))
+  if (str_eq (w->want.key.model, key->model))
     w->failed = true;
 }
 
@@ -73,7 +80,7 @@
   if (answer == ORDER_REFUSED || answer == ORDER_FAILED)
     {
       if (o->kind == ORDER_LOAD)
-        load_failed (s, o);
+        place_load_failed (s, o->addr, &o->key, answer == ORDER_REFUSED);
       if (o->slot)
         place_slot_done (s, o->key.adapter.len > 0 ? BUDGET_ADAPTER
                                                    : BUDGET_MODEL);
--- a/src/placetarget.c
+++ b/src/placetarget.c
@@ -21,6 +21,9 @@
 /* A server whose address refuses connections for this long has ended: its
    process holds no memory any more. */
 #define REFUSED_MS 2000
+/* A server that the host list does not name any more, and that does not
+   answer, is given up after this time. */
+#define UNLISTED_MS 3000
 #define CACHED_MAX 64
 
 static void
@@ -63,34 +66,47 @@
   return h && str_eq (h->service, s->name);
 }
 
-/* The list of hosts names the platform's live hosts: what is gone from it has
-   no process any more. */
 static void
-remove_unlisted (struct place_service *s, const struct host_view *view)
+remove_target (struct place_service *s, struct place_target *t)
+{
+  const struct ledger_server *server = ledger_server (s->ledger, t->addr);
+
+  LOG_INFO (
+      "server-gone",
+      "service=" STR_FMT " target=" STR_FMT " entries=%zu reason=not-listed",
+      STR_ARG (s->name), STR_ARG (t->addr), server ? server->entry_count : 0);
+  ledger_server_gone (s->ledger, t->addr, true);
+  HASH_DEL (s->targets, t);
+  target_free (t);
+}
+
+/* A server that the host list does not name gets no work. Its entries go when
+   it does not answer either: the list of this node may be older than the
+   server. */
+static void
+check_unlisted (struct place_service *s, const struct host_view *view,
+                uint64_t now)
 {
   struct place_target *t;
   struct place_target *next;
 
   HASH_ITER (hh, s->targets, t, next)
   {
-    if (listed (s, view, t->addr))
-      continue;
-    HASH_DEL (s->targets, t);
-    target_free (t);
-  }
-  for (size_t i = s->ledger->server_count; i-- > 0;)
-    {
-      const struct ledger_server *server = s->ledger->servers[i];
+    struct ledger_server *server = ledger_server (s->ledger, t->addr);
 
-      if (listed (s, view, server->addr))
+    if (listed (s, view, t->addr))
+      {
+        t->unlisted_since_ms = 0;
         continue;
-      LOG_INFO ("server-gone",
-                "service=" STR_FMT " target=" STR_FMT
-                " entries=%zu reason=not-listed",
-                STR_ARG (s->name), STR_ARG (server->addr),
-                server->entry_count);
-      ledger_server_gone (s->ledger, server->addr, true);
-    }
+      }
+    if (t->unlisted_since_ms == 0)
+      t->unlisted_since_ms = now;
+    if (server)
+      server->listed_leaving = true;
+    if (now >= t->unlisted_since_ms + UNLISTED_MS
+        && (t->failed || !server || server->entry_count == 0))
+      remove_target (s, t);
+  }
 }
 
 void
@@ -100,18 +116,18 @@
 
   if (!view || !place_serving (s))
     return;
-  remove_unlisted (s, view);
   for (size_t i = 0; i < view->count; i++)
     {
       const struct host *h = &view->hosts[i];
 
-      if (!str_eq (h->service, s->name))
-        continue;
-      if (!place_target (s, h->addr))
-        add_target (s, h->addr);
-      ledger_server_add (s->ledger, h->addr, h->domain)->listed_leaving
-          = h->leaving;
+      if (str_eq (h->service, s->name))
+        ledger_server_add (s->ledger, h->addr, h->domain)->listed_leaving
+            = h->leaving;
     }
+  for (size_t i = 0; i < s->ledger->server_count; i++)
+    if (!place_target (s, s->ledger->servers[i]->addr))
+      add_target (s, s->ledger->servers[i]->addr);
+  check_unlisted (s, view, clock_ms ());
 }
 
 /* Status polls. */
@@ -163,6 +179,32 @@
   metrics_observe ("galenagate_load_ms", s->labels, (double)ms);
 }
 
+/* A load that the server accepted and shows no more has failed. */
+static void
+note_failed (struct place_service *s, const struct place_target *t,
+             const struct ledger_server *server,
+             const struct target_status *status)
+{
+  for (size_t i = 0; i < server->entry_count; i++)
+    {
+      const struct ledger_entry *e = server->entries[i];
+
+      if (e->state != LEDGER_INTENT_LOAD || e->open
+          || e->instance != status->instance || t->asked_ms < e->known_ms
+          || target_status_find (status, &e->key))
+        continue;
+      LOG_WARN ("load-failed",
+                "service=" STR_FMT " target=" STR_FMT " model=" STR_FMT
+                " adapter=" STR_FMT " order=" STR_FMT,
+                STR_ARG (s->name), STR_ARG (t->addr), STR_ARG (e->key.model),
+                STR_ARG (e->key.adapter), STR_ARG (e->order_id));
+      place_load_failed (s, t->addr, &e->key, false);
+      if (e->slot)
+        place_slot_done (s, e->key.adapter.len > 0 ? BUDGET_ADAPTER
+                                                   : BUDGET_MODEL);
+    }
+}
+
 static void
 reconcile (struct place_target *t, const struct target_status *status)
 {
@@ -172,12 +214,8 @@
 
   if (!server)
     return;
-  if (status->leaving && !server->leaving)
-    {
-      LOG_INFO ("target-leaving", "service=" STR_FMT " target=" STR_FMT,
-                STR_ARG (s->name), STR_ARG (t->addr));
-      hosts_mark_leaving (hosts_get (s->kernel), t->addr);
-    }
+  t->leaving_found |= status->leaving && !server->leaving;
+  note_failed (s, t, server, status);
   ledger_status (s->ledger, t->addr, status, t->asked_ms, now);
   for (size_t i = 0; i < server->entry_count; i++)
     if (server->entries[i]->loaded_ms > 0 && !server->entries[i]->told)
@@ -199,6 +237,7 @@
 
   t->next_poll_ms = now + POLL_RETRY_MS;
   t->seq = 0;
+  t->failed = true;
   t->silent = err->code == -ETIMEDOUT;
   if (err->code != -ECONNREFUSED)
     {
@@ -246,13 +285,26 @@
   else
     {
       t->refused_since_ms = 0;
+      t->failed = false;
       t->silent = false;
       reconcile (t, &st);
       target_status_free (&st);
     }
+  struct str leaving = { 0 };
+  if (t->leaving_found)
+    leaving = str_dup (t->addr);
+  t->leaving_found = false;
   place_settle_wakes (s);
   place_decide (s);
   place_poll (s);
+  /* The new host list can remove the target. */
+  if (leaving.len > 0)
+    {
+      LOG_INFO ("target-leaving", "service=" STR_FMT " target=" STR_FMT,
+                STR_ARG (s->name), STR_ARG (leaving));
+      hosts_mark_leaving (hosts_get (s->kernel), leaving);
+    }
+  str_free (&leaving);
 }
 
 static const struct http_events status_events = { .done = on_status };
