--- a/src/bus.c
+++ b/src/bus.c
@@ -193,6 +193,12 @@
   return req->peer;
 }
 
+bool
+bus_gone (const struct bus_request *req)
+{
+  return !req->local && !req->conn;
+}
+
 static void
 on_request (struct bus *b, struct busconn *conn, const struct rpcmsg *msg,
             struct str body)
--- a/src/bus.h
+++ b/src/bus.h
@@ -54,5 +54,7 @@
 void bus_fail (struct bus_request *req, int err, struct str hint);
 /** bus_peer() - bus address of the calling connection's remote end. */
 struct str bus_peer (const struct bus_request *req);
+/** bus_gone() - the caller's connection has closed; an answer is dropped. */
+bool bus_gone (const struct bus_request *req);
 /** bus_bytes() - control bytes sent and received so far, for metrics. */
 uint64_t bus_bytes (const struct bus *bus);
--- a/src/sched_impl.h
+++ b/src/sched_impl.h
@@ -76,9 +76,13 @@
   bool leaving;
   bool alone;    /* runs a suspect */
   bool reserved; /* kept empty for a waiting suspect */
-  bool paused;   /* did not take a request a moment ago */
+  bool locking;  /* SCHED_LOCK was sent, and no SCHED_UNLOCK */
+  bool locked;
+  bool paused; /* empty, and did not take a request a moment ago */
   uint32_t pause_ms;
   uint64_t paused_until_ms;
+  uint32_t limit; /* requests that it takes at present; 0 is no limit */
+  uint32_t done;  /* completed since the limit was changed */
   struct str target;
   struct str domain;
   uint64_t hash;
@@ -202,13 +206,22 @@
 void replica_distrust (struct sched *s, const struct replica_slot *r,
                        uint64_t until_ms);
 void replica_drop_adapter (struct replica_slot *r, const struct need *need);
-/** replica_pause() - a replica did not take a request: others run on the same
- * server, or it cannot be reached. It gets none until another one completes
- * there or the pause ends; each next pause is twice as long. */
-void replica_pause (struct replica_slot *r, uint64_t now_ms);
+/**
+ * replica_not_run() - a replica did not take a request: others run on the same
+ * server, or it cannot be reached.
+ *
+ * It gets no more requests than run there now, and one more for each round
+ * that completes. An empty one gets none for a pause, which doubles each time.
+ */
+void replica_not_run (struct replica_slot *r, uint64_t now_ms);
+void replica_done (struct replica_slot *r);
 void replica_unpause (struct sched *s, uint64_t now_ms);
 /** reserve() - replica kept empty for a suspect; NO_REPLICA if none. */
 size_t reserve (struct sched *s, struct waiter *w);
+/** unreserve() - end a reservation, or the run of a suspect. */
+void unreserve (struct sched *s, struct replica_slot *r);
+/** ready_alone() - may the reserved replica run its suspect now. */
+bool ready_alone (const struct sched *s, const struct replica_slot *r);
 void grants_died (struct sched *s, uint64_t target, uint64_t instance,
                   uint64_t event, uint64_t now_ms);
 
--- a/src/scheduler_client.c
+++ b/src/scheduler_client.c
@@ -17,7 +17,6 @@
 #define ANSWER_MS 500
 #define AGAIN_MS 100
 #define HINTS_MAX 4
-#define RELEASE_MS 5000
 
 /** struct ask - a request for a grant on its way to a scheduler.
  * @place: in the order of the key.
@@ -243,21 +242,3 @@
       ask_end (a, -ECANCELED, NULL);
   }
 }
-
-void
-scheduler_release (struct scheduler *s, const struct release_args *args)
-{
-  const struct str id = STR_TEXT (args->attempt_id);
-  const struct member_view *view = kernel_latest (s->kernel, TOPIC_MEMBERS);
-  const char *dash = id.len > 0 ? memchr (id.data, '-', id.len) : NULL;
-  const struct str granter = { id.data, dash ? (size_t)(dash - id.data) : 0 };
-  struct sched_key key
-      = sched_key_make (s, STR_TEXT (args->service), STR_TEXT (args->model));
-  const struct member_info *to = member_find (view, granter);
-
-  if (!to)
-    to = scheduler_owner (s, &key);
-  if (to && !s->stopped)
-    bus_call (s->bus, to->addr, PEER_RELEASE, args, RELEASE_MS, NULL, NULL);
-  str_free (&key.key);
-}
--- a/tests/test_schedrules.c
+++ b/tests/test_schedrules.c
@@ -201,26 +201,34 @@
 {
   struct fixture f = setup (false, 1);
   struct sched_action a = ask (&f, (struct sched_request){ 0 }, 0);
-  const uint64_t other = ask (&f, (struct sched_request){ 0 }, 0).grant;
+  uint64_t other = ask (&f, (struct sched_request){ 0 }, 0).grant;
 
+  /* Full: as many as run there now. */
   release (&f, a.grant, ATTEMPT_NOT_RUN, 1);
-  CU_ASSERT_EQUAL (ask (&f, (struct sched_request){ .attempt = 2 }, 1).kind,
-                   NOTHING);
+  ask (&f, (struct sched_request){ .attempt = 2 }, 1);
+  ask (&f, (struct sched_request){ 0 }, 1);
+  sched_tick (f.s, 1000);
+  CU_ASSERT_EQUAL (next (&f).kind, NOTHING);
+  release (&f, other, ATTEMPT_DONE, 1000);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_GRANT);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_GRANT);
+  CU_ASSERT_EQUAL (sched_in_flight (f.s), 2);
+  teardown (&f);
+  /* Not reached: none for a while, twice as long the next time. */
+  f = setup (false, 1);
+  a = ask (&f, (struct sched_request){ 0 }, 0);
+  release (&f, a.grant, ATTEMPT_NOT_RUN, 0);
+  ask (&f, (struct sched_request){ 0 }, 1);
   sched_tick (f.s, 40);
   CU_ASSERT_EQUAL (next (&f).kind, NOTHING);
-  release (&f, other, ATTEMPT_DONE, 45);
+  sched_tick (f.s, 60);
   a = next (&f);
   CU_ASSERT_EQUAL (a.kind, SCHED_GRANT);
-  release (&f, a.grant, ATTEMPT_NOT_RUN, 46);
-  ask (&f, (struct sched_request){ 0 }, 46);
-  sched_tick (f.s, 100);
-  a = next (&f);
-  CU_ASSERT_EQUAL (a.kind, SCHED_GRANT);
-  release (&f, a.grant, ATTEMPT_NOT_RUN, 100);
-  ask (&f, (struct sched_request){ 0 }, 100);
-  sched_tick (f.s, 180);
+  release (&f, a.grant, ATTEMPT_NOT_RUN, 60);
+  ask (&f, (struct sched_request){ 0 }, 60);
+  sched_tick (f.s, 140);
   CU_ASSERT_EQUAL (next (&f).kind, NOTHING);
-  sched_tick (f.s, 200);
+  sched_tick (f.s, 160);
   CU_ASSERT_EQUAL (next (&f).kind, SCHED_GRANT);
   teardown (&f);
 }
@@ -248,6 +256,39 @@
   teardown (&f);
 }
 
+/* Guards against a suspect that runs without its lock, and locks that are
+   never given back. */
+static void
+test_suspect_lock (void)
+{
+  const struct sched_config config
+      = { .queue_max = 4, .hold_ms = 60000, .lock = true };
+  const struct sched_request suspect = {
+    .fingerprint = 9, .attempt = 2, .crash_seen = true, .deadline_ms = 3000
+  };
+  struct fixture f = setup (false, 1);
+
+  sched_configure (f.s, &config);
+  CU_ASSERT_EQUAL (ask (&f, suspect, 0).kind, SCHED_LOCK);
+  CU_ASSERT_EQUAL (next (&f).kind, NOTHING);
+  sched_locked (f.s, STR ("t1"), false, 1);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_LOCK);
+  sched_locked (f.s, STR ("t1"), true, 2);
+  const struct sched_action a = next (&f);
+
+  CU_ASSERT_EQUAL (a.kind, SCHED_GRANT);
+  release (&f, a.grant, ATTEMPT_DONE, 3);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_UNLOCK);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_CLEARED);
+  /* A suspect that is refused gives back the lock that it waits for. */
+  crash_merge (f.crash, 9, 1, 0, 4);
+  CU_ASSERT_EQUAL (ask (&f, suspect, 5).kind, SCHED_LOCK);
+  sched_tick (f.s, 3000);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_REFUSE);
+  CU_ASSERT_EQUAL (next (&f).kind, SCHED_UNLOCK);
+  teardown (&f);
+}
+
 /* Guards against a prefix that overloads its replica, and load that gathers
    in one failure domain. */
 static void
@@ -331,6 +372,7 @@
   { "leaving, dead and excluded targets", test_unusable },
   { "target that does not take requests", test_not_run },
   { "suspect alone", test_suspect_alone },
+  { "lock for a suspect", test_suspect_lock },
   { "affinity and spread", test_affinity },
   { "lost entries, full queue", test_lost_entries },
   { "refusals", test_refusals },
