--- a/src/placetarget.c
+++ b/src/placetarget.c
@@ -11,31 +11,20 @@
 
 #define LOG_MODULE "placement"
 #define POLL_WAIT_MS 20000
-#define POLL_GRACE_MS 3000
+/* While something is to happen on a server its polls are short, because a
+   connection that went silent would hide it for the whole wait. */
+#define POLL_PENDING_WAIT_MS 1000
+#define POLL_GRACE_MS 1500
 #define POLL_RETRY_MS 500
 /* Pause between polls that wait for something to vanish from the status. */
 #define POLL_UNSETTLED_MS 300
-#define ORDER_LIMIT_MS 5000
 /* A server whose address refuses connections for this long has ended: its
    process holds no memory any more. */
-#define REFUSED_MS 3000
-/* No load is tried on a server for this time after one failed there. */
-#define AVOID_MS 10000
+#define REFUSED_MS 2000
+/* A server that the host list does not name any more, and that does not
+   answer, is given up after this time. */
+#define UNLISTED_MS 3000
 #define CACHED_MAX 64
-/* Slots of the load budget come back by themselves after this multiple of the
-   estimated load time. */
-#define HOLD_FACTOR 2
-
-struct sent_order
-{
-  struct place_service *service;
-  struct str addr;
-  struct str id;
-  struct replica_key key;
-  enum order_kind kind;
-  uint64_t fence;
-  bool slot;
-};
 
 static void
 target_free (struct place_target *t)
@@ -77,34 +66,47 @@
   return h && str_eq (h->service, s->name);
 }
 
-/* The list of hosts names the platform's live hosts: what is gone from it has
-   no process any more. */
 static void
-remove_unlisted (struct place_service *s, const struct host_view *view)
+remove_target (struct place_service *s, struct place_target *t)
+{
+  const struct ledger_server *server = ledger_server (s->ledger, t->addr);
+
+  LOG_INFO (
+      "server-gone",
+      "service=" STR_FMT " target=" STR_FMT " entries=%zu reason=not-listed",
+      STR_ARG (s->name), STR_ARG (t->addr), server ? server->entry_count : 0);
+  ledger_server_gone (s->ledger, t->addr, true);
+  HASH_DEL (s->targets, t);
+  target_free (t);
+}
+
+/* A server that the host list does not name gets no work. Its entries go when
+   it does not answer either: the list of this node may be older than the
+   server. */
+static void
+check_unlisted (struct place_service *s, const struct host_view *view,
+                uint64_t now)
 {
   struct place_target *t;
   struct place_target *next;
 
   HASH_ITER (hh, s->targets, t, next)
   {
-    if (listed (s, view, t->addr))
-      continue;
-    HASH_DEL (s->targets, t);
-    target_free (t);
-  }
-  for (size_t i = s->ledger->server_count; i-- > 0;)
-    {
-      const struct ledger_server *server = s->ledger->servers[i];
+    struct ledger_server *server = ledger_server (s->ledger, t->addr);
 
-      if (listed (s, view, server->addr))
+    if (listed (s, view, t->addr))
+      {
+        t->unlisted_since_ms = 0;
         continue;
-      LOG_INFO ("server-gone",
-                "service=" STR_FMT " target=" STR_FMT
-                " entries=%zu reason=not-listed",
-                STR_ARG (s->name), STR_ARG (server->addr),
-                server->entry_count);
-      ledger_server_gone (s->ledger, server->addr, true);
-    }
+      }
+    if (t->unlisted_since_ms == 0)
+      t->unlisted_since_ms = now;
+    if (server)
+      server->listed_leaving = true;
+    if (now >= t->unlisted_since_ms + UNLISTED_MS
+        && (t->failed || !server || server->entry_count == 0))
+      remove_target (s, t);
+  }
 }
 
 void
@@ -112,20 +114,20 @@
 {
   const struct host_view *view = kernel_latest (s->kernel, TOPIC_HOSTS);
 
-  if (!view || !place_ready (s))
+  if (!view || !place_serving (s))
     return;
-  remove_unlisted (s, view);
   for (size_t i = 0; i < view->count; i++)
     {
       const struct host *h = &view->hosts[i];
 
-      if (!str_eq (h->service, s->name))
-        continue;
-      if (!place_target (s, h->addr))
-        add_target (s, h->addr);
-      ledger_server_add (s->ledger, h->addr, h->domain)->listed_leaving
-          = h->leaving;
+      if (str_eq (h->service, s->name))
+        ledger_server_add (s->ledger, h->addr, h->domain)->listed_leaving
+            = h->leaving;
     }
+  for (size_t i = 0; i < s->ledger->server_count; i++)
+    if (!place_target (s, s->ledger->servers[i]->addr))
+      add_target (s, s->ledger->servers[i]->addr);
+  check_unlisted (s, view, clock_ms ());
 }
 
 /* Status polls. */
@@ -177,6 +179,32 @@
   metrics_observe ("galenagate_load_ms", s->labels, (double)ms);
 }
 
+/* A load that the server accepted and shows no more has failed. */
+static void
+note_failed (struct place_service *s, const struct place_target *t,
+             const struct ledger_server *server,
+             const struct target_status *status)
+{
+  for (size_t i = 0; i < server->entry_count; i++)
+    {
+      const struct ledger_entry *e = server->entries[i];
+
+      if (e->state != LEDGER_INTENT_LOAD || e->open
+          || e->instance != status->instance || t->asked_ms < e->known_ms
+          || target_status_find (status, &e->key))
+        continue;
+      LOG_WARN ("load-failed",
+                "service=" STR_FMT " target=" STR_FMT " model=" STR_FMT
+                " adapter=" STR_FMT " order=" STR_FMT,
+                STR_ARG (s->name), STR_ARG (t->addr), STR_ARG (e->key.model),
+                STR_ARG (e->key.adapter), STR_ARG (e->order_id));
+      place_load_failed (s, t->addr, &e->key, false);
+      if (e->slot)
+        place_slot_done (s, e->key.adapter.len > 0 ? BUDGET_ADAPTER
+                                                   : BUDGET_MODEL);
+    }
+}
+
 static void
 reconcile (struct place_target *t, const struct target_status *status)
 {
@@ -186,12 +214,8 @@
 
   if (!server)
     return;
-  if (status->leaving && !server->leaving)
-    {
-      LOG_INFO ("target-leaving", "service=" STR_FMT " target=" STR_FMT,
-                STR_ARG (s->name), STR_ARG (t->addr));
-      hosts_mark_leaving (hosts_get (s->kernel), t->addr);
-    }
+  t->leaving_found |= status->leaving && !server->leaving;
+  note_failed (s, t, server, status);
   ledger_status (s->ledger, t->addr, status, t->asked_ms, now);
   for (size_t i = 0; i < server->entry_count; i++)
     if (server->entries[i]->loaded_ms > 0 && !server->entries[i]->told)
@@ -213,6 +237,8 @@
 
   t->next_poll_ms = now + POLL_RETRY_MS;
   t->seq = 0;
+  t->failed = true;
+  t->silent = err->code == -ETIMEDOUT;
   if (err->code != -ECONNREFUSED)
     {
       t->refused_since_ms = 0;
@@ -242,7 +268,7 @@
   (void)call;
   (void)sent;
   t->poll = NULL;
-  if (!place_ready (s))
+  if (!place_serving (s))
     {
       t->next_poll_ms = clock_ms () + POLL_RETRY_MS;
       return;
@@ -259,27 +285,56 @@
   else
     {
       t->refused_since_ms = 0;
+      t->failed = false;
+      t->silent = false;
       reconcile (t, &st);
       target_status_free (&st);
     }
+  struct str leaving = { 0 };
+  if (t->leaving_found)
+    leaving = str_dup (t->addr);
+  t->leaving_found = false;
   place_settle_wakes (s);
   place_decide (s);
   place_poll (s);
+  /* The new host list can remove the target. */
+  if (leaving.len > 0)
+    {
+      LOG_INFO ("target-leaving", "service=" STR_FMT " target=" STR_FMT,
+                STR_ARG (s->name), STR_ARG (leaving));
+      hosts_mark_leaving (hosts_get (s->kernel), leaving);
+    }
+  str_free (&leaving);
 }
 
 static const struct http_events status_events = { .done = on_status };
 
+static bool
+is_pending (const struct place_target *t)
+{
+  const struct ledger_server *server
+      = ledger_server (t->service->ledger, t->addr);
+
+  for (size_t i = 0; server && i < server->entry_count; i++)
+    if (server->entries[i]->state != LEDGER_LOADED)
+      return true;
+  return false;
+}
+
 static void
 poll_target (struct place_target *t)
 {
   struct place_service *s = t->service;
+  const uint32_t wait_ms
+      = is_pending (t) ? POLL_PENDING_WAIT_MS : POLL_WAIT_MS;
   struct str url
       = str_printf ("http://" STR_FMT "/status?since=%lu&wait_ms=%u",
-                    STR_ARG (t->addr), t->seq, POLL_WAIT_MS);
+                    STR_ARG (t->addr), t->seq, wait_ms);
   const struct http_request req = {
     .method = STR ("GET"),
     .url = url,
-    .total_ms = POLL_WAIT_MS + POLL_GRACE_MS,
+    .total_ms = wait_ms + POLL_GRACE_MS,
+    .fresh = t->silent,
   };
 
   t->asked_ms = clock_ms ();
@@ -292,11 +347,20 @@
 {
   const uint64_t now = clock_ms ();
 
-  if (!place_ready (s))
+  if (!place_serving (s))
     return;
   for (struct place_target *t = s->targets; t; t = t->hh.next)
-    if (!t->poll && now >= t->next_poll_ms)
-      poll_target (t);
+    {
+      if (t->poll && now >= t->asked_ms + POLL_PENDING_WAIT_MS + POLL_GRACE_MS
+          && is_pending (t))
+        {
+          http_cancel (t->poll);
+          t->poll = NULL;
+          t->next_poll_ms = now;
+        }
+      if (!t->poll && now >= t->next_poll_ms)
+        poll_target (t);
+    }
 }
 
 void
@@ -311,277 +375,3 @@
     target_free (t);
   }
 }
-
-/* Orders. */
-
-static void
-sent_order_free (struct sent_order *o)
-{
-  str_free (&o->addr);
-  str_free (&o->id);
-  replica_key_free (&o->key);
-  free (o);
-}
-
-static void
-load_failed (struct place_service *s, const struct sent_order *o)
-{
-  struct place_target *t = place_target (s, o->addr);
-  struct place_wake *w;
-
-  if (t)
-    t->avoid_until_ms = clock_ms () + AVOID_MS;
-  DL_FOREACH (s->wakes, w)
-  if (str_eq (w->want.key.model, o->key.model))
-    w->failed = true;
-}
-
-static const char *const answer_names[] = {
-  [ORDER_ACCEPTED] = "accepted",   [ORDER_REFUSED] = "refused",
-  [ORDER_FAILED] = "failed",       [ORDER_BUSY] = "busy",
-  [ORDER_OLD_FENCE] = "old-fence", [ORDER_WRONG_INSTANCE] = "wrong-instance",
-  [ORDER_NOT_SENT] = "not-sent",   [ORDER_UNANSWERED] = "unanswered",
-};
-
-static void
-apply_answer (struct place_service *s, const struct sent_order *o,
-              enum order_answer answer)
-{
-  struct place_target *t = place_target (s, o->addr);
-  const uint64_t now = clock_ms ();
-
-  if (o->kind == ORDER_FENCE)
-    {
-      if (t)
-        t->fence_in_flight = false;
-      if (answer == ORDER_ACCEPTED)
-        ledger_fence_known (s->ledger, o->addr, now);
-      return;
-    }
-  if (answer == ORDER_REFUSED || answer == ORDER_FAILED)
-    {
-      if (o->kind == ORDER_LOAD)
-        load_failed (s, o);
-      if (o->slot)
-        place_slot_done (s, o->key.adapter.len > 0 ? BUDGET_ADAPTER
-                                                   : BUDGET_MODEL);
-    }
-  ledger_order_answer (s->ledger, o->addr, o->id, o->kind, answer, now);
-}
-
-static void
-on_order (void *ctx, struct http_call *call, struct err err, int status,
-          bool sent, struct str body)
-{
-  struct sent_order *o = ctx;
-  struct place_service *s = o->service;
-  const enum order_answer answer
-      = order_answer_decode (err.code, sent, status, body);
-
-  (void)call;
-  if (answer != ORDER_ACCEPTED)
-    LOG_WARN ("order-answer",
-              "service=" STR_FMT " target=" STR_FMT " order=" STR_FMT
-              " model=" STR_FMT " answer=%s status=%d " LOG_E_FMT,
-              STR_ARG (s->name), STR_ARG (o->addr), STR_ARG (o->id),
-              STR_ARG (o->key.model), answer_names[answer], status,
-              LOG_E_ARG (err));
-  if (s->ledger && s->ledger->fence == o->fence)
-    {
-      apply_answer (s, o, answer);
-      place_store_step (s);
-    }
-  sent_order_free (o);
-}
-
-static const struct http_events order_events = { .done = on_order };
-
-/* The lease is checked immediately before the order leaves. A holder whose
-   lease has expired may send a stored load again only towards engines that
-   refuse old fences, because elsewhere a successor may have released the
-   memory. */
-static bool
-may_send (const struct place_service *s, const struct order *o)
-{
-  if (lease_valid (lease_get (s->kernel), s->lease))
-    return lease_fence (lease_get (s->kernel), s->lease) == s->ledger->fence;
-  return s->fenced && o->kind == ORDER_LOAD;
-}
-
-static bool
-send_order (struct place_service *s, struct str addr, const struct order *o,
-            bool slot)
-{
-  struct str url = str_printf ("http://" STR_FMT "/orders", STR_ARG (addr));
-  struct str body = order_encode (o);
-  const struct str header = STR ("Content-Type: application/json");
-  const struct http_request req = {
-    .method = STR ("POST"),
-    .url = url,
-    .headers = &header,
-    .header_count = 1,
-    .body = body,
-    .total_ms = ORDER_LIMIT_MS,
-    .fresh = true,
-  };
-  struct sent_order *sent = xmalloc (sizeof *sent);
-  *sent = (struct sent_order){ .service = s,
-                               .addr = str_dup (addr),
-                               .id = str_dup (o->order_id),
-                               .key = replica_key_dup (&o->key),
-                               .kind = o->kind,
-                               .fence = s->ledger->fence,
-                               .slot = slot };
-  const bool ok = may_send (s, o);
-
-  if (ok)
-    http_send (http_get (s->kernel), &req, &order_events, sent);
-  else
-    sent_order_free (sent);
-  str_free (&url);
-  str_free (&body);
-  return ok;
-}
-
-static void
-send_fence (struct place_service *s, struct place_target *t,
-            const struct ledger_server *server)
-{
-  if (t->fence_in_flight || server->fence_known || !server->seen)
-    return;
-  struct str id
-      = str_printf ("fence.%lu.%lu", s->ledger->fence, server->instance);
-  const struct order o = { .kind = ORDER_FENCE,
-                           .order_id = id,
-                           .fence = s->ledger->fence,
-                           .instance = server->instance };
-
-  t->fence_in_flight = send_order (s, t->addr, &o, false);
-  str_free (&id);
-}
-
-struct due
-{
-  struct ledger_server *server;
-  struct ledger_entry *entry;
-  struct order order;
-  struct policy_want want;
-};
-
-/* Urgency of an entry: that of its most urgent caller. */
-static struct policy_want
-urgency (const struct place_service *s, const struct ledger_entry *e)
-{
-  const struct model *m = place_model (s, &e->key);
-  const struct policy_ops *ops = s->policy->ops;
-  struct policy_want best = { .priority = INT32_MIN,
-                              .deadline_ms = UINT64_MAX,
-                              .asked_ms = e->decided_ms };
-  const struct place_wake *w;
-
-  DL_FOREACH (s->wakes, w)
-  if (str_eq (w->want.key.model, e->key.model)
-      && ops->before (&w->want, &best))
-    best = w->want;
-  best.bytes = e->bytes;
-  best.load_ms = m && e->key.adapter.len == 0 ? m->load_ms : 0;
-  return best;
-}
-
-static bool
-send_load (struct place_service *s, const struct due *d)
-{
-  const bool adapter = d->entry->key.adapter.len > 0;
-  const uint32_t hold_ms
-      = HOLD_FACTOR * policy_load_ms (&d->want, CACHE_REMOTE) + 1000;
-
-  if (!d->entry->slot
-      && place_slots (s, adapter ? BUDGET_ADAPTER : BUDGET_MODEL, 1, hold_ms)
-             == 0)
-    return false;
-  d->entry->slot = true;
-  ledger_order_sent (d->entry, ORDER_LOAD, clock_ms ());
-  if (send_order (s, d->server->addr, &d->order, true))
-    return true;
-  ledger_order_answer (s->ledger, d->server->addr, d->order.order_id,
-                       ORDER_LOAD, ORDER_NOT_SENT, clock_ms ());
-  return true;
-}
-
-static void
-send_unload (struct place_service *s, const struct due *d)
-{
-  ledger_order_sent (d->entry, ORDER_UNLOAD, clock_ms ());
-  if (!send_order (s, d->server->addr, &d->order, false))
-    ledger_order_answer (s->ledger, d->server->addr, d->order.order_id,
-                         ORDER_UNLOAD, ORDER_NOT_SENT, clock_ms ());
-}
-
-static bool
-is_held_back (const struct place_service *s, const struct ledger_entry *e,
-              uint64_t now)
-{
-  return e->fence < s->ledger->fence
-         && (!s->former_asked || now < s->former_until_ms);
-}
-
-/* Sends the loads that are due, the most urgent first, until the budget ends.
- */
-static void
-send_loads (struct place_service *s, struct due *loads, size_t n)
-{
-  const struct policy_ops *ops = s->policy->ops;
-  bool full[2] = { false, false };
-
-  while (n > 0)
-    {
-      size_t best = 0;
-
-      for (size_t i = 1; i < n; i++)
-        if (ops->before (&loads[i].want, &loads[best].want))
-          best = i;
-      const enum budget_kind kind = loads[best].entry->key.adapter.len > 0
-                                        ? BUDGET_ADAPTER
-                                        : BUDGET_MODEL;
-      if (!full[kind])
-        full[kind] = !send_load (s, &loads[best]);
-      loads[best] = loads[--n];
-    }
-}
-
-void
-place_send_orders (struct place_service *s)
-{
-  const uint64_t now = clock_ms ();
-  struct due *loads = NULL;
-  size_t n = 0;
-
-  if (!s->ledger || s->ledger->dropped || s->ledger->stamped_ms == 0)
-    return;
-  for (size_t i = 0; i < s->ledger->server_count; i++)
-    {
-      struct ledger_server *server = s->ledger->servers[i];
-      struct place_target *t = place_target (s, server->addr);
-
-      if (t && s->fenced && s->held)
-        send_fence (s, t, server);
-      for (size_t j = 0; j < server->entry_count; j++)
-        {
-          struct due d = { .server = server, .entry = server->entries[j] };
-
-          if (!ledger_order (s->ledger, d.entry, now, &d.order)
-              || is_held_back (s, d.entry, now))
-            continue;
-          if (d.order.kind == ORDER_UNLOAD)
-            {
-              send_unload (s, &d);
-              continue;
-            }
-          d.want = urgency (s, d.entry);
-          loads = xrealloc (loads, (n + 1) * sizeof *loads);
-          loads[n++] = d;
-        }
-    }
-  send_loads (s, loads, n);
-  free (loads);
-}
