Move ownership of scheduling keys to a file of its own

Change: scheduler_owner.c has the rendezvous order; no change of behaviour. Conclusion: make unit (72 tests) and make lint pass.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -29,92 +29,6 @@
   return (struct scheduler *)kernel_find (kernel, "scheduler");
 }
 
-/* ---- ownership ---- */
-
-struct sched_key
-sched_key_make (const struct scheduler *s, struct str service,
-                struct str model)
-{
-  const struct lists *lists = kernel_latest (s->kernel, TOPIC_LISTS);
-  const struct service *listed = lists ? lists_service (lists, service) : NULL;
-
-  return (struct sched_key){
-    .region = listed ? listed->region : (struct str){ 0 },
-    .key = model.len > 0 ? str_printf ("model/" STR_FMT, STR_ARG (model))
-                         : str_printf ("service/" STR_FMT, STR_ARG (service)),
-  };
-}
-
-static bool
-is_self (const struct scheduler *s, const struct member_info *m)
-{
-  return str_eq (m->addr, kernel_settings (s->kernel)->bus_addr);
-}
-
-/* This node itself, when it drains and no other node is left. */
-static const struct member_info *
-last_resort (const struct scheduler *s, const struct member_view *view,
-             const struct sched_key *key)
-{
-  const struct member_info *self = view ? &view->members[view->self] : NULL;
-
-  if (!s->draining || !self
-      || (key->region.len > 0 && !str_eq (key->region, self->region)))
-    return NULL;
-  return self;
-}
-
-const struct member_info *
-scheduler_owner (const struct scheduler *s, const struct sched_key *key)
-{
-  const struct member_view *view = kernel_latest (s->kernel, TOPIC_MEMBERS);
-  const struct member_info *first = NULL;
-
-  for (size_t place = 0;; place++)
-    {
-      const struct member_info *m
-          = member_rank (view, key->region, key->key, place);
-
-      if (!m)
-        return first ? first : last_resort (s, view, key);
-      if (s->draining && is_self (s, m))
-        continue;
-      if (m->state == MEMBER_ALIVE)
-        return m;
-      if (!first)
-        first = m;
-    }
-}
-
-/* Does this node schedule the key: it is the first of the order, or all nodes
-   before it are suspected. Two nodes may do so for a short time; waiting for
-   the suspicion to be settled would cost more deadlines. A node that drains
-   goes on as long as there is no successor. */
-static bool
-is_owner (const struct scheduler *s, const struct sched_key *key)
-{
-  const struct member_view *view = kernel_latest (s->kernel, TOPIC_MEMBERS);
-
-  if (s->draining)
-    {
-      const struct member_info *owner = scheduler_owner (s, key);
-
-      return owner && is_self (s, owner);
-    }
-  for (size_t place = 0;; place++)
-    {
-      const struct member_info *m
-          = member_rank (view, key->region, key->key, place);
-
-      if (!m)
-        return false;
-      if (is_self (s, m))
-        return true;
-      if (m->state != MEMBER_SUSPECT)
-        return false;
-    }
-}
-
 /* ---- procedures ---- */
 
 /* The former grant of a request that asks again is no longer used: the entry
@@ -215,7 +129,7 @@
   const struct grant_args *args = p;
   struct sched_key key
       = sched_key_make (s, STR_TEXT (args->service), STR_TEXT (args->model));
-  const bool own = is_owner (s, &key);
+  const bool own = scheduler_owns (s, &key);
   const struct member_info *owner = own ? NULL : scheduler_owner (s, &key);
 
   str_free (&key.key);
@@ -334,7 +248,7 @@
     {
       struct sched_key key = sched_key_make (s, u->service, u->model);
 
-      if (u->owned && !is_owner (s, &key) && scheduler_owner (s, &key))
+      if (u->owned && !scheduler_owns (s, &key) && scheduler_owner (s, &key))
         hand_over (s, u);
       str_free (&key.key);
     }
--- a/src/scheduler_impl.h
+++ b/src/scheduler_impl.h
@@ -105,6 +105,7 @@
   struct str key; /* heap-owned */
 };
 
+/* scheduler_owner.c */
 /** sched_key_make() - of a model, or of a plain service with model empty. */
 struct sched_key sched_key_make (const struct scheduler *s, struct str service,
                                  struct str model);
@@ -116,6 +117,10 @@
  */
 const struct member_info *scheduler_owner (const struct scheduler *s,
                                            const struct sched_key *key);
+/** scheduler_owns() - does this node schedule the key. */
+bool scheduler_owns (const struct scheduler *s, const struct sched_key *key);
+
+/* scheduler.c */
 /** quick_timer() - run the quick timer as long as somebody waits. */
 void quick_timer (struct scheduler *s);
 
