Keep calls of different entries apart by their address

Cause: a repeated request id gives up the former grant. Change: calls are found by entry address and request id. Conclusion: make unit passes.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -34,12 +34,12 @@
 /* The former grant of a request that asks again is no longer used: the entry
    has no answer to it, or released it on a connection that broke. */
 static void
-drop_former (struct scheduler *s, struct str request_id)
+drop_former (struct scheduler *s, struct str id)
 {
   static const struct sched_result unused = { .outcome = ATTEMPT_UNUSED };
   struct call *c;
 
-  HASH_FIND (hh, s->calls, request_id.data, request_id.len, c);
+  HASH_FIND (hh, s->calls, id.data, id.len, c);
   if (!c)
     return;
   struct unit *u = c->unit;
@@ -145,7 +145,11 @@
       bus_fail (req, -ESTALE, owner ? owner->addr : (struct str){ 0 });
       return;
     }
-  drop_former (s, STR_TEXT (args->request_id));
+  struct str id
+      = str_printf (STR_FMT " " STR_FMT, STR_ARG (STR_TEXT (args->entry.addr)),
+                    STR_ARG (STR_TEXT (args->request_id)));
+
+  drop_former (s, id);
   struct unit *u = unit_get (s, args);
   struct call *c = xcalloc (1, sizeof *c);
 
@@ -155,12 +159,13 @@
   *c = (struct call){
     .req = req,
     .unit = u,
+    .id = id,
     .request_id = str_dup (STR_TEXT (args->request_id)),
     .customer = str_dup (STR_TEXT (args->customer)),
     .class_name = str_dup (STR_TEXT (args->class_name)),
     .cold = !u->plain && sched_target_count (u->sched) == 0,
   };
-  HASH_ADD_KEYPTR (hh, s->calls, c->request_id.data, c->request_id.len, c);
+  HASH_ADD_KEYPTR (hh, s->calls, c->id.data, c->id.len, c);
   submit (s, u, c, args);
 }
 
--- a/src/scheduler_impl.h
+++ b/src/scheduler_impl.h
@@ -54,13 +54,14 @@
 {
   struct bus_request *req;
   struct unit *unit;
+  struct str id; /* entry and request id */
   struct str request_id;
   struct str customer;
   struct str class_name;
   struct grant_key key; /* once granted */
   bool cold;
   uint64_t granted_ms;
-  UT_hash_handle hh;       /* by request id */
+  UT_hash_handle hh;       /* by id */
   UT_hash_handle by_grant; /* by key */
 };
 
--- a/src/scheduler_unit.c
+++ b/src/scheduler_unit.c
@@ -121,6 +121,7 @@
   HASH_DELETE (hh, s->calls, c);
   if (c->key.grant)
     HASH_DELETE (by_grant, s->granted, c);
+  str_free (&c->id);
   str_free (&c->request_id);
   str_free (&c->customer);
   str_free (&c->class_name);
