Exit with an error when an address is taken, instead of aborting

Cause: stop() ran for plug-ins that were never started and closed handles that they open only in start.

--- a/src/kernel.c
+++ b/src/kernel.c
@@ -39,6 +39,7 @@
   uint64_t instance;
   struct plugin *plugins[PLUGINS_MAX];
   size_t count;
+  size_t started;       /* plug-ins below this index are started */
   size_t draining_next; /* plug-ins below this index are not drained yet */
   bool draining;
   bool stopping;
@@ -84,7 +85,9 @@
   if (k->stopping)
     return;
   k->stopping = true;
-  for (size_t i = k->count; i-- > 0;)
+  /* Some plug-ins open their handles in start; the others must not be
+     stopped. */
+  for (size_t i = k->started; i-- > 0;)
     if (k->plugins[i]->ops->stop)
       k->plugins[i]->ops->stop (k->plugins[i]);
   for (size_t i = 0; i < 2; i++)
@@ -172,7 +175,10 @@
       const int rc = ops->start ? ops->start (k->plugins[i]) : 0;
 
       if (rc == 0)
-        continue;
+        {
+          k->started = i + 1;
+          continue;
+        }
       LOG_ERR ("start-failed", "plugin=%s error=\"%s\"", ops->name,
                err_str (rc));
       return rc;
