Remove the log of apply after a passed end-to-end test

Cause: the temporary directory of each passed test that ran apply stayed, because apply.log kept rmdir from removing it. Change: cluster_destroy() removes that file too. Conclusion: after build/e2e path (4 tests passed) its directories are gone.

--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -79,7 +79,12 @@
   if (keep)
     fprintf (stderr, "logs are in %s\n", c->dir);
   else
-    rmdir (c->dir);
+    {
+      char apply_log[96];
+      snprintf (apply_log, sizeof apply_log, "%s/apply.log", c->dir);
+      unlink (apply_log);
+      rmdir (c->dir);
+    }
   if (current == c)
     current = NULL;
   free (c);
