Bound the harm of connections that went silent

Cause: after all open connections to an engine went silent, one request at each entry met one of them. Answers in one piece waited until their deadline, and of several entries only one could repeat, because the retry budget of a rarely used model kept one retry. Ruled out: TCP_USER_TIMEOUT alone (it needs packets that are not acknowledged; a middle box may acknowledge them). Change: connections idle for 2 s are not used again; answers in one piece and repeated attempts go over new connections; a silent stream is given up after 5 s instead of 10; the floor of the retry budget keeps 5 retries. The test 'retry budget' stated the floor as 1; it now states 5 and is as strict: the 6th retry, and one at 999 ms, are refused, and the share stays at exactly 10 %.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -10,8 +10,8 @@
 #include "sse.h"
 
 #define LOG_MODULE "attempt"
-/* Engines send a comment every few seconds while a stream waits. */
-#define STREAM_SILENCE_MS 10000
+/* Engines send a comment every 2 s while a stream waits. */
+#define STREAM_SILENCE_MS 5000
 #define RESUME_LIMIT 2
 #define RESUME_FIRST_BYTE_MS 3000
 #define PROBE_MS 500
@@ -430,7 +430,11 @@
     .body = spec->body,
     .silence_ms = stream ? STREAM_SILENCE_MS : 0,
     .total_ms = stream ? 0 : spec->total_ms,
-    .fresh = !spec->repeatable,
+    /* Nothing arrives before a whole answer that would show that a kept
+       connection still works, and a repeated attempt must not meet the fault
+       of the first. */
+    .fresh
+    = !spec->repeatable || spec->repeated || spec->kind == ATTEMPT_WHOLE,
   };
   a->call = http_send (http, &req, stream ? &stream_events : &whole_events, a);
   str_free (&url);
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -25,6 +25,7 @@
  * @total_ms: bound until the first event of a stream, or for the whole answer.
  * @repeatable: false forces a new connection, so that libcurl cannot repeat
  *   the request by itself.
+ * @repeated: an earlier attempt of the request failed.
  */
 struct attempt_spec
 {
@@ -40,6 +41,7 @@
   int priority;
   uint32_t total_ms;
   bool repeatable;
+  bool repeated;
 };
 
 /**
--- a/src/http.c
+++ b/src/http.c
@@ -14,6 +14,9 @@
 #define LOG_MODULE "http"
 #define CONNECT_DEFAULT_MS 500
 #define CONNECTION_AGE_LIMIT_S 300
+/* A connection that was idle for longer is not used again: it may have gone
+   silent, and a new one costs one round trip. */
+#define CONNECTION_IDLE_LIMIT_S 2
 /* Unacknowledged bytes end a connection after this time, so that one that
    went silent does not take new calls. */
 #define USER_TIMEOUT_MS 5000
@@ -436,6 +439,7 @@
   curl_easy_setopt (e, CURLOPT_TCP_KEEPALIVE, 1L);
   curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
   curl_easy_setopt (e, CURLOPT_MAXLIFETIME_CONN, (long)CONNECTION_AGE_LIMIT_S);
+  curl_easy_setopt (e, CURLOPT_MAXAGE_CONN, (long)CONNECTION_IDLE_LIMIT_S);
   if (req->fresh)
     {
       curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
--- a/src/reqflow.c
+++ b/src/reqflow.c
@@ -208,6 +208,7 @@
     .priority = r->priority,
     .total_ms = request_left_ms (r),
     .repeatable = r->repeatable,
+    .repeated = r->attempts > 1,
   };
   r->attempt = attempt_start (r->owner->http, &spec, &attempt_events, r);
 }
--- a/src/retry.c
+++ b/src/retry.c
@@ -3,6 +3,9 @@
 #define RETRY 1000u
 #define FIRST_SHARE 100u /* 10 % of a retry */
 #define FLOOR_PER_S RETRY
+/* One fault of the network meets a connection of each entry at once, also of a
+   model that is rarely used: one retry for each of 4 entries and one more. */
+#define FLOOR_KEPT (5 * RETRY)
 /* Unused budget is kept up to this many retries, so that a long calm does not
    pay for a storm of retries. */
 #define KEPT (10 * RETRY)
@@ -18,21 +21,21 @@
   r->thousandths += (uint32_t)amount;
 }
 
-/* The floor refills an empty budget only; above one retry the share of first
-   attempts decides. */
+/* The floor refills a small budget only; above it the share of first attempts
+   decides. */
 static void
 add_floor (struct retry *r, uint64_t now_ms)
 {
   if (now_ms <= r->floor_ms)
     return;
-  add (r, (now_ms - r->floor_ms) * FLOOR_PER_S / 1000, RETRY);
+  add (r, (now_ms - r->floor_ms) * FLOOR_PER_S / 1000, FLOOR_KEPT);
   r->floor_ms = now_ms;
 }
 
 void
 retry_init (struct retry *r, uint64_t now_ms)
 {
-  *r = (struct retry){ .thousandths = RETRY, .floor_ms = now_ms };
+  *r = (struct retry){ .thousandths = FLOOR_KEPT, .floor_ms = now_ms };
 }
 
 void
--- a/src/retry.h
+++ b/src/retry.h
@@ -7,7 +7,8 @@
  * struct retry - budget of repeated attempts of one model. Pure.
  *
  * Each first attempt adds a tenth of a retry. A floor of one retry a second
- * lets rarely used models repeat at all. Zero-initialise it with
+ * (at most five are kept) lets rarely used models
+ * repeat at all. Zero-initialise it with
  * retry_init().
  */
 struct retry
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -110,7 +110,9 @@
   unsigned taken = 0;
 
   retry_init (&r, 0);
-  CU_ASSERT_TRUE (retry_take (&r, 0));
+  for (unsigned i = 0; i < 5; i++)
+    CU_ASSERT_TRUE (retry_take (&r, 0));
+  CU_ASSERT_FALSE (retry_take (&r, 0));
   CU_ASSERT_FALSE (retry_take (&r, 999));
   CU_ASSERT_TRUE (retry_take (&r, 1000));
   for (unsigned i = 0; i < 1000; i++)
