Test that no claim is granted after its wait has ended

Cause: the check that precedes the use of a store result after a pause was only covered by chance in the random schedules. Change: a test with an owner that is paused past the wait of a claim.

--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -758,6 +758,29 @@
     }
 }
 
+/* Guards against a claim that is granted to a caller that no longer waits,
+   because the owner was paused while the store answered. */
+static void
+test_late_answer (void)
+{
+  struct world *w = world_create (6, "claims/0");
+  const struct request *r;
+
+  claim_gain (w->owners[0].claim, w->fence, times (w));
+  run (w, 200);
+  r = ask (w, 0, 1, 0, 7);
+  w->owners[0].paused = true;
+  run (w, DEADLINE_MS);
+  w->owners[0].paused = false;
+  run (w, 1);
+  CU_ASSERT_EQUAL (r->code, CLAIM_STORE_DOWN);
+  r = ask (w, 0, 2, 0, 7);
+  run (w, 500);
+  CU_ASSERT_EQUAL (r->code, CLAIM_GRANTED);
+  CU_ASSERT_EQUAL (w->violations, 0);
+  world_destroy (w);
+}
+
 /* Guards against a write for each claim: counts the writes of 1,000 claims
    and as many settlings a second over 4 partitions. */
 static void
@@ -907,7 +930,8 @@
 
 static const struct suite_case cases[] = {
   { "states", test_states },         { "random schedules", test_schedule },
-  { "lease regained", test_regain }, { "writes", test_writes },
-  { "segments", test_segments },     { "outage", test_outage },
+  { "lease regained", test_regain }, { "late answer", test_late_answer },
+  { "writes", test_writes },         { "segments", test_segments },
+  { "outage", test_outage },
 };
 TEST_SUITE ("claim", cases)
