Add benchmarks of latency and throughput

There were no figures of the whole path between real processes. make bench builds build/bench from tests/bench*.c and the end-to-end harness; each part is a CUnit suite of its own and can be chosen by name. The former rule for one program per file had no users and is replaced.

--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,12 @@
 UNIT_SRC = $(wildcard tests/test_*.c) tests/suite.c
 E2E_SRC = $(wildcard tests/e2e_*.c) $(wildcard tests/cluster*.c) tests/suite.c
 STANDINS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/standin_*.c))
-BENCHES = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/bench_*.c))
+BENCH_SRC = $(wildcard tests/bench*.c) $(wildcard tests/cluster*.c)
 STANDIN_LIB = $(wildcard tests/standinlib*.c)
 PEER_CFLAGS = -Wno-unused-variable -Wno-unused-parameter
 
-.PHONY: all setup check unit e2e demo format lint clean traces
-all: $(BUILD)/galenagate $(STANDINS) $(BENCHES)
+.PHONY: all setup check unit e2e bench demo format lint clean traces
+all: $(BUILD)/galenagate $(STANDINS)
 
 setup:
 	@scripts/setup
@@ -47,8 +47,8 @@
 $(BUILD)/standin_%: $(BUILD)/tests/standin_%.o $(STANDIN_LIB:%.c=$(BUILD)/%.o) $(LIB_OBJ)
 	$(CC) $(SAN) $^ -o $@ $(LDLIBS)
 
-$(BUILD)/bench_%: $(BUILD)/tests/bench_%.o $(LIB_OBJ)
-	$(CC) $(SAN) $^ -o $@ $(LDLIBS)
+$(BUILD)/bench: $(BENCH_SRC:%.c=$(BUILD)/%.o) $(LIB_OBJ)
+	$(CC) $(SAN) $^ -o $@ $(LDLIBS) -lcunit
 
 $(BUILD)/make_traces: $(BUILD)/tests/make_traces.o $(LIB_OBJ)
 	$(CC) $(SAN) $^ -o $@ $(LDLIBS)
@@ -73,6 +73,10 @@
 e2e: all $(BUILD)/e2e
 	$(BUILD)/e2e
 
+# PARTS="latency idle" runs only these parts.
+bench: all $(BUILD)/bench
+	$(BUILD)/bench $(PARTS)
+
 check: setup
 	$(MAKE) all unit e2e
 
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -16,7 +16,7 @@
    may be used from any thread. */
 
 #define CLUSTER_ARGS_MAX 24
-#define CLUSTER_PROCS_MAX 64
+#define CLUSTER_PROCS_MAX 96
 #define CLUSTER_READY_MS 30000
 
 enum cluster_role
