--- a/src/admin.c
+++ b/src/admin.c
@@ -330,24 +330,43 @@
 
 /* ---- routes ---- */
 
+enum audience
+{
+  FOR_ALL,
+  FOR_CALLERS,
+  FOR_OPERATORS,
+};
+
 static const struct
 {
   const char *path;
+  enum audience audience;
   void (*serve) (struct admin *admin, h2o_req_t *req);
 } routes[] = {
-  { "/healthz", serve_health },        { "/readyz", serve_ready },
-  { "/metrics", serve_metrics },       { "/admin/status", serve_status },
-  { "/admin/explain", serve_explain }, { "/v1/models", serve_models },
+  { "/healthz", FOR_ALL, serve_health },
+  { "/readyz", FOR_ALL, serve_ready },
+  { "/v1/models", FOR_CALLERS, serve_models },
+  { "/metrics", FOR_OPERATORS, serve_metrics },
+  { "/admin/status", FOR_OPERATORS, serve_status },
+  { "/admin/explain", FOR_OPERATORS, serve_explain },
 };
 
+static bool
+served (enum audience audience, enum admin_scope scope)
+{
+  return audience == FOR_ALL || scope == ADMIN_TOO
+         || (audience == FOR_CALLERS) == (scope == ADMIN_NONE);
+}
+
 bool
-admin_serve (struct admin *a, h2o_req_t *req)
+admin_serve (struct admin *a, h2o_req_t *req, enum admin_scope scope)
 {
   const struct str path
       = { req->path_normalized.base, req->path_normalized.len };
 
   for (size_t i = 0; i < sizeof routes / sizeof *routes; i++)
-    if (str_eq (path, str_from (routes[i].path)))
+    if (served (routes[i].audience, scope)
+        && str_eq (path, str_from (routes[i].path)))
       {
         routes[i].serve (a, req);
         return true;
--- a/src/entry.c
+++ b/src/entry.c
@@ -17,25 +17,35 @@
 #define BACKLOG 1024
 #define DRAIN_CHECK_MS 50
 
-/* The callers' HTTP server: listener, routing, graceful shutdown. */
+/* A listening address with h2o's state for it. */
+struct front
+{
+  struct entry *entry;
+  enum admin_scope scope;
+  h2o_globalconf_t config;
+  h2o_context_t context;
+  h2o_accept_ctx_t accept;
+  uv_tcp_t listener;
+  bool listening;
+};
+
+/* The HTTP servers for callers and operators: listeners, routing, graceful
+   shutdown. */
 struct entry
 {
   struct plugin plugin;
   struct kernel *kernel;
   struct requests *requests;
   struct admin *admin;
-  h2o_globalconf_t config;
-  h2o_context_t context;
-  h2o_accept_ctx_t accept;
-  uv_tcp_t listener;
+  struct front callers;
+  struct front operators; /* only with --admin-addr */
   uv_timer_t drain_timer;
-  bool listening;
 };
 
 struct handler
 {
   h2o_handler_t base;
-  struct entry *entry;
+  struct front *front;
 };
 
 static struct str
@@ -69,10 +79,9 @@
   return true;
 }
 
-static int
-on_request (h2o_handler_t *base, h2o_req_t *req)
+static bool
+serve_call (struct entry *e, h2o_req_t *req)
 {
-  struct entry *e = ((struct handler *)base)->entry;
   const struct str path = path_of (req);
   struct str service;
   struct str service_path;
@@ -84,10 +93,23 @@
         requests_model (e->requests, req);
       else
         requests_refuse (e->requests, req, API_METHOD, "use POST");
+      return true;
     }
-  else if (split_service (req, &service, &service_path))
-    requests_service (e->requests, req, service, service_path);
-  else if (!admin_serve (e->admin, req))
+  if (!split_service (req, &service, &service_path))
+    return false;
+  requests_service (e->requests, req, service, service_path);
+  return true;
+}
+
+static int
+on_request (h2o_handler_t *base, h2o_req_t *req)
+{
+  struct front *f = ((struct handler *)base)->front;
+  struct entry *e = f->entry;
+
+  if (f->scope != ADMIN_ONLY && serve_call (e, req))
+    return 0;
+  if (!admin_serve (e->admin, req, f->scope))
     requests_refuse (e->requests, req, API_NOT_FOUND, "no such path");
   return 0;
 }
@@ -101,7 +123,7 @@
 static void
 on_connection (uv_stream_t *listener, int status)
 {
-  struct entry *e = listener->data;
+  struct front *f = listener->data;
 
   if (status != 0)
     return;
@@ -115,27 +137,32 @@
   uv_tcp_nodelay (client, 1);
   h2o_socket_t *sock
       = h2o_uv_socket_create ((uv_stream_t *)client, on_client_closed);
-  h2o_accept (&e->accept, sock);
+  h2o_accept (&f->accept, sock);
 }
 
 static void
-configure (struct entry *e)
+front_init (struct front *f, struct entry *e, enum admin_scope scope)
 {
   const struct settings *s = kernel_settings (e->kernel);
+  uv_loop_t *loop = kernel_loop (e->kernel);
 
-  h2o_config_init (&e->config);
-  e->config.server_name = h2o_iovec_init (H2O_STRLIT ("galenagate"));
-  e->config.max_request_entity_size = s->body_limit_bytes;
+  f->entry = e;
+  f->scope = scope;
+  h2o_config_init (&f->config);
+  f->config.server_name = h2o_iovec_init (H2O_STRLIT ("galenagate"));
+  f->config.max_request_entity_size = s->body_limit_bytes;
   h2o_hostconf_t *host = h2o_config_register_host (
-      &e->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
+      &f->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
   h2o_pathconf_t *path = h2o_config_register_path (host, "/", 0);
   struct handler *handler
       = (struct handler *)h2o_create_handler (path, sizeof *handler);
   handler->base.on_req = on_request;
-  handler->entry = e;
-  h2o_context_init (&e->context, kernel_loop (e->kernel), &e->config);
-  e->accept.ctx = &e->context;
-  e->accept.hosts = e->config.hosts;
+  handler->front = f;
+  h2o_context_init (&f->context, loop, &f->config);
+  f->accept.ctx = &f->context;
+  f->accept.hosts = f->config.hosts;
+  uv_tcp_init (loop, &f->listener);
+  f->listener.data = f;
 }
 
 static const struct plugin_ops ops;
@@ -144,43 +171,63 @@
 create (struct kernel *kernel)
 {
   struct entry *e = xcalloc (1, sizeof *e);
+  const bool separate = kernel_settings (kernel)->admin_addr.len > 0;
 
   e->plugin.ops = &ops;
   e->kernel = kernel;
   e->requests = requests_create (kernel);
   e->admin = admin_create (kernel, e->requests);
-  configure (e);
-  uv_tcp_init (kernel_loop (kernel), &e->listener);
+  front_init (&e->callers, e, separate ? ADMIN_NONE : ADMIN_TOO);
+  if (separate)
+    front_init (&e->operators, e, ADMIN_ONLY);
   uv_timer_init (kernel_loop (kernel), &e->drain_timer);
-  e->listener.data = e;
   e->drain_timer.data = e;
   return &e->plugin;
 }
 
 static int
-start (struct plugin *plugin)
+front_listen (struct front *f, struct str addr)
 {
-  struct entry *e = (struct entry *)plugin;
-  const struct str addr = kernel_settings (e->kernel)->http_addr;
   struct sockaddr_in sin;
-  int rc;
+  int rc = netaddr_parse (addr, &sin) ? 0 : -EINVAL;
 
-  if (!netaddr_parse (addr, &sin))
-    return -EINVAL;
-  rc = uv_tcp_bind (&e->listener, (struct sockaddr *)&sin, 0);
   if (rc == 0)
-    rc = uv_listen ((uv_stream_t *)&e->listener, BACKLOG, on_connection);
+    rc = uv_tcp_bind (&f->listener, (struct sockaddr *)&sin, 0);
+  if (rc == 0)
+    rc = uv_listen ((uv_stream_t *)&f->listener, BACKLOG, on_connection);
   if (rc != 0)
     {
       LOG_ERR ("listen", "step=bind peer=" STR_FMT " error=\"%s\"",
                STR_ARG (addr), err_str (rc));
       return rc;
     }
-  e->listening = true;
+  f->listening = true;
   LOG_INFO ("listen", "http_addr=" STR_FMT, STR_ARG (addr));
   return 0;
 }
 
+static void
+front_close (struct front *f)
+{
+  if (!f->listening)
+    return;
+  f->listening = false;
+  uv_close ((uv_handle_t *)&f->listener, NULL);
+  h2o_context_request_shutdown (&f->context);
+}
+
+static int
+start (struct plugin *plugin)
+{
+  struct entry *e = (struct entry *)plugin;
+  const struct settings *s = kernel_settings (e->kernel);
+  const int rc = front_listen (&e->callers, s->http_addr);
+
+  if (rc != 0 || s->admin_addr.len == 0)
+    return rc;
+  return front_listen (&e->operators, s->admin_addr);
+}
+
 /* ---- graceful shutdown ---- */
 
 static void
@@ -200,9 +247,7 @@
 {
   struct entry *e = timer->data;
 
-  e->listening = false;
-  uv_close ((uv_handle_t *)&e->listener, NULL);
-  h2o_context_request_shutdown (&e->context);
+  front_close (&e->callers);
   uv_timer_start (timer, check_drained, 0, DRAIN_CHECK_MS);
 }
 
@@ -220,8 +265,8 @@
 {
   struct entry *e = (struct entry *)plugin;
 
-  if (!uv_is_closing ((uv_handle_t *)&e->listener))
-    uv_close ((uv_handle_t *)&e->listener, NULL);
+  front_close (&e->callers);
+  front_close (&e->operators);
   uv_close ((uv_handle_t *)&e->drain_timer, NULL);
 }
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -74,7 +74,9 @@
 {
   static const char http[] = "http://";
 
-  if (s->type == SETTING_ADDRESS && !address_ok (value))
+  const bool left_out = s->fallback && s->fallback[0] == '\0' && !value[0];
+
+  if (s->type == SETTING_ADDRESS && !left_out && !address_ok (value))
     return complain (s, value,
                      "IPv4 address and port, for example "
                      "127.0.0.1:7100");
--- a/src/settings.h
+++ b/src/settings.h
@@ -10,8 +10,9 @@
 /** struct settings - checked settings of one node; see node.c for flags. */
 struct settings
 {
-  struct str bus_addr;  /* ip:port of the bus (TCP) and gossip (UDP) */
-  struct str http_addr; /* ip:port for callers */
+  struct str bus_addr;   /* ip:port of the bus (TCP) and gossip (UDP) */
+  struct str http_addr;  /* ip:port for callers */
+  struct str admin_addr; /* ip:port for operators; empty: on http_addr */
   struct str region;
   struct str domain;    /* failure domain */
   struct str store_url; /* for example http://10.0.0.1:7000 */
@@ -31,7 +32,7 @@
 enum setting_type
 {
   SETTING_STRING,
-  SETTING_ADDRESS, /* ip:port */
+  SETTING_ADDRESS, /* ip:port; a fallback of "" makes it optional */
   SETTING_URL,     /* http://ip:port */
   SETTING_U32,
   SETTING_LOG_LEVEL,
--- a/tests/e2e_cli.c
+++ b/tests/e2e_cli.c
@@ -45,6 +45,7 @@
     { GOOD "--lease-ttl-ms 10", { "--lease-ttl-ms", "'10'", "500 to 60000" } },
     { GOOD "--claim-partitions x",
       { "--claim-partitions", "'x'", "1 to 64" } },
+    { GOOD "--admin-addr there", { "--admin-addr", "'there'", "7100" } },
     { GOOD "--log-level loud", { "--log-level", "'loud'", "debug" } },
     { GOOD "--lease-ttl-ms 1000 --lease-margin-ms 900",
       { "--lease-margin-ms", "'900'", "half" } },
--- a/tests/e2e_path.c
+++ b/tests/e2e_path.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <unistd.h>
 
 #include "clusterfleet.h"
 #include "suite.h"
@@ -222,10 +223,50 @@
   fleet_stop (&fleet);
 }
 
+/* Guards against callers who can read operators' pages when these have an
+   address of their own. */
+static void
+test_admin_address (void)
+{
+  static const char *const paths[]
+      = { "/metrics", "/admin/status", "/admin/explain?customer=a&key=b" };
+  struct cluster *c = cluster_create ("test");
+  const int port = 9000 + getpid () % 900;
+  char addr[32];
+
+  snprintf (addr, sizeof addr, "127.0.0.1:%d", port);
+  cluster_store (c, NULL);
+  struct cluster_proc *node
+      = cluster_node (c, "a", CLUSTER_FLAGS ("--admin-addr", addr));
+  struct cluster_proc operators = *node;
+  snprintf (operators.url, sizeof operators.url, "http://%s", addr);
+  CU_ASSERT_EQUAL (cluster_apply (c, "tests/lists/small/plans.json",
+                                  "tests/lists/small/uses.json", NULL),
+                   0);
+  CU_ASSERT_TRUE (cluster_ready (c));
+  for (size_t i = 0; i < sizeof paths / sizeof *paths; i++)
+    {
+      struct cluster_reply r
+          = cluster_http (node, "GET", paths[i], NULL, NULL, FLEET_CALL_MS);
+      CU_ASSERT_EQUAL (r.status, 404);
+      cluster_reply_free (&r);
+      r = cluster_http (&operators, "GET", paths[i], NULL, NULL,
+                        FLEET_CALL_MS);
+      CU_ASSERT_TRUE (r.status == 200 || r.status == 503);
+      cluster_reply_free (&r);
+    }
+  struct cluster_reply r = cluster_http (&operators, "POST", "/v1/completions",
+                                         NULL, "{}", FLEET_CALL_MS);
+  CU_ASSERT_EQUAL (r.status, 404);
+  cluster_reply_free (&r);
+  cluster_destroy (c);
+}
+
 static const struct suite_case cases[] = {
   { "cold and warm answers", test_cold_and_warm },
   { "burst at all entries loads once", test_burst_loads_once },
   { "bad input", test_bad_input },
   { "plan limit over all nodes", test_limit_over_nodes },
+  { "address for operators", test_admin_address },
 };
 TEST_SUITE ("path", cases)
