--- a/src/claims.c
+++ b/src/claims.c
@@ -16,6 +16,7 @@
 #include "metrics.h"
 #include "settings.h"
 #include "store.h"
+#include "text.h"
 
 #define LOG_MODULE "claims"
 #define TICK_MS 25
@@ -314,23 +315,6 @@
               STR (""), proc, args, wait_ms, fn, ctx);
 }
 
-static text
-copy_text (text t)
-{
-  /* TEXT_STR names its argument twice. */
-  const struct str copy = str_dup (STR_TEXT (t));
-
-  return TEXT_STR (copy);
-}
-
-static blob
-copy_blob (blob b)
-{
-  const struct str copy = str_dup (STR_BLOB (b));
-
-  return BLOB_STR (copy);
-}
-
 static void
 free_settle_args (struct settle_args *a)
 {
@@ -366,9 +350,9 @@
       = args->deadline_ms < CLAIM_WAIT_MS ? args->deadline_ms : CLAIM_WAIT_MS;
 
   *call = (struct call){ .claims = c, .fn = fn, .ctx = ctx };
-  call->give_up.customer = copy_text (args->customer);
-  call->give_up.key = copy_text (args->key);
-  call->give_up.request_id = copy_text (args->request_id);
+  call->give_up.customer = text_copy (args->customer);
+  call->give_up.key = text_copy (args->key);
+  call->give_up.request_id = text_copy (args->request_id);
   call->give_up.state = SETTLE_VOID;
   call_owner (c, args->customer, args->key, PEER_CLAIM, args, wait, on_result,
               call);
@@ -444,13 +428,13 @@
   struct settling *s = xcalloc (1, sizeof *s);
 
   *s = (struct settling){ .claims = c, .args = *args, .fn = fn, .ctx = ctx };
-  s->args.customer = copy_text (args->customer);
-  s->args.key = copy_text (args->key);
-  s->args.request_id = copy_text (args->request_id);
-  s->args.content_type = copy_text (args->content_type);
+  s->args.customer = text_copy (args->customer);
+  s->args.key = text_copy (args->key);
+  s->args.request_id = text_copy (args->request_id);
+  s->args.content_type = text_copy (args->content_type);
   s->args.body = (blob){ 0 };
   if (args->body.blob_len <= CLAIM_BODY_MAX)
-    s->args.body = copy_blob (args->body);
+    s->args.body = blob_copy (args->body);
   DL_APPEND (c->settlings, s);
   try_settling (s);
 }
--- a/src/membership.c
+++ b/src/membership.c
@@ -15,6 +15,7 @@
 #include "settings.h"
 #include "store.h"
 #include "swim.h"
+#include "text.h"
 
 #define LOG_MODULE "membership"
 #define TICK_MS 100
@@ -91,22 +92,13 @@
 
 /* ---- publishing ---- */
 
-static text
-copy_text (text t)
-{
-  /* TEXT_STR names its argument twice. */
-  const struct str copy = str_dup (STR_TEXT (t));
-
-  return TEXT_STR (copy);
-}
-
 static void
 destroy_notice (void *p)
 {
   struct pending *n = p;
 
-  free (n->notice.key.text_val);
-  free (n->notice.value.text_val);
+  text_free (&n->notice.key);
+  text_free (&n->notice.value);
   free (n);
 }
 
@@ -117,8 +109,8 @@
   struct pending *p = xcalloc (1, sizeof *p);
 
   p->notice = *notice;
-  p->notice.key = copy_text (notice->key);
-  p->notice.value = copy_text (notice->value);
+  p->notice.key = text_copy (notice->key);
+  p->notice.value = text_copy (notice->value);
   *m->last = p;
   m->last = &p->next;
 }
--- a/src/str.c
+++ b/src/str.c
@@ -57,6 +57,15 @@
   *s = (struct str){ 0 };
 }
 
+void
+str_assign (struct str *s, struct str with)
+{
+  if (s->data && str_eq (*s, with))
+    return;
+  str_free (s);
+  *s = str_dup (with);
+}
+
 static struct str
 str_vprintf (const char *fmt, va_list ap)
 {
--- a/src/str.h
+++ b/src/str.h
@@ -34,6 +34,8 @@
  */
 struct str str_dup (struct str s);
 void str_free (struct str *s);
+/** str_assign() - replace a heap string by a copy of another one. */
+void str_assign (struct str *s, struct str with);
 /** str_printf() - formatted heap string, null-terminated. */
 struct str str_printf (const char *fmt, ...)
     __attribute__ ((format (printf, 1, 2)));
