Report cold-start tails over all requests; weigh cold starts more

Cause: the report gave percentiles over the cold requests only. A policy with few but slow cold starts looked worse than one with many fast ones, and the weights were chosen without the figure that the users see. Ruled out: dividing by the granted requests only. Change: p99_of_all_ms and p99_9_of_all_ms, nearest rank over all requests. The weights are 120 ms of idle accelerator for each ms of cold start for services that prefer short cold starts (was 60) and 20 for idle hours (was 6).

--- a/src/policy.c
+++ b/src/policy.c
@@ -17,8 +17,8 @@
 #define SAMPLES_KEEP 4.0
 #define SAMPLES_PREWARM 8.0
 /* Milliseconds of an idle accelerator that are worth one of cold start. */
-#define WEIGHT_COLD_START 60.0
-#define WEIGHT_IDLE_HOURS 6.0
+#define WEIGHT_COLD_START 120.0
+#define WEIGHT_IDLE_HOURS 20.0
 /* A shorter stay would load and unload in turn under a steady trickle. */
 #define KEEP_MIN_MS 10000.0
 /* Load time that is assumed when none is known, per byte (1 GB/s) and least.
--- a/src/replay_report.c
+++ b/src/replay_report.c
@@ -120,26 +120,30 @@
   return (x > y) - (x < y);
 }
 
-/* Nearest rank, in thousandths. */
+/* Nearest rank, in thousandths, over the cold requests and @warm others that
+   waited 0 ms. */
 static json_t *
-percentile (const struct group *g, size_t thousandths)
+percentile (const struct group *g, uint64_t warm, size_t thousandths)
 {
-  const size_t rank = (g->cold_count * thousandths + 999) / 1000;
+  const uint64_t rank = ((warm + g->cold_count) * thousandths + 999) / 1000;
 
-  return json_integer (rank > 0 ? (json_int_t)g->cold[rank - 1] : 0);
+  return json_integer (rank > warm ? (json_int_t)g->cold[rank - warm - 1] : 0);
 }
 
 static json_t *
-cold_json (const struct group *g)
+cold_json (const struct group *g, uint64_t requests)
 {
+  const uint64_t warm = requests - g->cold_count;
   json_t *o = json_object ();
 
   if (g->cold_count > 0)
     qsort (g->cold, g->cold_count, sizeof *g->cold, by_value);
   json_object_set_new (o, "count", json_integer ((json_int_t)g->cold_count));
-  json_object_set_new (o, "p50_ms", percentile (g, 500));
-  json_object_set_new (o, "p99_ms", percentile (g, 990));
-  json_object_set_new (o, "p99_9_ms", percentile (g, 999));
+  json_object_set_new (o, "p50_ms", percentile (g, 0, 500));
+  json_object_set_new (o, "p99_ms", percentile (g, 0, 990));
+  json_object_set_new (o, "p99_9_ms", percentile (g, 0, 999));
+  json_object_set_new (o, "p99_of_all_ms", percentile (g, warm, 990));
+  json_object_set_new (o, "p99_9_of_all_ms", percentile (g, warm, 999));
   return o;
 }
 
@@ -164,7 +168,7 @@
                            json_integer ((json_int_t)g->refusals[i]));
   json_object_set_new (o, "requests", json_integer ((json_int_t)requests));
   json_object_set_new (o, "refusals", refusals);
-  json_object_set_new (o, "cold_start", cold_json (g));
+  json_object_set_new (o, "cold_start", cold_json (g, requests));
   return o;
 }
 
