Split claim.c by job

Cause: claim.c had 1,364 lines and held records, decisions, requests, the head object, segments and the order of the store calls.

Ruled out: a separate state for each part with its own interface, because a decision depends on the records, the pending writes and the lease at the same moment.

Change: claim_records, claim_decide, claim_requests, claim_object (XDR encoding), claim_head and claim_segments hold one part each and share claim_impl.h; claim.c keeps the order of the store calls and creation.

Conclusion: no change of behaviour is intended; the bodies of the functions were moved as they were.

--- /dev/null
+++ b/src/claim_object.c
@@ -0,0 +1,41 @@
+#include "claim_impl.h"
+
+#include <stdlib.h>
+
+#include "err.h"
+
+struct str
+claim_encode (const struct claim_object *object)
+{
+  const size_t size = xdr_sizeof ((xdrproc_t)xdr_claim_object, (void *)object);
+  char *data = xmalloc (size);
+  XDR xdr;
+
+  xdrmem_create (&xdr, data, (u_int)size, XDR_ENCODE);
+  if (!xdr_claim_object (&xdr, (struct claim_object *)object))
+    abort ();
+  return (struct str){ .data = data, .len = size };
+}
+
+/* Returns false for an unreadable object or an unknown format. */
+bool
+claim_decode (struct str value, struct claim_object *out)
+{
+  XDR xdr;
+
+  *out = (struct claim_object){ 0 };
+  xdrmem_create (&xdr, (char *)value.data, (u_int)value.len, XDR_DECODE);
+  if (xdr_claim_object (&xdr, out) && out->format == CLAIM_FORMAT)
+    return true;
+  xdr_free ((xdrproc_t)xdr_claim_object, out);
+  return false;
+}
+
+struct claim_object
+claim_object_for (const struct claim *c, uint64_t sequence)
+{
+  return (struct claim_object){ .format = CLAIM_FORMAT,
+                                .fence = c->fence,
+                                .sequence = sequence,
+                                .writer = c->config.self };
+}
