Split quota.c by job

Cause: quota.c had 707 lines and held member views, token buckets and the handover of buckets between owners.

Ruled out: a member view type shared with membership; the views here are copies with a time and only the nodes of one region.

Change: quota_views, quota_bucket and quota_handover hold one part each and share quota_impl.h; quota.c keeps the public operations on a customer.

Conclusion: no change of behaviour is intended; the bodies of the functions were moved as they were.

--- /dev/null
+++ b/src/quota_bucket.c
@@ -0,0 +1,146 @@
+#include "quota_impl.h"
+
+#include <stdlib.h>
+
+#include "err.h"
+
+void
+quota_free_bucket (struct quota *q, struct bucket *b)
+{
+  struct hold *h;
+  struct hold *next;
+
+  HASH_ITER (hh, b->holds, h, next)
+  {
+    HASH_DEL (b->holds, h);
+    free (h);
+  }
+  HASH_DEL (q->buckets, b);
+  str_free (&b->customer);
+  free (b);
+}
+
+struct bucket *
+quota_find_bucket (const struct quota *q, struct str customer)
+{
+  struct bucket *b;
+
+  HASH_FIND (hh, q->buckets, customer.data, customer.len, b);
+  return b;
+}
+
+struct bucket *
+quota_need_bucket (struct quota *q, struct str customer)
+{
+  struct bucket *b = quota_find_bucket (q, customer);
+
+  if (b)
+    return b;
+  b = xcalloc (1, sizeof *b);
+  b->customer = str_dup (customer);
+  HASH_ADD_KEYPTR (hh, q->buckets, b->customer.data, b->customer.len, b);
+  return b;
+}
+
+void
+quota_refill (struct bucket *b, uint64_t now_ms)
+{
+  const uint64_t full = (uint64_t)b->limits.burst * TOKEN;
+
+  if (now_ms <= b->filled_ms)
+    return;
+  const uint64_t passed_ms = now_ms - b->filled_ms;
+  /* Beyond this the bucket is full; avoids overflow. */
+  if (passed_ms / 1000 > b->limits.burst)
+    b->tokens = b->limits.requests_per_s > 0 ? full : b->tokens;
+  else
+    b->tokens += passed_ms * b->limits.requests_per_s;
+  if (b->tokens > full)
+    b->tokens = full;
+  b->filled_ms = now_ms;
+}
+
+void
+quota_set_hold (struct bucket *b, uint64_t id, uint64_t expires_ms)
+{
+  struct hold *h;
+
+  HASH_FIND (hh, b->holds, &id, sizeof id, h);
+  if (!h)
+    {
+      h = xcalloc (1, sizeof *h);
+      h->id = id;
+      HASH_ADD (hh, b->holds, id, sizeof h->id, h);
+    }
+  if (h->expires_ms < expires_ms)
+    h->expires_ms = expires_ms;
+}
+
+void
+quota_expire_holds (struct bucket *b, uint64_t now_ms)
+{
+  struct hold *h;
+  struct hold *next;
+
+  HASH_ITER (hh, b->holds, h, next)
+  {
+    if (h->expires_ms > now_ms)
+      continue;
+    HASH_DEL (b->holds, h);
+    free (h);
+  }
+}
+
+struct quota_answer
+quota_take_token (struct bucket *b, uint64_t id, uint64_t now_ms)
+{
+  const struct quota_limits *l = &b->limits;
+  struct quota_answer a = { .code = QUOTA_GRANTED };
+  struct hold *h;
+
+  HASH_FIND (hh, b->holds, &id, sizeof id, h);
+  if (h && h->expires_ms > now_ms)
+    return a;
+  if (l->in_flight > 0 && now_ms < b->settled_ms)
+    return (struct quota_answer){
+      .code = QUOTA_SETTLING,
+      .retry_after_ms = (uint32_t)(b->settled_ms - now_ms),
+    };
+  if (l->in_flight > 0 && HASH_COUNT (b->holds) >= l->in_flight)
+    quota_expire_holds (b, now_ms);
+  if (l->in_flight > 0 && HASH_COUNT (b->holds) >= l->in_flight)
+    return (struct quota_answer){ .code = QUOTA_IN_FLIGHT,
+                                  .retry_after_ms = 1000 };
+  if (l->requests_per_s > 0 && b->tokens < TOKEN)
+    {
+      const uint64_t missing = TOKEN - b->tokens;
+      uint64_t wait_ms = (missing + l->requests_per_s - 1) / l->requests_per_s;
+
+      if (b->filled_ms > now_ms)
+        wait_ms += b->filled_ms - now_ms;
+      return (struct quota_answer){ .code = QUOTA_RATE,
+                                    .retry_after_ms = (uint32_t)wait_ms };
+    }
+  if (l->requests_per_s > 0)
+    b->tokens -= TOKEN;
+  if (l->in_flight > 0)
+    quota_set_hold (b, id, now_ms + QUOTA_HOLD_MS);
+  return a;
+}
+
+bool
+quota_is_idle (struct bucket *b, uint64_t now_ms)
+{
+  if (b->holds)
+    return false;
+  if (b->lost)
+    return now_ms - b->lost_ms > QUOTA_MEMORY_MS;
+  /* Not earlier, because a new bucket might ask the former owner again. */
+  if (now_ms - b->used_ms <= QUOTA_MEMORY_MS)
+    return false;
+  if (!b->ready)
+    return true;
+  quota_refill (b, now_ms);
+  return b->tokens >= (uint64_t)b->limits.burst * TOKEN
+         || b->limits.requests_per_s == 0;
+}
