--- a/src/lists.h
+++ b/src/lists.h
@@ -95,6 +95,8 @@
   struct str class_name;
 };
 
+struct lists_index;
+
 struct lists
 {
   uint64_t revision;
@@ -110,7 +112,7 @@
   size_t model_count;
   const struct use *uses;
   size_t use_count;
-  void *index; /* private to lists.c */
+  struct lists_index *index; /* private to lists*.c */
 };
 
 /** struct lists_error - where a list is wrong; each member is heap-owned. */
--- a/src/str.c
+++ b/src/str.c
@@ -97,6 +97,21 @@
   return true;
 }
 
+bool
+str_is_hex (struct str s, size_t len)
+{
+  if (s.len != len)
+    return false;
+  for (size_t i = 0; i < len; i++)
+    {
+      const char c = s.data[i];
+
+      if ((c < '0' || c > '9') && (c < 'a' || c > 'f'))
+        return false;
+    }
+  return true;
+}
+
 uint64_t
 str_hash (struct str s, uint64_t seed)
 {
--- a/src/str.h
+++ b/src/str.h
@@ -39,6 +39,8 @@
     __attribute__ ((format (printf, 1, 2)));
 /** str_u64() - parse a decimal number that spans the whole string. */
 bool str_u64 (struct str s, uint64_t *out);
+/** str_is_hex() - consists of exactly @len lower-case hex digits. */
+bool str_is_hex (struct str s, size_t len);
 /** str_hash() - 64-bit xxhash. */
 uint64_t str_hash (struct str s, uint64_t seed);
 
