--- a/src/apply.c
+++ b/src/apply.c
@@ -97,7 +97,7 @@
 static int
 read_chunk (struct client *c, struct config_part *p)
 {
-  struct str key = str_printf (CONFIG_CHUNK_PREFIX STR_FMT, STR_ARG (p->hash));
+  struct str key = config_chunk_key (p->hash);
   struct client_reply r = client_read (c, key);
   int rc = r.err.code;
 
@@ -353,15 +353,6 @@
   return EXIT_DONE;
 }
 
-static bool
-has_part (const struct config_root *root, struct str hash)
-{
-  for (size_t i = 0; i < root->count; i++)
-    if (str_eq (root->parts[i].hash, hash))
-      return true;
-  return false;
-}
-
 /* Writes an object whose key has only one possible content, so that a
    repeated write is harmless. */
 static int
@@ -394,10 +385,9 @@
     {
       const struct config_part *p = &next->parts[i];
 
-      if (has_part (&a->current.root, p->hash))
+      if (config_root_part (&a->current.root, p->hash))
         continue;
-      struct str key
-          = str_printf (CONFIG_CHUNK_PREFIX STR_FMT, STR_ARG (p->hash));
+      struct str key = config_chunk_key (p->hash);
       const int rc = write_constant (a->client, key, p->body);
       str_free (&key);
       if (rc != 0)
--- a/src/config.c
+++ b/src/config.c
@@ -390,13 +390,13 @@
   uv_queue_work (kernel_loop (c->kernel), &j->work, run_job, after_job);
 }
 
+/* A part of the root with its body, or NULL. */
 static const struct config_part *
 find_part (const struct config_root *root, struct str hash)
 {
-  for (size_t i = 0; i < root->count; i++)
-    if (str_eq (root->parts[i].hash, hash))
-      return root->parts[i].body.len > 0 ? &root->parts[i] : NULL;
-  return NULL;
+  const struct config_part *p = config_root_part (root, hash);
+
+  return p && p->body.len > 0 ? p : NULL;
 }
 
 /* Takes the bodies that this node has already. */
@@ -532,8 +532,7 @@
 
       if (p->body.len > 0)
         continue;
-      struct str key
-          = str_printf (CONFIG_CHUNK_PREFIX STR_FMT, STR_ARG (p->hash));
+      struct str key = config_chunk_key (p->hash);
       f->reads++;
       store_read (c->store, key, on_store_chunk, c);
       str_free (&key);
--- a/src/configdoc.h
+++ b/src/configdoc.h
@@ -73,6 +73,8 @@
 const char *config_list_name (enum config_list list);
 /** config_hash() - heap-owned hex SHA-256. */
 struct str config_hash (struct str body);
+/** config_chunk_key() - heap-owned key of a chunk in the store. */
+struct str config_chunk_key (struct str hash);
 
 /**
  * configdoc_from_lists() - take the entries of lists that lists_parse() took.
@@ -121,6 +123,9 @@
 void config_root_encode (const struct config_root *root, struct buf *out);
 /** config_root_decode() - returns 0, or -EINVAL when it is not a root. */
 int config_root_decode (struct str text, struct config_root *out);
+/** config_root_part() - the part with a hash, or NULL. */
+const struct config_part *config_root_part (const struct config_root *root,
+                                            struct str hash);
 void config_root_free (struct config_root *root);
 
 enum config_change
