--- a/src/cli.c
+++ b/src/cli.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define COMMANDS_MAX 16
+#define NAME_BYTES 64
 
 static const struct cli_command *commands[COMMANDS_MAX];
 static size_t command_count;
@@ -43,7 +44,14 @@
     }
   for (size_t i = 0; i < command_count; i++)
     if (strcmp (argv[1], commands[i]->name) == 0)
-      return commands[i]->run (argc - 1, argv + 1);
+      {
+        char name[NAME_BYTES];
+
+        /* argp names the program in its messages by argv[0]. */
+        snprintf (name, sizeof name, "galenagate %s", argv[1]);
+        argv[1] = name;
+        return commands[i]->run (argc - 1, argv + 1);
+      }
   fprintf (stderr, "galenagate: unknown command '%s'\n", argv[1]);
   usage (stderr);
   return EXIT_USAGE;
--- a/src/settings.c
+++ b/src/settings.c
@@ -143,6 +143,21 @@
   return store_value (s, value, (char *)out + s->offset);
 }
 
+/* Help text with the variable and the default; heap-owned. */
+static char *
+describe (const struct setting *s)
+{
+  char variable[VARIABLE_MAX];
+  const char *fallback = s->fallback && s->fallback[0] ? s->fallback : "none";
+
+  variable_name (s, variable);
+  if (!s->fallback)
+    return (char *)str_printf ("%s (%s; required)", s->help, variable).data;
+  return (char *)str_printf ("%s (%s; default: %s)", s->help, variable,
+                             fallback)
+      .data;
+}
+
 int
 settings_parse (int argc, char **argv, const char *summary,
                 const char *args_doc, const struct setting *settings,
@@ -157,13 +172,16 @@
     options[i] = (struct argp_option){ .name = settings[i].name,
                                        .key = KEY_FIRST + (int)i,
                                        .arg = settings[i].arg,
-                                       .doc = settings[i].help };
+                                       .doc = describe (&settings[i]) };
   const struct argp argp = { .options = options,
                              .parser = parse_option,
                              .args_doc = args_doc,
                              .doc = summary };
   argp_err_exit_status = 2;
-  if (argp_parse (&argp, argc, argv, 0, NULL, &p) != 0)
+  const error_t error = argp_parse (&argp, argc, argv, 0, NULL, &p);
+  for (size_t i = 0; i < count; i++)
+    free ((char *)options[i].doc);
+  if (error != 0)
     return -EINVAL;
   for (size_t i = 0; i < count; i++)
     {
