Stage models on disk in quiet times

Cause: most of the cold-start tail is the first load of a model from the remote weight store; a server that had the model loads it in a third of the time. Placing copies by free memory: staged models leave at once, so all copies would go to the same servers. Change: the policy's new operation stage() picks a model with fewer than 2 copies in different failure domains and a server with free memory, while no load waits and none was asked for in the last 10 s; the naive policy does none. Placement records it as any load (reason "stage") and unloads it unless a load of the model was asked for meanwhile. A model is not staged again within 10 minutes. Up to 256 (was 64) keys on a server's disk are known; a full list gets no staging. The report has staging_loads and staging_load_hours.

--- a/src/place.h
+++ b/src/place.h
@@ -13,6 +13,10 @@
 
 /* Internal to the placement task's files. */
 
+/* Models and adapters that are known to be on a server's disk; when there are
+   more, the oldest is forgotten. */
+#define PLACE_CACHED_MAX 256
+
 /** struct place_target - a server of a service, with its status poll. */
 struct place_target
 {
@@ -67,6 +71,16 @@
   UT_hash_handle hh;
 };
 
+/** struct place_staging - the staging load under way.
+ * @active: nobody asked for the model since it began.
+ */
+struct place_staging
+{
+  struct replica_key key;
+  struct str addr;
+  bool active;
+};
+
 struct place_service
 {
   struct placement *placement;
@@ -94,6 +108,9 @@
   uint64_t granted_until_ms;
   uint64_t next_turn_ms;
   uint64_t next_keep_ms;
+  uint64_t next_stage_ms;
+  uint64_t asked_ms; /* when a load was last asked for */
+  struct place_staging staging;
   uint64_t idle_counted_ms;
   enum preference preference;
   bool listed;
@@ -198,6 +215,24 @@
 size_t place_under_way (const struct place_service *s,
                         const struct replica_key *key, uint64_t *first_ms);
 void place_plans_clear (struct place_service *s);
+/** place_servers() - the ledger's servers as the policy sees them for a model
+ * or adapter; @out has room for all.
+ */
+void place_servers (const struct place_service *s,
+                    const struct replica_key *key, uint64_t now,
+                    struct policy_server *out);
+/** place_record_load() - record the intent to load; as ledger_load(). */
+int place_record_load (struct place_service *s, const struct policy_want *want,
+                       struct str addr, const char *reason, uint64_t now);
+
+/* placestage.c: loads ahead of any use, for the checkpoint on disk. */
+void place_stage (struct place_service *s, uint64_t now);
+/** place_stage_asked() - a load was asked for: a model that is being staged
+ * stays loaded, and no staging begins for a while.
+ */
+void place_stage_asked (struct place_service *s, const struct replica_key *key,
+                        uint64_t now);
+void place_stage_clear (struct place_service *s);
 
 /* placekeep.c: standing duties. */
 void place_keep (struct place_service *s, uint64_t now);
--- a/src/placedecide.c
+++ b/src/placedecide.c
@@ -136,31 +136,39 @@
     }
 }
 
-static struct view
-view_create (const struct place_service *s, const struct policy_want *want,
-             uint64_t now)
+void
+place_servers (const struct place_service *s, const struct replica_key *key,
+               uint64_t now, struct policy_server *out)
 {
-  const struct ledger *l = s->ledger;
-  struct view v = { .servers = xcalloc (l->server_count, sizeof *v.servers) };
-
-  for (size_t i = 0; i < l->server_count; i++)
+  for (size_t i = 0; i < s->ledger->server_count; i++)
     {
-      const struct ledger_server *server = l->servers[i];
+      const struct ledger_server *server = s->ledger->servers[i];
       const struct place_target *t = place_target (s, server->addr);
 
-      v.servers[i] = (struct policy_server){
+      out[i] = (struct policy_server){
         .addr = server->addr,
         .domain = server->domain,
         .memory_bytes = server->memory_bytes,
         .used_bytes
-        = ledger_used_bytes (server) + reserved (s, server->addr, &want->key),
-        .cache = cache_of (t, &want->key),
-        .usable = is_usable (s, server, &want->key, now),
-        .holds = ledger_holds (server, &want->key) != NULL,
+        = ledger_used_bytes (server) + reserved (s, server->addr, key),
+        .cache = cache_of (t, key),
+        .usable = is_usable (s, server, key, now),
+        .holds = ledger_holds (server, key) != NULL,
       };
-      if (v.servers[i].usable)
-        view_replicas (s, &v, i, want, now);
     }
+}
+
+static struct view
+view_create (const struct place_service *s, const struct policy_want *want,
+             uint64_t now)
+{
+  const struct ledger *l = s->ledger;
+  struct view v = { .servers = xcalloc (l->server_count, sizeof *v.servers) };
+
+  place_servers (s, &want->key, now, v.servers);
+  for (size_t i = 0; i < l->server_count; i++)
+    if (v.servers[i].usable)
+      view_replicas (s, &v, i, want, now);
   v.base.servers = v.servers;
   v.base.server_count = l->server_count;
   v.base.replicas = v.replicas;
@@ -216,9 +224,9 @@
   DL_APPEND (s->plans, p);
 }
 
-static int
-record_load (struct place_service *s, const struct policy_want *want,
-             struct str addr, const char *reason, uint64_t now)
+int
+place_record_load (struct place_service *s, const struct policy_want *want,
+                   struct str addr, const char *reason, uint64_t now)
 {
   const struct model *m = place_model (s, &want->key);
   const int rc = ledger_load (s->ledger, addr, &want->key, want->bytes,
@@ -263,7 +271,7 @@
         && ledger_used_bytes (server) + p->want.bytes > server->memory_bytes)
       continue;
     if (server && now < p->until_ms)
-      record_load (s, &p->want, p->addr, "memory-freed", now);
+      place_record_load (s, &p->want, p->addr, "memory-freed", now);
     plan_free (s, p);
   }
 }
@@ -351,7 +359,7 @@
       struct str reason = str_printf ("%s,%s", why, choice->reason);
       const struct str addr = s->ledger->servers[choice->server]->addr;
 
-      if (record_load (s, want, addr, reason.data, now) == 0)
+      if (place_record_load (s, want, addr, reason.data, now) == 0)
         result = BEGUN;
       str_free (&reason);
     }
@@ -532,6 +540,7 @@
   run_plans (s, now);
   serve_wakes (s, now);
   place_keep (s, now);
+  place_stage (s, now);
   place_store_step (s);
   place_send_orders (s);
 }
--- a/src/placekeep.c
+++ b/src/placekeep.c
@@ -85,8 +85,13 @@
     n = 1;
   if (n < loaded)
     drop_one (s, &want.key, reason, now);
-  else if (n > loaded + place_under_way (s, &want.key, &first_ms))
-    place_begin_load (s, &want, n <= m->min_replicas, reason, now, &choice);
+  else if (n > loaded)
+    {
+      place_stage_asked (s, &want.key, now);
+      if (n > loaded + place_under_way (s, &want.key, &first_ms))
+        place_begin_load (s, &want, n <= m->min_replicas, reason, now,
+                          &choice);
+    }
 }
 
 static void
--- a/src/placement.c
+++ b/src/placement.c
@@ -270,6 +270,7 @@
   if (!held)
     {
       place_plans_clear (s);
+      place_stage_clear (s);
       place_fail_wakes (s, -ESTALE);
       s->idle_counted_ms = 0;
       return;
@@ -277,6 +278,7 @@
   if (fence != s->fence)
     s->epoch++;
   s->fence = fence;
+  s->asked_ms = clock_ms ();
   s->store_retry_ms = 0;
   place_store_step (s);
 }
@@ -555,6 +557,7 @@
 {
   place_uses_free (s);
   place_plans_clear (s);
+  place_stage_clear (s);
   if (s->ledger)
     ledger_destroy (s->ledger);
   s->policy->ops->destroy (s->policy);
--- /dev/null
+++ b/src/placestage.c
@@ -0,0 +1,154 @@
+#include "place.h"
+
+#include <stdlib.h>
+
+#include "err.h"
+
+/* Interval at which a staging load is considered. */
+#define STAGE_INTERVAL_MS 1000
+
+void
+place_stage_clear (struct place_service *s)
+{
+  replica_key_free (&s->staging.key);
+  str_free (&s->staging.addr);
+  s->staging = (struct place_staging){ 0 };
+}
+
+void
+place_stage_asked (struct place_service *s, const struct replica_key *key,
+                   uint64_t now)
+{
+  s->asked_ms = now;
+  if (s->staging.active && str_eq (s->staging.key.model, key->model))
+    place_stage_clear (s);
+}
+
+/* Ends the staging load: once it is loaded, or when it failed. */
+static void
+finish (struct place_service *s, uint64_t now)
+{
+  const struct ledger_server *server
+      = ledger_server (s->ledger, s->staging.addr);
+  const struct ledger_entry *e
+      = server ? ledger_entry (server, &s->staging.key) : NULL;
+  const struct policy_demand demand
+      = { .staging = true, .staged = e && e->state == LEDGER_LOADED };
+  const struct model *m = place_model (s, &s->staging.key);
+  size_t model;
+  size_t at;
+
+  if (e && e->state == LEDGER_INTENT_LOAD)
+    return;
+  /* The operator can have raised min_replicas meanwhile. */
+  if (e && m && place_loaded (s, &s->staging.key) > m->min_replicas
+      && s->policy->ops->stage (s->policy, NULL, 0, 0, &demand, now, &model,
+                                &at)
+             == STAGE_UNLOAD)
+    place_unload (s, s->staging.addr, &s->staging.key, "stage", now);
+  place_stage_clear (s);
+}
+
+/* Does a load wait or run, or is a server avoided after one failed there? */
+static bool
+is_busy (const struct place_service *s, uint64_t now)
+{
+  if (s->wakes || s->plans)
+    return true;
+  for (const struct place_target *t = s->targets; t; t = t->hh.next)
+    if (now < t->avoid_until_ms)
+      return true;
+  for (size_t i = 0; i < s->ledger->server_count; i++)
+    for (size_t j = 0; j < s->ledger->servers[i]->entry_count; j++)
+      if (s->ledger->servers[i]->entries[j]->state == LEDGER_INTENT_LOAD)
+        return true;
+  return false;
+}
+
+static struct policy_stage
+describe (const struct place_service *s, const struct model *m,
+          struct policy_server *servers, uint64_t now)
+{
+  struct policy_stage stage = {
+    .want = { .key = { .model = m->name, .version = m->version },
+              .bytes = m->bytes,
+              .load_ms = m->load_ms,
+              .priority = INT32_MIN,
+              .deadline_ms = UINT64_MAX,
+              .asked_ms = now },
+    .max_replicas = m->max_replicas,
+    .servers = servers,
+  };
+
+  place_servers (s, &stage.want.key, now, servers);
+  for (size_t i = 0; i < s->ledger->server_count; i++)
+    {
+      const struct place_target *t = place_target (s, servers[i].addr);
+
+      /* A copy that is forgotten would be staged again and again. */
+      if (t && t->cached_count == PLACE_CACHED_MAX)
+        servers[i].usable = false;
+    }
+  stage.replicas = (uint32_t)ledger_replicas (s->ledger, &stage.want.key);
+  return stage;
+}
+
+static void
+begin (struct place_service *s, const struct policy_stage *stage,
+       size_t server, uint64_t now)
+{
+  const struct str addr = stage->servers[server].addr;
+
+  if (place_record_load (s, &stage->want, addr, "stage", now) != 0)
+    return;
+  s->staging = (struct place_staging){
+    .key = replica_key_dup (&stage->want.key),
+    .addr = str_dup (addr),
+    .active = true,
+  };
+}
+
+static void
+consider (struct place_service *s, const struct lists *lists, uint64_t now)
+{
+  const struct policy_demand demand
+      = { .waiting = is_busy (s, now), .asked_ms = s->asked_ms };
+  const size_t n = s->ledger->server_count;
+  struct policy_stage *models
+      = xcalloc (lists->model_count + 1, sizeof *models);
+  struct policy_server *servers
+      = xcalloc (lists->model_count * n + 1, sizeof *servers);
+  size_t count = 0;
+  size_t model;
+  size_t server;
+
+  for (size_t i = 0; i < lists->model_count; i++)
+    if (str_eq (lists->models[i].service, s->name))
+      {
+        models[count]
+            = describe (s, &lists->models[i], &servers[count * n], now);
+        count++;
+      }
+  if (s->policy->ops->stage (s->policy, models, count, n, &demand, now, &model,
+                             &server)
+      == STAGE_LOAD)
+    begin (s, &models[model], server, now);
+  free (models);
+  free (servers);
+}
+
+void
+place_stage (struct place_service *s, uint64_t now)
+{
+  const struct lists *lists = kernel_latest (s->kernel, TOPIC_LISTS);
+
+  if (s->staging.active)
+    {
+      finish (s, now);
+      return;
+    }
+  if (!lists || now < s->next_stage_ms)
+    return;
+  s->next_stage_ms = now + STAGE_INTERVAL_MS;
+  consider (s, lists, now);
+}
--- a/src/placetarget.c
+++ b/src/placetarget.c
@@ -24,7 +24,6 @@
 /* A server that the host list does not name any more, and that does not
    answer, is given up after this time. */
 #define UNLISTED_MS 3000
-#define CACHED_MAX 64
 
 static void
 target_free (struct place_target *t)
@@ -138,12 +137,12 @@
   for (size_t i = 0; i < t->cached_count; i++)
     if (replica_key_eq (&t->cached[i], key))
       return;
-  if (t->cached_count == CACHED_MAX)
+  if (t->cached_count == PLACE_CACHED_MAX)
     {
       replica_key_free (&t->cached[0]);
       t->cached[0] = t->cached[--t->cached_count];
     }
-  t->cached = xrealloc (t->cached, CACHED_MAX * sizeof *t->cached);
+  t->cached = xrealloc (t->cached, PLACE_CACHED_MAX * sizeof *t->cached);
   t->cached[t->cached_count++] = replica_key_dup (key);
 }
 
--- a/src/placewake.c
+++ b/src/placewake.c
@@ -331,6 +331,7 @@
   if (w->enough > w->replicas)
     w->enough = w->replicas;
   DL_APPEND (s->wakes, w);
+  place_stage_asked (s, &w->want.key, now);
   /* The callers' requests wait for this many replicas until the scheduler
      reports them. */
   const struct model *m = place_model (s, &want.key);
--- a/src/policy.c
+++ b/src/policy.c
@@ -32,6 +32,9 @@
 #define UNLOAD_MS 300
 /* Use within this time counts when a replica to evict is chosen. */
 #define EVICT_HORIZON_MS 60000.0
+/* A model is not staged again within this time, so that one whose load fails
+   does not keep the others from being staged. */
+#define STAGE_RETRY_MS 600000
 /* Surplus replicas go after the peak of this long ago. */
 #define PEAK_WINDOW_MS 30000
 
@@ -47,6 +50,7 @@
   uint32_t load_ms;
   uint32_t peak[2]; /* highest use in this window and the one before */
   uint64_t window_ms;
+  uint64_t stage_ms; /* not staged before */
   UT_hash_handle hh;
 };
 
@@ -406,6 +410,45 @@
   return a->asked_ms < b->asked_ms;
 }
 
+/* The model with the fewest copies goes first, then the one whose load takes
+   longest. */
+static enum policy_step
+stage (struct policy *policy, const struct policy_stage *models, size_t count,
+       size_t server_count, const struct policy_demand *demand, uint64_t now,
+       size_t *model, size_t *server)
+{
+  struct smart *p = (struct smart *)policy;
+  size_t fewest = SIZE_MAX;
+
+  if (demand->staged)
+    return STAGE_UNLOAD;
+  if (!policy_stage_quiet (demand, now))
+    return STAGE_NOTHING;
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct policy_want *w = &models[i].want;
+      const struct model_state *m = find (p, &w->key);
+      size_t copies;
+      size_t at;
+
+      if ((m && now < m->stage_ms)
+          || !policy_stage_server (models, count, server_count, i, &at,
+                                   &copies))
+        continue;
+      if (copies > fewest
+          || (copies == fewest && w->load_ms <= models[*model].want.load_ms))
+        continue;
+      fewest = copies;
+      *model = i;
+      *server = at;
+    }
+  if (fewest == SIZE_MAX)
+    return STAGE_NOTHING;
+  find_or_add (p, &models[*model].want.key, now)->stage_ms
+      = now + STAGE_RETRY_MS;
+  return STAGE_LOAD;
+}
+
 static void
 destroy (struct policy *policy)
 {
@@ -428,6 +471,7 @@
   .choose = choose,
   .want = want,
   .before = before,
+  .stage = stage,
   .destroy = destroy,
 };
 
--- a/src/policy.h
+++ b/src/policy.h
@@ -93,6 +93,43 @@
   uint32_t load_ms;
 };
 
+/**
+ * struct policy_stage - a model that could be loaded ahead of any use, so that
+ * a server's disk keeps its checkpoint.
+ * @servers: with @cache and @holds for this model; the same servers for each
+ *   model. A server that is not usable counts as lost.
+ * @replicas: in any state.
+ */
+struct policy_stage
+{
+  struct policy_want want;
+  uint32_t replicas;
+  uint32_t max_replicas;
+  const struct policy_server *servers;
+};
+
+/**
+ * struct policy_demand - what a staging load may not compete with.
+ * @waiting: a load waits or runs, or one failed just now.
+ * @asked_ms: when a load was last asked for.
+ * @staging: a staging load runs.
+ * @staged: one has ended, and nobody asked for the model.
+ */
+struct policy_demand
+{
+  bool waiting;
+  uint64_t asked_ms;
+  bool staging;
+  bool staged;
+};
+
+enum policy_step
+{
+  STAGE_NOTHING,
+  STAGE_LOAD,
+  STAGE_UNLOAD, /* the staged replica */
+};
+
 struct policy;
 
 /**
@@ -102,6 +139,8 @@
  * @want: replicas that a model should have now; @loaded are there. 0 unloads,
  *   more than @loaded loads ahead of demand. @reason is static.
  * @before: does the load @a go before @b.
+ * @stage: the next step of staging; for STAGE_LOAD with *@model and *@server,
+ *   indexes of the arrays. The load never needs an eviction.
  */
 struct policy_ops
 {
@@ -113,6 +152,11 @@
   uint32_t (*want) (struct policy *p, const struct replica_key *key,
                     uint32_t loaded, uint64_t now, const char **reason);
   bool (*before) (const struct policy_want *a, const struct policy_want *b);
+  enum policy_step (*stage) (struct policy *p,
+                             const struct policy_stage *models, size_t count,
+                             size_t server_count,
+                             const struct policy_demand *demand, uint64_t now,
+                             size_t *model, size_t *server);
   void (*destroy) (struct policy *p);
 };
 
@@ -132,6 +176,17 @@
 uint32_t policy_load_ms (const struct policy_want *want,
                          enum cache_place cache);
 
+/** policy_stage_quiet() - may a staging load begin beside this demand. */
+bool policy_stage_quiet (const struct policy_demand *demand, uint64_t now);
+/**
+ * policy_stage_server() - where to stage a model.
+ * @copies: failure domains with a copy so far.
+ * Returns false if it has enough copies, or no server has the memory.
+ */
+bool policy_stage_server (const struct policy_stage *models, size_t count,
+                          size_t server_count, size_t model, size_t *server,
+                          size_t *copies);
+
 /* Budget of the weight store. */
 
 enum budget_kind
--- a/src/policynaive.c
+++ b/src/policynaive.c
@@ -128,6 +128,22 @@
   return a->asked_ms < b->asked_ms;
 }
 
+static enum policy_step
+stage (struct policy *policy, const struct policy_stage *models, size_t count,
+       size_t server_count, const struct policy_demand *demand, uint64_t now,
+       size_t *model, size_t *server)
+{
+  (void)policy;
+  (void)models;
+  (void)count;
+  (void)server_count;
+  (void)demand;
+  (void)now;
+  (void)model;
+  (void)server;
+  return STAGE_NOTHING;
+}
+
 static void
 destroy (struct policy *policy)
 {
@@ -150,6 +166,7 @@
   .choose = choose,
   .want = want,
   .before = before,
+  .stage = stage,
   .destroy = destroy,
 };
 
--- a/src/replay_impl.h
+++ b/src/replay_impl.h
@@ -60,6 +60,16 @@
   struct replay_wake *next;
 };
 
+/** struct replay_staging - the staging load under way.
+ * @active: nobody asked for the model since it began.
+ */
+struct replay_staging
+{
+  size_t model;
+  size_t server;
+  bool active;
+};
+
 struct replay_model
 {
   const struct model *listed;
@@ -112,6 +122,8 @@
   struct replay_model *models;
   size_t model_count;
   struct replay_wake *wakes;
+  uint64_t asked_ms; /* when a load was last asked for */
+  struct replay_staging staging;
   struct job *running;
   uint64_t last_job;
 };
@@ -137,6 +149,19 @@
 void load_tell (struct world *w, size_t model);
 /** load_drop() - unload; a model goes with its adapters. */
 void load_drop (struct replay_server *s, size_t model, size_t adapter);
+/** load_begin() - a load that takes @load_ms begins on a server. */
+void load_begin (struct world *w, size_t server, size_t model, size_t adapter,
+                 uint64_t bytes, uint32_t load_ms);
+/** load_may_begin() - does the weight store serve one more model now. */
+bool load_may_begin (const struct world *w);
+
+/* replay_stage.c */
+/** stage_second() - begin a staging load if the policy wants one. */
+void stage_second (struct world *w);
+/** stage_step() - unload what was staged. */
+void stage_step (struct world *w);
+/** stage_asked() - a load was asked for; a staged model stays loaded. */
+void stage_asked (struct world *w, size_t model);
 
 /* replay_keep.c */
 /** keep_second() - account idle replicas; load and unload by the policy. */
--- a/src/replay_keep.c
+++ b/src/replay_keep.c
@@ -62,6 +62,7 @@
     .ahead = true,
   };
   DL_APPEND (w->wakes, k);
+  stage_asked (w, model);
 }
 
 static bool
@@ -125,4 +126,5 @@
       report_use (w, i, STR (""), &key);
       keep (w, i);
     }
+  stage_second (w);
 }
--- a/src/replay_load.c
+++ b/src/replay_load.c
@@ -273,6 +273,38 @@
              : ADAPTER_MS * (adapters + 1) / ADAPTERS_AT_ONCE;
 }
 
+void
+load_begin (struct world *w, size_t server, size_t model, size_t adapter,
+            uint64_t bytes, uint32_t load_ms)
+{
+  struct replay_server *s = &w->servers[server];
+
+  s->held[s->held_count++] = (struct held){
+    .model = model,
+    .adapter = adapter,
+    .bytes = bytes,
+    .ready_ms = w->now_ms + load_ms,
+  };
+  s->used_bytes += bytes;
+  if (adapter != MODEL_ITSELF)
+    {
+      w->counts.adapter_loads++;
+      return;
+    }
+  w->counts.loads++;
+  w->next_load_ms = w->now_ms + 1000 / w->loads_per_s;
+}
+
+bool
+load_may_begin (const struct world *w)
+{
+  uint32_t models;
+  uint32_t adapters;
+
+  loads_now (w, &models, &adapters);
+  return models < w->loads_at_once && w->now_ms >= w->next_load_ms;
+}
+
 /* Starts one load for a wake; false when no server has the memory. */
 static bool
 start (struct world *w, const struct replay_wake *k)
@@ -287,23 +319,9 @@
 
   if (found)
     {
-      struct replay_server *s = &w->servers[c.server];
-
       evict (w, &v, &c);
-      s->held[s->held_count++] = (struct held){
-        .model = k->model,
-        .adapter = k->adapter,
-        .bytes = want.bytes,
-        .ready_ms = w->now_ms + load_time_ms (w, k, &want, &c),
-      };
-      s->used_bytes += want.bytes;
-      if (k->adapter == MODEL_ITSELF)
-        {
-          w->counts.loads++;
-          w->next_load_ms = w->now_ms + 1000 / w->loads_per_s;
-        }
-      else
-        w->counts.adapter_loads++;
+      load_begin (w, c.server, k->model, k->adapter, want.bytes,
+                  load_time_ms (w, k, &want, &c));
     }
   view_free (&v);
   return found;
@@ -325,6 +343,7 @@
     .asked_ms = w->now_ms,
   };
   DL_APPEND (w->wakes, k);
+  stage_asked (w, model);
 }
 
 static void
@@ -378,15 +397,10 @@
 static struct replay_wake *
 first_wake (struct world *w, struct replay_wake *out)
 {
-  uint32_t models;
-  uint32_t adapters;
+  const bool may_load = load_may_begin (w);
   struct replay_wake *best = NULL;
   struct replay_wake *k;
 
-  loads_now (w, &models, &adapters);
-  const bool may_load
-      = models < w->loads_at_once && w->now_ms >= w->next_load_ms;
-
   DL_FOREACH (w->wakes, k)
   {
     struct replay_wake load = *k;
@@ -451,6 +465,7 @@
           w->servers[i].on_disk[h->model] = true;
         load_tell (w, h->model);
       }
+  stage_step (w);
 }
 
 uint64_t
--- a/src/replay_report.c
+++ b/src/replay_report.c
@@ -190,6 +190,10 @@
   json_object_set_new (o, "evictions",
                        json_integer ((json_int_t)c->evictions));
   json_object_set_new (o, "unloads", json_integer ((json_int_t)c->unloads));
+  json_object_set_new (o, "staging_loads",
+                       json_integer ((json_int_t)c->staging_loads));
+  json_object_set_new (o, "staging_load_hours",
+                       json_real ((double)c->staging_ms / HOUR_MS));
   json_object_set_new (o, "idle_accelerator_hours",
                        json_real ((double)c->idle_ms / HOUR_MS));
   char *text = json_dumps (o, JSON_INDENT (1) | JSON_SORT_KEYS
--- a/src/replay_report.h
+++ b/src/replay_report.h
@@ -22,9 +22,11 @@
 {
   uint64_t loads;
   uint64_t adapter_loads;
-  uint64_t evictions; /* unloaded to make room */
-  uint64_t unloads;   /* unloaded because idle or surplus */
-  uint64_t idle_ms;   /* loaded replicas without a request, summed */
+  uint64_t evictions;     /* unloaded to make room */
+  uint64_t unloads;       /* unloaded because idle or surplus */
+  uint64_t staging_loads; /* of loads: ahead of any use, unloaded at once */
+  uint64_t staging_ms;    /* sum of their load times */
+  uint64_t idle_ms;       /* loaded replicas without a request, summed */
 };
 
 struct replay_report *report_create (void);
--- a/tests/e2e_placement.c
+++ b/tests/e2e_placement.c
@@ -44,10 +44,10 @@
   remove (uses_path);
 }
 
-/* One model of which exactly one replica is to be loaded; each server has
-   memory for one. */
+/* One model of which at least @min_replicas and at most one replica are to be
+   loaded; each server has memory for one. */
 static void
-start (bool fenced)
+start (bool fenced, int min_replicas)
 {
   char uses[1024];
 
@@ -56,9 +56,9 @@
             "\"kind\":\"engine\",\"fenced\":%s,\"weight_loads_per_s\":100,"
             "\"weight_loads_at_once\":4}],\"classes\":[],\"models\":[{"
             "\"name\":\"m\",\"version\":\"1\",\"service\":\"lm\","
-            "\"bytes\":60,\"slots\":2,\"min_replicas\":1,\"max_replicas\":1,"
+            "\"bytes\":60,\"slots\":2,\"min_replicas\":%d,\"max_replicas\":1,"
             "\"load_ms\":50}],\"uses\":[]}",
-            fenced ? "true" : "false");
+            fenced ? "true" : "false", min_replicas);
   cluster = cluster_create ("test");
   store = cluster_store (cluster, CLUSTER_FLAGS ("--loads-per-s", "100"));
   for (size_t i = 0; i < ENGINES; i++)
@@ -117,7 +117,7 @@
 static struct cluster_proc *
 start_loaded (bool fenced)
 {
-  start (fenced);
+  start (fenced, 1);
   CU_ASSERT_TRUE_FATAL (cluster_until (moved, NULL, WAIT_MS));
   struct cluster_proc *first = with_replica ();
   CU_ASSERT_PTR_NOT_NULL_FATAL (first);
@@ -267,6 +267,28 @@
   end ();
 }
 
+static bool
+staged (void *ctx)
+{
+  int loads = 0;
+
+  (void)ctx;
+  for (size_t i = 0; i < ENGINES; i++)
+    loads += (int)cluster_count (engines[i], "/counts", "loads");
+  return loads == 1 && !with_replica ();
+}
+
+/* Guards against a model nobody used that is on no server's disk, and against
+   a staged replica that stays loaded or goes above max_replicas. */
+static void
+test_staging (void)
+{
+  start (true, 0);
+  CU_ASSERT_TRUE (cluster_until (staged, NULL, WAIT_MS));
+  check_limits ();
+  end ();
+}
+
 static const struct suite_case cases[] = {
   { "engine dies", test_engine_dies },
   { "leaving engine", test_leaving },
@@ -274,5 +296,6 @@
   { "holder paused, unfenced engines", test_paused_unfenced },
   { "store outage", test_outage },
   { "holder released", test_release },
+  { "staging", test_staging },
 };
 TEST_SUITE ("placement", cases)
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -230,6 +230,106 @@
   naive->ops->destroy (naive);
 }
 
+/* Guards against staging loads that compete with demand, need an eviction,
+   put both copies into one failure domain, go above max_replicas or repeat;
+   against a staged replica that stays; and against a naive policy that stages.
+ */
+static void
+test_stage (void)
+{
+  enum
+  {
+    QUIET_MS = 10000,
+    BYTES = 50
+  };
+  static const struct policy_demand quiet = { .asked_ms = START_MS };
+  static const struct policy_demand busy[]
+      = { { .waiting = true },
+          { .asked_ms = START_MS + 1 },
+          { .asked_ms = START_MS, .staging = true } };
+  static const struct
+  {
+    const char *name;
+    struct policy_server servers[2][3]; /* by model */
+    uint32_t replicas;                  /* of the first, of at most 1 */
+    int model;                          /* -1: none */
+    size_t server;
+  } cases[] = {
+    { "the slow load, where fewest copies are; a lost server has none",
+      { { { STR ("a"), STR ("x"), 100, 0, CACHE_REMOTE, true, false },
+          { STR ("b"), STR ("y"), 100, 0, CACHE_REMOTE, true, false },
+          { STR ("c"), STR ("z"), 100, 0, CACHE_DISK, false, false } },
+        { { STR ("a"), STR ("x"), 100, 0, CACHE_DISK, true, false },
+          { STR ("b"), STR ("y"), 100, 0, CACHE_REMOTE, true, false },
+          { STR ("c"), STR ("z"), 100, 0, CACHE_REMOTE, false, false } } },
+      0,
+      0,
+      1 },
+    { "two copies, or one in the only failure domain",
+      { { { STR ("a"), STR ("x"), 100, 0, CACHE_DISK, true, false },
+          { STR ("b"), STR ("y"), 100, 0, CACHE_REMOTE, true, true },
+          { STR ("c"), STR ("z"), 100, 0, CACHE_REMOTE, true, false } },
+        { { STR ("a"), STR ("x"), 100, 0, CACHE_REMOTE, true, false },
+          { STR ("b"), STR ("x"), 100, 51, CACHE_REMOTE, true, false },
+          { STR ("c"), STR ("x"), 100, 50, CACHE_DISK, true, false } } },
+      0,
+      -1,
+      0 },
+    { "max_replicas reached; no memory",
+      { { { STR ("a"), STR ("x"), 100, 0, CACHE_REMOTE, true, true },
+          { STR ("b"), STR ("y"), 100, 0, CACHE_REMOTE, true, false },
+          { STR ("c"), STR ("z"), 100, 0, CACHE_REMOTE, true, false } },
+        { { STR ("a"), STR ("x"), 100, 51, CACHE_REMOTE, true, false },
+          { STR ("b"), STR ("y"), 100, 51, CACHE_REMOTE, true, false },
+          { STR ("c"), STR ("z"), 49, 0, CACHE_REMOTE, true, false } } },
+      1,
+      -1,
+      0 },
+  };
+  struct policy *naive = policy_create_naive (MINUTE_MS);
+
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct policy *p = policy_create (PREFER_IDLE_HOURS);
+      const uint64_t now = START_MS + QUIET_MS;
+      const struct policy_demand staged = { .staging = true, .staged = true };
+      struct policy_stage models[2] = {
+        { .want = { .key = key (STR ("slow")), .load_ms = LOAD_MS } },
+        { .want = { .key = key (STR ("fast")), .load_ms = LOAD_MS / 2 } },
+      };
+      size_t model = 9;
+      size_t server = 9;
+
+      for (size_t j = 0; j < 2; j++)
+        {
+          models[j].want.bytes = BYTES;
+          models[j].max_replicas = 1;
+          models[j].servers = cases[i].servers[j];
+        }
+      models[0].replicas = cases[i].replicas;
+      for (size_t j = 0; j < COUNT (busy); j++)
+        CU_ASSERT_EQUAL (
+            p->ops->stage (p, models, 2, 3, &busy[j], now, &model, &server),
+            STAGE_NOTHING);
+      CU_ASSERT_EQUAL (naive->ops->stage (naive, models, 2, 3, &quiet, now,
+                                          &model, &server),
+                       STAGE_NOTHING);
+      const enum policy_step step
+          = p->ops->stage (p, models, 2, 3, &quiet, now, &model, &server);
+      CU_ASSERT_EQUAL (step, cases[i].model < 0 ? STAGE_NOTHING : STAGE_LOAD);
+      if (step == STAGE_LOAD)
+        {
+          CU_ASSERT_EQUAL (model, (size_t)cases[i].model);
+          CU_ASSERT_EQUAL (server, cases[i].server);
+        }
+      CU_ASSERT_EQUAL (
+          p->ops->stage (p, models, 2, 3, &staged, now, &model, &server),
+          STAGE_UNLOAD);
+      p->ops->destroy (p);
+    }
+  naive->ops->destroy (naive);
+}
+
 /* Guards against more loads than the weight store serves at full speed. */
 static void
 test_budget (void)
@@ -268,6 +368,7 @@
   { "keep-alive and pre-warming", test_keep_alive },
   { "surplus replicas", test_surplus },
   { "order of loads", test_order },
+  { "staging", test_stage },
   { "load budget", test_budget },
 };
 TEST_SUITE ("policy", cases)
