--- a/src/claim_object.c
+++ b/src/claim_object.c
@@ -1,20 +1,11 @@
 #include "claim_impl.h"
 
-#include <stdlib.h>
-
-#include "err.h"
+#include "xdrcodec.h"
 
 struct str
 claim_encode (const struct claim_object *object)
 {
-  const size_t size = xdr_sizeof ((xdrproc_t)xdr_claim_object, (void *)object);
-  char *data = xmalloc (size);
-  XDR xdr;
-
-  xdrmem_create (&xdr, data, (u_int)size, XDR_ENCODE);
-  if (!xdr_claim_object (&xdr, (struct claim_object *)object))
-    abort ();
-  return (struct str){ .data = data, .len = size };
+  return xdrcodec_encode ((xdrproc_t)xdr_claim_object, object);
 }
 
 /* Returns false for an unreadable object or an unknown format. */
--- a/src/config.c
+++ b/src/config.c
@@ -13,6 +13,7 @@
 #include "member.h"
 #include "membership.h"
 #include "metrics.h"
+#include "random.h"
 #include "settings.h"
 #include "store.h"
 
@@ -121,13 +122,6 @@
   return kernel_settings (c->kernel)->bus_addr;
 }
 
-static uint64_t
-next_random (struct config *c)
-{
-  c->random = c->random * 6364136223846793005u + 1442695040888963407u;
-  return c->random >> 33;
-}
-
 /* ---- the node's place among the nodes of its domain ---- */
 
 /* Nodes of this node's domain, as a view. Free the members. */
@@ -195,7 +189,7 @@
       if (!member_live (m) || m->revision < revision
           || str_eq (m->addr, self_addr (c)))
         continue;
-      if (next_random (c) % ++seen == 0)
+      if (random_next (&c->random) % ++seen == 0)
         pick = m;
     }
   return pick;
--- a/src/leasecall.c
+++ b/src/leasecall.c
@@ -10,6 +10,7 @@
 #include "log.h"
 #include "member.h"
 #include "peer.h"
+#include "xdrcodec.h"
 
 #define LOG_MODULE "lease"
 /* Nodes asked in one round; a round follows the hints of refused calls. */
@@ -66,25 +67,6 @@
   abort ();
 }
 
-/* Deep copy by way of the XDR form. */
-static void *
-copy_args (const struct proc_type *type, const void *args)
-{
-  const u_int size = (u_int)xdr_sizeof (type->xdr, (void *)args);
-  char *bytes = xmalloc (size);
-  void *copy = xcalloc (1, type->size);
-  XDR x;
-
-  xdrmem_create (&x, bytes, size, XDR_ENCODE);
-  if (!type->xdr (&x, (void *)args))
-    abort ();
-  xdrmem_create (&x, bytes, size, XDR_DECODE);
-  if (!type->xdr (&x, copy))
-    abort ();
-  free (bytes);
-  return copy;
-}
-
 static void
 on_closed (uv_handle_t *handle)
 {
@@ -195,7 +177,7 @@
 
   c->p = *p;
   c->type = find_proc (p->proc);
-  c->p.args = copy_args (c->type, p->args);
+  c->p.args = xdrcodec_copy (c->type->xdr, p->args, c->type->size);
   c->p.name = str_dup (p->name);
   c->p.region = str_dup (p->region);
   c->to = p->holder.len > 0 ? str_dup (p->holder) : (struct str){ 0 };
--- a/src/scheduler_client.c
+++ b/src/scheduler_client.c
@@ -10,6 +10,7 @@
 #include "err.h"
 #include "log.h"
 #include "settings.h"
+#include "xdrcodec.h"
 
 #define LOG_MODULE "scheduler"
 /* The scheduler refuses at the deadline at the latest; its answer may take
@@ -41,24 +42,6 @@
   struct ask *next;
 };
 
-static struct grant_args *
-copy_args (const struct grant_args *args)
-{
-  const u_int n = (u_int)xdr_sizeof ((xdrproc_t)xdr_grant_args, (void *)args);
-  struct grant_args *copy = xcalloc (1, sizeof *copy);
-  char *bytes = xmalloc (n);
-  XDR xdr;
-
-  xdrmem_create (&xdr, bytes, n, XDR_ENCODE);
-  if (!xdr_grant_args (&xdr, (struct grant_args *)args))
-    abort ();
-  xdrmem_create (&xdr, bytes, n, XDR_DECODE);
-  if (!xdr_grant_args (&xdr, copy))
-    abort ();
-  free (bytes);
-  return copy;
-}
-
 static void
 ask_end (struct ask *a, int err, const struct grant_res *res)
 {
@@ -197,7 +180,8 @@
     .instance = kernel_instance (s->kernel),
   };
   a->scheduler = s;
-  a->args = copy_args (&with_entry);
+  a->args = xdrcodec_copy ((xdrproc_t)xdr_grant_args, &with_entry,
+                           sizeof (struct grant_args));
   a->key
       = sched_key_make (s, STR_TEXT (args->service), STR_TEXT (args->model));
   a->key.region = str_dup (a->key.region);
--- a/src/scheduler_release.c
+++ b/src/scheduler_release.c
@@ -7,6 +7,7 @@
 
 #include "clock.h"
 #include "err.h"
+#include "xdrcodec.h"
 
 #define CALL_MS 5000
 /* A scheduler that was paused for longer than this has lost its place anyway,
@@ -34,25 +35,6 @@
   struct release *next;
 };
 
-static struct release_args *
-copy_args (const struct release_args *args)
-{
-  const u_int n
-      = (u_int)xdr_sizeof ((xdrproc_t)xdr_release_args, (void *)args);
-  struct release_args *copy = xcalloc (1, sizeof *copy);
-  char *bytes = xmalloc (n);
-  XDR xdr;
-
-  xdrmem_create (&xdr, bytes, n, XDR_ENCODE);
-  if (!xdr_release_args (&xdr, (struct release_args *)args))
-    abort ();
-  xdrmem_create (&xdr, bytes, n, XDR_DECODE);
-  if (!xdr_release_args (&xdr, copy))
-    abort ();
-  free (bytes);
-  return copy;
-}
-
 static void
 release_free (struct release *r)
 {
@@ -123,7 +105,8 @@
     return;
   r = xcalloc (1, sizeof *r);
   r->scheduler = s;
-  r->args = copy_args (args);
+  r->args = xdrcodec_copy ((xdrproc_t)xdr_release_args, args,
+                           sizeof (struct release_args));
   r->granter = str_dup ((struct str){ id.data, (size_t)(dash - id.data) });
   r->until_ms = clock_ms () + KEEP_MS;
   DL_APPEND (s->releases, r);
--- a/tests/make_traces.c
+++ b/tests/make_traces.c
@@ -4,6 +4,7 @@
 
 #include "err.h"
 #include "lists.h"
+#include "random.h"
 
 /* Writes the traces of tests/traces; `make traces` runs it. Usage:
    make_traces titlovi|magnolia day|burst LISTS-DIRECTORY >TRACE. The seed is
@@ -34,8 +35,7 @@
 static uint64_t
 draw (uint64_t below)
 {
-  random_state = random_state * 6364136223846793005u + 1442695040888963407u;
-  return (random_state >> 33) % below;
+  return random_next (&random_state) % below;
 }
 
 /* About exponential, in ms. */
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -7,6 +7,7 @@
 #include <uthash.h>
 
 #include "err.h"
+#include "random.h"
 #include "suite.h"
 
 #define OWNERS 2
@@ -103,8 +104,7 @@
 static uint32_t
 next_random (struct world *w)
 {
-  w->random = w->random * 6364136223846793005U + 1442695040888963407U;
-  return (uint32_t)(w->random >> 33);
+  return (uint32_t)random_next (&w->random);
 }
 
 static struct claim_clock
--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <stdlib.h>
 
+#include "random.h"
 #include "suite.h"
 
 #define HOSTS_MAX 12
@@ -67,8 +68,7 @@
 static uint32_t
 next_random (uint64_t *state)
 {
-  *state = *state * 6364136223846793005U + 1442695040888963407U;
-  return (uint32_t)(*state >> 33);
+  return (uint32_t)random_next (state);
 }
 
 static bool
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "random.h"
 #include "suite.h"
 
 #define CUSTOMER STR ("opera")
@@ -148,8 +149,7 @@
 static unsigned
 draw (struct world *w, unsigned n)
 {
-  w->random = w->random * 6364136223846793005u + 1442695040888963407u;
-  return (unsigned)((w->random >> 33) % n);
+  return (unsigned)(random_next (&w->random) % n);
 }
 
 static bool
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "err.h"
+#include "random.h"
 #include "suite.h"
 
 #define SLOTS 4
@@ -66,8 +67,7 @@
 static uint64_t
 draw (struct world *w, uint64_t below)
 {
-  w->random = w->random * 6364136223846793005u + 1442695040888963407u;
-  return (w->random >> 33) % below;
+  return random_next (&w->random) % below;
 }
 
 static void
--- a/tests/test_swim.c
+++ b/tests/test_swim.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "err.h"
+#include "random.h"
 #include "suite.h"
 
 #define NODES_MAX 410
@@ -48,8 +49,7 @@
 static uint64_t
 next_random (struct net *n)
 {
-  n->random = n->random * 6364136223846793005U + 1442695040888963407U;
-  return n->random >> 33;
+  return random_next (&n->random);
 }
 
 static struct str
