--- a/src/config_peers.c
+++ b/src/config_peers.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "err.h"
+#include "random.h"
 #include "settings.h"
 
 /* Nodes of a domain fetch along a tree in the order of their ranks, so that
@@ -21,13 +22,6 @@
   return kernel_settings (c->kernel)->bus_addr;
 }
 
-static uint64_t
-next_random (struct config *c)
-{
-  c->random = c->random * 6364136223846793005u + 1442695040888963407u;
-  return c->random >> 33;
-}
-
 /* Nodes of this node's domain, as a view. Free the members. */
 static struct member_view
 domain_view (const struct config *c)
@@ -89,7 +83,7 @@
       if (!member_live (m) || m->revision < revision
           || str_eq (m->addr, config_self (c)))
         continue;
-      if (next_random (c) % ++seen == 0)
+      if (random_next (&c->random) % ++seen == 0)
         pick = m;
     }
   return pick;
