--- a/tests/bench_faults.c
+++ b/tests/bench_faults.c
@@ -114,7 +114,7 @@
         bench_row (names[i], "ms", &runs[i]);
       fleet_check_limits (&fleet);
     }
-  bench_note ("4 nodes, the usual lease (ttl 6 s). Times from the kill by the "
+  bench_note ("4 nodes, the usual lease (ttl 4 s). Times from the kill by the "
               "lease object and the successor's log; the killed node is "
               "started again before the next run.");
   fleet_stop (&fleet);
