Show leases and scheduled models in the status

Cause: status showed members only; an operator could not see who holds a lease, how long queues are and how many targets have a model. Change: /admin/status and galenagate status list leases (held, fence, holder) and, for the models that the node schedules, targets, waiting and in flight. The e2e burst test checks that exactly one node holds the placement and schedules the model. The e2e suites share one set of short lease settings.

--- a/src/admin.c
+++ b/src/admin.c
@@ -11,10 +11,12 @@
 #include "claims.h"
 #include "config.h"
 #include "err.h"
+#include "lease.h"
 #include "lists.h"
 #include "member.h"
 #include "metrics.h"
 #include "request.h"
+#include "scheduler.h"
 #include "settings.h"
 
 struct admin
@@ -138,6 +140,35 @@
   return list;
 }
 
+static void
+add_lease (void *ctx, struct str name, bool held, uint64_t fence,
+           struct str holder)
+{
+  json_t *entry = json_object ();
+
+  json_object_set_new (entry, "lease", json_str (name));
+  json_object_set_new (entry, "held", json_boolean (held));
+  json_object_set_new (entry, "fence", json_integer ((json_int_t)fence));
+  json_object_set_new (entry, "holder", json_str (holder));
+  json_array_append_new (ctx, entry);
+}
+
+static void
+add_scheduled (void *ctx, const struct scheduler_info *info)
+{
+  json_t *entry = json_object ();
+
+  json_object_set_new (entry, "service", json_str (info->service));
+  json_object_set_new (entry, "model", json_str (info->model));
+  json_object_set_new (entry, "targets",
+                       json_integer ((json_int_t)info->targets));
+  json_object_set_new (entry, "waiting",
+                       json_integer ((json_int_t)info->waiting));
+  json_object_set_new (entry, "in_flight",
+                       json_integer ((json_int_t)info->in_flight));
+  json_array_append_new (ctx, entry);
+}
+
 static void
 serve_status (struct admin *a, h2o_req_t *req)
 {
@@ -160,6 +191,12 @@
   json_object_set_new (
       json, "members",
       members_json (kernel_latest (a->kernel, TOPIC_MEMBERS)));
+  json_t *leases = json_array ();
+  lease_each (lease_get (a->kernel), add_lease, leases);
+  json_object_set_new (json, "leases", leases);
+  json_t *scheduled = json_array ();
+  scheduler_each (scheduler_get (a->kernel), add_scheduled, scheduled);
+  json_object_set_new (json, "scheduled", scheduled);
   answer_json (req, 200, json);
 }
 
--- a/src/lease.c
+++ b/src/lease.c
@@ -294,6 +294,17 @@
   return l ? leasestate_fence (l->state) : 0;
 }
 
+void
+lease_each (const struct lease_table *t,
+            void (*fn) (void *ctx, struct str name, bool held, uint64_t fence,
+                        struct str holder),
+            void *ctx)
+{
+  for (const struct lease *l = t->leases; l; l = l->hh.next)
+    fn (ctx, l->name, lease_valid (t, l->name), leasestate_fence (l->state),
+        lease_holder (t, l->name));
+}
+
 struct str
 lease_holder (const struct lease_table *t, struct str name)
 {
--- a/src/lease.h
+++ b/src/lease.h
@@ -32,6 +32,12 @@
 uint64_t lease_fence (const struct lease_table *table, struct str name);
 /** lease_holder() - bus address of the holder as last read, else empty. */
 struct str lease_holder (const struct lease_table *table, struct str name);
+/** lease_each() - every lease that this node takes part in; @fence is that of
+ * the state read last. */
+void lease_each (const struct lease_table *table,
+                 void (*fn) (void *ctx, struct str name, bool held,
+                             uint64_t fence, struct str holder),
+                 void *ctx);
 /**
  * lease_call() - bus_call() to the holder of a lease.
  *
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -23,6 +23,26 @@
 /* A unit without targets, requests and grants is kept this long. */
 #define IDLE_UNIT_MS (60 * 1000)
 
+void
+scheduler_each (const struct scheduler *s,
+                void (*fn) (void *ctx, const struct scheduler_info *info),
+                void *ctx)
+{
+  for (const struct unit *u = s->units; u; u = u->hh.next)
+    {
+      const struct scheduler_info info = {
+        .service = u->service,
+        .model = u->model,
+        .targets = sched_target_count (u->sched),
+        .waiting = sched_waiting (u->sched),
+        .in_flight = sched_in_flight (u->sched),
+      };
+
+      if (u->owned)
+        fn (ctx, &info);
+    }
+}
+
 struct scheduler *
 scheduler_get (struct kernel *kernel)
 {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -28,3 +28,18 @@
  */
 void scheduler_release (struct scheduler *scheduler,
                         const struct release_args *args);
+
+/** struct scheduler_info - a model or plain service that this node schedules;
+ * @model is empty for a plain service. */
+struct scheduler_info
+{
+  struct str service;
+  struct str model;
+  size_t targets;
+  size_t waiting;
+  size_t in_flight;
+};
+
+void scheduler_each (const struct scheduler *scheduler,
+                     void (*fn) (void *ctx, const struct scheduler_info *info),
+                     void *ctx);
--- a/src/status.c
+++ b/src/status.c
@@ -8,8 +8,6 @@
 #include "settings.h"
 #include "show.h"
 
-#define COLUMN_COUNT 6
-
 struct options
 {
   struct str node;
@@ -26,44 +24,61 @@
 };
 #define SETTING_COUNT (sizeof status_settings / sizeof *status_settings)
 
-/* Columns that nodes of this version give, in order. */
-static const char *const columns[COLUMN_COUNT]
-    = { "addr", "http_addr", "region", "domain", "state", "revision" };
+#define COLUMNS_MAX 6
 
-static void
-print_members (const json_t *members)
+/* Tables of the answer, with their columns in order. */
+static const struct table
+{
+  const char *list;
+  const char *columns[COLUMNS_MAX];
+} tables[] = {
+  { "members",
+    { "addr", "http_addr", "region", "domain", "state", "revision" } },
+  { "leases", { "lease", "held", "fence", "holder" } },
+  { "scheduled", { "service", "model", "targets", "waiting", "in_flight" } },
+};
+
+static size_t
+column_width (const json_t *rows, const char *column)
 {
-  size_t widths[COLUMN_COUNT];
+  size_t width = str_from (column).len;
   size_t i;
-  json_t *m;
+  json_t *row;
 
-  for (size_t c = 0; c < COLUMN_COUNT; c++)
-    widths[c] = str_from (columns[c]).len;
-  json_array_foreach (members, i, m)
+  json_array_foreach (rows, i, row)
   {
-    for (size_t c = 0; c < COLUMN_COUNT; c++)
-      {
-        struct str text = show_value (json_object_get (m, columns[c]));
+    struct str text = show_value (json_object_get (row, column));
 
-        if (text.len > widths[c])
-          widths[c] = text.len;
-        str_free (&text);
-      }
+    if (text.len > width)
+      width = text.len;
+    str_free (&text);
   }
+  return width;
+}
+
+static void
+print_table (const struct table *t, const json_t *rows)
+{
+  size_t widths[COLUMNS_MAX] = { 0 };
+  size_t i;
+  json_t *row;
+
+  for (size_t c = 0; c < COLUMNS_MAX && t->columns[c]; c++)
+    widths[c] = column_width (rows, t->columns[c]);
+  printf ("\n");
+  for (size_t c = 0; c < COLUMNS_MAX && t->columns[c]; c++)
+    printf ("%-*s  ", (int)widths[c], t->columns[c]);
   printf ("\n");
-  for (size_t c = 0; c < COLUMN_COUNT; c++)
-    printf ("%-*s%s", (int)widths[c], columns[c],
-            c + 1 < COLUMN_COUNT ? "  " : "\n");
-  json_array_foreach (members, i, m)
+  json_array_foreach (rows, i, row)
   {
-    for (size_t c = 0; c < COLUMN_COUNT; c++)
+    for (size_t c = 0; c < COLUMNS_MAX && t->columns[c]; c++)
       {
-        struct str text = show_value (json_object_get (m, columns[c]));
+        struct str text = show_value (json_object_get (row, t->columns[c]));
 
-        printf ("%-*s%s", (int)widths[c], text.data,
-                c + 1 < COLUMN_COUNT ? "  " : "\n");
+        printf ("%-*s  ", (int)widths[c], text.data);
         str_free (&text);
       }
+    printf ("\n");
   }
 }
 
@@ -88,7 +103,8 @@
   else if (status)
     {
       show_members (status);
-      print_members (json_object_get (status, "members"));
+      for (size_t i = 0; i < sizeof tables / sizeof *tables; i++)
+        print_table (&tables[i], json_object_get (status, tables[i].list));
     }
   json_decref (status);
 
--- a/tests/clusterfleet.c
+++ b/tests/clusterfleet.c
@@ -10,6 +10,14 @@
 #define USES "tests/lists/small/uses.json"
 #define HEADER_BYTES 128
 
+const char *const fleet_short_leases[] = { "--lease-ttl-ms",
+                                           "1500",
+                                           "--lease-margin-ms",
+                                           "300",
+                                           "--drain-delay-ms",
+                                           "300",
+                                           NULL };
+
 static const char *const domains[] = { "a", "b", "c", "a" };
 
 static bool
--- a/tests/clusterfleet.h
+++ b/tests/clusterfleet.h
@@ -27,6 +27,9 @@
   const char *uses; /* other list of uses */
 };
 
+/* Node flags with which a lost lease passes on within 3 s. */
+extern const char *const fleet_short_leases[];
+
 /** fleet_start() - false when a part did not come up; stop it all the same. */
 bool fleet_start (struct fleet *f, const struct fleet_options *options);
 void fleet_stop (struct fleet *f);
--- a/tests/e2e_faults.c
+++ b/tests/e2e_faults.c
@@ -10,19 +10,11 @@
    themselves check memory, replicas and repeated attempts. */
 
 #define LEASE "placement/engines"
-/* Longer than a lease of the short settings below and its margin. */
+/* Longer than a lease with fleet_short_leases and its margin. */
 #define PAUSE_US 3000000
 
 static struct fleet fleet;
 
-static const char *const short_leases[] = { "--lease-ttl-ms",
-                                            "1500",
-                                            "--lease-margin-ms",
-                                            "300",
-                                            "--drain-delay-ms",
-                                            "300",
-                                            NULL };
-
 /* ---- broken and crossed answers ---- */
 
 /* Guards against an answer that is cut, crossed or silent and reaches the
@@ -193,7 +185,7 @@
 static void
 owner_lost (const char *const *engine_flags, const char *uses, bool freeze)
 {
-  const struct fleet_options options = { .node_flags = short_leases,
+  const struct fleet_options options = { .node_flags = fleet_short_leases,
                                          .engine_flags = engine_flags,
                                          .uses = uses };
 
@@ -261,7 +253,7 @@
 static void
 test_store_outage (void)
 {
-  const struct fleet_options options = { .node_flags = short_leases };
+  const struct fleet_options options = { .node_flags = fleet_short_leases };
 
   if (fleet_start (&fleet, &options))
     {
@@ -333,7 +325,7 @@
 static void
 test_rolling_restart (void)
 {
-  const struct fleet_options options = { .node_flags = short_leases };
+  const struct fleet_options options = { .node_flags = fleet_short_leases };
   struct cluster_call *calls[STREAMS];
 
   if (fleet_start (&fleet, &options))
--- a/tests/e2e_path.c
+++ b/tests/e2e_path.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "clusterfleet.h"
@@ -40,6 +41,39 @@
   fleet_stop (&fleet);
 }
 
+/* Exactly one node holds the placement's lease, and exactly one schedules the
+   model, by what the nodes report of themselves. */
+static void
+check_status (void)
+{
+  size_t holders = 0;
+  size_t schedulers = 0;
+
+  for (size_t n = 0; n < FLEET_NODES; n++)
+    {
+      json_t *status = cluster_json (fleet.nodes[n], "/admin/status");
+      size_t i;
+      json_t *entry;
+
+      json_array_foreach (json_object_get (status, "leases"), i, entry)
+      {
+        const char *name
+            = json_string_value (json_object_get (entry, "lease"));
+        holders += name && strcmp (name, "placement/engines") == 0
+                   && json_is_true (json_object_get (entry, "held"));
+      }
+      json_array_foreach (json_object_get (status, "scheduled"), i, entry)
+      {
+        const char *model
+            = json_string_value (json_object_get (entry, "model"));
+        schedulers += model && strcmp (model, "lm-2") == 0;
+      }
+      json_decref (status);
+    }
+  CU_ASSERT_EQUAL (holders, 1);
+  CU_ASSERT_EQUAL (schedulers, 1);
+}
+
 #define BURST_PER_NODE 20
 
 /* Guards against one load per entry, or per caller, when a burst comes to an
@@ -67,6 +101,7 @@
           cluster_reply_free (&r);
         }
       CU_ASSERT_EQUAL (whole, n);
+      check_status ();
       CU_ASSERT_EQUAL (fleet_sum (&fleet, "loads"), 1);
       CU_ASSERT_EQUAL (fleet_sum (&fleet, "repeated"), 0);
     }
--- a/tests/e2e_recovery.c
+++ b/tests/e2e_recovery.c
@@ -14,14 +14,6 @@
 
 static struct fleet fleet;
 
-static const char *const short_leases[] = { "--lease-ttl-ms",
-                                            "1500",
-                                            "--lease-margin-ms",
-                                            "300",
-                                            "--drain-delay-ms",
-                                            "300",
-                                            NULL };
-
 /* ---- configuration ---- */
 
 static json_int_t
@@ -95,7 +87,7 @@
 static void
 claims_owner_lost (bool freeze)
 {
-  const struct fleet_options options = { .node_flags = short_leases };
+  const struct fleet_options options = { .node_flags = fleet_short_leases };
   char key[KEYS][16];
 
   if (fleet_start (&fleet, &options))
