Remove dead state from the bus, the caller and the attempt

Cause: a read of the whole change found bus_bytes(), which nobody calls since the admin page reads busconn_bytes(); caller.begun, which is set and never read; a status that was assigned although it is what the branch tested; and a callback named for refusals that ends every streamed call. Ruled out: sharing destroy() and the vtables of the two policies, and the plug-in tables of membership and scheduler: alike in shape, each with its own types. Change: the dead parts are removed, on_stream_refused is on_stream_call_done. Behaviour and tests are unchanged.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -274,7 +274,6 @@
 {
   struct attempt *a = ctx;
 
-  a->status = 200;
   if (!a->mismatch && !names_attempt (a, call))
     a->mismatch = true;
   if (!a->mismatch && !a->given_up)
@@ -302,10 +301,10 @@
     fail (a, err_make (-EPIPE, "stream-end", a->target));
 }
 
-/* A refusal has a JSON body, not events; collect it until the end. */
+/* A refusal has a JSON body, not events, and was collected until the end. */
 static void
-on_stream_refused (void *ctx, struct http_call *call, struct err err,
-                   int status, bool sent, struct str body)
+on_stream_call_done (void *ctx, struct http_call *call, struct err err,
+                     int status, bool sent, struct str body)
 {
   struct attempt *a = ctx;
 
@@ -341,7 +340,7 @@
 }
 
 static const struct http_events stream_events
-    = { .head = on_head, .data = on_any_data, .done = on_stream_refused };
+    = { .head = on_head, .data = on_any_data, .done = on_stream_call_done };
 static const struct http_events whole_events = { .done = on_whole_done };
 
 /* ---- resume ---- */
--- a/src/bus.c
+++ b/src/bus.c
@@ -491,13 +491,6 @@
   b->handlers[proc].ctx = ctx;
 }
 
-uint64_t
-bus_bytes (const struct bus *b)
-{
-  (void)b;
-  return busconn_bytes ();
-}
-
 static const struct plugin_ops ops;
 
 static struct plugin *
--- a/src/bus.h
+++ b/src/bus.h
@@ -56,5 +56,3 @@
 struct str bus_peer (const struct bus_request *req);
 /** bus_gone() - the caller's connection has closed; an answer is dropped. */
 bool bus_gone (const struct bus_request *req);
-/** bus_bytes() - control bytes sent and received so far, for metrics. */
-uint64_t bus_bytes (const struct bus *bus);
--- a/src/caller.c
+++ b/src/caller.c
@@ -17,7 +17,6 @@
   void *ctx;
   struct buf pending; /* not yet given to h2o */
   struct buf sending; /* h2o reads this until it calls proceed */
-  bool begun;
   bool busy;
   bool ended;
   bool whole;
@@ -171,7 +170,6 @@
 void
 caller_begin (struct caller *c, int status, struct str content_type)
 {
-  c->begun = true;
   if (c->stopped || !c->req)
     return;
   set_head (c, status, content_type);
