--- a/Makefile
+++ b/Makefile
@@ -7,14 +7,14 @@
 SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=undefined \
   -fno-omit-frame-pointer
 # -iquote, because src/sched.h would hide the system header of that name.
-CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -iquote src -I/usr/include/tirpc
+CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -iquote src -iquote . -I/usr/include/tirpc
 CFLAGS ?= -O2 -g
 CFLAGS += -std=gnu11 -Wall -Wextra -Werror -MMD -MP $(SAN)
 LDLIBS = -lh2o -lssl -lcrypto -luv -lcurl -ltirpc -ljansson -lxxhash \
   -llog4c -lm -lpthread
 
 GENERATED = src/peer_xdr.c
-LIB_SRC = $(filter-out src/main.c,$(wildcard src/*.c))
+LIB_SRC = $(filter-out src/main.c,$(wildcard src/*.c src/*/*.c platform/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 UNIT_SRC = $(wildcard tests/test_*.c) tests/suite.c
 E2E_SRC = $(wildcard tests/e2e_*.c) $(wildcard tests/cluster*.c) tests/suite.c
@@ -29,7 +29,7 @@
 setup:
 	@scripts/setup
 
-$(BUILD)/src/peer_xdr.o: CFLAGS += $(PEER_CFLAGS)
+$(GENERATED:%.c=$(BUILD)/%.o): CFLAGS += $(PEER_CFLAGS)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(dir $@)
@@ -95,13 +95,14 @@
 	$(MAKE) all
 	scripts/demo
 
-FORMATTED = $(filter-out src/peer.h src/peer_xdr.c,$(wildcard src/*.[ch] tests/*.[ch]))
+SOURCES = $(wildcard src/*.[ch] src/*/*.[ch] platform/*.[ch] tests/*.[ch])
+FORMATTED = $(filter-out src/peer.h src/edge/digest.h $(GENERATED),$(SOURCES))
 format:
 	clang-format -i $(FORMATTED)
 
 lint:
 	clang-format --dry-run --Werror $(FORMATTED)
-	printf '%s\n' $(filter-out src/peer_xdr.c,$(wildcard src/*.c tests/*.c)) | \
+	printf '%s\n' $(filter %.c,$(FORMATTED)) | \
 	  xargs -P 8 -n 4 sh -c 'clang-tidy --quiet --warnings-as-errors="*" "$$@" -- $(CPPFLAGS) -std=gnu11' sh
 
 clean:
--- a/src/caller.c
+++ b/src/caller.c
@@ -152,7 +152,15 @@
 {
   c->req->res.status = status;
   c->req->res.reason = status < 400 ? "OK" : "Error";
-  caller_header (c, "content-type", content_type);
+  if (content_type.len > 0)
+    caller_header (c, "content-type", content_type);
+}
+
+void
+caller_length (struct caller *c, size_t bytes)
+{
+  if (!c->stopped && c->req)
+    c->req->res.content_length = bytes;
 }
 
 void
--- a/src/caller.h
+++ b/src/caller.h
@@ -29,10 +29,14 @@
 bool caller_left (struct caller *caller);
 /** caller_header() - add a response header; before the answer begins. */
 void caller_header (struct caller *caller, const char *name, struct str value);
-/** caller_send() - send a whole answer. */
+/** caller_length() - announce the size of an answer sent in parts; before it
+ * begins. */
+void caller_length (struct caller *caller, size_t bytes);
+/** caller_send() - send a whole answer. @content_type may be empty. */
 void caller_send (struct caller *caller, int status, struct str content_type,
                   struct str body);
-/** caller_begin() - begin an answer that is sent in parts. */
+/** caller_begin() - begin an answer that is sent in parts. @content_type may
+ * be empty. */
 void caller_begin (struct caller *caller, int status, struct str content_type);
 /** caller_write() - send a part. Returns false when the caller reads too
    slowly and the answer should be given up. */
--- /dev/null
+++ b/src/edge/call_answer.c
@@ -0,0 +1,122 @@
+#include "edge/call_impl.h"
+
+#include <stdio.h>
+
+#include "clock.h"
+#include "log.h"
+
+#define LOG_MODULE "call"
+#define ANSWER_FIELDS_MAX 64
+/* When to come back if nothing better is known: servers and routes come back
+   after about this time. */
+#define RETRY_AFTER_DEFAULT_MS 500
+#define STATUS_BAD_GATEWAY 502
+#define STATUS_UNAVAILABLE 503
+
+static const struct str text_type = { "text/plain", 10 };
+
+static void
+send_reason (struct call *c, int status, const char *reason)
+{
+  struct str body = str_printf ("%s\n", reason);
+
+  caller_send (c->caller, status, text_type, body);
+  str_free (&body);
+}
+
+void
+call_refuse (struct call *c, uint32_t retry_after_ms, const char *reason)
+{
+  char text[24];
+
+  if (c->answer_begun)
+    {
+      call_fail (c, STATUS_UNAVAILABLE, reason);
+      return;
+    }
+  if (retry_after_ms == 0)
+    retry_after_ms = RETRY_AFTER_DEFAULT_MS;
+  snprintf (text, sizeof text, "%u.%03u", retry_after_ms / 1000,
+            retry_after_ms % 1000);
+  caller_header (c->caller, "retry-after", str_from (text));
+  send_reason (c, STATUS_UNAVAILABLE, reason);
+  call_close (c, CALL_REFUSED, STATUS_UNAVAILABLE, reason);
+}
+
+void
+call_fail (struct call *c, int status, const char *reason)
+{
+  if (c->answer_begun)
+    {
+      caller_end (c->caller, false);
+      call_close (c, CALL_CUT, status, reason);
+      return;
+    }
+  send_reason (c, status, reason);
+  call_close (c, CALL_UNKNOWN, status, reason);
+}
+
+void
+call_deny (struct call *c, int status, const char *reason)
+{
+  send_reason (c, status, reason);
+  call_close (c, CALL_DENIED, status, reason);
+}
+
+static void
+pass_fields (struct call *c, const struct http_call *answer)
+{
+  struct http_field fields[ANSWER_FIELDS_MAX];
+  const size_t n = http_fields (answer, fields, ANSWER_FIELDS_MAX);
+
+  for (size_t i = 0; i < n; i++)
+    if (answer_field_passed (fields[i].name))
+      caller_header (c->caller, fields[i].name.data, fields[i].value);
+}
+
+void
+call_relay (struct call *c, const struct forward_result *r,
+            const struct http_call *answer)
+{
+  if (c->answer_begun)
+    {
+      /* A server that should go on with a stream answered otherwise. */
+      call_fail (c, r->status, "stream-not-resumed");
+      return;
+    }
+  pass_fields (c, answer);
+  caller_send (c->caller, r->status, (struct str){ 0 }, r->body);
+  call_close (c, r->status < 400 ? CALL_SERVED : CALL_FAILED, r->status, "-");
+}
+
+void
+call_begin_answer (struct call *c, const struct http_call *answer, int status)
+{
+  const struct str length = http_header (answer, "Content-Length");
+  uint64_t bytes;
+
+  pass_fields (c, answer);
+  if (c->kind != CALL_STREAM && str_u64 (length, &bytes))
+    caller_length (c->caller, bytes);
+  caller_begin (c->caller, status, (struct str){ 0 });
+  c->answer_begun = true;
+}
+
+void
+call_end_answer (struct call *c)
+{
+  caller_end (c->caller, true);
+  call_close (c, CALL_SERVED, 200, "-");
+}
+
+void
+call_drop (struct call *c)
+{
+  /* Without an answer h2o would keep the connection of a client that left. */
+  if (c->answer_begun)
+    caller_end (c->caller, false);
+  else
+    send_reason (c, c->sent_before ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
+                 "client-left");
+  call_close (c, CALL_LEFT, 0, "client-left");
+}
--- /dev/null
+++ b/src/edge/call_impl.h
@@ -0,0 +1,149 @@
+#pragma once
+
+/* Parts of the life of a call; included by edge/call*.c only. */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <uthash.h>
+
+#include "caller.h"
+#include "edge/calls.h"
+#include "edge/demand.h"
+#include "edge/edge.h"
+#include "edge/forward.h"
+#include "edge/pool.h"
+#include "edge/retries.h"
+#include "edge/site.h"
+#include "platform/callheaders.h"
+
+#define CALL_FIELDS_MAX 110
+
+/* Retry budget of a service. */
+struct service_retries
+{
+  struct str service;
+  struct retries retries;
+  UT_hash_handle hh;
+};
+
+/**
+ * struct calls - all calls of this node.
+ * @first: calls in the order of their arrival.
+ */
+struct calls
+{
+  struct kernel *kernel;
+  struct site *site;
+  struct http *http;
+  uv_loop_t *loop;
+  uv_timer_t wait_timer;
+  uv_timer_t left_timer;
+  struct call *first;
+  struct call *last;
+  size_t open;
+  struct service_retries *retries;
+  uint64_t random;
+};
+
+/* How a call ended, for logs and counters. */
+enum call_end
+{
+  CALL_SERVED,
+  CALL_FAILED,  /* a server's own failure was passed on */
+  CALL_REFUSED, /* not run */
+  CALL_UNKNOWN, /* may have run; no answer */
+  CALL_CUT,     /* the answer was broken off */
+  CALL_LEFT,    /* the client left */
+  CALL_DENIED,  /* not a call that the configuration allows */
+};
+
+/**
+ * struct call - one client attempt. Its strings point into h2o's request,
+ * which outlives it, except those marked as own.
+ * @route_name, @service: own copies.
+ * @end_ms: the client has its answer by then.
+ * @runs: attempts that may have run.
+ * @bounces: attempts that certainly did not run.
+ * @waiting: no attempt is under way.
+ */
+struct call
+{
+  struct calls *calls;
+  struct call *prev;
+  struct call *next;
+  struct caller *caller;
+  uv_timer_t timer;
+  struct http_field fields[CALL_FIELDS_MAX];
+  size_t field_count;
+  struct call_meta meta;
+  struct str method;
+  struct str target;
+  struct str body;
+  struct str route_name;
+  struct str service;
+  enum call_kind kind;
+  uint32_t target_ms;
+  uint32_t event_gap_ms;
+  uint32_t max_attempts;
+  uint32_t priority;
+  bool resumable;
+  uint64_t begun_ms;
+  uint64_t end_ms;
+  uint64_t deadline_end_ms; /* when the client stops waiting */
+  uint32_t runs;
+  uint32_t bounces;
+  bool sent_before;
+  bool waiting;
+  enum pool_verdict verdict; /* why it waits */
+  bool answer_begun;
+  uint64_t last_event;
+  char last_event_text[24];
+  struct forward *forward;
+  struct pool_server *server; /* of the attempt under way */
+  struct pool_server *avoid;
+  uint64_t sent_ms;
+  uint64_t first_ms; /* when the answer began */
+  struct demand_item *demand_model;
+  struct demand_item *demand_adapter;
+};
+
+/* ---- call_send.c ---- */
+
+/** call_proceed() - choose a server and send, or wait, or refuse. */
+void call_proceed (struct call *call);
+/** call_abandon() - end the attempt under way, if there is one. */
+void call_abandon (struct call *call);
+
+/* ---- call_answer.c ---- */
+
+/** call_refuse() - the call has not run: 503 and when to come back. */
+void call_refuse (struct call *call, uint32_t retry_after_ms,
+                  const char *reason);
+/** call_fail() - the call may have run: 502 or 504, or a visible cut. */
+void call_fail (struct call *call, int status, const char *reason);
+/** call_deny() - not a call that can be served. */
+void call_deny (struct call *call, int status, const char *reason);
+/** call_relay() - pass a server's whole answer on. */
+void call_relay (struct call *call, const struct forward_result *result,
+                 const struct http_call *answer);
+/** call_begin_answer() - pass on the head of an answer that comes in parts. */
+void call_begin_answer (struct call *call, const struct http_call *answer,
+                        int status);
+/** call_end_answer() - end an answer in parts. */
+void call_end_answer (struct call *call);
+
+/** call_drop() - the client has left; h2o is made to close its connection. */
+void call_drop (struct call *call);
+
+/* ---- calls.c ---- */
+
+/** call_set_waiting() - count the call as one that waits, or no longer. */
+void call_set_waiting (struct call *call, bool waiting);
+/** call_close() - log, count and free. */
+void call_close (struct call *call, enum call_end end, int status,
+                 const char *reason);
+/** call_retry_budget() - may the call be sent once more. */
+bool call_retry_budget (struct call *call);
+/** call_count_first() - the call is sent for the first time. */
+void call_count_first (struct call *call);
--- /dev/null
+++ b/src/edge/call_send.c
@@ -0,0 +1,343 @@
+#include "edge/call_impl.h"
+
+#include <errno.h>
+#include <stdio.h>
+
+#include "clock.h"
+#include "log.h"
+#include "metrics.h"
+
+#define LOG_MODULE "call"
+/* An attempt is not begun with less time left than this: no server answers so
+   fast, and the answer would come late. */
+#define ATTEMPT_MIN_MS 20
+/* Servers that may turn a call away before it is refused. */
+#define BOUNCES_MAX 6
+/* A call that may be repeated is sent to another server when the first one is
+   silent for this many times the latency objective. */
+#define SILENCE_TARGETS 3
+#define SILENCE_MIN_MS 300
+/* Pause between events after which a stream goes on at another server, in
+   pauses that are still on time. Engines also pause when they preempt. */
+#define GAP_FACTOR 5
+#define GAP_MIN_MS 1000
+#define PRIORITY_LOWEST 9
+#define STATUS_BAD_GATEWAY 502
+#define STATUS_GATEWAY_TIMEOUT 504
+
+static uint64_t
+left_ms (uint64_t end_ms)
+{
+  const uint64_t now = clock_ms ();
+
+  return end_ms > now ? end_ms - now : 0;
+}
+
+/* ---- attempt ---- */
+
+static bool
+repeatable (const struct call *c)
+{
+  return c->kind == CALL_IDEMPOTENT
+         || (c->kind == CALL_STREAM && c->resumable);
+}
+
+static bool
+attempts_left (const struct call *c)
+{
+  return c->runs < c->max_attempts;
+}
+
+static uint32_t
+first_bound (const struct call *c)
+{
+  uint32_t bound = c->target_ms * SILENCE_TARGETS;
+
+  /* Only a call that can be sent once more gains by an end. */
+  if (!repeatable (c) || c->runs + 1 >= c->max_attempts)
+    return 0;
+  if (bound < SILENCE_MIN_MS)
+    bound = SILENCE_MIN_MS;
+  if (bound > left_ms (c->end_ms) / 2)
+    bound = (uint32_t)(left_ms (c->end_ms) / 2);
+  return bound;
+}
+
+static uint32_t
+gap_bound (const struct call *c)
+{
+  const uint32_t bound = c->event_gap_ms * GAP_FACTOR;
+
+  if (!repeatable (c) || c->runs + 1 >= c->max_attempts)
+    return 0;
+  return bound > GAP_MIN_MS ? bound : GAP_MIN_MS;
+}
+
+static void
+demand_running (struct call *c, int change)
+{
+  if (c->demand_model)
+    c->demand_model->running += (uint32_t)change;
+  if (c->demand_adapter)
+    c->demand_adapter->running += (uint32_t)change;
+}
+
+static void
+on_begin (void *ctx, const struct http_call *answer, int status)
+{
+  struct call *c = ctx;
+
+  if (c->first_ms == 0)
+    c->first_ms = clock_ms ();
+  if (!c->answer_begun)
+    call_begin_answer (c, answer, status);
+}
+
+static void
+on_part (void *ctx, struct str part, uint64_t last_event)
+{
+  struct call *c = ctx;
+
+  c->last_event = last_event;
+  if (caller_write (c->caller, part))
+    return;
+  call_abandon (c);
+  call_fail (c, STATUS_BAD_GATEWAY, "client-reads-too-slowly");
+}
+
+static void
+end_attempt (struct call *c)
+{
+  pool_end (c->server);
+  demand_running (c, -1);
+  c->forward = NULL;
+}
+
+void
+call_abandon (struct call *c)
+{
+  if (!c->forward)
+    return;
+  forward_cancel (c->forward);
+  end_attempt (c);
+  c->server = NULL;
+}
+
+/* The call certainly did not run at the server. */
+static void
+on_turned_away (struct call *c, const struct forward_result *r)
+{
+  const uint64_t now = clock_ms ();
+
+  c->bounces++;
+  switch (r->outcome)
+    {
+    case FORWARD_MISPLACED:
+      pool_misplaced (c->server, c->meta.model, c->meta.adapter);
+      break;
+    case FORWARD_REPLACED:
+      pool_replaced (c->server);
+      break;
+    case FORWARD_NOT_SENT:
+      pool_failed (c->server, now);
+      break;
+    default:
+      break;
+    }
+  c->avoid = c->server;
+  if (c->bounces >= BOUNCES_MAX)
+    call_refuse (c, 0, "turned-away");
+  else
+    call_proceed (c);
+}
+
+/* The call may have run without a usable answer. */
+static void
+on_broken (struct call *c, const struct forward_result *r)
+{
+  pool_failed (c->server, clock_ms ());
+  c->runs++;
+  c->avoid = c->server;
+  if (!repeatable (c) || !attempts_left (c)
+      || left_ms (c->end_ms) < ATTEMPT_MIN_MS)
+    call_fail (c,
+               r->err.code == -ETIMEDOUT ? STATUS_GATEWAY_TIMEOUT
+                                         : STATUS_BAD_GATEWAY,
+               "server-broke-off");
+  else
+    call_proceed (c);
+}
+
+static void
+on_answered (struct call *c, const struct forward_result *r,
+             const struct http_call *answer)
+{
+  c->runs++;
+  pool_served (c->server);
+  if (r->begun)
+    call_end_answer (c);
+  else
+    call_relay (c, r, answer);
+}
+
+static void
+on_done (void *ctx, const struct forward_result *r,
+         const struct http_call *answer)
+{
+  struct call *c = ctx;
+
+  end_attempt (c);
+  if (r->outcome != FORWARD_ANSWERED)
+    LOG_INFO ("attempt-failed",
+              "id=" STR_FMT " server=" STR_FMT
+              " outcome=%d status=%d silent=%d begun=%d " LOG_E_FMT,
+              STR_ARG (c->meta.id), STR_ARG (pool_server_id (c->server)),
+              r->outcome, r->status, r->silent, r->begun, LOG_E_ARG (r->err));
+  switch (r->outcome)
+    {
+    case FORWARD_ANSWERED:
+      on_answered (c, r, answer);
+      break;
+    case FORWARD_BROKEN:
+      on_broken (c, r);
+      break;
+    default:
+      on_turned_away (c, r);
+      break;
+    }
+}
+
+static const struct forward_events forward_events
+    = { .begin = on_begin, .part = on_part, .done = on_done };
+
+static struct str
+resume_point (struct call *c)
+{
+  if (c->kind != CALL_STREAM || c->last_event == 0)
+    return (struct str){ 0 };
+  snprintf (c->last_event_text, sizeof c->last_event_text, "%lu",
+            c->last_event);
+  return str_from (c->last_event_text);
+}
+
+static void
+send_to (struct call *c, struct pool_server *server, bool engine)
+{
+  struct str lines[CALL_HEADERS_MAX];
+  const struct call_stamp stamp = {
+    .deadline_ms = left_ms (c->deadline_end_ms),
+    .server_id = pool_server_id (server),
+    .priority = !engine                         ? -1
+                : c->priority > PRIORITY_LOWEST ? PRIORITY_LOWEST
+                                                : (int)c->priority,
+    .last_event = resume_point (c),
+  };
+  const size_t count = call_headers (c->fields, c->field_count, &stamp, lines);
+  const struct forward_spec spec = {
+    .address = pool_server_address (server),
+    .method = c->method,
+    .target = c->target,
+    .lines = lines,
+    .line_count = count,
+    .body = c->body,
+    .call_id = c->meta.id,
+    .server_id = pool_server_id (server),
+    .stream = c->kind == CALL_STREAM,
+    .last_event = c->last_event,
+    .first_ms = first_bound (c),
+    .gap_ms = gap_bound (c),
+    .total_ms = 0,
+  };
+
+  call_set_waiting (c, false);
+  c->server = server;
+  c->sent_ms = clock_ms ();
+  pool_begin (server);
+  demand_running (c, 1);
+  c->forward = forward_start (c->calls->http, c->calls->loop, &spec,
+                              &forward_events, c);
+  for (size_t i = 0; i < count; i++)
+    str_free (&lines[i]);
+}
+
+/* ---- choice ---- */
+
+/* Counts the send. Returns false when the budget does not allow it. */
+static bool
+count_send (struct call *c)
+{
+  if (c->sent_before)
+    return call_retry_budget (c);
+  c->sent_before = true;
+  call_count_first (c);
+  return true;
+}
+
+static void
+give_up (struct call *c, uint32_t retry_after_ms, const char *reason)
+{
+  if (c->runs > 0)
+    call_fail (c, STATUS_BAD_GATEWAY, reason);
+  else
+    call_refuse (c, retry_after_ms, reason);
+}
+
+static void
+wait (struct call *c, const struct pool_need *need, enum pool_verdict verdict)
+{
+  const uint64_t now = clock_ms ();
+  const uint32_t ready_in = verdict == POOL_NO_MODEL
+                                ? pool_ready_in (site_pool (c->calls->site),
+                                                 need, now)
+                                : UINT32_MAX;
+
+  if (ready_in != UINT32_MAX
+      && now + ready_in + ATTEMPT_MIN_MS > c->end_ms)
+    {
+      give_up (c, ready_in, "model-loads-too-late");
+      return;
+    }
+  if (c->waiting && c->verdict == verdict)
+    return;
+  call_set_waiting (c, true);
+  c->verdict = verdict;
+  LOG_DBG ("wait", "id=" STR_FMT " model=" STR_FMT "/" STR_FMT " verdict=%d",
+           STR_ARG (c->meta.id), STR_ARG (c->meta.model),
+           STR_ARG (c->meta.adapter), verdict);
+  if (verdict == POOL_NO_MODEL || verdict == POOL_NO_ADAPTER)
+    kernel_publish (c->calls->kernel, TOPIC_DEMAND, NULL, NULL);
+}
+
+void
+call_proceed (struct call *c)
+{
+  struct calls *all = c->calls;
+  const struct routing *routing = site_routing (all->site);
+  const struct service *service
+      = routing ? routing_service (routing, c->service) : NULL;
+  const struct pool_need need = {
+    .service = c->service,
+    .engine = service ? service->engine : NULL,
+    .model = c->meta.model,
+    .adapter = c->meta.adapter,
+    .domain = edge_settings ()->domain,
+    .avoid = c->avoid,
+  };
+  struct pool_server *server;
+  enum pool_verdict verdict;
+
+  if (left_ms (c->end_ms) < ATTEMPT_MIN_MS)
+    {
+      give_up (c, 0, "no-time-left");
+      return;
+    }
+  verdict = pool_choose (site_pool (all->site), &need, clock_ms (), &server);
+  if (verdict == POOL_NO_SERVER)
+    give_up (c, 0, "no-server");
+  else if (verdict != POOL_CHOSEN)
+    wait (c, &need, verdict);
+  else if (!count_send (c))
+    give_up (c, 0, "retry-budget");
+  else
+    send_to (c, server, need.engine != NULL);
+}
--- /dev/null
+++ b/src/edge/demand.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <stdint.h>
+
+#include "str.h"
+
+/* What calls of this node ask of models and adapters. Pure. */
+
+struct demand;
+
+/**
+ * struct demand_item - demand for a model, or for an adapter of it.
+ * @adapter: empty for the model itself.
+ * @waiting: calls that wait now.
+ * @running: calls at servers now.
+ * @arrivals: calls since the last demand_take().
+ * @priority: of the most urgent call that arrived; 0 is the most urgent.
+ */
+struct demand_item
+{
+  struct str service;
+  struct str model;
+  struct str adapter;
+  uint32_t waiting;
+  uint32_t running;
+  uint32_t arrivals;
+  uint32_t priority;
+};
+
+struct demand *demand_create (void);
+void demand_destroy (struct demand *demand);
+/** demand_find() - the item of a key; made at first use. Valid until it is
+ * taken without calls. */
+struct demand_item *demand_find (struct demand *demand, struct str service,
+                                 struct str model, struct str adapter);
+/**
+ * demand_take() - items with calls, and those that had some the last time.
+ * @fn: called for each; the arrivals count from 0 again after it.
+ */
+void demand_take (struct demand *demand,
+                  void (*fn) (void *ctx, const struct demand_item *item),
+                  void *ctx);
--- /dev/null
+++ b/src/edge/front.c
@@ -0,0 +1,197 @@
+#include <stdlib.h>
+
+#include "edge/calls.h"
+#include "edge/edge.h"
+#include "edge/site.h"
+#include "err.h"
+#include "httpd.h"
+#include "kernel.h"
+#include "log.h"
+#include "metrics.h"
+
+#define LOG_MODULE "front"
+#define BODY_LIMIT_DEFAULT (4 * 1024 * 1024)
+#define DRAIN_CHECK_MS 50
+/* The platform's balancer sends new connections until it has missed two
+   readiness checks, a second apart. */
+#define LISTEN_ON_MS 3200
+/* Connections are kept this much longer than clients may leave them idle, so
+   that a request does not cross the close. */
+#define IDLE_SLACK_MS 1000
+
+/* The HTTP servers for clients, readiness checks and metrics. */
+struct front
+{
+  struct plugin plugin;
+  struct kernel *kernel;
+  struct site *site;
+  struct calls *calls;
+  struct httpd *clients;
+  struct httpd *checks;
+  struct httpd *metrics;
+  uv_timer_t drain_timer;
+};
+
+static int
+on_client_request (void *ctx, h2o_req_t *req)
+{
+  struct front *f = ctx;
+
+  calls_accept (f->calls, req);
+  return 0;
+}
+
+static void
+send_text (h2o_req_t *req, int status, struct str text)
+{
+  req->res.status = status;
+  req->res.reason = status < 400 ? "OK" : "Service Unavailable";
+  req->res.content_length = text.len;
+  h2o_send_inline (req, text.data, text.len);
+}
+
+static int
+on_check (void *ctx, h2o_req_t *req)
+{
+  const struct front *f = ctx;
+
+  if (kernel_draining (f->kernel))
+    send_text (req, 503, STR ("draining\n"));
+  else if (!site_ready (f->site))
+    send_text (req, 503, STR ("no configuration or server list\n"));
+  else
+    send_text (req, 200, STR ("ready\n"));
+  return 0;
+}
+
+static int
+on_metrics (void *ctx, h2o_req_t *req)
+{
+  const struct front *f = ctx;
+  struct buf text = { 0 };
+
+  metrics_set ("galenagate_calls_open", STR (""),
+               (double)calls_open (f->calls));
+  metrics_set ("galenagate_log_lines_dropped", STR (""),
+               (double)log_dropped ());
+  metrics_text (&text);
+  send_text (req, 200, buf_str (&text));
+  buf_free (&text);
+  return 0;
+}
+
+static void
+on_routing (void *ctx, const void *snapshot)
+{
+  struct front *f = ctx;
+  const struct client_limits *l = &((const struct routing *)snapshot)->limits;
+  const struct httpd_options options = {
+    .body_limit_bytes = l->body_bytes > 0 ? l->body_bytes : BODY_LIMIT_DEFAULT,
+    .idle_ms = l->idle_ms > 0 ? l->idle_ms + IDLE_SLACK_MS : 0,
+  };
+
+  httpd_limits (f->clients, &options);
+}
+
+static const struct plugin_ops ops;
+
+static struct plugin *
+create (struct kernel *kernel)
+{
+  static const struct httpd_options options
+      = { .body_limit_bytes = BODY_LIMIT_DEFAULT };
+  struct front *f = xcalloc (1, sizeof *f);
+  uv_loop_t *loop = kernel_loop (kernel);
+
+  f->plugin.ops = &ops;
+  f->kernel = kernel;
+  f->site = site_get (kernel);
+  f->calls = calls_create (kernel);
+  f->clients = httpd_create (loop, &options, on_client_request, f);
+  f->checks = httpd_create (loop, &options, on_check, f);
+  f->metrics = httpd_create (loop, &options, on_metrics, f);
+  uv_timer_init (loop, &f->drain_timer);
+  f->drain_timer.data = f;
+  kernel_subscribe (kernel, TOPIC_ROUTING, on_routing, f);
+  return &f->plugin;
+}
+
+static int
+start (struct plugin *plugin)
+{
+  struct front *f = (struct front *)plugin;
+  const struct edge_settings *s = edge_settings ();
+  int rc = httpd_listen (f->clients, s->front_addr);
+
+  if (rc == 0)
+    rc = httpd_listen (f->checks, s->ready_addr);
+  if (rc == 0 && s->metrics_addr.len > 0)
+    rc = httpd_listen (f->metrics, s->metrics_addr);
+  if (rc == 0)
+    calls_start (f->calls);
+  return rc;
+}
+
+/* ---- graceful shutdown ---- */
+
+static void
+check_drained (uv_timer_t *timer)
+{
+  struct front *f = timer->data;
+
+  if (calls_open (f->calls) > 0)
+    return;
+  uv_timer_stop (timer);
+  kernel_drained (f->kernel, &f->plugin);
+}
+
+static void
+stop_listening (uv_timer_t *timer)
+{
+  struct front *f = timer->data;
+
+  httpd_close (f->clients);
+  uv_timer_start (timer, check_drained, DRAIN_CHECK_MS, DRAIN_CHECK_MS);
+}
+
+static void
+drain (struct plugin *plugin)
+{
+  struct front *f = (struct front *)plugin;
+
+  httpd_announce_close (f->clients);
+  uv_timer_start (&f->drain_timer, stop_listening, LISTEN_ON_MS, 0);
+}
+
+static void
+stop (struct plugin *plugin)
+{
+  struct front *f = (struct front *)plugin;
+
+  httpd_close (f->clients);
+  httpd_close (f->checks);
+  httpd_close (f->metrics);
+  calls_stop (f->calls);
+  uv_close ((uv_handle_t *)&f->drain_timer, NULL);
+}
+
+static void
+destroy (struct plugin *plugin)
+{
+  struct front *f = (struct front *)plugin;
+
+  calls_destroy (f->calls);
+  /* h2o's open connections refer to f until the process ends. */
+}
+
+static const struct plugin_ops ops = {
+  .name = "front",
+  .rank = RANK_ENTRY,
+  .profiles = PROFILE_EDGE,
+  .create = create,
+  .start = start,
+  .drain = drain,
+  .stop = stop,
+  .destroy = destroy,
+};
+KERNEL_PLUGIN (ops)
--- /dev/null
+++ b/src/edge/pool.c
@@ -0,0 +1,494 @@
+#include "edge/pool.h"
+
+#include <stdlib.h>
+
+#include <uthash.h>
+
+#include "err.h"
+
+/* A server that is known to leave or to be gone is remembered for this long,
+   so that an old entry does not bring it back. */
+#define DEPARTED_KEPT_MS (10 * 60 * 1000)
+/* Time that live servers get to write their entries after an outage. */
+#define LAPSE_GRACE_MS 1900
+/* A server that failed a call is avoided for this long, doubled for each
+   further failure. */
+#define AVOID_MIN_MS 300
+#define AVOID_MAX_MS 5000
+/* Load at which a plain service's server is taken as full: calls for each of
+   its places, since it keeps a short queue. */
+#define PLAIN_QUEUE 3
+/* Added to the load of a server in another failure domain: bytes between
+   domains cost, but less than a crowded server. */
+#define DOMAIN_PENALTY 0.05
+/* What the placement holder told is older than the entry after this time. */
+#define VIEW_FRESH_MS 2000
+
+struct placed_model
+{
+  struct str model;
+  enum held_state state;
+  uint64_t ready_ms;
+  struct name_list adapters;
+};
+
+struct pool_server
+{
+  struct str id;
+  struct str service;
+  struct str address;
+  struct str domain;
+  uint64_t hash; /* of the id */
+  uint64_t started_ms;
+  uint64_t order_count;
+  uint32_t slots;
+  bool leaving;    /* for good, for this start */
+  bool listed;     /* the store has an entry */
+  bool unreadable; /* the entry was not written by the server */
+  bool replaced;   /* another server has its address */
+  uint64_t removed_ms;
+  uint64_t usable_until_ms; /* without an entry */
+  struct placed_model *models;
+  size_t model_count;
+  uint64_t view_ms; /* when the holder's view was taken over; 0 for none */
+  uint32_t others;  /* calls of other nodes */
+  uint32_t running; /* calls of this node */
+  uint32_t failures;
+  uint64_t avoid_until_ms;
+  struct pool *pool;
+  UT_hash_handle hh;
+};
+
+struct pool
+{
+  struct pool_server *servers;
+  bool reachable;
+  uint64_t regained_ms;
+};
+
+/* ---- holdings ---- */
+
+static void
+clear_models (struct pool_server *s)
+{
+  for (size_t i = 0; i < s->model_count; i++)
+    {
+      str_free (&s->models[i].model);
+      name_list_free (&s->models[i].adapters);
+    }
+  free (s->models);
+  s->models = NULL;
+  s->model_count = 0;
+}
+
+static struct name_list
+copy_names (const struct str *names, size_t count)
+{
+  struct name_list l = { .names = xcalloc (count + 1, sizeof (struct str)) };
+
+  for (size_t i = 0; i < count; i++)
+    l.names[l.count++] = str_dup (names[i]);
+  return l;
+}
+
+static void
+models_from_entry (struct pool_server *s, const struct server_entry *e)
+{
+  clear_models (s);
+  s->models = xcalloc (e->model_count + 1, sizeof *s->models);
+  for (size_t i = 0; i < e->model_count; i++)
+    s->models[s->model_count++] = (struct placed_model){
+      .model = str_dup (e->models[i].name),
+      .state = HELD_READY,
+      .adapters
+      = copy_names (e->models[i].adapters, e->models[i].adapter_count),
+    };
+}
+
+static void
+models_from_view (struct pool_server *s, const struct pool_view *v,
+                  uint64_t now_ms)
+{
+  clear_models (s);
+  s->models = xcalloc (v->holding_count + 1, sizeof *s->models);
+  for (size_t i = 0; i < v->holding_count; i++)
+    s->models[s->model_count++] = (struct placed_model){
+      .model = str_dup (v->holdings[i].model),
+      .state = v->holdings[i].state,
+      .ready_ms = now_ms + v->holdings[i].ready_in_ms,
+      .adapters = copy_names (v->holdings[i].adapters,
+                              v->holdings[i].adapter_count),
+    };
+}
+
+static struct placed_model *
+find_model (const struct pool_server *s, struct str model)
+{
+  for (size_t i = 0; i < s->model_count; i++)
+    if (str_eq (s->models[i].model, model))
+      return &s->models[i];
+  return NULL;
+}
+
+/* ---- servers ---- */
+
+static struct pool_server *
+find (struct pool *p, struct str id)
+{
+  struct pool_server *s;
+
+  HASH_FIND (hh, p->servers, id.data, id.len, s);
+  return s;
+}
+
+static void
+server_free (struct pool_server *s)
+{
+  clear_models (s);
+  str_free (&s->id);
+  str_free (&s->service);
+  str_free (&s->address);
+  str_free (&s->domain);
+  free (s);
+}
+
+static void
+sweep (struct pool *p, uint64_t now_ms)
+{
+  struct pool_server *s;
+  struct pool_server *next;
+
+  HASH_ITER (hh, p->servers, s, next)
+    if (!s->listed && s->running == 0
+        && now_ms > s->removed_ms + DEPARTED_KEPT_MS)
+      {
+        HASH_DEL (p->servers, s);
+        server_free (s);
+      }
+}
+
+static struct pool_server *
+add (struct pool *p, struct str id)
+{
+  struct pool_server *s = xcalloc (1, sizeof *s);
+
+  s->id = str_dup (id);
+  s->hash = str_hash (id, 0);
+  s->pool = p;
+  HASH_ADD_KEYPTR (hh, p->servers, s->id.data, s->id.len, s);
+  return s;
+}
+
+/* A server that started again knows nothing of before. */
+static void
+restart (struct pool_server *s, const struct server_entry *e)
+{
+  s->started_ms = e->started_ms;
+  s->leaving = false;
+  s->replaced = false;
+  s->order_count = 0;
+  s->view_ms = 0;
+  s->others = 0;
+  s->failures = 0;
+  s->avoid_until_ms = 0;
+}
+
+struct pool *
+pool_create (void)
+{
+  return xcalloc (1, sizeof (struct pool));
+}
+
+void
+pool_destroy (struct pool *p)
+{
+  struct pool_server *s;
+  struct pool_server *next;
+
+  HASH_ITER (hh, p->servers, s, next)
+    {
+      HASH_DEL (p->servers, s);
+      server_free (s);
+    }
+  free (p);
+}
+
+void
+pool_update (struct pool *p, const struct server_entry *e, uint64_t now_ms)
+{
+  struct pool_server *s = find (p, e->id);
+
+  sweep (p, now_ms);
+  if (!s)
+    s = add (p, e->id);
+  else if (e->started_ms < s->started_ms)
+    return; /* an old entry that was stored late */
+  if (e->started_ms > s->started_ms)
+    restart (s, e);
+  s->listed = true;
+  s->unreadable = false;
+  str_assign (&s->service, e->service);
+  str_assign (&s->address, e->address);
+  str_assign (&s->domain, e->domain);
+  s->slots = e->slots;
+  if (e->state == SERVER_LEAVING)
+    s->leaving = true;
+  /* The holder's word is newer as long as it knows of more orders. */
+  const bool view_fresh = s->view_ms > 0
+                          && now_ms < s->view_ms + VIEW_FRESH_MS
+                          && s->order_count >= e->order_count;
+  if (view_fresh || e->order_count < s->order_count)
+    return;
+  s->order_count = e->order_count;
+  models_from_entry (s, e);
+}
+
+void
+pool_remove (struct pool *p, struct str id, uint64_t now_ms)
+{
+  struct pool_server *s = find (p, id);
+  const uint64_t grace_end_ms = p->regained_ms + LAPSE_GRACE_MS;
+
+  if (!s)
+    return;
+  s->listed = false;
+  s->removed_ms = now_ms;
+  s->usable_until_ms
+      = p->regained_ms > 0 && now_ms < grace_end_ms ? grace_end_ms : now_ms;
+}
+
+void
+pool_unreadable (struct pool *p, struct str id)
+{
+  struct pool_server *s = find (p, id);
+
+  if (s)
+    s->unreadable = true;
+}
+
+void
+pool_store_reachable (struct pool *p, bool reachable, uint64_t now_ms)
+{
+  if (reachable && !p->reachable)
+    p->regained_ms = now_ms;
+  p->reachable = reachable;
+}
+
+void
+pool_apply_view (struct pool *p, const struct pool_view *v, uint64_t now_ms)
+{
+  for (struct pool_server *s = p->servers; s; s = s->hh.next)
+    {
+      if (s->hash != v->server)
+        continue;
+      s->others
+          = v->running > v->own_running ? v->running - v->own_running : 0;
+      if (v->order_count < s->order_count)
+        return;
+      s->order_count = v->order_count;
+      s->view_ms = now_ms;
+      models_from_view (s, v, now_ms);
+      return;
+    }
+}
+
+/* ---- choice ---- */
+
+bool
+pool_server_usable (const struct pool_server *s, uint64_t now_ms)
+{
+  return !s->leaving && !s->unreadable && !s->replaced
+         && (s->listed || now_ms < s->usable_until_ms);
+}
+
+static double
+load_of (const struct pool_server *s, const struct pool_need *need)
+{
+  const double slots = s->slots > 0 ? s->slots : 1;
+  double load = (s->running + s->others) / slots;
+
+  if (!str_eq (s->domain, need->domain))
+    load += DOMAIN_PENALTY;
+  return load;
+}
+
+static bool
+is_full (const struct pool_server *s, const struct pool_need *need)
+{
+  const uint32_t places = need->engine ? s->slots : s->slots * PLAIN_QUEUE;
+
+  return s->running + s->others >= places;
+}
+
+/* Can the server run the call, full or not? */
+static enum pool_verdict
+suits (const struct pool_server *s, const struct pool_need *need)
+{
+  const struct placed_model *m;
+
+  if (!need->engine)
+    return POOL_CHOSEN;
+  m = find_model (s, need->model);
+  if (!m || m->state != HELD_READY)
+    return POOL_NO_MODEL;
+  if (need->adapter.len > 0 && !name_list_has (&m->adapters, need->adapter))
+    return POOL_NO_ADAPTER;
+  return is_full (s, need) ? POOL_FULL : POOL_CHOSEN;
+}
+
+/* Prefers a server that did not fail lately, then the least loaded one. */
+static bool
+is_better (const struct pool_server *a, const struct pool_server *b,
+           const struct pool_need *need, uint64_t now_ms)
+{
+  const bool a_avoided = now_ms < a->avoid_until_ms || a == need->avoid;
+  const bool b_avoided = now_ms < b->avoid_until_ms || b == need->avoid;
+
+  if (a_avoided != b_avoided)
+    return b_avoided;
+  return load_of (a, need) < load_of (b, need);
+}
+
+static enum pool_verdict
+nearer (enum pool_verdict a, enum pool_verdict b)
+{
+  /* The order of the enum is that of how near a call is to be served. */
+  return a > b ? a : b;
+}
+
+enum pool_verdict
+pool_choose (struct pool *p, const struct pool_need *need, uint64_t now_ms,
+             struct pool_server **out)
+{
+  enum pool_verdict verdict = POOL_NO_SERVER;
+  struct pool_server *best = NULL;
+
+  for (struct pool_server *s = p->servers; s; s = s->hh.next)
+    {
+      if (!str_eq (s->service, need->service)
+          || !pool_server_usable (s, now_ms))
+        continue;
+      enum pool_verdict v = suits (s, need);
+      if (v == POOL_CHOSEN && is_full (s, need))
+        v = POOL_FULL;
+      if (v != POOL_CHOSEN)
+        verdict = nearer (verdict, v);
+      else if (!best || is_better (s, best, need, now_ms))
+        best = s;
+    }
+  if (!best)
+    return verdict;
+  *out = best;
+  return POOL_CHOSEN;
+}
+
+uint32_t
+pool_ready_in (const struct pool *p, const struct pool_need *need,
+               uint64_t now_ms)
+{
+  uint32_t best = UINT32_MAX;
+
+  for (const struct pool_server *s = p->servers; s; s = s->hh.next)
+    {
+      const struct placed_model *m = find_model (s, need->model);
+
+      if (!m || m->state != HELD_LOADING
+          || !str_eq (s->service, need->service)
+          || !pool_server_usable (s, now_ms))
+        continue;
+      const uint64_t left = m->ready_ms > now_ms ? m->ready_ms - now_ms : 0;
+      if (left < best)
+        best = (uint32_t)left;
+    }
+  return best;
+}
+
+/* ---- calls ---- */
+
+void
+pool_begin (struct pool_server *s)
+{
+  s->running++;
+}
+
+void
+pool_end (struct pool_server *s)
+{
+  s->running--;
+}
+
+void
+pool_failed (struct pool_server *s, uint64_t now_ms)
+{
+  uint64_t wait_ms = AVOID_MIN_MS;
+
+  for (uint32_t i = 0; i < s->failures && wait_ms < AVOID_MAX_MS; i++)
+    wait_ms *= 2;
+  s->failures++;
+  s->avoid_until_ms
+      = now_ms + (wait_ms < AVOID_MAX_MS ? wait_ms : AVOID_MAX_MS);
+}
+
+void
+pool_served (struct pool_server *s)
+{
+  s->failures = 0;
+  s->avoid_until_ms = 0;
+}
+
+void
+pool_misplaced (struct pool_server *s, struct str model, struct str adapter)
+{
+  struct placed_model *m = find_model (s, model);
+
+  if (!m)
+    return;
+  if (adapter.len == 0 || !name_list_has (&m->adapters, adapter))
+    {
+      m->state = HELD_UNLOADING;
+      return;
+    }
+  for (size_t i = 0; i < m->adapters.count; i++)
+    if (str_eq (m->adapters.names[i], adapter))
+      {
+        str_free (&m->adapters.names[i]);
+        m->adapters.names[i] = m->adapters.names[--m->adapters.count];
+        return;
+      }
+}
+
+void
+pool_replaced (struct pool_server *s)
+{
+  s->replaced = true;
+}
+
+struct str
+pool_server_id (const struct pool_server *s)
+{
+  return s->id;
+}
+
+struct str
+pool_server_address (const struct pool_server *s)
+{
+  return s->address;
+}
+
+struct str
+pool_server_domain (const struct pool_server *s)
+{
+  return s->domain;
+}
+
+size_t
+pool_loads (const struct pool *p, struct pool_load *out, size_t max)
+{
+  size_t n = 0;
+
+  for (const struct pool_server *s = p->servers; s && n < max; s = s->hh.next)
+    if (s->running > 0)
+      out[n++] = (struct pool_load){ .server = s->hash,
+                                     .running = s->running };
+  return n;
+}
--- /dev/null
+++ b/src/edge/site.c
@@ -0,0 +1,175 @@
+#include "edge/site.h"
+
+#include <stdlib.h>
+
+#include "clock.h"
+#include "err.h"
+#include "log.h"
+#include "metrics.h"
+#include "platform/platform.h"
+
+#define LOG_MODULE "site"
+
+struct site
+{
+  struct plugin plugin;
+  struct kernel *kernel;
+  struct pool *pool;
+  struct demand *demand;
+  bool servers_listed;
+  const struct site_listener *listener;
+  void *ctx;
+};
+
+static const struct plugin_ops ops;
+
+struct site *
+site_get (struct kernel *kernel)
+{
+  return (struct site *)kernel_find (kernel, ops.name);
+}
+
+void
+site_listen (struct site *s, const struct site_listener *listener, void *ctx)
+{
+  s->listener = listener;
+  s->ctx = ctx;
+}
+
+struct pool *
+site_pool (struct site *s)
+{
+  return s->pool;
+}
+
+struct demand *
+site_demand (struct site *s)
+{
+  return s->demand;
+}
+
+const struct routing *
+site_routing (const struct site *s)
+{
+  return kernel_latest (s->kernel, TOPIC_ROUTING);
+}
+
+bool
+site_ready (const struct site *s)
+{
+  return s->servers_listed && site_routing (s);
+}
+
+/* ---- what the platform tells ---- */
+
+static void
+destroy_routing (void *routing)
+{
+  routing_destroy (routing);
+}
+
+static void
+on_routing (void *ctx, struct routing *routing)
+{
+  struct site *s = ctx;
+
+  metrics_set ("galenagate_config_version", STR (""),
+               (double)routing->version);
+  kernel_publish (s->kernel, TOPIC_ROUTING, routing, destroy_routing);
+}
+
+static void
+on_server (void *ctx, const struct server_entry *e)
+{
+  struct site *s = ctx;
+
+  LOG_DBG ("server", "server=" STR_FMT " leaving=%d orders=%lu models=%zu",
+           STR_ARG (e->id), e->state == SERVER_LEAVING, e->order_count,
+           e->model_count);
+  if (e->state == SERVER_LEAVING)
+    LOG_INFO ("server-leaving", "server=" STR_FMT " service=" STR_FMT,
+              STR_ARG (e->id), STR_ARG (e->service));
+  pool_update (s->pool, e, clock_ms ());
+  s->listener->server (s->ctx, e);
+  kernel_publish (s->kernel, TOPIC_POOL, NULL, NULL);
+}
+
+static void
+on_server_removed (void *ctx, struct str id)
+{
+  struct site *s = ctx;
+
+  LOG_INFO ("server-removed", "server=" STR_FMT, STR_ARG (id));
+  pool_remove (s->pool, id, clock_ms ());
+  s->listener->server_removed (s->ctx, id);
+}
+
+static void
+on_server_unreadable (void *ctx, struct str id)
+{
+  struct site *s = ctx;
+
+  pool_unreadable (s->pool, id);
+  s->listener->server_removed (s->ctx, id);
+}
+
+static void
+on_servers_listed (void *ctx)
+{
+  struct site *s = ctx;
+
+  s->servers_listed = true;
+  kernel_publish (s->kernel, TOPIC_POOL, NULL, NULL);
+}
+
+static void
+on_reachable (void *ctx, bool reachable)
+{
+  struct site *s = ctx;
+
+  pool_store_reachable (s->pool, reachable, clock_ms ());
+  s->listener->reachable (s->ctx, reachable);
+}
+
+static const struct platform_events events = {
+  .routing = on_routing,
+  .server = on_server,
+  .server_removed = on_server_removed,
+  .server_unreadable = on_server_unreadable,
+  .servers_listed = on_servers_listed,
+  .reachable = on_reachable,
+};
+
+/* ---- plug-in ---- */
+
+static struct plugin *
+create (struct kernel *kernel)
+{
+  struct site *s = xcalloc (1, sizeof *s);
+
+  s->plugin.ops = &ops;
+  s->kernel = kernel;
+  s->pool = pool_create ();
+  s->demand = demand_create ();
+  platform_listen (platform_get (kernel), &events, s);
+  return &s->plugin;
+}
+
+static void
+destroy (struct plugin *plugin)
+{
+  struct site *s = (struct site *)plugin;
+
+  pool_destroy (s->pool);
+  demand_destroy (s->demand);
+  free (s);
+}
+
+static const struct plugin_ops ops = {
+  .name = "site",
+  .rank = RANK_SITE,
+  .profiles = PROFILE_EDGE,
+  .create = create,
+  .destroy = destroy,
+};
+KERNEL_PLUGIN (ops)
--- a/src/entry.c
+++ b/src/entry.c
@@ -1,4 +1,3 @@
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,26 +6,19 @@
 #include "admin.h"
 #include "apierror.h"
 #include "caller.h"
+#include "httpd.h"
 #include "kernel.h"
-#include "log.h"
-#include "netaddr.h"
 #include "request.h"
 #include "settings.h"
 
-#define LOG_MODULE "entry"
-#define BACKLOG 1024
 #define DRAIN_CHECK_MS 50
 
-/* A listening address with h2o's state for it. */
+/* A listening address and what it serves. */
 struct front
 {
   struct entry *entry;
   enum admin_scope scope;
-  h2o_globalconf_t config;
-  h2o_context_t context;
-  h2o_accept_ctx_t accept;
-  uv_tcp_t listener;
-  bool listening;
+  struct httpd *httpd; /* NULL when the address is not used */
 };
 
 /* The HTTP servers for callers and operators: listeners, routing, graceful
@@ -42,12 +34,6 @@
   uv_timer_t drain_timer;
 };
 
-struct handler
-{
-  h2o_handler_t base;
-  struct front *front;
-};
-
 static struct str
 path_of (const h2o_req_t *req)
 {
@@ -102,9 +88,9 @@
 }
 
 static int
-on_request (h2o_handler_t *base, h2o_req_t *req)
+on_request (void *ctx, h2o_req_t *req)
 {
-  struct front *f = ((struct handler *)base)->front;
+  struct front *f = ctx;
   struct entry *e = f->entry;
 
   if (f->scope != ADMIN_ONLY && serve_call (e, req))
@@ -114,55 +100,16 @@
   return 0;
 }
 
-static void
-on_client_closed (uv_handle_t *handle)
-{
-  free (handle);
-}
-
-static void
-on_connection (uv_stream_t *listener, int status)
-{
-  struct front *f = listener->data;
-
-  if (status != 0)
-    return;
-  uv_tcp_t *client = xmalloc (sizeof *client);
-  uv_tcp_init (listener->loop, client);
-  if (uv_accept (listener, (uv_stream_t *)client) != 0)
-    {
-      uv_close ((uv_handle_t *)client, on_client_closed);
-      return;
-    }
-  uv_tcp_nodelay (client, 1);
-  h2o_socket_t *sock
-      = h2o_uv_socket_create ((uv_stream_t *)client, on_client_closed);
-  h2o_accept (&f->accept, sock);
-}
-
 static void
 front_init (struct front *f, struct entry *e, enum admin_scope scope)
 {
   const struct settings *s = kernel_settings (e->kernel);
-  uv_loop_t *loop = kernel_loop (e->kernel);
+  const struct httpd_options options
+      = { .body_limit_bytes = s->body_limit_bytes };
 
   f->entry = e;
   f->scope = scope;
-  h2o_config_init (&f->config);
-  f->config.server_name = h2o_iovec_init (H2O_STRLIT ("galenagate"));
-  f->config.max_request_entity_size = s->body_limit_bytes;
-  h2o_hostconf_t *host = h2o_config_register_host (
-      &f->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
-  h2o_pathconf_t *path = h2o_config_register_path (host, "/", 0);
-  struct handler *handler
-      = (struct handler *)h2o_create_handler (path, sizeof *handler);
-  handler->base.on_req = on_request;
-  handler->front = f;
-  h2o_context_init (&f->context, loop, &f->config);
-  f->accept.ctx = &f->context;
-  f->accept.hosts = f->config.hosts;
-  uv_tcp_init (loop, &f->listener);
-  f->listener.data = f;
+  f->httpd = httpd_create (kernel_loop (e->kernel), &options, on_request, f);
 }
 
 static const struct plugin_ops ops;
@@ -185,47 +132,16 @@
   return &e->plugin;
 }
 
-static int
-front_listen (struct front *f, struct str addr)
-{
-  struct sockaddr_in sin;
-  int rc = netaddr_parse (addr, &sin) ? 0 : -EINVAL;
-
-  if (rc == 0)
-    rc = uv_tcp_bind (&f->listener, (struct sockaddr *)&sin, 0);
-  if (rc == 0)
-    rc = uv_listen ((uv_stream_t *)&f->listener, BACKLOG, on_connection);
-  if (rc != 0)
-    {
-      LOG_ERR ("listen", "step=bind peer=" STR_FMT " error=\"%s\"",
-               STR_ARG (addr), err_str (rc));
-      return rc;
-    }
-  f->listening = true;
-  LOG_INFO ("listen", "http_addr=" STR_FMT, STR_ARG (addr));
-  return 0;
-}
-
-static void
-front_close (struct front *f)
-{
-  if (!f->listening)
-    return;
-  f->listening = false;
-  uv_close ((uv_handle_t *)&f->listener, NULL);
-  h2o_context_request_shutdown (&f->context);
-}
-
 static int
 start (struct plugin *plugin)
 {
   struct entry *e = (struct entry *)plugin;
   const struct settings *s = kernel_settings (e->kernel);
-  const int rc = front_listen (&e->callers, s->http_addr);
+  const int rc = httpd_listen (e->callers.httpd, s->http_addr);
 
   if (rc != 0 || s->admin_addr.len == 0)
     return rc;
-  return front_listen (&e->operators, s->admin_addr);
+  return httpd_listen (e->operators.httpd, s->admin_addr);
 }
 
 /* ---- graceful shutdown ---- */
@@ -247,7 +163,7 @@
 {
   struct entry *e = timer->data;
 
-  front_close (&e->callers);
+  httpd_close (e->callers.httpd);
   uv_timer_start (timer, check_drained, 0, DRAIN_CHECK_MS);
 }
 
@@ -265,8 +181,9 @@
 {
   struct entry *e = (struct entry *)plugin;
 
-  front_close (&e->callers);
-  front_close (&e->operators);
+  httpd_close (e->callers.httpd);
+  if (e->operators.httpd)
+    httpd_close (e->operators.httpd);
   uv_close ((uv_handle_t *)&e->drain_timer, NULL);
 }
 
--- a/src/http.c
+++ b/src/http.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include <curl/curl.h>
 #include <netinet/in.h>
@@ -38,6 +39,7 @@
   uint64_t received_ms;
   uint32_t silence_ms;
   uint32_t total_ms;
+  bool unframed;
   bool head_done;
   bool added;
   bool cancelled;
@@ -271,7 +273,7 @@
         continue;
       code = error_code (msg->data.result);
       curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, &c);
-      if (code == 0 && !framed (c))
+      if (code == 0 && !c->unframed && !framed (c))
         code = -EPIPE;
       finish (c, code);
     }
@@ -403,12 +405,26 @@
   str_free (&method);
 }
 
+static bool
+names_type (const struct http_request *req)
+{
+  static const char name[] = "content-type:";
+
+  for (size_t i = 0; i < req->header_count; i++)
+    if (req->headers[i].len >= sizeof name - 1
+        && strncasecmp (req->headers[i].data, name, sizeof name - 1) == 0)
+      return true;
+  return false;
+}
+
 static void
 set_headers (struct http_call *c, const struct http_request *req)
 {
   /* Without this libcurl waits for "100 Continue" before a larger body. */
   c->headers = curl_slist_append (NULL, "Expect:");
   c->headers = curl_slist_append (c->headers, "Accept:");
+  if (!names_type (req))
+    c->headers = curl_slist_append (c->headers, "Content-Type:");
   for (size_t i = 0; i < req->header_count; i++)
     {
       struct str line = str_dup (req->headers[i]);
@@ -440,6 +456,13 @@
   curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
   curl_easy_setopt (e, CURLOPT_MAXLIFETIME_CONN, (long)CONNECTION_AGE_LIMIT_S);
   curl_easy_setopt (e, CURLOPT_MAXAGE_CONN, (long)CONNECTION_IDLE_LIMIT_S);
+  if (req->target.len > 0)
+    {
+      struct str target = str_dup (req->target);
+
+      curl_easy_setopt (e, CURLOPT_REQUEST_TARGET, target.data);
+      str_free (&target);
+    }
   if (req->fresh)
     {
       curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
@@ -478,6 +501,7 @@
   c->received_ms = c->begun_ms;
   c->silence_ms = req->silence_ms;
   c->total_ms = req->total_ms;
+  c->unframed = req->unframed;
   uv_timer_init (h->loop, &c->timer);
   c->timer.data = c;
   c->next = h->calls;
@@ -520,6 +544,18 @@
   return str_from (header->value);
 }
 
+size_t
+http_fields (const struct http_call *c, struct http_field *out, size_t max)
+{
+  struct curl_header *h = NULL;
+  size_t n = 0;
+
+  while (n < max
+         && (h = curl_easy_nextheader (c->easy, CURLH_HEADER, -1, h)))
+    out[n++] = (struct http_field){ str_from (h->name), str_from (h->value) };
+  return n;
+}
+
 /* ---- client ---- */
 
 struct http *
@@ -598,6 +634,7 @@
 static const struct plugin_ops ops = {
   .name = "http",
   .rank = RANK_HTTP,
+  .profiles = PROFILE_NODE | PROFILE_EDGE,
   .create = create,
   .stop = stop,
   .destroy = destroy,
--- a/src/http.h
+++ b/src/http.h
@@ -16,6 +16,9 @@
  * @connect_ms: bound for the connection to be made; 0 means 500.
  * @silence_ms: bound without any byte received; 0 means none.
  * @total_ms: bound for the whole call; 0 means none.
+ * @target: request target sent as it is, in place of the URL's path; may be
+ *   empty.
+ * @unframed: accept an answer without a length that ends with its connection.
  * @fresh: use a new connection and close it after. Needed for each call that
  *   must not be repeated, because libcurl itself repeats a request on a reused
  *   connection that closes before the first byte of the answer.
@@ -24,12 +27,14 @@
 {
   struct str method;
   struct str url;
+  struct str target;
   const struct str *headers;
   size_t header_count;
   struct str body;
   uint32_t connect_ms;
   uint32_t silence_ms;
   uint32_t total_ms;
+  bool unframed;
   bool fresh;
 };
 
@@ -67,3 +72,19 @@
 void http_cancel (struct http_call *call);
 /** http_header() - response header by name (any case), or the empty string. */
 struct str http_header (const struct http_call *call, const char *name);
+
+/** struct http_field - a header field; both strings are borrowed. */
+struct http_field
+{
+  struct str name;
+  struct str value;
+};
+
+/**
+ * http_fields() - all fields of the response head.
+ * @out: room for @max fields.
+ *
+ * Returns the number of fields stored.
+ */
+size_t http_fields (const struct http_call *call, struct http_field *out,
+                    size_t max);
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -36,6 +36,7 @@
   uv_signal_t signals[2];
   uv_timer_t drain_timer;
   const struct settings *settings;
+  uint32_t drain_limit_ms;
   uint64_t instance;
   struct plugin *plugins[PLUGINS_MAX];
   size_t count;
@@ -62,20 +63,31 @@
   registered_count++;
 }
 
+static bool
+in_profile (const struct plugin_ops *ops, enum kernel_profile profile)
+{
+  const unsigned profiles = ops->profiles ? ops->profiles : PROFILE_NODE;
+
+  return (profiles & profile) != 0;
+}
+
 struct kernel *
-kernel_create (const struct settings *settings)
+kernel_create (enum kernel_profile profile, const struct settings *settings,
+               uint32_t drain_limit_ms)
 {
   struct kernel *k = xcalloc (1, sizeof *k);
 
   k->settings = settings;
+  k->drain_limit_ms = drain_limit_ms;
   k->instance = clock_wall_ms ();
   if (uv_loop_init (&k->loop) != 0)
     abort ();
   for (size_t i = 0; i < registered_count; i++)
-    {
-      k->plugins[i] = registered[i]->create (k);
-      k->count = i + 1;
-    }
+    if (in_profile (registered[i], profile))
+      {
+        k->plugins[k->count] = registered[i]->create (k);
+        k->count++;
+      }
   return k;
 }
 
@@ -129,7 +141,7 @@
   struct kernel *k = timer->data;
 
   LOG_WARN ("drain-limit", "limit_ms=%u plugin=%s",
-            k->settings->drain_limit_ms,
+            k->drain_limit_ms,
             k->draining_next > 0 ? k->plugins[k->draining_next - 1]->ops->name
                                  : "-");
   stop (k);
@@ -149,8 +161,7 @@
   LOG_INFO ("drain", "signal=%d", signum);
   k->draining = true;
   k->draining_next = k->count;
-  uv_timer_start (&k->drain_timer, on_drain_limit, k->settings->drain_limit_ms,
-                  0);
+  uv_timer_start (&k->drain_timer, on_drain_limit, k->drain_limit_ms, 0);
   kernel_publish (k, TOPIC_DRAIN, NULL, NULL);
   drain_next (k);
 }
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -9,6 +9,13 @@
 struct plugin;
 struct settings;
 
+/* Which sub-commands run a plug-in; a bit set. */
+enum kernel_profile
+{
+  PROFILE_NODE = 1, /* galenagate node: own lists, store and engines */
+  PROFILE_EDGE = 2, /* galenagate edge: on the users' platform */
+};
+
 /* Start order; plug-ins drain and stop in the reverse order. */
 enum plugin_rank
 {
@@ -25,12 +32,16 @@
   RANK_LIMITER,
   RANK_SCHEDULER,
   RANK_ATTEMPT,
+  RANK_PLATFORM,
+  RANK_SITE,
+  RANK_PLACER,
   RANK_ENTRY,
 };
 
 /**
  * struct plugin_ops - behaviour of a plug-in; first member of its state.
  * @name: for kernel_find() and logs.
+ * @profiles: enum kernel_profile bits; 0 means PROFILE_NODE.
  * @create: allocate the state; other plug-ins of lower rank exist already.
  * @start: open sockets, start timers. NULL when there is nothing to start.
  *   Returns 0 or a negative errno value, which stops the node.
@@ -43,6 +54,7 @@
 {
   const char *name;
   enum plugin_rank rank;
+  unsigned profiles;
   struct plugin *(*create) (struct kernel *kernel);
   int (*start) (struct plugin *plugin);
   void (*drain) (struct plugin *plugin);
@@ -65,6 +77,9 @@
   TOPIC_NOTICE,  /* struct notice (peer.h), published by membership */
   TOPIC_LEASES,  /* NULL; a lease of this node was gained or lost */
   TOPIC_DRAIN,   /* NULL; the node began its graceful shutdown */
+  TOPIC_ROUTING, /* struct routing (edge/topology.h), published by site */
+  TOPIC_POOL,    /* NULL; servers or what they hold changed */
+  TOPIC_DEMAND,  /* NULL; a call began to wait for a model or adapter */
   TOPIC_COUNT,
 };
 
@@ -78,7 +93,13 @@
     kernel_register (&(ops));                                                 \
   }
 
-struct kernel *kernel_create (const struct settings *settings);
+/** kernel_create() - create the plug-ins of one profile.
+ * @settings: of the node profile.
+ * @drain_limit_ms: longest graceful shutdown.
+ */
+struct kernel *kernel_create (enum kernel_profile profile,
+                              const struct settings *settings,
+                              uint32_t drain_limit_ms);
 /** kernel_run() - run until drained. Returns 0 or a negative errno value. */
 int kernel_run (struct kernel *kernel);
 void kernel_destroy (struct kernel *kernel);
--- a/src/log.c
+++ b/src/log.c
@@ -1,10 +1,12 @@
 #include "log.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <log4c.h>
 
@@ -13,6 +15,7 @@
 #define LINE_MAX_BYTES 2048
 
 static log4c_category_t *category;
+static uint64_t dropped; /* lines that stdout did not take */
 static char node_name[80];
 
 static const int priorities[] = {
@@ -69,18 +72,36 @@
   return false;
 }
 
-int
-log_start (enum log_level level, const char *node)
+static int
+append_or_drop (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  const char *line = event->evt_rendered_msg;
+  const size_t len = strlen (line);
+
+  (void)appender;
+  if (write (STDOUT_FILENO, line, len) != (ssize_t)len)
+    dropped++;
+  return 0;
+}
+
+static const log4c_appender_type_t dropping_appender = {
+  .name = "dropping",
+  .append = append_or_drop,
+};
+
+static int
+start (enum log_level level, const char *node,
+       const log4c_appender_type_t *type)
 {
   log4c_layout_type_set (&keyvalue_layout);
-  log4c_appender_type_set (&plain_appender);
+  log4c_appender_type_set (type);
   if (log4c_init () != 0)
     return -EINVAL;
 
   log4c_layout_t *layout = log4c_layout_get ("keyvalue");
   log4c_layout_set_type (layout, &keyvalue_layout);
-  log4c_appender_t *appender = log4c_appender_get ("plain");
-  log4c_appender_set_type (appender, &plain_appender);
+  log4c_appender_t *appender = log4c_appender_get (type->name);
+  log4c_appender_set_type (appender, type);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get ("root");
   log4c_category_set_appender (category, appender);
@@ -89,6 +110,29 @@
   return 0;
 }
 
+int
+log_start (enum log_level level, const char *node)
+{
+  return start (level, node, &plain_appender);
+}
+
+int
+log_start_stdout (enum log_level level, const char *node)
+{
+  const int flags = fcntl (STDOUT_FILENO, F_GETFL);
+
+  /* A reader that is slow must not stop the node. */
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  return start (level, node, &dropping_appender);
+}
+
+uint64_t
+log_dropped (void)
+{
+  return dropped;
+}
+
 void
 log_stop (void)
 {
--- a/src/log.h
+++ b/src/log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <stdbool.h>
+#include <stdint.h>
 
 #include "err.h"
 #include "str.h"
@@ -15,6 +16,11 @@
 
 /** log_start() - set up log4c; lines go to stderr. Returns 0 or -EINVAL. */
 int log_start (enum log_level level, const char *node);
+/** log_start_stdout() - likewise; lines go to stdout, which is not waited for:
+ * lines that it does not take at once are counted and dropped. */
+int log_start_stdout (enum log_level level, const char *node);
+/** log_dropped() - number of lines dropped so far. */
+uint64_t log_dropped (void);
 bool log_level_parse (struct str s, enum log_level *out);
 void log_stop (void);
 
--- a/src/node.c
+++ b/src/node.c
@@ -76,7 +76,7 @@
   rc = EXIT_FAILED;
   if (log_start (s.log_level, s.bus_addr.data) != 0)
     goto out;
-  struct kernel *k = kernel_create (&s);
+  struct kernel *k = kernel_create (PROFILE_NODE, &s, s.drain_limit_ms);
   rc = kernel_run (k) == 0 ? EXIT_DONE : EXIT_FAILED;
   kernel_destroy (k);
   log_stop ();
--- a/src/settings.c
+++ b/src/settings.c
@@ -103,6 +103,22 @@
   return complain (s, value, allowed);
 }
 
+static int
+store_double (const struct setting *s, const char *value, void *out)
+{
+  char *end;
+  char allowed[64];
+  const double n = strtod (value, &end);
+
+  if (end != value && *end == '\0' && n >= s->min && n <= s->max)
+    {
+      *(double *)out = n;
+      return 0;
+    }
+  snprintf (allowed, sizeof allowed, "a number from %u to %u", s->min, s->max);
+  return complain (s, value, allowed);
+}
+
 static int
 store_value (const struct setting *s, const char *value, void *out)
 {
@@ -110,6 +126,8 @@
     {
     case SETTING_U32:
       return store_number (s, value, out);
+    case SETTING_NUMBER:
+      return store_double (s, value, out);
     case SETTING_LOG_LEVEL:
       if (log_level_parse (str_from (value), out))
         return 0;
@@ -132,7 +150,8 @@
   const char *value = p->values[i];
   if (!value)
     value = getenv (variable);
-  if (!value)
+  /* A template leaves a value empty that its source does not have. */
+  if (!value || (value[0] == '\0' && s->fallback))
     value = s->fallback;
   if (!value)
     {
--- a/src/settings.h
+++ b/src/settings.h
@@ -35,6 +35,7 @@
   SETTING_ADDRESS, /* ip:port; a fallback of "" makes it optional */
   SETTING_URL,     /* http://ip:port */
   SETTING_U32,
+  SETTING_NUMBER, /* a double between min and max */
   SETTING_LOG_LEVEL,
 };
 
