--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 LDLIBS = -lh2o -lssl -lcrypto -luv -lcurl -ltirpc -ljansson -lxxhash \
   -llog4c -lm -lpthread
 
-GENERATED = src/peer_xdr.c
+GENERATED = src/peer_xdr.c src/edge/digest_xdr.c
 LIB_SRC = $(filter-out src/main.c,$(wildcard src/*.c src/*/*.c platform/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 UNIT_SRC = $(wildcard tests/test_*.c) tests/suite.c
--- a/src/caller.c
+++ b/src/caller.c
@@ -65,6 +65,18 @@
   report_gone ((struct caller *)generator);
 }
 
+/* h2o marks a cut of a chunked answer by bytes that are no chunk. Callers are
+   to see an early end of the connection instead, so nothing more is let out:
+   h2o's write then fails and it closes the connection. */
+static void
+stop_output (struct caller *c)
+{
+  if (c->req->version >= 0x200)
+    return;
+  h2o_socket_t *sock = c->req->conn->callbacks->get_socket (c->req->conn);
+  shutdown (h2o_socket_get_fd (sock), SHUT_WR);
+}
+
 /* Hands pending bytes, or the end, to h2o. */
 static void
 push (struct caller *c)
@@ -76,6 +88,8 @@
   if (c->pending.len == 0)
     {
       c->busy = c->ended;
+      if (c->ended && !c->whole)
+        stop_output (c);
       if (c->ended)
         h2o_send (c->req, NULL, 0,
                   c->whole ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_ERROR);
--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -4,6 +4,7 @@
 
 #include "clock.h"
 #include "edge/edge.h"
+#include "edge/placer.h"
 #include "log.h"
 #include "metrics.h"
 #include "random.h"
@@ -18,6 +19,7 @@
 /* A call is ended this long before the client stops waiting, so that the
    answer still arrives. */
 #define DEADLINE_RESERVE_MS 30
+/* Nodes that may share a retry budget when the holder does not tell. */
 #define NODES_UNKNOWN 8
 #define STATUS_BAD_REQUEST 400
 #define STATUS_NOT_FOUND 404
@@ -171,9 +173,10 @@
 call_retry_budget (struct call *c)
 {
   const struct retries_limits limits = retry_limits ();
+  const uint32_t nodes = placer_nodes (placer_get (c->calls->kernel));
 
   return retries_take (retries_of (c->calls, c->service), &limits,
-                       NODES_UNKNOWN, clock_ms ());
+                       nodes > 0 ? nodes : NODES_UNKNOWN, clock_ms ());
 }
 
 void
--- /dev/null
+++ b/src/edge/digest.x
@@ -0,0 +1,79 @@
+/*
+ * Datagrams between the nodes of one installation. Entries tell the placement
+ * holder their demand; the holder tells all what the servers hold.
+ */
+
+typedef opaque label<256>;
+
+/* Demand of one node for a model, or for an adapter of it. */
+struct demand_digest
+{
+  label service;
+  label model;
+  label adapter; /* empty for the model itself */
+  unsigned int waiting;
+  unsigned int running;
+  unsigned int arrivals; /* since the digest before */
+  unsigned int priority; /* of the most urgent arrival */
+};
+
+struct load_digest
+{
+  unsigned hyper server; /* hash of the server's id */
+  unsigned int running;  /* calls of the node */
+};
+
+struct entry_digest
+{
+  label node;
+  unsigned hyper instance; /* start of the node's process */
+  unsigned hyper sequence; /* rises with each digest of the process */
+  demand_digest demand<>;
+  load_digest loads<>;
+};
+
+enum held_state_digest
+{
+  HELD_DIGEST_READY = 0,
+  HELD_DIGEST_LOADING = 1,
+  HELD_DIGEST_UNLOADING = 2
+};
+
+struct held_digest
+{
+  label model;
+  held_state_digest state;
+  unsigned int ready_in_ms; /* while the model is being loaded */
+  label adapters<>;
+};
+
+struct server_digest
+{
+  unsigned hyper server;
+  unsigned hyper order_count;
+  unsigned int running; /* calls of all nodes */
+  bool placed; /* the holder knows what the server holds */
+  held_digest held<>;
+};
+
+struct holder_digest
+{
+  label node;
+  unsigned hyper fence;
+  unsigned int entries; /* nodes that tell their demand */
+  server_digest servers<>;
+};
+
+enum datagram_kind
+{
+  DATAGRAM_ENTRY = 1,
+  DATAGRAM_HOLDER = 2
+};
+
+union datagram switch (datagram_kind kind)
+{
+case DATAGRAM_ENTRY:
+  entry_digest entry;
+case DATAGRAM_HOLDER:
+  holder_digest holder;
+};
--- /dev/null
+++ b/src/edge/fleet.c
@@ -0,0 +1,583 @@
+#include "edge/fleet_impl.h"
+
+#include <stdlib.h>
+
+#include "err.h"
+
+/* ---- replicas ---- */
+
+static void
+replica_clear (struct replica *r)
+{
+  for (size_t i = 0; i < r->adapter_count; i++)
+    str_free (&r->adapters[i].name);
+  free (r->adapters);
+  str_free (&r->model);
+}
+
+static void
+clear_replicas (struct fleet_server *s)
+{
+  for (size_t i = 0; i < s->replica_count; i++)
+    replica_clear (&s->replicas[i]);
+  free (s->replicas);
+  s->replicas = NULL;
+  s->replica_count = 0;
+}
+
+struct replica *
+fleet_replica (const struct fleet_server *s, struct str model)
+{
+  for (size_t i = 0; i < s->replica_count; i++)
+    if (str_eq (s->replicas[i].model, model))
+      return &s->replicas[i];
+  return NULL;
+}
+
+struct replica *
+fleet_add_replica (struct fleet_server *s, struct str model)
+{
+  struct replica *r = fleet_replica (s, model);
+
+  if (r)
+    return r;
+  s->replicas = xrealloc (s->replicas,
+                          (s->replica_count + 1) * sizeof *s->replicas);
+  r = &s->replicas[s->replica_count++];
+  *r = (struct replica){ .model = str_dup (model) };
+  return r;
+}
+
+void
+fleet_drop_replica (struct fleet_server *s, struct replica *r)
+{
+  replica_clear (r);
+  *r = s->replicas[--s->replica_count];
+}
+
+bool
+fleet_has_adapter (const struct replica *r, struct str name)
+{
+  for (size_t i = 0; i < r->adapter_count; i++)
+    if (str_eq (r->adapters[i].name, name))
+      return true;
+  return false;
+}
+
+void
+fleet_add_adapter (struct replica *r, struct str name, uint64_t ready_ms)
+{
+  if (fleet_has_adapter (r, name))
+    return;
+  r->adapters
+      = xrealloc (r->adapters, (r->adapter_count + 1) * sizeof *r->adapters);
+  r->adapters[r->adapter_count++]
+      = (struct replica_adapter){ .name = str_dup (name),
+                                  .ready_ms = ready_ms };
+}
+
+void
+fleet_drop_adapter (struct replica *r, struct str name)
+{
+  for (size_t i = 0; i < r->adapter_count; i++)
+    if (str_eq (r->adapters[i].name, name))
+      {
+        str_free (&r->adapters[i].name);
+        r->adapters[i] = r->adapters[--r->adapter_count];
+        return;
+      }
+}
+
+size_t
+fleet_adapters (const struct fleet_server *s)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < s->replica_count; i++)
+    n += s->replicas[i].adapter_count;
+  return n;
+}
+
+/* ---- servers ---- */
+
+struct fleet *
+fleet_create (void)
+{
+  return xcalloc (1, sizeof (struct fleet));
+}
+
+static void
+clear_pending (struct fleet_server *s)
+{
+  str_free (&s->pending.model);
+  str_free (&s->pending.adapter);
+  s->pending = (struct pending){ 0 };
+}
+
+static void
+free_server (struct fleet *f, struct fleet_server *s)
+{
+  HASH_DEL (f->servers, s);
+  clear_replicas (s);
+  clear_pending (s);
+  name_list_free (&s->in_memory);
+  name_list_free (&s->on_disk);
+  str_free (&s->reserved_model);
+  str_free (&s->id);
+  str_free (&s->service);
+  str_free (&s->address);
+  str_free (&s->domain);
+  free (s);
+}
+
+void
+fleet_destroy (struct fleet *f)
+{
+  struct fleet_server *s;
+  struct fleet_server *next;
+  struct cold_loads *c;
+  struct cold_loads *next_cold;
+
+  HASH_ITER (hh, f->servers, s, next)
+    free_server (f, s);
+  HASH_ITER (hh, f->cold, c, next_cold)
+    {
+      HASH_DEL (f->cold, c);
+      str_free (&c->service);
+      free (c);
+    }
+  fleet_demand_free (f);
+  free (f);
+}
+
+void
+fleet_routing (struct fleet *f, const struct routing *routing,
+               uint32_t load_window_ms)
+{
+  f->routing = routing;
+  f->load_window_ms = load_window_ms;
+}
+
+struct fleet_server *
+fleet_find (const struct fleet *f, struct str id)
+{
+  struct fleet_server *s;
+
+  HASH_FIND (hh, f->servers, id.data, id.len, s);
+  return s;
+}
+
+const struct engine_spec *
+fleet_engine (const struct fleet *f, const struct fleet_server *s)
+{
+  const struct service *service
+      = f->routing ? routing_service (f->routing, s->service) : NULL;
+
+  return service ? service->engine : NULL;
+}
+
+bool
+fleet_usable (const struct fleet_server *s)
+{
+  return s->listed && !s->leaving;
+}
+
+static struct name_list
+copy_list (const struct name_list *from)
+{
+  struct name_list to
+      = { .names = xcalloc (from->count + 1, sizeof (struct str)) };
+
+  for (size_t i = 0; i < from->count; i++)
+    to.names[to.count++] = str_dup (from->names[i]);
+  return to;
+}
+
+static void
+take_at_hand (struct fleet_server *s, const struct name_list *memory,
+              const struct name_list *disk)
+{
+  name_list_free (&s->in_memory);
+  name_list_free (&s->on_disk);
+  s->in_memory = copy_list (memory);
+  s->on_disk = copy_list (disk);
+}
+
+static void
+take_models (struct fleet_server *s, const struct held_model *models,
+             size_t count)
+{
+  clear_replicas (s);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct replica *r = fleet_add_replica (s, models[i].name);
+
+      for (size_t j = 0; j < models[i].adapter_count; j++)
+        fleet_add_adapter (r, models[i].adapters[j], 0);
+    }
+}
+
+static void
+forget (struct fleet_server *s)
+{
+  s->known = false;
+  s->report_due_ms = 1;
+  s->reserved_until_ms = 0;
+  clear_pending (s);
+}
+
+void
+fleet_entry (struct fleet *f, const struct server_entry *e)
+{
+  struct fleet_server *s = fleet_find (f, e->id);
+
+  if (!s)
+    {
+      s = xcalloc (1, sizeof *s);
+      s->id = str_dup (e->id);
+      s->hash = str_hash (e->id, 0);
+      HASH_ADD_KEYPTR (hh, f->servers, s->id.data, s->id.len, s);
+      s->started_ms = e->started_ms;
+      forget (s);
+    }
+  else if (e->started_ms < s->started_ms)
+    return;
+  if (e->started_ms > s->started_ms)
+    {
+      s->started_ms = e->started_ms;
+      s->leaving = false;
+      s->order_count = 0;
+      forget (s);
+    }
+  s->listed = true;
+  s->leaving = s->leaving || e->state == SERVER_LEAVING;
+  str_assign (&s->service, e->service);
+  str_assign (&s->address, e->address);
+  str_assign (&s->domain, e->domain);
+  if (s->known)
+    return;
+  s->order_count = e->order_count;
+  take_models (s, e->models, e->model_count);
+  take_at_hand (s, &e->in_memory, &e->on_disk);
+}
+
+void
+fleet_removed (struct fleet *f, struct str id)
+{
+  struct fleet_server *s = fleet_find (f, id);
+
+  if (!s)
+    return;
+  s->listed = false;
+  forget (s);
+}
+
+void
+fleet_term (struct fleet *f)
+{
+  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
+    forget (s);
+}
+
+struct str
+fleet_server_id (const struct fleet_server *s)
+{
+  return s->id;
+}
+
+struct str
+fleet_server_address (const struct fleet_server *s)
+{
+  return s->address;
+}
+
+void
+fleet_each (const struct fleet *f,
+            void (*fn) (void *ctx, const struct fleet_view *view), void *ctx)
+{
+  for (const struct fleet_server *s = f->servers; s; s = s->hh.next)
+    {
+      const struct fleet_view view = {
+        .hash = s->hash,
+        .order_count = s->order_count,
+        .running = s->running,
+        .known = s->known,
+        .replicas = s->replicas,
+        .replica_count = s->replica_count,
+      };
+
+      if (s->listed)
+        fn (ctx, &view);
+    }
+}
+
+/* ---- reports ---- */
+
+/* Interval of reports while an order is being carried out. */
+#define REPORT_MS 100
+/* Pause before a server that gave no report is asked again. */
+#define REPORT_RETRY_MS 500
+/* A report shows the server as it was up to this long before. */
+#define REPORT_LAG_MS 120
+
+struct fleet_server *
+fleet_next_report (struct fleet *f, uint64_t now)
+{
+  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
+    if (fleet_usable (s) && fleet_engine (f, s) && !s->reporting
+        && s->report_due_ms > 0 && now >= s->report_due_ms)
+      {
+        s->reporting = true;
+        s->report_due_ms = 0;
+        return s;
+      }
+  return NULL;
+}
+
+static void
+take_coming (struct fleet_server *s, const struct server_report *r,
+             uint64_t now)
+{
+  for (size_t i = 0; i < r->coming.count; i++)
+    {
+      const struct str item = r->coming.names[i];
+      const char *slash = memchr (item.data, '/', item.len);
+
+      if (!slash)
+        continue;
+      const struct str model = { item.data, (size_t)(slash - item.data) };
+      struct str adapter = { slash + 1, item.len - model.len - 1 };
+      const char *at = memchr (adapter.data, '@', adapter.len);
+      struct replica *replica = fleet_replica (s, model);
+
+      if (at)
+        adapter.len = (size_t)(at - adapter.data);
+      if (replica)
+        fleet_add_adapter (replica, adapter, now);
+    }
+}
+
+/* Takes the report over whole. A model that is on its way is not in it. */
+static void
+adopt (struct fleet_server *s, const struct server_report *r, uint64_t now)
+{
+  s->known = true;
+  s->order_count = r->order_count;
+  take_models (s, r->models, r->model_count);
+  take_coming (s, r, now);
+  take_at_hand (s, &r->in_memory, &r->on_disk);
+}
+
+/* An order without an answer: was it carried out? */
+static void
+settle_unanswered (struct fleet_server *s, const struct server_report *r,
+                   uint64_t now)
+{
+  if (r->order_count > s->order_count && !r->busy)
+    {
+      clear_pending (s);
+      adopt (s, r, now);
+    }
+  else if (r->order_count > s->order_count)
+    {
+      s->order_count = r->order_count;
+      s->pending.state = PENDING_ACCEPTED;
+      s->report_due_ms = now + REPORT_MS;
+    }
+  /* Otherwise the plan sends it again: the server carries out only one of
+     several orders that expect the same count. */
+}
+
+static void
+settle_accepted (struct fleet_server *s, const struct server_report *r,
+                 uint64_t now)
+{
+  if (r->order_count < s->order_count || r->busy)
+    {
+      s->report_due_ms = now + REPORT_MS;
+      return;
+    }
+  clear_pending (s);
+  adopt (s, r, now);
+}
+
+void
+fleet_report (struct fleet *f, struct str id, const struct server_report *r,
+              uint64_t now)
+{
+  struct fleet_server *s = fleet_find (f, id);
+
+  if (!s)
+    return;
+  s->reporting = false;
+  s->reported_ms = now;
+  if (!r)
+    {
+      s->report_due_ms = now + REPORT_RETRY_MS;
+      return;
+    }
+  if (r->started_ms > 0 && s->started_ms > 0
+      && r->started_ms != s->started_ms)
+    return; /* its entry will tell of the restart */
+  switch (s->pending.state)
+    {
+    case PENDING_SENT:
+      s->report_due_ms = now + REPORT_MS;
+      break;
+    case PENDING_UNANSWERED:
+      settle_unanswered (s, r, now);
+      break;
+    case PENDING_ACCEPTED:
+      settle_accepted (s, r, now);
+      break;
+    case PENDING_NONE:
+      if (r->busy || (s->known && r->order_count < s->order_count))
+        s->report_due_ms = now + REPORT_MS;
+      else
+        adopt (s, r, now);
+      break;
+    }
+}
+
+/* ---- orders ---- */
+
+/* Time that an adapter takes from the order until it can be used. */
+#define ADAPTER_MS 10
+/* An order without an answer is given again after this time. */
+#define RESEND_MS 1000
+/* A server that could not be reached gets no order for this long. */
+#define AVOID_MS 500
+
+static void
+note_begin (struct fleet_server *s, const struct planned *p, uint64_t now)
+{
+  struct replica *r = fleet_replica (s, p->model);
+
+  if (p->adapter.len > 0 && r && p->kind == ORDER_LOAD)
+    fleet_add_adapter (r, p->adapter, now + ADAPTER_MS + p->takes_ms);
+  else if (p->adapter.len > 0 && r)
+    fleet_drop_adapter (r, p->adapter);
+  else if (p->kind == ORDER_UNLOAD && r)
+    r->state = REPLICA_UNLOADING;
+  else if (p->kind == ORDER_LOAD)
+    {
+      r = fleet_add_replica (s, p->model);
+      r->state = REPLICA_LOADING;
+      r->ready_ms = now + p->takes_ms;
+    }
+}
+
+static void
+fill_order (const struct fleet_server *s, struct order *out)
+{
+  *out = (struct order){
+    .kind = s->pending.kind,
+    .model = s->pending.model,
+    .adapter = s->pending.adapter,
+    .server_address = s->address,
+    .server_id = s->id,
+    .order_count = s->order_count,
+  };
+}
+
+static struct fleet_server *
+resend (struct fleet *f, uint64_t now)
+{
+  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
+    if (fleet_usable (s) && s->pending.state == PENDING_UNANSWERED
+        && now >= s->pending.since_ms + RESEND_MS && now >= s->avoid_until_ms)
+      return s;
+  return NULL;
+}
+
+struct fleet_server *
+fleet_next_order (struct fleet *f, uint64_t now, struct order *out)
+{
+  struct fleet_server *s = resend (f, now);
+  struct planned p;
+
+  if (s)
+    {
+      s->pending.state = PENDING_SENT;
+      s->pending.since_ms = now;
+      fill_order (s, out);
+      return s;
+    }
+  if (!plan_adapters (f, now, &p) && !plan_models (f, now, &p))
+    return NULL;
+  s = p.server;
+  s->pending = (struct pending){
+    .state = PENDING_SENT,
+    .kind = p.kind,
+    .model = str_dup (p.model),
+    .adapter = str_dup (p.adapter),
+    .cold = p.cold,
+    .since_ms = now,
+    .expected_ms = now + p.takes_ms,
+  };
+  if (p.cold)
+    cold_begin (f, s, now);
+  note_begin (s, &p, now);
+  fill_order (s, out);
+  return s;
+}
+
+static void
+on_accepted (struct fleet_server *s, uint64_t now)
+{
+  s->order_count++;
+  if (s->pending.adapter.len > 0)
+    {
+      clear_pending (s);
+      return;
+    }
+  s->pending.state = PENDING_ACCEPTED;
+  s->report_due_ms = s->pending.expected_ms > now ? s->pending.expected_ms
+                                                  : now + REPORT_MS;
+}
+
+/* Something else than believed holds: the server's report tells. */
+static void
+read_again (struct fleet_server *s, uint64_t now)
+{
+  clear_pending (s);
+  s->known = false;
+  s->report_due_ms = now + REPORT_LAG_MS;
+}
+
+void
+fleet_order_done (struct fleet *f, struct str id, enum order_result result,
+                  uint64_t now)
+{
+  struct fleet_server *s = fleet_find (f, id);
+
+  if (!s || s->pending.state != PENDING_SENT)
+    return;
+  switch (result)
+    {
+    case ORDER_ACCEPTED:
+      on_accepted (s, now);
+      break;
+    case ORDER_UNANSWERED:
+      s->pending.state = PENDING_UNANSWERED;
+      s->report_due_ms = now + REPORT_MS;
+      break;
+    case ORDER_NOT_SENT:
+      s->avoid_until_ms = now + AVOID_MS;
+      read_again (s, now);
+      break;
+    case ORDER_HOLDS_ALREADY:
+      /* An adapter is unloaded at once, with this answer. */
+      if (s->pending.kind == ORDER_UNLOAD && s->pending.adapter.len > 0)
+        on_accepted (s, now);
+      else
+        read_again (s, now);
+      break;
+    case ORDER_CONFLICT:
+    case ORDER_FENCED:
+    case ORDER_OTHER_INSTANCE:
+    case ORDER_REJECTED:
+      read_again (s, now);
+      break;
+    }
+}
--- /dev/null
+++ b/src/edge/fleet.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "edge/topology.h"
+#include "platform/orders.h"
+
+/* Model servers as the placement holder believes them to be, the demand that
+   all nodes tell, and the orders that follow. Pure: it does no I/O and reads no
+   clock. */
+
+struct fleet;
+struct fleet_server;
+
+struct fleet *fleet_create (void);
+void fleet_destroy (struct fleet *fleet);
+
+/**
+ * fleet_routing() - configuration in force.
+ * @routing: lives until the next call.
+ * @load_window_ms: time over which loads from the weight store are counted.
+ */
+void fleet_routing (struct fleet *fleet, const struct routing *routing,
+                    uint32_t load_window_ms);
+/** fleet_entry() - a server's entry in the store. */
+void fleet_entry (struct fleet *fleet, const struct server_entry *entry);
+/** fleet_removed() - the store has no entry of the server any more. */
+void fleet_removed (struct fleet *fleet, struct str id);
+/** fleet_term() - this node became the holder: what servers hold must be read
+ * from them before they get orders. */
+void fleet_term (struct fleet *fleet);
+
+/* ---- demand ---- */
+
+/** struct fleet_wish - demand of one node for a model or an adapter. */
+struct fleet_wish
+{
+  struct str service;
+  struct str model;
+  struct str adapter;
+  uint32_t waiting;
+  uint32_t running;
+  uint32_t arrivals;
+};
+
+/** fleet_node_begin() - a node tells its demand and loads anew; what it told
+ * before is dropped. */
+void fleet_node_begin (struct fleet *fleet, struct str node, uint64_t now_ms);
+/** fleet_node_wish() - part of what the node tells. */
+void fleet_node_wish (struct fleet *fleet, struct str node,
+                      const struct fleet_wish *wish, uint64_t now_ms);
+/** fleet_node_load() - calls of the node at a server, by hash of its id. */
+void fleet_node_load (struct fleet *fleet, struct str node, uint64_t server,
+                      uint32_t running);
+/** fleet_nodes() - nodes that told something lately. */
+uint32_t fleet_nodes (const struct fleet *fleet, uint64_t now_ms);
+/** fleet_expire() - drop what nodes told that are silent. */
+void fleet_expire (struct fleet *fleet, uint64_t now_ms);
+
+/* ---- orders ---- */
+
+/**
+ * fleet_next_order() - the order that is due now.
+ * @out: holder and fence are left empty; strings are valid until the next
+ *   call that changes the fleet.
+ *
+ * Returns the server that gets the order, or NULL. The order is taken as sent.
+ */
+struct fleet_server *fleet_next_order (struct fleet *fleet, uint64_t now_ms,
+                                       struct order *out);
+/** fleet_order_done() - how an order ended. */
+void fleet_order_done (struct fleet *fleet, struct str server_id,
+                       enum order_result result, uint64_t now_ms);
+/** fleet_next_report() - a server whose report is due, or NULL. The report is
+ * taken as asked for. */
+struct fleet_server *fleet_next_report (struct fleet *fleet, uint64_t now_ms);
+/** fleet_report() - a server's report; NULL when it gave none. */
+void fleet_report (struct fleet *fleet, struct str server_id,
+                   const struct server_report *report, uint64_t now_ms);
+
+struct str fleet_server_id (const struct fleet_server *server);
+struct str fleet_server_address (const struct fleet_server *server);
+
+/* ---- views ---- */
+
+enum replica_state
+{
+  REPLICA_READY,
+  REPLICA_LOADING,
+  REPLICA_UNLOADING,
+};
+
+/** struct replica_adapter - @ready_ms is in the past when it can be used. */
+struct replica_adapter
+{
+  struct str name;
+  uint64_t ready_ms;
+};
+
+/** struct replica - a model on a server. */
+struct replica
+{
+  struct str model;
+  enum replica_state state;
+  uint64_t ready_ms;
+  struct replica_adapter *adapters;
+  size_t adapter_count;
+};
+
+/**
+ * struct fleet_view - what is told to all nodes about a server.
+ * @known: the replicas were read from the server in this term.
+ */
+struct fleet_view
+{
+  uint64_t hash;
+  uint64_t order_count;
+  uint32_t running;
+  bool known;
+  const struct replica *replicas;
+  size_t replica_count;
+};
+
+/** fleet_each() - call @fn for each server that is in the store. */
+void fleet_each (const struct fleet *fleet,
+                 void (*fn) (void *ctx, const struct fleet_view *view),
+                 void *ctx);
--- /dev/null
+++ b/src/edge/holderlease.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <uv.h>
+
+#include "platform/objects.h"
+#include "str.h"
+
+/* The lease of the placement holder, kept as an object in the platform's
+   store. */
+
+struct holderlease;
+
+/**
+ * holderlease_create() - a lease that this node does not hold.
+ * @self: address of this node for the others.
+ * @instance: start of this process.
+ * @lease_ms: two holders do not act within this time.
+ * @changed: the holder's address became known or is another one.
+ */
+struct holderlease *holderlease_create (struct objects *objects,
+                                        struct str self, uint64_t instance,
+                                        uint32_t lease_ms,
+                                        void (*changed) (void *ctx),
+                                        void *ctx);
+void holderlease_destroy (struct holderlease *lease);
+/** holderlease_step() - read or write what is due; call it often. */
+void holderlease_step (struct holderlease *lease);
+/** holderlease_campaign() - take the lease when it is free, or do not. */
+void holderlease_campaign (struct holderlease *lease, bool campaign);
+void holderlease_release (struct holderlease *lease);
+bool holderlease_released (const struct holderlease *lease);
+/** holderlease_valid() - this node holds it at this moment. */
+bool holderlease_valid (const struct holderlease *lease);
+/** holderlease_fence() - fencing token of this node's lease, or 0. */
+uint64_t holderlease_fence (const struct holderlease *lease);
+/** holderlease_holder() - address of the holder as last read; may be empty. */
+struct str holderlease_holder (const struct holderlease *lease);
--- /dev/null
+++ b/src/edge/plan.c
@@ -0,0 +1,450 @@
+#include "edge/fleet_impl.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "err.h"
+
+/* A model is in use while it has calls, or had one about every 50 s. */
+#define RATE_IN_USE 0.02
+/* Part of a server's batch that the calls of one model may fill before the
+   model gets another replica; other models share the batch. */
+#define BATCH_SHARE 0.35
+/* A model with more calls a second has two replicas at least, so that the
+   death of a server does not stop it. */
+#define RATE_OF_TWO 4.0
+/* Room made on a server is kept for its model this long. */
+#define RESERVE_MS 3000
+/* A replica without calls may be removed for a waiting call after this time
+   without use. */
+#define IDLE_MS 1000
+/* An unload waits for calls that run; it is asked about after this time. */
+#define UNLOAD_MS 50
+/* Loads from the weight store at once. More only make each of them slower. */
+#define COLD_AT_ONCE 4
+
+/* How much a model needs a replica that it lacks. */
+enum need
+{
+  NEED_NONE,
+  NEED_SPARE_ROOM, /* not in use: only where room is free */
+  NEED_MORE,       /* in use, with fewer replicas than it should have */
+  NEED_FIRST,      /* in use, with none */
+  NEED_WAITED_FOR, /* calls wait, and there is none */
+};
+
+/* A model of a service with its replicas and demand. */
+struct want
+{
+  const struct model_spec *spec;
+  struct str service;
+  const struct wish *wish; /* NULL without demand */
+  double rate;
+  uint32_t target;
+  uint32_t have; /* ready, loading, or with room reserved */
+  enum need need;
+};
+
+/* ---- loads from the weight store ---- */
+
+static struct cold_loads *
+cold_of (struct fleet *f, struct str service)
+{
+  struct cold_loads *c;
+
+  HASH_FIND (hh, f->cold, service.data, service.len, c);
+  if (!c)
+    {
+      c = xcalloc (1, sizeof *c);
+      c->service = str_dup (service);
+      HASH_ADD_KEYPTR (hh, f->cold, c->service.data, c->service.len, c);
+    }
+  return c;
+}
+
+static uint32_t
+cold_running (const struct fleet *f, struct str service)
+{
+  uint32_t n = 0;
+
+  for (const struct fleet_server *s = f->servers; s; s = s->hh.next)
+    if (s->pending.state != PENDING_NONE && s->pending.cold
+        && str_eq (s->service, service))
+      n++;
+  return n;
+}
+
+bool
+cold_allowed (struct fleet *f, const struct fleet_server *s, uint64_t now)
+{
+  const struct engine_spec *e = fleet_engine (f, s);
+  struct cold_loads *c = cold_of (f, s->service);
+  const double most = e->loads_per_s * f->load_window_ms / 1000.0;
+  size_t kept = 0;
+
+  for (size_t i = 0; i < c->count; i++)
+    if (now < c->starts_ms[i] + f->load_window_ms)
+      c->starts_ms[kept++] = c->starts_ms[i];
+  c->count = kept;
+  return c->count + 1 <= most && c->count < COLD_STARTS_MAX
+         && cold_running (f, s->service) < COLD_AT_ONCE;
+}
+
+void
+cold_begin (struct fleet *f, const struct fleet_server *s, uint64_t now)
+{
+  struct cold_loads *c = cold_of (f, s->service);
+
+  if (c->count < COLD_STARTS_MAX)
+    c->starts_ms[c->count++] = now;
+}
+
+/* ---- what models want ---- */
+
+static bool
+counts_as_replica (const struct fleet_server *s, struct str model,
+                   uint64_t now)
+{
+  const struct replica *r = fleet_replica (s, model);
+
+  if (!fleet_usable (s))
+    return false;
+  if (r && r->state != REPLICA_UNLOADING)
+    return true;
+  return now < s->reserved_until_ms && str_eq (s->reserved_model, model);
+}
+
+static uint32_t
+replicas_of (const struct fleet *f, struct str service, struct str model,
+             uint64_t now)
+{
+  uint32_t n = 0;
+
+  for (const struct fleet_server *s = f->servers; s; s = s->hh.next)
+    if (str_eq (s->service, service) && counts_as_replica (s, model, now))
+      n++;
+  return n;
+}
+
+static uint32_t
+target_of (const struct want *w, const struct engine_spec *e)
+{
+  uint32_t target;
+
+  if (!w->wish
+      || (w->wish->waiting == 0 && w->wish->running == 0
+          && w->rate < RATE_IN_USE))
+    return 0;
+  target = (uint32_t)ceil (w->wish->running / (e->batch * BATCH_SHARE));
+  if (target < 2 && w->rate >= RATE_OF_TWO)
+    target = 2;
+  return target > 0 ? target : 1;
+}
+
+static enum need
+need_of (const struct want *w)
+{
+  if (w->have == 0 && w->wish && w->wish->waiting > 0)
+    return NEED_WAITED_FOR;
+  if (w->have == 0)
+    return w->target > 0 ? NEED_FIRST : NEED_SPARE_ROOM;
+  return w->have < w->target ? NEED_MORE : NEED_NONE;
+}
+
+static struct want
+want_of (const struct fleet *f, struct str service,
+         const struct engine_spec *e, const struct model_spec *m, uint64_t now)
+{
+  struct want w = { .spec = m, .service = service };
+
+  w.wish = fleet_wish_find (f, service, m->name, (struct str){ 0 });
+  w.rate = w.wish ? fleet_rate (w.wish, now) : 0;
+  w.target = target_of (&w, e);
+  w.have = replicas_of (f, service, m->name, now);
+  w.need = need_of (&w);
+  return w;
+}
+
+/* ---- room on a server ---- */
+
+static double
+free_mb (const struct fleet_server *s, const struct engine_spec *e)
+{
+  double adapter_mb = 0;
+  double used = 0;
+
+  for (size_t i = 0; i < e->model_count; i++)
+    if (e->models[i].adapter_mb > adapter_mb)
+      adapter_mb = e->models[i].adapter_mb;
+  for (size_t i = 0; i < s->replica_count; i++)
+    {
+      const struct model_spec *m = engine_model (e, s->replicas[i].model);
+
+      /* A model that the configuration does not name may be of any size. */
+      used += m ? m->weights_mb : e->weights_mb;
+    }
+  return e->weights_mb - used - adapter_mb * e->adapter_slots;
+}
+
+/* What it costs to remove a replica, in ms of somebody's wait; infinite when
+   it must stay. */
+static double
+removal_cost (const struct fleet *f, const struct fleet_server *s,
+              const struct engine_spec *e, const struct replica *r,
+              const struct want *for_whom, uint64_t now)
+{
+  const struct model_spec *m = engine_model (e, r->model);
+  struct want w;
+
+  if (!m)
+    return 10;
+  w = want_of (f, s->service, e, m, now);
+  if (w.target == 0)
+    return 20 + m->load_ms / 100.0;
+  if (w.have > w.target)
+    return 100 + w.rate;
+  if (for_whom->need < NEED_WAITED_FOR)
+    return INFINITY;
+  /* Calls wait for the other model: take what nobody uses right now. */
+  if (w.wish->waiting == 0 && w.wish->running == 0
+      && now > w.wish->used_ms + IDLE_MS)
+    return 400 + 1000 * w.rate;
+  if (w.have > 1)
+    return 1500 + 100 * w.rate;
+  return INFINITY;
+}
+
+/* The cheapest replica to remove, or NULL. */
+static const struct replica *
+cheapest (const struct fleet *f, const struct fleet_server *s,
+          const struct engine_spec *e, const struct want *w, uint64_t now,
+          double *cost)
+{
+  const struct replica *best = NULL;
+
+  *cost = INFINITY;
+  for (size_t i = 0; i < s->replica_count; i++)
+    {
+      const struct replica *r = &s->replicas[i];
+      const double c = r->state == REPLICA_READY
+                           ? removal_cost (f, s, e, r, w, now)
+                           : INFINITY;
+
+      if (c < *cost)
+        {
+          *cost = c;
+          best = r;
+        }
+    }
+  return best;
+}
+
+/* ---- choice of a server ---- */
+
+static bool
+is_idle (const struct fleet_server *s, uint64_t now)
+{
+  return fleet_usable (s) && s->known && s->pending.state == PENDING_NONE
+         && now >= s->avoid_until_ms;
+}
+
+static bool
+reserved_for_other (const struct fleet_server *s, struct str model,
+                    uint64_t now)
+{
+  return now < s->reserved_until_ms && !str_eq (s->reserved_model, model);
+}
+
+static uint32_t
+load_ms (const struct fleet_server *s, const struct model_spec *m, bool *cold)
+{
+  *cold = false;
+  if (name_list_has (&s->in_memory, m->name))
+    return m->memory_load_ms;
+  if (name_list_has (&s->on_disk, m->name))
+    return m->disk_load_ms;
+  *cold = true;
+  return m->load_ms;
+}
+
+/* Is another replica of the model in the server's failure domain? */
+static bool
+domain_taken (const struct fleet *f, const struct fleet_server *s,
+              const struct want *w)
+{
+  for (const struct fleet_server *o = f->servers; o; o = o->hh.next)
+    if (o != s && fleet_usable (o) && str_eq (o->domain, s->domain)
+        && str_eq (o->service, s->service)
+        && fleet_replica (o, w->spec->name))
+      return true;
+  return false;
+}
+
+/* Added to the cost of a server in a failure domain that has a replica. */
+#define SAME_DOMAIN_MS 200
+/* Added for each call that runs on the server. */
+#define CROWDED_MS 5
+
+/* A step towards a replica of the model on one server. */
+struct step
+{
+  struct fleet_server *server;
+  const struct replica *remove; /* NULL: load at once */
+  double cost_ms;
+  uint32_t takes_ms;
+  bool cold;
+};
+
+static bool
+step_on (struct fleet *f, struct fleet_server *s, const struct want *w,
+         uint64_t now, struct step *out)
+{
+  const struct engine_spec *e = fleet_engine (f, s);
+  double removal = 0;
+
+  if (!is_idle (s, now) || reserved_for_other (s, w->spec->name, now)
+      || fleet_replica (s, w->spec->name))
+    return false;
+  *out = (struct step){ .server = s };
+  out->takes_ms = load_ms (s, w->spec, &out->cold);
+  if (out->cold && !cold_allowed (f, s, now))
+    return false;
+  if (free_mb (s, e) < w->spec->weights_mb)
+    {
+      if (w->need == NEED_SPARE_ROOM)
+        return false;
+      out->remove = cheapest (f, s, e, w, now, &removal);
+      if (!out->remove)
+        return false;
+    }
+  out->cost_ms = out->takes_ms + removal + CROWDED_MS * s->running;
+  if (w->need == NEED_MORE && domain_taken (f, s, w))
+    out->cost_ms += SAME_DOMAIN_MS;
+  return true;
+}
+
+static bool
+best_step (struct fleet *f, const struct want *w, uint64_t now,
+           struct step *out)
+{
+  bool found = false;
+  struct step step;
+
+  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
+    if (str_eq (s->service, w->service) && step_on (f, s, w, now, &step)
+        && (!found || step.cost_ms < out->cost_ms))
+      {
+        *out = step;
+        found = true;
+      }
+  return found;
+}
+
+static void
+to_planned (const struct step *step, const struct want *w, uint64_t now,
+            struct planned *out)
+{
+  struct fleet_server *s = step->server;
+
+  if (step->remove)
+    {
+      str_assign (&s->reserved_model, w->spec->name);
+      s->reserved_until_ms = now + RESERVE_MS;
+      *out = (struct planned){ .server = s,
+                               .kind = ORDER_UNLOAD,
+                               .model = step->remove->model,
+                               .takes_ms = UNLOAD_MS };
+      return;
+    }
+  s->reserved_until_ms = 0;
+  *out = (struct planned){ .server = s,
+                           .kind = ORDER_LOAD,
+                           .model = w->spec->name,
+                           .cold = step->cold,
+                           .takes_ms = step->takes_ms };
+}
+
+/* Room that was reserved is used before anything else is decided. */
+static bool
+use_reserved (struct fleet *f, uint64_t now, struct planned *out)
+{
+  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
+    {
+      const struct engine_spec *e = fleet_engine (f, s);
+      const struct model_spec *m;
+      struct step step;
+
+      if (!e || now >= s->reserved_until_ms || !is_idle (s, now))
+        continue;
+      m = engine_model (e, s->reserved_model);
+      if (!m)
+        continue;
+      struct want w = want_of (f, s->service, e, m, now);
+      if (w.need == NEED_NONE)
+        w.need = NEED_WAITED_FOR;
+      if (step_on (f, s, &w, now, &step))
+        {
+          to_planned (&step, &w, now, out);
+          return true;
+        }
+    }
+  return false;
+}
+
+/* ---- models ---- */
+
+static int
+by_urgency (const void *a, const void *b)
+{
+  const struct want *x = a;
+  const struct want *y = b;
+
+  if (x->need != y->need)
+    return x->need > y->need ? -1 : 1;
+  if (x->wish && y->wish && x->wish->waiting != y->wish->waiting)
+    return x->wish->waiting > y->wish->waiting ? -1 : 1;
+  if (x->rate != y->rate)
+    return x->rate > y->rate ? -1 : 1;
+  return 0;
+}
+
+static bool
+plan_service (struct fleet *f, const struct service *service, uint64_t now,
+              struct planned *out)
+{
+  const struct engine_spec *e = service->engine;
+  struct want *wants = xcalloc (e->model_count + 1, sizeof *wants);
+  bool found = false;
+  struct step step;
+
+  for (size_t i = 0; i < e->model_count; i++)
+    wants[i] = want_of (f, service->name, e, &e->models[i], now);
+  qsort (wants, e->model_count, sizeof *wants, by_urgency);
+  for (size_t i = 0; i < e->model_count && !found; i++)
+    {
+      if (wants[i].need == NEED_NONE)
+        break;
+      found = best_step (f, &wants[i], now, &step);
+      if (found)
+        to_planned (&step, &wants[i], now, out);
+    }
+  free (wants);
+  return found;
+}
+
+bool
+plan_models (struct fleet *f, uint64_t now, struct planned *out)
+{
+  if (!f->routing)
+    return false;
+  if (use_reserved (f, now, out))
+    return true;
+  for (size_t i = 0; i < f->routing->service_count; i++)
+    {
+      const struct service *s = &f->routing->services[i];
+
+      if (s->engine && plan_service (f, s, now, out))
+        return true;
+    }
+  return false;
+}
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -53,6 +53,7 @@
   uint64_t view_ms; /* when the holder's view was taken over; 0 for none */
   uint32_t others;  /* calls of other nodes */
   uint32_t running; /* calls of this node */
+  uint32_t told;    /* of these, as last told to the holder */
   uint32_t failures;
   uint64_t avoid_until_ms;
   struct pool *pool;
@@ -281,9 +282,8 @@
     {
       if (s->hash != v->server)
         continue;
-      s->others
-          = v->running > v->own_running ? v->running - v->own_running : 0;
-      if (v->order_count < s->order_count)
+      s->others = v->running > s->told ? v->running - s->told : 0;
+      if (!v->placed || v->order_count < s->order_count)
         return;
       s->order_count = v->order_count;
       s->view_ms = now_ms;
@@ -482,13 +482,16 @@
 }
 
 size_t
-pool_loads (const struct pool *p, struct pool_load *out, size_t max)
+pool_loads (struct pool *p, struct pool_load *out, size_t max)
 {
   size_t n = 0;
 
-  for (const struct pool_server *s = p->servers; s && n < max; s = s->hh.next)
-    if (s->running > 0)
-      out[n++] = (struct pool_load){ .server = s->hash,
-                                     .running = s->running };
+  for (struct pool_server *s = p->servers; s && n < max; s = s->hh.next)
+    {
+      s->told = s->running;
+      if (s->running > 0)
+        out[n++] = (struct pool_load){ .server = s->hash,
+                                       .running = s->running };
+    }
   return n;
 }
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -37,15 +37,15 @@
  * struct pool_view - what the placement holder tells of a server.
  * @server: str_hash() of the server's id.
  * @order_count: orders that the server had accepted.
- * @running: calls in flight from all nodes.
- * @own_running: those of this node among them, as it last told.
+ * @running: calls in flight from all nodes, as they last told.
+ * @placed: the holder knows what the server holds; else @holdings is void.
  */
 struct pool_view
 {
   uint64_t server;
   uint64_t order_count;
   uint32_t running;
-  uint32_t own_running;
+  bool placed;
   const struct holding *holdings;
   size_t holding_count;
 };
@@ -125,8 +125,9 @@
   uint64_t server; /* str_hash() of its id */
   uint32_t running;
 };
-/** pool_loads() - servers with calls of this node. Returns their number. */
-size_t pool_loads (const struct pool *pool, struct pool_load *out, size_t max);
+/** pool_loads() - servers with calls of this node, to be told to the holder.
+ * Returns their number. */
+size_t pool_loads (struct pool *pool, struct pool_load *out, size_t max);
 /** pool_ready_in() - shortest time until a server that loads the model holds
  * it; UINT32_MAX when none does. */
 uint32_t pool_ready_in (const struct pool *pool, const struct pool_need *need,
