--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -84,6 +84,7 @@
 struct holder_digest {
 	label node;
 	u_quad_t fence;
+	bool_t active;
 	u_int entries;
 	struct {
 		u_int servers_len;
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -60,6 +60,7 @@
 {
   label node;
   unsigned hyper fence;
+  bool active; /* the holder's lease is valid */
   unsigned int entries; /* nodes that tell their demand */
   server_digest servers<>;
 };
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -175,6 +175,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->fence))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->active))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->entries))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, ~0,
--- a/src/edge/fleet.c
+++ b/src/edge/fleet.c
@@ -256,7 +256,6 @@
   str_assign (&s->domain, e->domain);
   if (s->known)
     return;
-  s->order_count = e->order_count;
   take_models (s, e->models, e->model_count);
   take_at_hand (s, &e->in_memory, &e->on_disk);
 }
@@ -357,10 +356,16 @@
     }
 }
 
-/* Takes the report over whole. A model that is on its way is not in it. */
+/* Takes the report over whole, unless it is older than what is known: within
+   one start of a server the count of orders only grows. */
 static void
 adopt (struct fleet_server *s, const struct server_report *r, uint64_t now)
 {
+  if (r->order_count < s->order_count)
+    {
+      s->report_due_ms = now + REPORT_MS;
+      return;
+    }
   s->known = true;
   s->order_count = r->order_count;
   take_models (s, r->models, r->model_count);
@@ -431,7 +436,7 @@
       settle_accepted (s, r, now);
       break;
     case PENDING_NONE:
-      if (r->busy || (s->known && r->order_count < s->order_count))
+      if (r->busy)
         s->report_due_ms = now + REPORT_MS;
       else
         adopt (s, r, now);
@@ -443,6 +448,8 @@
 
 /* Time that an adapter takes from the order until it can be used. */
 #define ADAPTER_MS 10
+/* Added to the time that a load should take before it is taken as done. */
+#define LOAD_SLACK_MS 20
 /* An order without an answer is given again after this time. */
 #define RESEND_MS 1000
 /* A server that could not be reached gets no order for this long. */
@@ -480,6 +487,25 @@
   };
 }
 
+/* A load from the server's own memory or disk takes a known time, so calls
+   need not wait for the next report. */
+void
+fleet_advance (struct fleet *f, uint64_t now)
+{
+  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
+    {
+      const struct pending *p = &s->pending;
+      struct replica *r;
+
+      if (p->state != PENDING_ACCEPTED || p->kind != ORDER_LOAD || p->cold
+          || p->adapter.len > 0 || now < p->expected_ms + LOAD_SLACK_MS)
+        continue;
+      r = fleet_replica (s, p->model);
+      if (r && r->state == REPLICA_LOADING)
+        r->state = REPLICA_READY;
+    }
+}
+
 static struct fleet_server *
 resend (struct fleet *f, uint64_t now)
 {
@@ -513,7 +539,7 @@
     .adapter = str_dup (p.adapter),
     .cold = p.cold,
     .since_ms = now,
-    .expected_ms = now + p.takes_ms,
+    .takes_ms = p.takes_ms,
   };
   if (p.cold)
     cold_begin (f, s, now);
@@ -523,17 +549,22 @@
 }
 
 static void
-on_accepted (struct fleet_server *s, uint64_t now)
+on_accepted (struct fleet_server *s, bool at_once, uint64_t now)
 {
+  const bool adapter = s->pending.adapter.len > 0;
+  struct replica *r = fleet_replica (s, s->pending.model);
+
   s->order_count++;
-  if (s->pending.adapter.len > 0)
+  if (adapter && (s->pending.kind == ORDER_LOAD || at_once))
     {
       clear_pending (s);
       return;
     }
   s->pending.state = PENDING_ACCEPTED;
-  s->report_due_ms = s->pending.expected_ms > now ? s->pending.expected_ms
-                                                  : now + REPORT_MS;
+  s->pending.expected_ms = now + s->pending.takes_ms;
+  s->report_due_ms = s->pending.expected_ms + REPORT_MS;
+  if (r && r->state == REPLICA_LOADING)
+    r->ready_ms = s->pending.expected_ms;
 }
 
 /* Something else than believed holds: the server's report tells. */
@@ -556,7 +587,7 @@
   switch (result)
     {
     case ORDER_ACCEPTED:
-      on_accepted (s, now);
+      on_accepted (s, false, now);
       break;
     case ORDER_UNANSWERED:
       s->pending.state = PENDING_UNANSWERED;
@@ -569,7 +600,7 @@
     case ORDER_HOLDS_ALREADY:
       /* An adapter is unloaded at once, with this answer. */
       if (s->pending.kind == ORDER_UNLOAD && s->pending.adapter.len > 0)
-        on_accepted (s, now);
+        on_accepted (s, true, now);
       else
         read_again (s, now);
       break;
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -69,6 +69,8 @@
  */
 struct fleet_server *fleet_next_order (struct fleet *fleet, uint64_t now_ms,
                                        struct order *out);
+/** fleet_advance() - take loads as done whose time has passed. */
+void fleet_advance (struct fleet *fleet, uint64_t now_ms);
 /** fleet_order_done() - how an order ended. */
 void fleet_order_done (struct fleet *fleet, struct str server_id,
                        enum order_result result, uint64_t now_ms);
--- a/src/edge/fleet_demand.c
+++ b/src/edge/fleet_demand.c
@@ -7,6 +7,8 @@
 
 /* Time constant of the rates of calls. */
 #define RATE_MS 8000.0
+/* Time constant of the decay of the number of calls at once. */
+#define BUSY_MS 5000.0
 /* A node that told nothing for this long is not counted. */
 #define NODE_SILENT_MS 1500
 /* Demand without calls is forgotten after this time. */
@@ -75,6 +77,16 @@
     w->used_ms = now;
 }
 
+double
+fleet_busy (const struct wish *w, uint64_t now)
+{
+  const double age = now > w->busy_ms ? (double)(now - w->busy_ms) : 0;
+  const double decayed = w->busy * exp (-age / BUSY_MS);
+  const double current = w->running + w->waiting;
+
+  return current > decayed ? current : decayed;
+}
+
 /* ---- nodes ---- */
 
 static struct node *
@@ -126,6 +138,8 @@
 
   w->waiting += from->waiting;
   w->running += from->running;
+  w->busy = fleet_busy (w, now);
+  w->busy_ms = now;
   count_arrivals (w, from->arrivals, now);
   n->wishes = xrealloc (n->wishes, (n->wish_count + 1) * sizeof *n->wishes);
   n->wishes[n->wish_count++] = (struct node_wish){
--- a/src/edge/fleet_impl.h
+++ b/src/edge/fleet_impl.h
@@ -28,7 +28,8 @@
   struct str adapter;
   bool cold;
   uint64_t since_ms;
-  uint64_t expected_ms; /* when it should be complete */
+  uint32_t takes_ms;
+  uint64_t expected_ms; /* once accepted: when it should be complete */
 };
 
 /**
@@ -68,6 +69,7 @@
  * @rate: calls a second, over about RATE_MS.
  * @rate_ms: when @rate was brought up to date.
  * @used_ms: when the last call came.
+ * @busy: calls that waited or ran at once, as a maximum that decays.
  */
 struct wish
 {
@@ -80,6 +82,8 @@
   double rate;
   uint64_t rate_ms;
   uint64_t used_ms;
+  double busy;
+  uint64_t busy_ms;
   UT_hash_handle hh;
 };
 
@@ -154,6 +158,8 @@
                               struct str model, struct str adapter);
 /** fleet_rate() - calls a second now. */
 double fleet_rate (const struct wish *wish, uint64_t now_ms);
+/** fleet_busy() - calls at once, lately. */
+double fleet_busy (const struct wish *wish, uint64_t now_ms);
 void fleet_demand_free (struct fleet *fleet);
 
 /* ---- plan.c ---- */
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -126,7 +126,10 @@
     LOG_INFO ("holder", "holder=" STR_FMT " node=" STR_FMT " fence=%lu",
               STR_ARG (from), STR_ARG (label_str (d->node)), d->fence);
   p->holder_fence = d->fence;
-  p->holder_heard_ms = clock_ms ();
+  /* A holder whose lease ran out is taken for silent, so that another node
+     campaigns. */
+  if (d->active)
+    p->holder_heard_ms = clock_ms ();
   p->entries = d->entries;
   str_assign (&p->holder_addr, from);
   for (u_int i = 0; i < d->servers.servers_len; i++)
@@ -160,6 +163,7 @@
 
   h->node = str_label (edge_settings ()->node_name);
   h->fence = p->fence;
+  h->active = holderlease_valid (p->lease);
   h->entries = fleet_nodes (p->fleet, clock_ms ());
   h->servers.servers_val = b->servers;
   h->servers.servers_len = b->count;
@@ -424,6 +428,7 @@
 
   if (!p->holding)
     return;
+  fleet_advance (p->fleet, clock_ms ());
   while ((s = fleet_next_report (p->fleet, clock_ms ())))
     ask_report (p, s);
   while (holderlease_valid (p->lease)
--- a/src/edge/plan.c
+++ b/src/edge/plan.c
@@ -9,7 +9,7 @@
 #define RATE_IN_USE 0.02
 /* Part of a server's batch that the calls of one model may fill before the
    model gets another replica; other models share the batch. */
-#define BATCH_SHARE 0.35
+#define BATCH_SHARE 0.25
 /* A model with more calls a second has two replicas at least, so that the
    death of a server does not stop it. */
 #define RATE_OF_TWO 4.0
@@ -18,6 +18,9 @@
 /* A replica without calls may be removed for a waiting call after this time
    without use. */
 #define IDLE_MS 1000
+/* Added to the cost of a removal for each call that runs on the replica: the
+   unload waits for it, and the server takes no other order meanwhile. */
+#define UNLOAD_RUNNING_MS 100
 /* An unload waits for calls that run; it is asked about after this time. */
 #define UNLOAD_MS 50
 /* Loads from the weight store at once. More only make each of them slower. */
@@ -42,6 +45,8 @@
   double rate;
   uint32_t target;
   uint32_t have; /* ready, loading, or with room reserved */
+  uint32_t ready;
+  double busy; /* calls at once */
   enum need need;
 };
 
@@ -126,6 +131,22 @@
   return n;
 }
 
+static uint32_t
+ready_replicas (const struct fleet *f, struct str service, struct str model)
+{
+  uint32_t n = 0;
+
+  for (const struct fleet_server *s = f->servers; s; s = s->hh.next)
+    {
+      const struct replica *r = fleet_replica (s, model);
+
+      if (r && r->state == REPLICA_READY && fleet_usable (s)
+          && str_eq (s->service, service))
+        n++;
+    }
+  return n;
+}
+
 static uint32_t
 target_of (const struct want *w, const struct engine_spec *e)
 {
@@ -135,7 +156,7 @@
       || (w->wish->waiting == 0 && w->wish->running == 0
           && w->rate < RATE_IN_USE))
     return 0;
-  target = (uint32_t)ceil (w->wish->running / (e->batch * BATCH_SHARE));
+  target = (uint32_t)ceil (w->busy / (e->batch * BATCH_SHARE));
   if (target < 2 && w->rate >= RATE_OF_TWO)
     target = 2;
   return target > 0 ? target : 1;
@@ -159,6 +180,8 @@
 
   w.wish = fleet_wish_find (f, service, m->name, (struct str){ 0 });
   w.rate = w.wish ? fleet_rate (w.wish, now) : 0;
+  w.busy = w.wish ? fleet_busy (w.wish, now) : 0;
+  w.ready = ready_replicas (f, service, m->name);
   w.target = target_of (&w, e);
   w.have = replicas_of (f, service, m->name, now);
   w.need = need_of (&w);
@@ -194,6 +217,7 @@
               const struct want *for_whom, uint64_t now)
 {
   const struct model_spec *m = engine_model (e, r->model);
+  uint32_t running_cost;
   struct want w;
 
   if (!m)
@@ -201,16 +225,15 @@
   w = want_of (f, s->service, e, m, now);
   if (w.target == 0)
     return 20 + m->load_ms / 100.0;
-  if (w.have > w.target)
-    return 100 + w.rate;
-  if (for_whom->need < NEED_WAITED_FOR)
-    return INFINITY;
-  /* Calls wait for the other model: take what nobody uses right now. */
-  if (w.wish->waiting == 0 && w.wish->running == 0
+  running_cost
+      = w.ready > 0 ? UNLOAD_RUNNING_MS * w.wish->running / w.ready : 0;
+  if (w.ready > w.target)
+    return 100 + running_cost;
+  /* Calls need the other model more: take what nobody uses right now. */
+  if ((w.rate < for_whom->rate || for_whom->need == NEED_WAITED_FOR)
+      && w.wish->waiting == 0 && w.wish->running == 0
       && now > w.wish->used_ms + IDLE_MS)
     return 400 + 1000 * w.rate;
-  if (w.have > 1)
-    return 1500 + 100 * w.rate;
   return INFINITY;
 }
 
@@ -248,6 +271,20 @@
          && now >= s->avoid_until_ms;
 }
 
+/* Time until the end of an order is known from a report. */
+#define ORDER_END_MS 150
+
+/* A server that carries an order out takes the next one after it. */
+static uint32_t
+order_left_ms (const struct fleet_server *s, uint64_t now)
+{
+  const uint64_t end_ms = s->pending.expected_ms + ORDER_END_MS;
+
+  if (s->pending.state == PENDING_NONE)
+    return 0;
+  return end_ms > now ? (uint32_t)(end_ms - now) : ORDER_END_MS;
+}
+
 static bool
 reserved_for_other (const struct fleet_server *s, struct str model,
                     uint64_t now)
@@ -283,7 +320,7 @@
 /* Added to the cost of a server in a failure domain that has a replica. */
 #define SAME_DOMAIN_MS 200
 /* Added for each call that runs on the server. */
-#define CROWDED_MS 5
+#define CROWDED_MS 15
 
 /* A step towards a replica of the model on one server. */
 struct step
@@ -302,7 +339,8 @@
   const struct engine_spec *e = fleet_engine (f, s);
   double removal = 0;
 
-  if (!is_idle (s, now) || reserved_for_other (s, w->spec->name, now)
+  if (!fleet_usable (s) || !s->known || now < s->avoid_until_ms
+      || reserved_for_other (s, w->spec->name, now)
       || fleet_replica (s, w->spec->name))
     return false;
   *out = (struct step){ .server = s };
@@ -317,7 +355,8 @@
       if (!out->remove)
         return false;
     }
-  out->cost_ms = out->takes_ms + removal + CROWDED_MS * s->running;
+  out->cost_ms = order_left_ms (s, now) + out->takes_ms + removal
+                 + CROWDED_MS * s->running;
   if (w->need == NEED_MORE && domain_taken (f, s, w))
     out->cost_ms += SAME_DOMAIN_MS;
   return true;
@@ -424,7 +463,10 @@
     {
       if (wants[i].need == NEED_NONE)
         break;
-      found = best_step (f, &wants[i], now, &step);
+      /* A server that is busy now, but has the weights at hand, may be worth
+         the wait. */
+      found = best_step (f, &wants[i], now, &step)
+              && is_idle (step.server, now);
       if (found)
         to_planned (&step, &wants[i], now, out);
     }
--- a/src/edge/plan_adapters.c
+++ b/src/edge/plan_adapters.c
@@ -70,7 +70,9 @@
                                                 r->adapters[j].name);
         const uint64_t used = w ? w->used_ms : 0;
 
-        if (w && (w->waiting > 0 || now < used + ADAPTER_IDLE_MS))
+        if (w
+            && (w->waiting > 0 || w->running > 0
+                || now < used + ADAPTER_IDLE_MS))
           continue;
         if (found && used >= *used_ms)
           continue;
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -21,7 +21,7 @@
 /* Added to the load of a server in another failure domain: bytes between
    domains cost, but less than a crowded server. */
 #define DOMAIN_PENALTY 0.05
-/* What the placement holder told is older than the entry after this time. */
+/* What the placement holder told goes before the entry for this long. */
 #define VIEW_FRESH_MS 2000
 
 struct placed_model
@@ -40,7 +40,8 @@
   struct str domain;
   uint64_t hash; /* of the id */
   uint64_t started_ms;
-  uint64_t order_count;
+  uint64_t sequence;    /* of the entry */
+  uint64_t order_count; /* as the holder told */
   uint32_t slots;
   bool leaving;    /* for good, for this start */
   bool listed;     /* the store has an entry */
@@ -187,6 +188,7 @@
   s->started_ms = e->started_ms;
   s->leaving = false;
   s->replaced = false;
+  s->sequence = 0;
   s->order_count = 0;
   s->view_ms = 0;
   s->others = 0;
@@ -222,7 +224,8 @@
   sweep (p, now_ms);
   if (!s)
     s = add (p, e->id);
-  else if (e->started_ms < s->started_ms)
+  else if (e->started_ms < s->started_ms
+           || (e->started_ms == s->started_ms && e->sequence < s->sequence))
     return; /* an old entry that was stored late */
   if (e->started_ms > s->started_ms)
     restart (s, e);
@@ -232,16 +235,12 @@
   str_assign (&s->address, e->address);
   str_assign (&s->domain, e->domain);
   s->slots = e->slots;
+  s->sequence = e->sequence;
   if (e->state == SERVER_LEAVING)
     s->leaving = true;
-  /* The holder's word is newer as long as it knows of more orders. */
-  const bool view_fresh = s->view_ms > 0
-                          && now_ms < s->view_ms + VIEW_FRESH_MS
-                          && s->order_count >= e->order_count;
-  if (view_fresh || e->order_count < s->order_count)
-    return;
-  s->order_count = e->order_count;
-  models_from_entry (s, e);
+  /* The placement holder knows earlier what the server holds. */
+  if (s->view_ms == 0 || now_ms >= s->view_ms + VIEW_FRESH_MS)
+    models_from_entry (s, e);
 }
 
 void
--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -83,8 +83,8 @@
 {
   struct site *s = ctx;
 
-  LOG_DBG ("server", "server=" STR_FMT " leaving=%d orders=%lu models=%zu",
-           STR_ARG (e->id), e->state == SERVER_LEAVING, e->order_count,
+  LOG_DBG ("server", "server=" STR_FMT " leaving=%d sequence=%lu models=%zu",
+           STR_ARG (e->id), e->state == SERVER_LEAVING, e->sequence,
            e->model_count);
   if (e->state == SERVER_LEAVING)
     LOG_INFO ("server-leaving", "server=" STR_FMT " service=" STR_FMT,
--- a/src/edge/topology.h
+++ b/src/edge/topology.h
@@ -155,7 +155,7 @@
  * @id: of this start of the server.
  * @started_ms: Unix time of the start; 0 when unknown. Tells starts under one
  *   id apart.
- * @order_count: orders accepted since the start.
+ * @sequence: rises with each entry that the server writes.
  * @models: held now, as far as the server knew when it wrote the entry.
  * @in_memory: models whose weights are in the server's host memory.
  * @on_disk: models whose weights are on the server's disk.
@@ -168,7 +168,7 @@
   struct str domain;
   enum server_state state;
   uint64_t started_ms;
-  uint64_t order_count;
+  uint64_t sequence;
   uint32_t slots;
   struct held_model *models;
   size_t model_count;
@@ -180,6 +180,7 @@
 
 /**
  * struct server_report - a model server's state, some hundred ms old.
+ * @order_count: orders accepted since the start.
  * @busy: an order to load or unload a model is being carried out.
  * @coming: adapters on their way, as "MODEL/ADAPTER".
  */
