--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -44,6 +44,7 @@
   size_t open;
   struct service_retries *retries;
   uint64_t random;
+  uint64_t last_wait_ms; /* no call waits beyond; UINT64_MAX until a drain */
 };
 
 /* How a call ended, for logs and counters. */
@@ -112,6 +113,10 @@
 
 /** call_proceed() - choose a server and send, or wait, or refuse. */
 void call_proceed (struct call *call);
+/** call_give_up() - end a call that has no attempt under way: refuse it if it
+ * has not run. */
+void call_give_up (struct call *call, uint32_t retry_after_ms,
+                   const char *reason);
 /** call_abandon() - end the attempt under way, if there is one. */
 void call_abandon (struct call *call);
 
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -273,8 +273,8 @@
   return true;
 }
 
-static void
-give_up (struct call *c, uint32_t retry_after_ms, const char *reason)
+void
+call_give_up (struct call *c, uint32_t retry_after_ms, const char *reason)
 {
   if (c->runs > 0)
     call_fail (c, STATUS_BAD_GATEWAY, reason);
@@ -294,7 +294,7 @@
   if (ready_in != UINT32_MAX
       && now + ready_in + ATTEMPT_MIN_MS > c->end_ms)
     {
-      give_up (c, ready_in, "model-loads-too-late");
+      call_give_up (c, ready_in, "model-loads-too-late");
       return;
     }
   if (c->waiting && c->verdict == verdict)
@@ -328,16 +328,16 @@
 
   if (left_ms (c->end_ms) < ATTEMPT_MIN_MS)
     {
-      give_up (c, 0, "no-time-left");
+      call_give_up (c, 0, "no-time-left");
       return;
     }
   verdict = pool_choose (site_pool (all->site), &need, clock_ms (), &server);
   if (verdict == POOL_NO_SERVER)
-    give_up (c, 0, "no-server");
+    call_give_up (c, 0, "no-server");
   else if (verdict != POOL_CHOSEN)
     wait (c, &need, verdict);
   else if (!count_send (c))
-    give_up (c, 0, "retry-budget");
+    call_give_up (c, 0, "retry-budget");
   else
     send_to (c, server, need.engine != NULL);
 }
--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -366,10 +366,33 @@
   while (beyond != UINT32_MAX);
 }
 
+static void
+refuse_waiting (struct calls *all)
+{
+  struct call *next;
+
+  for (struct call *c = all->first; c; c = next)
+    {
+      next = c->next;
+      if (c->waiting)
+        call_give_up (c, 0, "node-stops");
+    }
+}
+
 static void
 on_wait_tick (uv_timer_t *timer)
 {
-  retry_waiting (timer->data);
+  struct calls *all = timer->data;
+
+  retry_waiting (all);
+  if (clock_ms () >= all->last_wait_ms)
+    refuse_waiting (all);
+}
+
+void
+calls_drain (struct calls *all, uint32_t left_ms)
+{
+  all->last_wait_ms = clock_ms () + left_ms;
 }
 
 static void
@@ -392,6 +415,7 @@
   all->http = http_get (kernel);
   all->loop = kernel_loop (kernel);
   all->random = clock_us ();
+  all->last_wait_ms = UINT64_MAX;
   uv_timer_init (all->loop, &all->wait_timer);
   uv_timer_init (all->loop, &all->left_timer);
   all->wait_timer.data = all;
--- a/src/edge/front.c
+++ b/src/edge/front.c
@@ -15,6 +15,9 @@
 /* The platform's balancer sends new connections until it has missed two
    readiness checks, a second apart. */
 #define LISTEN_ON_MS 3200
+/* Part of the grace period for which calls may wait for a server. The rest is
+   for those that run. */
+#define WAIT_SHARE 0.5
 /* Connections are kept this much longer than clients may leave them idle, so
    that a request does not cross the close. */
 #define IDLE_SLACK_MS 1000
@@ -159,7 +162,10 @@
 {
   struct front *f = (struct front *)plugin;
 
+  const double grace_ms = edge_settings ()->grace_s * 1000;
+
   httpd_announce_close (f->clients);
+  calls_drain (f->calls, (uint32_t)(grace_ms * WAIT_SHARE));
   uv_timer_start (&f->drain_timer, stop_listening, LISTEN_ON_MS, 0);
 }
 
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -128,6 +128,18 @@
   h2o_context_request_shutdown (&d->context);
 }
 
+/* Ends connections on which no request is being answered. h2o closes them
+   itself only when their timeout passes. */
+static void
+close_idle (struct httpd *d)
+{
+  h2o_timeout_t *t = &d->context.http1.req_timeout;
+
+  t->timeout = 1;
+  h2o_timeout_run (d->context.loop, t,
+                   h2o_now (d->context.loop) + t->timeout + 1);
+}
+
 void
 httpd_close (struct httpd *d)
 {
@@ -136,4 +148,5 @@
   d->listening = false;
   uv_close ((uv_handle_t *)&d->listener, NULL);
   h2o_context_request_shutdown (&d->context);
+  close_idle (d);
 }
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -37,5 +37,6 @@
 /** httpd_announce_close() - answers from now on ask for the connection's end;
  * the server goes on listening. */
 void httpd_announce_close (struct httpd *httpd);
-/** httpd_close() - stop listening; requests at hand go on. */
+/** httpd_close() - stop listening and close idle connections; requests at hand
+ * go on. */
 void httpd_close (struct httpd *httpd);
