--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -40,6 +40,7 @@
 	label node;
 	u_quad_t instance;
 	u_quad_t sequence;
+	bool_t store_reachable;
 	struct {
 		u_int demand_len;
 		demand_digest *demand_val;
@@ -85,6 +86,7 @@
 	label node;
 	u_quad_t fence;
 	bool_t active;
+	u_quad_t lease_revision;
 	u_int entries;
 	struct {
 		u_int servers_len;
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -28,6 +28,7 @@
   label node;
   unsigned hyper instance; /* start of the node's process */
   unsigned hyper sequence; /* rises with each digest of the process */
+  bool store_reachable;
   demand_digest demand<>;
   load_digest loads<>;
 };
@@ -60,7 +61,8 @@
 {
   label node;
   unsigned hyper fence;
-  bool active; /* the holder's lease is valid */
+  bool active; /* the holder gives orders */
+  unsigned hyper lease_revision; /* of the lease's object */
   unsigned int entries; /* nodes that tell their demand */
   server_digest servers<>;
 };
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -111,6 +111,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->store_reachable))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, ~0,
 		sizeof (demand_digest), (xdrproc_t) xdr_demand_digest))
 		 return FALSE;
@@ -177,6 +179,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->active))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->lease_revision))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->entries))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, ~0,
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -41,6 +41,8 @@
     SETTING_NUMBER, FIELD (retry_slack), "10", 0, 100000 },
   { "load-window-s", "S", "time over which loads are counted", SETTING_NUMBER,
     FIELD (load_window_s), "5", 1, 60 },
+  { "fenced", "BOOL", "servers refuse orders with an old fencing token",
+    SETTING_BOOL, FIELD (fenced), "false", 0, 0 },
 };
 #define SETTING_COUNT (sizeof edge_setting_list / sizeof *edge_setting_list)
 
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "log.h"
@@ -22,6 +23,7 @@
   double retry_window_s;
   double retry_slack; /* repeated calls that are allowed besides */
   double load_window_s;
+  bool fenced; /* servers refuse orders with an old fencing token */
 };
 
 /** edge_settings() - of this process; valid while the kernel exists. */
--- a/src/edge/holderlease.c
+++ b/src/edge/holderlease.c
@@ -23,7 +23,7 @@
   void (*changed) (void *ctx);
   void *ctx;
   bool held; /* as last logged */
-  bool closed;
+  int write_error; /* of the last write */
 };
 
 struct holderlease *
@@ -100,8 +100,10 @@
 {
   struct holderlease *l = ctx;
 
-  if (err.code != 0)
+  /* One line for each outage, not for each try. */
+  if (err.code != 0 && err.code != l->write_error)
     LOG_INFO ("lease-write-failed", LOG_E_FMT, LOG_E_ARG (err));
+  l->write_error = err.code;
   leasestate_write_done (l->state, clock_ms (), err.code,
                          o ? o->revision : 0);
   after_answer (l);
@@ -135,6 +137,18 @@
   leasestate_candidate (l->state, campaign);
 }
 
+void
+holderlease_hint (struct holderlease *l, uint64_t revision)
+{
+  leasestate_hint (l->state, clock_ms (), revision);
+}
+
+uint64_t
+holderlease_revision (const struct holderlease *l)
+{
+  return leasestate_version (l->state);
+}
+
 void
 holderlease_release (struct holderlease *l)
 {
--- a/src/edge/holderlease.h
+++ b/src/edge/holderlease.h
@@ -30,6 +30,10 @@
 void holderlease_step (struct holderlease *lease);
 /** holderlease_campaign() - take the lease when it is free, or do not. */
 void holderlease_campaign (struct holderlease *lease, bool campaign);
+/** holderlease_hint() - the holder told the revision of the lease's object. */
+void holderlease_hint (struct holderlease *lease, uint64_t revision);
+/** holderlease_revision() - of the object, as last known; 0 when unknown. */
+uint64_t holderlease_revision (const struct holderlease *lease);
 void holderlease_release (struct holderlease *lease);
 bool holderlease_released (const struct holderlease *lease);
 /** holderlease_valid() - this node holds it at this moment. */
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -26,6 +26,8 @@
 #define HOLDER_SILENT_MS 700
 /* A node that is silent for this long gets no more digests. */
 #define NODE_SILENT_MS 2000
+/* What a node told of the store is believed for this long. */
+#define AGREED_MS 600
 #define NODES_MAX 512
 #define LOADS_MAX 2048
 #define SERVERS_PER_DATAGRAM 4
@@ -36,6 +38,7 @@
 {
   struct str addr;
   uint64_t heard_ms;
+  bool store_reachable;
   UT_hash_handle hh;
 };
 
@@ -54,6 +57,7 @@
   uv_timer_t soon; /* a digest or plan that is due before the next tick */
   uv_timer_t drain_timer;
   bool holding; /* as of the last tick */
+  bool store_reachable;
   bool changed; /* servers hold other than was told */
   uint64_t fence;
   uint64_t told_ms;        /* last digest of this node's demand */
@@ -80,6 +84,32 @@
   return clock_ms () < p->holder_heard_ms + NODE_SILENT_MS ? p->entries : 0;
 }
 
+/* ---- may this node give orders ---- */
+
+/* While the store answers no node, nobody else can take the lease. The holder
+   then goes on as long as all nodes that told their demand agree that the
+   store is away, and only where servers refuse the orders of a holder that has
+   a successor which it does not know of. */
+static bool
+all_without_store (const struct placer *p)
+{
+  const uint64_t now = clock_ms ();
+
+  if (p->store_reachable || !edge_settings ()->fenced)
+    return false;
+  for (const struct listener *l = p->listeners; l; l = l->hh.next)
+    if (l->store_reachable || now > l->heard_ms + AGREED_MS)
+      return false;
+  return true;
+}
+
+static bool
+may_order (const struct placer *p)
+{
+  return p->holding
+         && (holderlease_valid (p->lease) || all_without_store (p));
+}
+
 /* ---- what the holder tells ---- */
 
 static void
@@ -130,6 +160,7 @@
      campaigns. */
   if (d->active)
     p->holder_heard_ms = clock_ms ();
+  holderlease_hint (p->lease, d->lease_revision);
   p->entries = d->entries;
   str_assign (&p->holder_addr, from);
   for (u_int i = 0; i < d->servers.servers_len; i++)
@@ -163,7 +194,8 @@
 
   h->node = str_label (edge_settings ()->node_name);
   h->fence = p->fence;
-  h->active = holderlease_valid (p->lease);
+  h->active = may_order (p);
+  h->lease_revision = holderlease_revision (p->lease);
   h->entries = fleet_nodes (p->fleet, clock_ms ());
   h->servers.servers_val = b->servers;
   h->servers.servers_len = b->count;
@@ -308,6 +340,7 @@
   e->node = str_label (edge_settings ()->node_name);
   e->instance = kernel_instance (p->kernel);
   e->sequence = ++p->sequence;
+  e->store_reachable = p->store_reachable;
   e->demand.demand_val = t.items;
   e->demand.demand_len = t.count;
   e->loads.loads_val = told;
@@ -431,7 +464,7 @@
   fleet_advance (p->fleet, clock_ms ());
   while ((s = fleet_next_report (p->fleet, clock_ms ())))
     ask_report (p, s);
-  while (holderlease_valid (p->lease)
+  while (may_order (p)
          && (s = fleet_next_order (p->fleet, clock_ms (), &order)))
     give_order (p, s, &order);
   const uint64_t pause_ms = p->changed ? DIGEST_GAP_MS : DIGEST_MS;
@@ -444,7 +477,7 @@
 /* ---- datagrams ---- */
 
 static void
-note_listener (struct placer *p, struct str from)
+note_listener (struct placer *p, struct str from, bool store_reachable)
 {
   struct listener *l;
 
@@ -455,8 +488,10 @@
       l->addr = str_dup (from);
       HASH_ADD_KEYPTR (hh, p->listeners, l->addr.data, l->addr.len, l);
     }
-  if (l)
-    l->heard_ms = clock_ms ();
+  if (!l)
+    return;
+  l->heard_ms = clock_ms ();
+  l->store_reachable = store_reachable;
 }
 
 static void
@@ -487,7 +522,7 @@
     }
   if (!p->holding)
     return;
-  note_listener (p, from);
+  note_listener (p, from, d->datagram_u.entry.store_reachable);
   hear_entry (p, &d->datagram_u.entry);
   act_soon (p);
 }
@@ -570,8 +605,9 @@
 static void
 on_reachable (void *ctx, bool reachable)
 {
-  (void)ctx;
-  (void)reachable;
+  struct placer *p = ctx;
+
+  p->store_reachable = reachable;
 }
 
 static const struct site_listener site_listener = {
--- a/src/leasestate.c
+++ b/src/leasestate.c
@@ -27,6 +27,8 @@
   bool busy;
   uint64_t version;
   uint64_t first_seen_ms; /* when @version was first seen */
+  uint64_t hint_version;  /* as the holder told */
+  uint64_t hint_ms;       /* when it was first told */
   struct lease_record seen;
   struct lease_record written; /* last record that was sent */
   uint64_t sent_ms;            /* when it was sent */
@@ -118,6 +120,15 @@
   s->candidate = candidate;
 }
 
+void
+leasestate_hint (struct leasestate *s, uint64_t now, uint64_t version)
+{
+  if (version == s->hint_version)
+    return;
+  s->hint_version = version;
+  s->hint_ms = now;
+}
+
 void
 leasestate_release (struct leasestate *s)
 {
@@ -140,6 +151,10 @@
 
   if (s->seen.holder.len == 0)
     return true;
+  /* An earlier process of this node held it. It is gone, because this one has
+     its address. */
+  if (str_eq (s->seen.holder, s->self) && s->seen.instance != s->instance)
+    return true;
   if (ttl < s->ttl_ms)
     ttl = s->ttl_ms;
   return now >= s->first_seen_ms + ttl + s->margin_ms;
@@ -201,7 +216,8 @@
       s->seen.holder = str_dup (r->holder);
       free ((char *)old.data);
       s->version = version;
-      s->first_seen_ms = now;
+      s->first_seen_ms
+          = version > 0 && version == s->hint_version ? s->hint_ms : now;
       s->known = true;
     }
   s->mine = str_eq (r->holder, s->self) && r->instance == s->instance;
--- a/src/leasestate.h
+++ b/src/leasestate.h
@@ -47,6 +47,12 @@
 
 /** leasestate_candidate() - may this node take the lease when it is free. */
 void leasestate_candidate (struct leasestate *s, bool candidate);
+/**
+ * leasestate_hint() - the holder told that the object has this version.
+ *
+ * A candidate that reads the same version later counts the wait from here.
+ */
+void leasestate_hint (struct leasestate *s, uint64_t now, uint64_t version);
 /** leasestate_release() - hold the lease no longer, from this moment on. */
 void leasestate_release (struct leasestate *s);
 /** leasestate_released() - no release is left to be written. */
--- a/src/settings.c
+++ b/src/settings.c
@@ -119,6 +119,17 @@
   return complain (s, value, allowed);
 }
 
+static int
+store_bool (const struct setting *s, const char *value, void *out)
+{
+  const bool on = strcmp (value, "true") == 0;
+
+  if (!on && strcmp (value, "false") != 0)
+    return complain (s, value, "true, false");
+  *(bool *)out = on;
+  return 0;
+}
+
 static int
 store_value (const struct setting *s, const char *value, void *out)
 {
@@ -128,6 +139,8 @@
       return store_number (s, value, out);
     case SETTING_NUMBER:
       return store_double (s, value, out);
+    case SETTING_BOOL:
+      return store_bool (s, value, out);
     case SETTING_LOG_LEVEL:
       if (log_level_parse (str_from (value), out))
         return 0;
