Step down when fenced; spare the last replica of an idle model

It now steps down at the first refusal or at a successor's digest, and keeps silent nodes in the count during an outage.

--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -60,6 +60,7 @@
   bool store_reachable;
   bool changed; /* servers hold other than was told */
   uint64_t fence;
+  uint64_t lost_fence;     /* of this node's last lease that is over */
   uint64_t told_ms;        /* last digest of this node's demand */
   uint64_t broadcast_ms;   /* last digest of all servers */
   uint64_t holder_heard_ms;
@@ -365,6 +366,18 @@
 
 static void act (struct placer *p);
 
+/* Another node holds a later lease, whatever the store last told this one. */
+static void
+step_down (struct placer *p, uint64_t fence, const char *reason)
+{
+  if (fence < p->lost_fence + 1)
+    return;
+  LOG_INFO ("step-down", "fence=%lu reason=%s", fence, reason);
+  p->lost_fence = fence;
+  if (p->fence == fence)
+    p->holding = false;
+}
+
 static void
 on_soon (uv_timer_t *timer)
 {
@@ -393,10 +406,7 @@
               STR_ARG (o->server_id), order_result_name (result), o->fence);
   metrics_add ("galenagate_orders_total", str_from (""), 1);
   if (result == ORDER_FENCED)
-    {
-      /* Another node has given orders under a later lease. */
-      holderlease_release (p->lease);
-    }
+    step_down (p, o->fence, "fenced");
   p->changed = true;
   if (o->fence == p->fence)
     fleet_order_done (p->fleet, o->server_id, result, clock_ms ());
@@ -500,6 +510,9 @@
   struct listener *l;
   struct listener *next;
 
+  /* During an outage a node that is silent may be a successor. */
+  if (!holderlease_valid (p->lease))
+    return;
   HASH_ITER (hh, p->listeners, l, next)
     if (clock_ms () > l->heard_ms + NODE_SILENT_MS)
       {
@@ -516,6 +529,8 @@
 
   if (d->kind == DATAGRAM_HOLDER)
     {
+      if (p->holding && d->datagram_u.holder.fence > p->fence)
+        step_down (p, p->fence, "successor");
       if (!p->holding)
         hear_holder (p, from, &d->datagram_u.holder);
       return;
@@ -543,7 +558,7 @@
 
   /* Without a valid lease no orders are given, but the node goes on to be
      the one that all tell their demand while nobody else holds it. */
-  p->holding = fence > 0 && fence >= p->holder_fence;
+  p->holding = fence > p->lost_fence && fence >= p->holder_fence;
   if (!p->holding || fence == p->fence)
     return;
   p->fence = fence;
--- a/src/edge/plan.c
+++ b/src/edge/plan.c
@@ -209,6 +209,27 @@
   return e->weights_mb - used - adapter_mb * e->adapter_slots;
 }
 
+static bool
+is_unused (const struct wish *w, uint64_t now)
+{
+  return !w
+         || (w->waiting == 0 && w->running == 0
+             && now > w->used_ms + IDLE_MS);
+}
+
+/* Could another server load the model without the weight store? */
+static bool
+others_have_weights (const struct fleet *f, const struct fleet_server *s,
+                     const struct model_spec *m)
+{
+  for (const struct fleet_server *o = f->servers; o; o = o->hh.next)
+    if (o != s && fleet_usable (o) && str_eq (o->service, s->service)
+        && (name_list_has (&o->in_memory, m->name)
+            || name_list_has (&o->on_disk, m->name)))
+      return true;
+  return false;
+}
+
 /* What it costs to remove a replica, in ms of somebody's wait; infinite when
    it must stay. */
 static double
@@ -223,17 +244,18 @@
   if (!m)
     return 10;
   w = want_of (f, s->service, e, m, now);
-  if (w.target == 0)
-    return 20 + m->load_ms / 100.0;
+  if (w.target == 0 && w.ready > 1)
+    return 20;
   running_cost
-      = w.ready > 0 ? UNLOAD_RUNNING_MS * w.wish->running / w.ready : 0;
+      = w.wish && w.ready > 0
+            ? UNLOAD_RUNNING_MS * w.wish->running / w.ready
+            : 0;
   if (w.ready > w.target)
     return 100 + running_cost;
   /* Calls need the other model more: take what nobody uses right now. */
   if ((w.rate < for_whom->rate || for_whom->need == NEED_WAITED_FOR)
-      && w.wish->waiting == 0 && w.wish->running == 0
-      && now > w.wish->used_ms + IDLE_MS)
-    return 400 + 1000 * w.rate;
+      && is_unused (w.wish, now))
+    return 400 + 1000 * w.rate + (others_have_weights (f, s, m) ? 0 : 500);
   return INFINITY;
 }
 
