Test the edge profile with real processes against stand-ins

Stand-ins of the platform's object store and servers; nine end-to-end tests of bytes, bad answers, streams, configuration, entries, placement, clients that leave, shutdown and outages.

--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -61,16 +61,18 @@
   return c;
 }
 
+static bool is_node (const struct cluster_proc *p);
+
 #ifdef __SANITIZE_ADDRESS__
 /* Leaks are looked for when a process exits, so a node is stopped at once by
    two signals instead of being killed. */
 static void
 end_proc (struct cluster_proc *p)
 {
-  if (p->role == CLUSTER_NODE && cluster_signal (p, SIGCONT))
+  if (is_node (p) && cluster_signal (p, SIGCONT))
     for (int i = 0; i < 2 && cluster_wait_exit (p, SIGNAL_GAP_MS) == -1; i++)
       cluster_signal (p, SIGTERM);
-  if (p->role == CLUSTER_NODE)
+  if (is_node (p))
     cluster_wait_exit (p, EXIT_MS);
   cluster_kill (p);
 }
@@ -225,7 +227,8 @@
 static struct cluster_proc *
 proc_new (struct cluster *c, enum cluster_role role, const char *program)
 {
-  static const char *const names[] = { "store", "engine", "service", "node" };
+  static const char *const names[]
+      = { "store", "engine", "service", "node", "objects", "server", "edge" };
   char path[300];
 
   if (c->count == CLUSTER_PROCS_MAX)
@@ -241,6 +244,25 @@
   return p;
 }
 
+static bool
+is_node (const struct cluster_proc *p)
+{
+  return p->role == CLUSTER_NODE || p->role == CLUSTER_EDGE;
+}
+
+static struct cluster_reply
+probe (const struct cluster_proc *p)
+{
+  struct cluster_proc ready = { .role = p->role };
+
+  if (p->role == CLUSTER_NODE)
+    return cluster_http (p, "GET", "/readyz", NULL, NULL, PROBE_MS);
+  if (p->role != CLUSTER_EDGE)
+    return cluster_http (p, "GET", "/counts", NULL, NULL, PROBE_MS);
+  snprintf (ready.url, sizeof ready.url, "%s", p->ready_url);
+  return cluster_http (&ready, "GET", "/ready", NULL, NULL, PROBE_MS);
+}
+
 static bool
 answers (void *ctx)
 {
@@ -248,9 +270,7 @@
 
   if (p->pid == 0 || cluster_wait_exit (p, 0) != -1)
     return false;
-  struct cluster_reply r = cluster_http (
-      p, "GET", p->role == CLUSTER_NODE ? "/readyz" : "/counts", NULL, NULL,
-      PROBE_MS);
+  struct cluster_reply r = probe (p);
   const bool ok = r.error == CURLE_OK && r.status == 200;
   cluster_reply_free (&r);
   return ok;
@@ -279,7 +299,7 @@
   for (size_t i = 0; flags && flags[i]; i++)
     add_arg (p, flags[i]);
   p->pid = spawn (p->argv, p->log);
-  if (p->role != CLUSTER_NODE)
+  if (!is_node (p))
     CU_ASSERT_TRUE_FATAL (proc_up (p));
 }
 
@@ -366,6 +386,59 @@
   return p;
 }
 
+struct cluster_proc *
+cluster_objects (struct cluster *c)
+{
+  struct cluster_proc *p = proc_new (c, CLUSTER_OBJECTS, "standin_objects");
+
+  c->store = p;
+  add_flag (p, "--port", port_of (p));
+  proc_start (p, NULL);
+  return p;
+}
+
+struct cluster_proc *
+cluster_server (struct cluster *c, const char *service, const char *domain,
+                const char *const *flags)
+{
+  struct cluster_proc *p = proc_new (c, CLUSTER_SERVER, "standin_server");
+
+  set_place (p, service, domain);
+  add_flag (p, "--port", port_of (p));
+  add_flag (p, "--id", p->name);
+  proc_start (p, flags);
+  return p;
+}
+
+static void
+add_address (struct cluster *c, struct cluster_proc *p, const char *flag,
+             char *url, size_t size)
+{
+  char addr[32];
+
+  snprintf (addr, sizeof addr, "127.0.0.1:%d", new_port (c));
+  add_flag (p, flag, addr);
+  if (url)
+    snprintf (url, size, "http://%s", addr);
+}
+
+struct cluster_proc *
+cluster_edge (struct cluster *c, const char *domain, const char *const *flags)
+{
+  struct cluster_proc *p = proc_new (c, CLUSTER_EDGE, "galenagate");
+
+  set_place (p, "", domain);
+  add_arg (p, "edge");
+  add_flag (p, "--front-addr", p->url + strlen ("http://"));
+  add_address (c, p, "--ready-addr", p->ready_url, sizeof p->ready_url);
+  add_address (c, p, "--peer-addr", NULL, 0);
+  add_flag (p, "--platform-addr", c->store->url + strlen ("http://"));
+  add_flag (p, "--node-name", p->name);
+  add_flag (p, "--domain", domain);
+  proc_start (p, flags);
+  return p;
+}
+
 bool
 cluster_put_hosts (struct cluster *c)
 {
@@ -421,7 +494,7 @@
 cluster_ready (struct cluster *c)
 {
   for (size_t i = 0; i < c->count; i++)
-    if (c->procs[i]->role == CLUSTER_NODE && c->procs[i]->pid != 0
+    if (is_node (c->procs[i]) && c->procs[i]->pid != 0
         && !proc_up (c->procs[i]))
       return false;
   return true;
@@ -471,7 +544,7 @@
 {
   cluster_kill (p);
   p->pid = spawn (p->argv, p->log);
-  return p->role == CLUSTER_NODE || proc_up (p);
+  return is_node (p) || proc_up (p);
 }
 
 bool
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -25,6 +25,9 @@
   CLUSTER_ENGINE,
   CLUSTER_SERVICE,
   CLUSTER_NODE,
+  CLUSTER_OBJECTS, /* the platform's object store */
+  CLUSTER_SERVER,  /* a server of the platform */
+  CLUSTER_EDGE,    /* a node on the platform */
 };
 
 /**
@@ -37,7 +40,8 @@
   enum cluster_role role;
   char name[32];
   char url[48];      /* of its HTTP side, http://ip:port */
-  char bus_addr[32]; /* nodes only */
+  char bus_addr[32];  /* nodes only */
+  char ready_url[48]; /* edges only: readiness checks */
   char service[48];
   char domain[48];
   bool leaving;
@@ -87,6 +91,15 @@
                                       const char *const *flags);
 struct cluster_proc *cluster_node (struct cluster *c, const char *domain,
                                    const char *const *flags);
+/** cluster_objects() - the platform's object store. */
+struct cluster_proc *cluster_objects (struct cluster *c);
+/** cluster_server() - a server of the platform; its name is its id. */
+struct cluster_proc *cluster_server (struct cluster *c, const char *service,
+                                     const char *domain,
+                                     const char *const *flags);
+/** cluster_edge() - a node on the platform, awaited by cluster_ready(). */
+struct cluster_proc *cluster_edge (struct cluster *c, const char *domain,
+                                   const char *const *flags);
 /** cluster_put_hosts() - give the store the engines and services that are to
     be listed: those that run, with their leaving marks. */
 bool cluster_put_hosts (struct cluster *c);
--- /dev/null
+++ b/tests/e2e_edge.c
@@ -0,0 +1,443 @@
+#include <signal.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "edgecluster.h"
+#include "err.h"
+#include "suite.h"
+
+/* A node on the users' platform, with real processes: what clients get, and
+   what servers and the store see. */
+
+#define WAIT_MS 15000
+#define NO_MODELS "[]"
+/* As the deployments give it to their nodes. */
+#define RETRY_FLAGS CLUSTER_FLAGS ("--retry-slack", "54")
+
+static struct edges edges;
+
+/* Starts an edge beside two plain servers or two model servers, of which the
+   first has a fault. The first one is asked first, since both are idle. */
+static struct cluster_proc *
+start_pair (const char *service, const char *fault,
+            struct cluster_proc *servers[2])
+{
+  const bool engine = service[0] == 'l';
+  const char *models = engine ? "[{\"name\":\"m1\",\"version\":1,"
+                                "\"adapters\":[]},{\"name\":\"m2\","
+                                "\"version\":1,\"adapters\":[]}]"
+                              : NO_MODELS;
+  const char *const bad[]
+      = { "--fault", fault, "--models", engine ? "m1,m2" : "", NULL };
+  struct cluster_proc *edge;
+
+  edges = edges_create ();
+  servers[0] = cluster_server (edges.cluster, service, "a", bad);
+  servers[1] = cluster_server (
+      edges.cluster, service, "a",
+      CLUSTER_FLAGS ("--models", engine ? "m1,m2" : ""));
+  edges_register (&edges, servers[0], "ready", models);
+  edges_register (&edges, servers[1], "ready", models);
+  edges_configure (&edges, 5000);
+  edge = cluster_edge (edges.cluster, "a", RETRY_FLAGS);
+  CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
+  return edge;
+}
+
+/* Guards against bytes of a request or an answer that are changed on the way,
+   and against headers that the servers must not see. */
+static void
+test_bytes (void)
+{
+  static const struct
+  {
+    const char *method;
+    const char *path;
+    const char *body;
+    const char *answer;
+  } cases[] = {
+    { "GET", "/plain/a%20b/c?x=%2F&y", NULL, "GET /plain/a%20b/c?x=%2F&y " },
+    { "POST", "/once/d", "{\"go\": 1}", "POST /once/d {\"go\": 1}" },
+    { "PUT", "/plain/", "text", "PUT /plain/ text" },
+  };
+  struct cluster_proc *servers[2];
+  struct cluster_proc *edge = start_pair ("plain", "", servers);
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct cluster_reply r
+          = edges_call (edge, cases[i].method, cases[i].path, "id-1", NULL,
+                        cases[i].body);
+
+      CU_ASSERT_EQUAL (r.status, 200);
+      CU_ASSERT (str_eq (buf_str (&r.body), str_from (cases[i].answer)));
+      CU_ASSERT (str_eq (cluster_header (&r, "content-type"),
+                         STR ("text/x-test")));
+      CU_ASSERT (str_eq (cluster_header (&r, "x-galenagate-server-seal"),
+                         STR ("s.1")));
+      cluster_reply_free (&r);
+    }
+  json_t *counts = cluster_json (servers[0], "/counts");
+  const json_t *seen = json_object_get (counts, "headers");
+  CU_ASSERT_STRING_EQUAL (
+      json_string_value (
+          json_object_get (seen, "x-galenagate-expect-instance")),
+      servers[0]->name);
+  CU_ASSERT_PTR_NOT_NULL (json_object_get (seen, "x-galenagate-deadline-ms"));
+  json_decref (counts);
+  edges_destroy (&edges);
+}
+
+/* Guards against answers that are no server's whole answer to this call, a
+   second run of a call that runs once, and "not run" for one that may have. */
+static void
+test_bad_answers (void)
+{
+  static const struct
+  {
+    const char *fault;
+    const char *path;
+    int status;
+    int first_runs;
+    int second_runs;
+  } cases[] = {
+    { "shed", "/plain/x", 200, 0, 1 },     { "shed", "/once/x", 200, 0, 1 },
+    { "close", "/plain/x", 200, 1, 1 },    { "close", "/once/x", 502, 1, 0 },
+    { "cut", "/plain/x", 200, 1, 1 },      { "cut", "/once/x", 502, 1, 0 },
+    { "unsealed", "/plain/x", 200, 1, 1 }, { "unsealed", "/once/x", 502, 1, 0 },
+    { "crossed", "/plain/x", 200, 1, 1 },  { "crossed", "/once/x", 502, 1, 0 },
+    { "unframed", "/once/x", 200, 1, 0 },  { "error", "/once/x", 500, 1, 0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct cluster_proc *servers[2];
+      struct cluster_proc *edge
+          = start_pair ("plain", cases[i].fault, servers);
+      struct cluster_reply r
+          = edges_call (edge, "POST", cases[i].path, "id-2", NULL, "b");
+      const bool ok = r.status == cases[i].status
+                      && edges_runs (servers[0], "id-2") == cases[i].first_runs
+                      && edges_runs (servers[1], "id-2")
+                             == cases[i].second_runs;
+
+      CU_ASSERT_TRUE (ok);
+      if (!ok)
+        fprintf (stderr, "%s %s: status %ld\n", cases[i].fault, cases[i].path,
+                 r.status);
+      cluster_reply_free (&r);
+      edges_destroy (&edges);
+    }
+}
+
+static struct str
+whole_stream (void)
+{
+  return STR ("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+              "id: 4\ndata: e4\n\nid: 5\ndata: e5\n\nid: 6\ndata: e6\n\n"
+              "id: 7\ndata: e7\n\nid: 8\ndata: e8\n\n");
+}
+
+/* Guards against events that are lost, doubled or joined where a stream goes
+   on at another server, a cut that looks complete, and bytes that are no
+   answer after a cut. */
+static void
+test_streams (void)
+{
+  static const struct
+  {
+    const char *fault;
+    const char *path;
+    bool whole;
+    int second_runs;
+  } cases[] = {
+    { "", "/stream/x", true, 0 },          { "cut-event", "/stream/x", true, 1 },
+    { "silent", "/stream/x", true, 1 },    { "close", "/stream/x", true, 1 },
+    { "cut-event", "/whole/x", false, 0 }, { "", "/whole/x", true, 0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct cluster_proc *servers[2];
+      struct cluster_proc *edge = start_pair ("lm", cases[i].fault, servers);
+      struct cluster_reply r
+          = edges_call (edge, "POST", cases[i].path, "id-3", "m1", "prompt");
+      const bool whole
+          = r.error == CURLE_OK && str_eq (buf_str (&r.body), whole_stream ());
+
+      CU_ASSERT_EQUAL (r.status, 200);
+      CU_ASSERT_EQUAL (whole, cases[i].whole);
+      CU_ASSERT (str_starts (whole_stream (), buf_str (&r.body)));
+      if (!cases[i].whole)
+        CU_ASSERT_EQUAL (r.error, CURLE_PARTIAL_FILE);
+      CU_ASSERT_EQUAL (edges_runs (servers[0], "id-3"), 1);
+      CU_ASSERT_EQUAL (edges_runs (servers[1], "id-3"), cases[i].second_runs);
+      cluster_reply_free (&r);
+      edges_destroy (&edges);
+    }
+}
+
+/* A call and the status that is waited for. */
+struct expected
+{
+  struct cluster_proc *edge;
+  const char *path;
+  long status;
+};
+
+static bool
+has_status (void *ctx)
+{
+  const struct expected *x = ctx;
+  struct cluster_reply r
+      = edges_call (x->edge, "GET", x->path, "id-4", NULL, NULL);
+  const bool ok = r.status == x->status;
+
+  cluster_reply_free (&r);
+  return ok;
+}
+
+/* Guards against 404 while no configuration is known, versions that do not
+   take hold, also after the store dropped its history, and older or
+   unreadable versions that replace the one in force. */
+static void
+test_configuration (void)
+{
+  edges = edges_create ();
+  struct cluster_proc *edge = cluster_edge (edges.cluster, "a", NULL);
+  struct expected x = { edge, "/plain/x", 503 };
+  CU_ASSERT_TRUE (cluster_until (has_status, &x, WAIT_MS));
+
+  struct cluster_proc *server
+      = cluster_server (edges.cluster, "plain", "a", NULL);
+  edges_register (&edges, server, "ready", NO_MODELS);
+  edges_configure (&edges, 5000);
+  CU_ASSERT_TRUE (cluster_ready (edges.cluster));
+  x.status = 200;
+  CU_ASSERT_TRUE (cluster_until (has_status, &x, WAIT_MS));
+  x = (struct expected){ edge, "/none/x", 404 };
+  CU_ASSERT_TRUE (has_status (&x));
+
+  edges_put (&edges, "config", "main", "{\"version\":50,\"routes\":7}");
+  edges_put (&edges, "config", "main",
+             "{\"version\":1,\"routes\":[],\"services\":[]}");
+  edges_faults (&edges, "{\"forget\":true}");
+  edges_put (
+      &edges, "config", "main",
+      "{\"version\":60,\"routes\":[{\"name\":\"n\",\"hostname\":"
+      "\"test.example\",\"path_prefix\":\"/none/\",\"route_type\":"
+      "\"idempotent\",\"service\":\"plain\"}],\"services\":[{\"name\":"
+      "\"plain\"}]}");
+  x.status = 200;
+  CU_ASSERT_TRUE (cluster_until (has_status, &x, WAIT_MS));
+  x = (struct expected){ edge, "/plain/x", 404 };
+  CU_ASSERT_TRUE (has_status (&x));
+  edges_destroy (&edges);
+}
+
+/* Guards against entries of other writers that stop a node or hide a server,
+   and against calls to a server that leaves. */
+static void
+test_entries (void)
+{
+  static const char *const bad[] = {
+    "{}",
+    "7",
+    "{\"service\":\"plain\"}",
+    "{\"service\":\"plain\",\"address\":\"nowhere\",\"zone\":\"a\","
+    "\"slots\":8,\"state\":\"ready\"}",
+    "{\"service\":\"plain\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\","
+    "\"slots\":8,\"state\":\"asleep\"}",
+    "{\"service\":\"plain\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\","
+    "\"slots\":\"many\",\"state\":\"ready\"}",
+  };
+  struct cluster_proc *servers[2];
+  struct cluster_proc *edge = start_pair ("plain", "", servers);
+  char name[16];
+
+  for (size_t i = 0; i < sizeof bad / sizeof *bad; i++)
+    {
+      snprintf (name, sizeof name, "bad-%zu", i);
+      edges_put (&edges, "servers", name, bad[i]);
+    }
+  edges_register (&edges, servers[0], "draining", NO_MODELS);
+  sleep (2);
+  for (int i = 0; i < 20; i++)
+    {
+      struct cluster_reply r
+          = edges_call (edge, "GET", "/plain/x", "id-5", NULL, NULL);
+
+      CU_ASSERT_EQUAL (r.status, 200);
+      cluster_reply_free (&r);
+    }
+  CU_ASSERT_EQUAL (edges_runs (servers[0], "id-5"), 0);
+  /* A late entry of before does not bring it back. */
+  edges_register (&edges, servers[0], "ready", NO_MODELS);
+  edges_delete (&edges, "servers", servers[1]->name);
+  sleep (2);
+  struct expected x = { edge, "/plain/x", 503 };
+  CU_ASSERT_TRUE (has_status (&x));
+  edges_destroy (&edges);
+}
+
+static json_int_t
+count_of (const struct cluster_proc *server, const char *member)
+{
+  return cluster_count (server, "/counts", member);
+}
+
+/* Highest fencing token among the orders that a server accepted. */
+static json_int_t
+last_fence (const struct cluster_proc *server)
+{
+  json_t *counts = cluster_json (server, "/counts");
+  const json_t *orders = json_object_get (counts, "orders");
+  const json_t *last
+      = json_array_get (orders, json_array_size (orders) - 1);
+  const json_int_t fence
+      = json_integer_value (json_object_get (last, "fencing_token"));
+
+  CU_ASSERT_TRUE (json_array_size (orders) == 0
+                  || json_is_integer (json_object_get (last, "expect")));
+  json_decref (counts);
+  return fence;
+}
+
+static void
+check_served (const struct cluster_proc *edge, const char *id,
+              const char *model)
+{
+  struct cluster_reply r
+      = edges_call (edge, "POST", "/stream/x", id, model, "p");
+
+  CU_ASSERT_EQUAL (r.status, 200);
+  CU_ASSERT (str_eq (buf_str (&r.body), whole_stream ()));
+  cluster_reply_free (&r);
+}
+
+/* Guards against models and adapters that are not brought when they are asked
+   for, memory and adapter places that are exceeded, and orders of a successor
+   that do not supersede those of a killed holder. */
+static void
+test_placement (void)
+{
+  static const char *const asked[]
+      = { "m3", "m1/a1", "m4", "m1/a2", "m2", "m1/a3", "m3/a1" };
+  struct cluster_proc *nodes[2];
+  struct cluster_proc *server;
+  char id[16];
+
+  edges = edges_create ();
+  server = cluster_server (edges.cluster, "lm", "a",
+                           CLUSTER_FLAGS ("--models", "m1"));
+  edges_register (&edges, server, "ready",
+                  "[{\"name\":\"m1\",\"version\":1,\"adapters\":[]}]");
+  edges_configure (&edges, 6000);
+  nodes[0] = cluster_edge (edges.cluster, "a", NULL);
+  CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
+  nodes[1] = cluster_edge (edges.cluster, "b", NULL);
+  CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
+  for (size_t i = 0; i < sizeof asked / sizeof *asked; i++)
+    {
+      snprintf (id, sizeof id, "id-6-%zu", i);
+      check_served (nodes[i % 2], id, asked[i]);
+    }
+  CU_ASSERT_EQUAL (count_of (server, "violations"), 0);
+  const json_int_t fence = last_fence (server);
+  CU_ASSERT_TRUE (fence > 0);
+
+  cluster_kill (nodes[0]);
+  check_served (nodes[1], "id-7", "m4");
+  check_served (nodes[1], "id-8", "m2");
+  CU_ASSERT_TRUE (last_fence (server) > fence);
+  CU_ASSERT_EQUAL (count_of (server, "violations"), 0);
+  edges_destroy (&edges);
+}
+
+/* Guards against work that goes on for a client that left. */
+static void
+test_client_leaves (void)
+{
+  edges = edges_create ();
+  struct cluster_proc *server = cluster_server (
+      edges.cluster, "plain", "a", CLUSTER_FLAGS ("--delay-ms", "1500"));
+  edges_register (&edges, server, "ready", NO_MODELS);
+  edges_configure (&edges, 5000);
+  struct cluster_proc *edge = cluster_edge (edges.cluster, "a", NULL);
+  CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
+
+  static const char *const headers[]
+      = { "Host: test.example", "X-Galenagate-Attempt-Id: id-9", NULL };
+  struct cluster_reply r
+      = cluster_http (edge, "GET", "/plain/x", headers, NULL, 300);
+  CU_ASSERT_EQUAL (r.error, CURLE_OPERATION_TIMEDOUT);
+  cluster_reply_free (&r);
+  sleep (2);
+  CU_ASSERT_EQUAL (count_of (server, "ended_early"), 1);
+  edges_destroy (&edges);
+}
+
+/* Guards against answers that are cut when a node stops, and against a node
+   that does not end. */
+static void
+test_stop (void)
+{
+  edges = edges_create ();
+  struct cluster_proc *server = cluster_server (
+      edges.cluster, "plain", "a", CLUSTER_FLAGS ("--delay-ms", "1000"));
+  edges_register (&edges, server, "ready", NO_MODELS);
+  edges_configure (&edges, 5000);
+  struct cluster_proc *edge = cluster_edge (edges.cluster, "a", NULL);
+  CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
+
+  struct cluster_call *before
+      = edges_begin (edge, "POST", "/once/x", "id-10", NULL, "b");
+  usleep (300000);
+  cluster_signal (edge, SIGTERM);
+  cluster_signal (edge, SIGHUP);
+  usleep (300000);
+  struct cluster_call *after
+      = edges_begin (edge, "POST", "/once/x", "id-11", NULL, "b");
+  struct cluster_reply first = cluster_end (before);
+  struct cluster_reply second = cluster_end (after);
+  CU_ASSERT_EQUAL (first.status, 200);
+  CU_ASSERT_EQUAL (second.status, 200);
+  cluster_reply_free (&first);
+  cluster_reply_free (&second);
+  CU_ASSERT_EQUAL (cluster_wait_exit (edge, WAIT_MS), 0);
+  edges_destroy (&edges);
+}
+
+/* Guards against calls that fail, or servers that are forgotten, because the
+   store is away. */
+static void
+test_store_away (void)
+{
+  static const char *const outages[]
+      = { "{\"down\":true}", "{\"silent\":true}" };
+  struct cluster_proc *servers[2];
+  struct cluster_proc *edge = start_pair ("lm", "", servers);
+
+  for (size_t i = 0; i < sizeof outages / sizeof *outages; i++)
+    {
+      edges_faults (&edges, outages[i]);
+      sleep (3);
+      check_served (edge, "id-12", "m1");
+      edges_faults (&edges, "{}");
+      check_served (edge, "id-13", "m2");
+    }
+  edges_destroy (&edges);
+}
+
+static const struct suite_case cases[] = {
+  { "bytes", test_bytes },
+  { "bad answers", test_bad_answers },
+  { "streams", test_streams },
+  { "configuration", test_configuration },
+  { "entries", test_entries },
+  { "placement", test_placement },
+  { "client leaves", test_client_leaves },
+  { "stop", test_stop },
+  { "store away", test_store_away },
+};
+TEST_SUITE ("edge", cases)
--- /dev/null
+++ b/tests/edgecluster.c
@@ -0,0 +1,202 @@
+#include "edgecluster.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <CUnit/CUnit.h>
+
+#include "err.h"
+
+#define ADMIN_MS 3000
+#define MODELS 4
+
+struct edges
+edges_create (void)
+{
+  struct edges e = { .cluster = cluster_create ("test-region"),
+                     .version = 3 };
+
+  e.store = cluster_objects (e.cluster);
+  return e;
+}
+
+void
+edges_destroy (struct edges *e)
+{
+  cluster_destroy (e->cluster);
+}
+
+static void
+write_store (const struct edges *e, const char *method, const char *path,
+             const char *body)
+{
+  static const char *const headers[] = { "X-Test: 1", NULL };
+  struct cluster_reply r
+      = cluster_http (e->store, method, path, headers, body, ADMIN_MS);
+
+  CU_ASSERT_EQUAL (r.error, CURLE_OK);
+  cluster_reply_free (&r);
+}
+
+void
+edges_put (const struct edges *e, const char *kind, const char *name,
+           const char *spec)
+{
+  struct str create = str_printf ("/objects/%s", kind);
+  struct str replace = str_printf ("/objects/%s/%s", kind, name);
+  struct str body = str_printf ("{\"metadata\":{\"name\":\"%s\"},\"spec\":%s}",
+                                name, spec);
+
+  write_store (e, "POST", create.data, body.data);
+  write_store (e, "PUT", replace.data, body.data);
+  str_free (&create);
+  str_free (&replace);
+  str_free (&body);
+}
+
+void
+edges_delete (const struct edges *e, const char *kind, const char *name)
+{
+  struct str path = str_printf ("/objects/%s/%s", kind, name);
+
+  write_store (e, "DELETE", path.data, NULL);
+  str_free (&path);
+}
+
+void
+edges_faults (const struct edges *e, const char *json)
+{
+  write_store (e, "POST", "/faults", json);
+}
+
+static json_t *
+route (const char *name, const char *type, const char *service,
+       uint32_t timeout_ms, int attempts, bool resumable)
+{
+  struct str prefix = str_printf ("/%s/", name);
+  json_t *o = json_pack (
+      "{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:s, s:i, s:b, s:i}", "name", name,
+      "hostname", "test.example", "path_prefix", prefix.data, "route_type",
+      type, "timeout_ms", (json_int_t)timeout_ms, "latency_target_ms", 200,
+      "priority", 1, "service", service, "max_attempts", attempts, "resumable",
+      resumable, "gap_aim_ms", 100);
+
+  str_free (&prefix);
+  return o;
+}
+
+static json_t *
+engine (void)
+{
+  json_t *models = json_array ();
+
+  for (int i = 1; i <= MODELS; i++)
+    {
+      char name[8];
+
+      snprintf (name, sizeof name, "m%d", i);
+      json_array_append_new (
+          models, json_pack ("{s:s, s:i, s:f, s:i, s:i, s:f, s:f}", "name",
+                             name, "weights_mb", 40, "load_s", 0.1, "adapters",
+                             4, "adapter_mb", 1, "warm_s", 0.05, "disk_s",
+                             0.05));
+    }
+  return json_pack ("{s:i, s:i, s:o, s:i, s:i, s:i}", "slots", 8,
+                    "kv_capacity_tokens", 10000, "models", models,
+                    "weights_mb", 100, "adapter_slots", 2, "loads_per_s", 50);
+}
+
+void
+edges_configure (struct edges *e, uint32_t timeout_ms)
+{
+  json_t *routes = json_pack (
+      "[o, o, o, o]",
+      route ("plain", "idempotent", "plain", timeout_ms, 2, false),
+      route ("once", "non_idempotent", "plain", timeout_ms, 1, false),
+      route ("stream", "streaming", "lm", timeout_ms, 2, true),
+      route ("whole", "streaming", "lm", timeout_ms, 1, false));
+  json_t *services
+      = json_pack ("[{s:s, s:i}, {s:s, s:i, s:o}]", "name", "plain",
+                   "max_connections", 100, "name", "lm", "max_connections",
+                   100, "engine", engine ());
+  json_t *spec = json_pack (
+      "{s:I, s:o, s:o, s:{s:i, s:i, s:i, s:i}}", "version",
+      (json_int_t)e->version, "routes", routes, "services", services, "limits",
+      "max_header_bytes", 16384, "max_body_bytes", 1048576,
+      "header_timeout_ms", 3000, "idle_timeout_ms", 15000);
+  char *text = json_dumps (spec, 0);
+
+  e->version += 2;
+  edges_put (e, "config", "main", text);
+  free (text);
+  json_decref (spec);
+}
+
+void
+edges_register (const struct edges *e, const struct cluster_proc *server,
+                const char *state, const char *models)
+{
+  struct str spec = str_printf (
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+      "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"seq\":1,"
+      "\"cold_remaining_ms\":0,\"models\":%s}",
+      server->service, server->url + strlen ("http://"), server->domain, state,
+      models);
+
+  edges_put (e, "servers", server->name, spec.data);
+  str_free (&spec);
+}
+
+/* Header lines of a call; the last one is left out without a model. */
+struct lines
+{
+  char id[96];
+  char model[96];
+  const char *list[6];
+};
+
+static void
+fill_lines (struct lines *l, const char *id, const char *model)
+{
+  snprintf (l->id, sizeof l->id, "X-Galenagate-Attempt-Id: %s", id);
+  snprintf (l->model, sizeof l->model, "X-Galenagate-Model: %s",
+            model ? model : "");
+  l->list[0] = "Host: test.example";
+  l->list[1] = "X-Galenagate-Deadline-Ms: 6000";
+  l->list[2] = l->id;
+  l->list[3] = model ? l->model : NULL;
+  l->list[4] = NULL;
+}
+
+struct cluster_reply
+edges_call (const struct cluster_proc *edge, const char *method,
+            const char *path, const char *id, const char *model,
+            const char *body)
+{
+  struct lines l;
+
+  fill_lines (&l, id, model);
+  return cluster_http (edge, method, path, l.list, body, EDGE_CALL_MS);
+}
+
+struct cluster_call *
+edges_begin (const struct cluster_proc *edge, const char *method,
+             const char *path, const char *id, const char *model,
+             const char *body)
+{
+  struct lines l;
+
+  fill_lines (&l, id, model);
+  return cluster_begin (edge, method, path, l.list, body, EDGE_CALL_MS);
+}
+
+json_int_t
+edges_runs (const struct cluster_proc *server, const char *id)
+{
+  json_t *counts = cluster_json (server, "/counts");
+  const json_int_t n = json_integer_value (
+      json_object_get (json_object_get (counts, "runs"), id));
+
+  json_decref (counts);
+  return n;
+}
--- /dev/null
+++ b/tests/standin_objects.c
@@ -0,0 +1,364 @@
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "err.h"
+#include "settings.h"
+#include "standinlib.h"
+
+/* Stand-in of the platform's object store: kinds of objects with revisions,
+   listings, watches and a history that can be dropped. POST /faults sets
+   faults; GET /counts tells calls. */
+
+#define TICK_MS 5
+#define PAGE_ITEMS 50
+
+struct options
+{
+  uint32_t port;
+};
+
+#define FIELD(f) .offset = offsetof (struct options, f)
+
+static const struct setting settings[] = {
+  { "port", "PORT", "port on 127.0.0.1", SETTING_U32, FIELD (port), NULL, 1,
+    65535 },
+};
+
+struct event
+{
+  uint64_t revision;
+  char kind[64];
+  json_t *json; /* as a watch tells it */
+  struct event *next;
+};
+
+struct watch
+{
+  h2o_req_t *req;
+  char kind[64];
+  uint64_t from;
+  uint64_t until_ms;
+  struct watch *next;
+};
+
+static struct options options;
+static json_t *kinds; /* kind -> name -> object */
+static uint64_t revision = 100;
+static uint64_t history_from = 100;
+static struct event *events; /* newest first */
+static struct watch *watches;
+static uv_timer_t tick;
+static json_int_t reads;
+static json_int_t writes;
+
+/* Answers 503, nothing at all, or loses the answers of writes. */
+static struct
+{
+  bool down;
+  bool silent;
+  bool lose_answers;
+} faults;
+
+static json_t *
+objects_of (const char *kind)
+{
+  json_t *objects = json_object_get (kinds, kind);
+
+  if (objects)
+    return objects;
+  objects = json_object ();
+  json_object_set_new (kinds, kind, objects);
+  return objects;
+}
+
+/* ---- watches ---- */
+
+static json_t *
+events_since (const char *kind, uint64_t from)
+{
+  json_t *list = json_array ();
+
+  for (const struct event *e = events; e && e->revision > from; e = e->next)
+    if (strcmp (e->kind, kind) == 0)
+      json_array_insert (list, 0, e->json);
+  return list;
+}
+
+static void
+answer_watch (h2o_req_t *req, json_t *list)
+{
+  standin_json (req, 200,
+                json_pack ("{s:o, s:I}", "events", list, "current_rev",
+                           (json_int_t)revision));
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct watch **at = &watches;
+
+  (void)timer;
+  while (*at)
+    {
+      struct watch *w = *at;
+      json_t *list = events_since (w->kind, w->from);
+      const bool gone = w->from < history_from;
+
+      if (!gone && json_array_size (list) == 0 && clock_ms () < w->until_ms)
+        {
+          json_decref (list);
+          at = &w->next;
+          continue;
+        }
+      *at = w->next;
+      if (gone)
+        standin_error (w->req, 410, "history_gone");
+      else
+        answer_watch (w->req, json_incref (list));
+      json_decref (list);
+      free (w);
+    }
+}
+
+static void
+record (const char *kind, json_t *object, bool deleted)
+{
+  struct event *e = xcalloc (1, sizeof *e);
+
+  e->revision = revision;
+  snprintf (e->kind, sizeof e->kind, "%s", kind);
+  e->json = json_pack ("{s:b, s:o}", "deleted", deleted, "object",
+                       json_deep_copy (object));
+  e->next = events;
+  events = e;
+}
+
+/* ---- calls ---- */
+
+static void
+list_kind (h2o_req_t *req, const char *kind)
+{
+  const struct str after = standin_query (req, "after");
+  json_t *items = json_array ();
+  bool more = false;
+  const char *name;
+  json_t *object;
+
+  json_t *objects = objects_of (kind);
+  const size_t n = json_object_size (objects);
+  const char **names = xcalloc (n + 1, sizeof *names);
+  size_t count = 0;
+  json_object_foreach (objects, name, object)
+    names[count++] = name;
+  /* Pages follow the order of names. */
+  for (size_t i = 0; i < count; i++)
+    for (size_t j = i + 1; j < count; j++)
+      if (strcmp (names[i], names[j]) > 0)
+        {
+          const char *swap = names[i];
+          names[i] = names[j];
+          names[j] = swap;
+        }
+  for (size_t i = 0; i < count; i++)
+    {
+      if (after.len > 0 && str_cmp (str_from (names[i]), after) <= 0)
+        continue;
+      if (json_array_size (items) == PAGE_ITEMS)
+        {
+          more = true;
+          break;
+        }
+      json_array_append (items, json_object_get (objects, names[i]));
+    }
+  free (names);
+  standin_json (req, 200,
+                json_pack ("{s:o, s:b, s:I}", "items", items, "more", more,
+                           "current_rev", (json_int_t)revision));
+}
+
+static void
+watch_kind (h2o_req_t *req, const char *kind, uint64_t from)
+{
+  struct watch *w = xcalloc (1, sizeof *w);
+
+  w->req = req;
+  snprintf (w->kind, sizeof w->kind, "%s", kind);
+  w->from = from;
+  w->until_ms = clock_ms () + standin_query_u64 (req, "wait_ms", 0);
+  w->next = watches;
+  watches = w;
+}
+
+static json_int_t
+revision_of (const json_t *object)
+{
+  return json_integer_value (
+      json_object_get (json_object_get (object, "metadata"), "revision"));
+}
+
+static json_t *
+make_object (const char *name, json_t *spec)
+{
+  return json_pack ("{s:{s:s, s:I, s:I, s:[], s:b}, s:O, s:n}", "metadata",
+                    "name", name, "revision", (json_int_t)revision, "created",
+                    (json_int_t)1, "finalizers", "deleting", 0, "spec", spec,
+                    "status");
+}
+
+static void
+store (h2o_req_t *req, const char *kind, const char *name, json_t *body)
+{
+  json_t *object;
+
+  revision++;
+  object = make_object (name, json_object_get (body, "spec"));
+  json_object_set (objects_of (kind), name, object);
+  record (kind, object, false);
+  if (faults.lose_answers)
+    {
+      json_decref (object);
+      standin_close (req);
+      return;
+    }
+  standin_json (req, 200, object);
+}
+
+static void
+write_object (h2o_req_t *req, const char *kind, const char *name)
+{
+  const struct str text = standin_body (req);
+  json_t *body = json_loadb (text.data, text.len, 0, NULL);
+  const json_t *metadata = json_object_get (body, "metadata");
+  const bool create = name[0] == '\0';
+  const char *target
+      = create ? json_string_value (json_object_get (metadata, "name")) : name;
+  json_t *old = target ? json_object_get (objects_of (kind), target) : NULL;
+  const json_t *expected = json_object_get (metadata, "revision");
+
+  writes++;
+  if (!body || !target)
+    standin_error (req, 400, "bad_object");
+  else if (create && old)
+    standin_json (req, 409, json_incref (old));
+  else if (!create && !old)
+    standin_error (req, 404, "no_such_object");
+  else if (expected && json_integer_value (expected) != revision_of (old))
+    standin_json (req, 409, json_incref (old));
+  else
+    store (req, kind, target, body);
+  json_decref (body);
+}
+
+static void
+delete_object (h2o_req_t *req, const char *kind, const char *name)
+{
+  json_t *old = json_object_get (objects_of (kind), name);
+
+  writes++;
+  if (!old)
+    {
+      standin_error (req, 404, "no_such_object");
+      return;
+    }
+  revision++;
+  record (kind, old, true);
+  json_object_del (objects_of (kind), name);
+  standin_json (req, 200, json_object ());
+}
+
+static void
+read_object (h2o_req_t *req, const char *kind, const char *name)
+{
+  json_t *object = json_object_get (objects_of (kind), name);
+  uint64_t from;
+
+  reads++;
+  if (name[0] != '\0')
+    {
+      if (object)
+        standin_json (req, 200, json_incref (object));
+      else
+        standin_error (req, 404, "no_such_object");
+    }
+  else if (str_u64 (standin_query (req, "watch"), &from))
+    watch_kind (req, kind, from);
+  else
+    list_kind (req, kind);
+}
+
+static void
+serve_objects (h2o_req_t *req, struct str rest)
+{
+  char kind[64] = "";
+  char name[128] = "";
+  const char *slash = memchr (rest.data, '/', rest.len);
+  const size_t len = slash ? (size_t)(slash - rest.data) : rest.len;
+
+  snprintf (kind, sizeof kind, "%.*s", (int)len, rest.data);
+  if (slash)
+    snprintf (name, sizeof name, "%.*s", (int)(rest.len - len - 1), slash + 1);
+  if (standin_method (req, "GET"))
+    read_object (req, kind, name);
+  else if (standin_method (req, "DELETE"))
+    delete_object (req, kind, name);
+  else
+    write_object (req, kind, name);
+}
+
+static void
+set_faults (h2o_req_t *req)
+{
+  const struct str body = standin_body (req);
+  json_t *json = json_loadb (body.data, body.len, 0, NULL);
+
+  faults.down = json_is_true (json_object_get (json, "down"));
+  faults.silent = json_is_true (json_object_get (json, "silent"));
+  faults.lose_answers = json_is_true (json_object_get (json, "lose_answers"));
+  if (json_is_true (json_object_get (json, "forget")))
+    history_from = revision + 1;
+  if (json_is_true (json_object_get (json, "forget")))
+    revision++;
+  json_decref (json);
+  standin_json (req, 200, json_object ());
+}
+
+static void
+handle (h2o_req_t *req)
+{
+  static const struct str prefix = { "/objects/", 9 };
+  const struct str path = standin_path (req);
+  /* The test itself writes as the operator and the servers. */
+  const bool from_test = standin_header (req, "x-test").len > 0;
+
+  if (str_eq (path, STR ("/counts")))
+    standin_json (req, 200,
+                  json_pack ("{s:I, s:I}", "reads", reads, "writes", writes));
+  else if (str_eq (path, STR ("/faults")))
+    set_faults (req);
+  else if (faults.silent && !from_test)
+    return;
+  else if (faults.down && !from_test)
+    standin_error (req, 503, "down");
+  else if (str_starts (path, prefix))
+    serve_objects (req, (struct str){ path.data + prefix.len,
+                                      path.len - prefix.len });
+  else
+    standin_error (req, 404, "no_such_path");
+}
+
+int
+main (int argc, char **argv)
+{
+  if (settings_parse (argc, argv, "Stand-in of the platform's object store.",
+                      NULL, settings, sizeof settings / sizeof *settings,
+                      &options, NULL)
+      != 0)
+    return 2;
+  kinds = json_object ();
+  uv_timer_init (standin_loop (), &tick);
+  uv_timer_start (&tick, on_tick, TICK_MS, TICK_MS);
+  return standin_run (options.port, handle);
+}
