--- a/src/edge/retries.c
+++ b/src/edge/retries.c
@@ -9,7 +9,7 @@
 static void
 advance (struct retries *r, const struct retries_limits *l, uint64_t now_ms)
 {
-  const uint64_t bucket = now_ms / (l->window_ms / RETRIES_BUCKETS);
+  const uint64_t bucket = now_ms / (l->window_ms / RETRIES_WINDOW_BUCKETS);
   uint64_t i = r->bucket + 1;
 
   if (bucket >= r->bucket + RETRIES_BUCKETS)
--- a/src/edge/retries.h
+++ b/src/edge/retries.h
@@ -7,7 +7,9 @@
    nodes share it: each takes its part of the fixed slack, and a ratio of its
    own first calls. */
 
-#define RETRIES_BUCKETS 10
+/* Buckets in a window, and one more, since the oldest is cut by it. */
+#define RETRIES_WINDOW_BUCKETS 10
+#define RETRIES_BUCKETS (RETRIES_WINDOW_BUCKETS + 1)
 
 /**
  * struct retries_limits - what the operators allow over all nodes.
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -191,6 +191,48 @@
   world_destroy (&w);
 }
 
+/* Guards against a successor that waits a second time for what the holder has
+   told it, and against a takeover of a lease that was renewed since. */
+static void
+test_hint (void)
+{
+  struct world w = world_held_by_a ();
+
+  leasestate_hint (w.nodes[2], w.now, w.version);
+  pass (&w, TTL_MS + MARGIN_MS - 1000, 0);
+  leasestate_candidate (w.nodes[2], true);
+  pass (&w, 500, 4);
+  CU_ASSERT_FALSE (valid (&w, 2));
+  pass (&w, 1700, 4);
+  CU_ASSERT (valid (&w, 2));
+  world_destroy (&w);
+
+  w = world_held_by_a ();
+  leasestate_hint (w.nodes[2], w.now, w.version);
+  pass (&w, TTL_MS + MARGIN_MS, 1);
+  leasestate_candidate (w.nodes[2], true);
+  pass (&w, TTL_MS, 4);
+  CU_ASSERT_FALSE (valid (&w, 2));
+  world_destroy (&w);
+}
+
+/* Guards against a wait for the end of a lease whose holder was an earlier
+   process of the same node, and against keeping its fencing token. */
+static void
+test_restart (void)
+{
+  struct world w = world_held_by_a ();
+  const uint64_t fence = leasestate_fence (w.nodes[0]);
+
+  leasestate_destroy (w.nodes[0]);
+  w.nodes[0] = leasestate_create (str_from (names[0]), 8, TTL_MS, MARGIN_MS);
+  leasestate_candidate (w.nodes[0], true);
+  pass (&w, 200, 1);
+  CU_ASSERT (valid (&w, 0));
+  CU_ASSERT (leasestate_fence (w.nodes[0]) > fence);
+  world_destroy (&w);
+}
+
 /* Guards against a holder that gives up, or counts a validity that it does not
    have, when the answer to a write is lost. */
 static void
@@ -368,6 +410,8 @@
 static const struct suite_case cases[] = {
   { "holder paused past the end", test_pause },
   { "successor waits ttl and margin", test_wait },
+  { "successor that the holder told", test_hint },
+  { "restart at the holder's address", test_restart },
   { "lost answer to a renewal", test_lost_answer },
   { "graceful release", test_release },
   { "store outage", test_outage },
--- /dev/null
+++ b/tests/test_routing.c
@@ -0,0 +1,255 @@
+#include <errno.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "edge/topology.h"
+#include "platform/callheaders.h"
+#include "platform/routingcodec.h"
+#include "platform/servercodec.h"
+
+#include "suite.h"
+
+static const char config[]
+    = "{\"version\":7,\"routes\":["
+      "{\"name\":\"a\",\"hostname\":\"one.example\",\"path_prefix\":\"/x/\","
+      "\"route_type\":\"idempotent\",\"service\":\"s\",\"max_attempts\":2},"
+      "{\"name\":\"b\",\"hostname\":\"one.example\",\"path_prefix\":\"/x/y/\","
+      "\"route_type\":\"non_idempotent\",\"service\":\"s\"},"
+      "{\"name\":\"c\",\"hostname\":\"two.example\",\"path_prefix\":\"/\","
+      "\"route_type\":\"streaming\",\"weighted_services\":["
+      "{\"service\":\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":10}],"
+      "\"resumable\":true,\"priority\":0,\"timeout_ms\":4000,"
+      "\"latency_target_ms\":500,\"gap_aim_ms\":200}],"
+      "\"services\":[{\"name\":\"s\"},{\"name\":\"t\",\"engine\":{\"slots\":96,"
+      "\"weights_mb\":83000.0,\"adapter_slots\":8,\"loads_per_s\":2.7,"
+      "\"models\":[{\"name\":\"m\",\"weights_mb\":16100.0,\"load_s\":6.0,"
+      "\"adapters\":3,\"adapter_mb\":14.0,\"warm_s\":0.27,"
+      "\"disk_s\":0.35}]}}],\"limits\":{\"idle_timeout_ms\":15000}}";
+
+static struct routing *
+decode (const char *text)
+{
+  json_t *json = json_loads (text, 0, NULL);
+  struct routing *r = routing_decode (json);
+
+  json_decref (json);
+  return r;
+}
+
+/* Guards against calls that go to a route of another host, or to a shorter
+   prefix than the one that matches. */
+static void
+test_find (void)
+{
+  static const struct
+  {
+    const char *host;
+    const char *path;
+    const char *route; /* NULL: none */
+  } cases[] = {
+    { "one.example", "/x/1", "a" },    { "one.example", "/x/y/1", "b" },
+    { "one.example", "/x/y", "a" },    { "one.example", "/x", NULL },
+    { "one.example", "/", NULL },      { "ONE.example:80", "/x/1", "a" },
+    { "two.example", "/x/y/1", "c" },  { "three.example", "/x/1", NULL },
+    { "one.example", "x/1", NULL },    { "", "/x/1", NULL },
+    { "two.example", "/?q=/x/", "c" },
+  };
+  struct routing *r = decode (config);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (r);
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      const struct route *found = routing_find (r, str_from (cases[i].host),
+                                                str_from (cases[i].path));
+
+      if (!cases[i].route)
+        CU_ASSERT_PTR_NULL (found);
+      if (cases[i].route)
+        CU_ASSERT_TRUE (
+            found && str_eq (found->name, str_from (cases[i].route)));
+    }
+  routing_destroy (r);
+}
+
+/* Guards against a split that does not follow the weights. */
+static void
+test_split (void)
+{
+  struct routing *r = decode (config);
+  int to_t = 0;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (r);
+  for (uint64_t n = 0; n < 1000; n++)
+    to_t += str_eq (route_pick (&r->routes[2], n), STR ("t"));
+  CU_ASSERT_EQUAL (to_t, 100);
+  CU_ASSERT (str_eq (route_pick (&r->routes[0], 12345), STR ("s")));
+  routing_destroy (r);
+}
+
+/* Guards against values that are read under another name or unit. */
+static void
+test_values (void)
+{
+  struct routing *r = decode (config);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (r);
+  const struct route *c = &r->routes[2];
+  const struct engine_spec *e = routing_service (r, STR ("t"))->engine;
+  const struct model_spec *m = engine_model (e, STR ("m"));
+  CU_ASSERT_EQUAL (r->version, 7);
+  CU_ASSERT_EQUAL (c->kind, CALL_STREAM);
+  CU_ASSERT_TRUE (c->resumable && c->priority == 0 && c->timeout_ms == 4000
+                  && c->target_ms == 500 && c->event_gap_ms == 200);
+  CU_ASSERT_EQUAL (r->routes[0].max_attempts, 2);
+  CU_ASSERT_TRUE (e->batch == 96 && e->adapter_slots == 8);
+  CU_ASSERT_TRUE (m->load_ms == 6000 && m->disk_load_ms == 350
+                  && m->memory_load_ms == 270 && m->adapter_count == 3);
+  CU_ASSERT_PTR_NULL (routing_service (r, STR ("s"))->engine);
+  CU_ASSERT_EQUAL (r->limits.idle_ms, 15000);
+  routing_destroy (r);
+}
+
+/* Guards against a configuration that is taken over in part. */
+static void
+test_bad_config (void)
+{
+  static const char *const cases[] = {
+    "{}",
+    "[]",
+    "{\"version\":\"7\",\"routes\":[],\"services\":[]}",
+    "{\"version\":7,\"routes\":{},\"services\":[]}",
+    "{\"version\":7,\"routes\":[{}],\"services\":[]}",
+    "{\"version\":7,\"routes\":[{\"name\":\"a\",\"hostname\":\"h\","
+    "\"path_prefix\":\"/\",\"route_type\":\"other\",\"service\":\"s\"}],"
+    "\"services\":[]}",
+    "{\"version\":7,\"routes\":[],\"services\":[{\"name\":7}]}",
+  };
+
+  CU_ASSERT_PTR_NULL (routing_decode (NULL));
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    CU_ASSERT_PTR_NULL (decode (cases[i]));
+}
+
+/* Guards against servers made up of what another writer left. */
+static void
+test_entries (void)
+{
+  static const struct
+  {
+    const char *spec;
+    int rc;
+  } cases[] = {
+    { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"slots\":6,\"state\":\"ready\",\"seq\":4,\"born\":1700000000000}",
+      0 },
+    { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"slots\":6,\"state\":\"draining\",\"models\":[{\"name\":\"m\","
+      "\"version\":1,\"adapters\":[\"a1\"]}],\"at_hand\":{\"in_memory\":"
+      "[\"m\"],\"on_disk\":[]}}",
+      0 },
+    { "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"zone\":\"z\","
+      "\"slots\":6,\"state\":\"ready\"}",
+      -EBADMSG },
+    { "{\"service\":5,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"slots\":6,\"state\":\"ready\"}",
+      -EBADMSG },
+    { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"slots\":6,\"state\":\"Ready\"}",
+      -EBADMSG },
+    { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"slots\":6,\"state\":\"ready\",\"models\":\"m\"}",
+      -EBADMSG },
+    { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"slots\":6,\"state\":\"ready\",\"models\":[{\"adapters\":[]}]}",
+      -EBADMSG },
+    { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"slots\":6,\"state\":\"ready\",\"born\":\"soon\"}",
+      -EBADMSG },
+    { "null", -EBADMSG },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      json_t *json = json_loads (cases[i].spec, JSON_DECODE_ANY, NULL);
+      struct server_entry e;
+
+      CU_ASSERT_EQUAL (server_entry_decode (STR ("id"), json, &e),
+                       cases[i].rc);
+      server_entry_free (&e);
+      json_decref (json);
+    }
+}
+
+static bool
+has_line (const struct str *lines, size_t n, const char *line)
+{
+  for (size_t i = 0; i < n; i++)
+    if (str_eq (lines[i], str_from (line)))
+      return true;
+  return false;
+}
+
+/* Guards against headers that only galenagate may set, and those of the
+   client's connection, that reach a server as the client sent them. */
+static void
+test_headers (void)
+{
+  static const struct http_field fields[] = {
+    { { "host", 4 }, { "one.example", 11 } },
+    { { "x-galenagate-attempt-id", 23 }, { "id", 2 } },
+    { { "X-Galenagate-Deadline-Ms", 24 }, { "12000", 5 } },
+    { { "x-galenagate-hold", 17 }, { "h", 1 } },
+    { { "x-galenagate-pin-ms", 19 }, { "9", 1 } },
+    { { "x-galenagate-kv-backup", 22 }, { "10.0.0.1:1", 10 } },
+    { { "kv-from", 7 }, { "10.0.0.1:1/x", 12 } },
+    { { "X-Galenagate-Request-Priority", 29 }, { "0", 1 } },
+    { { "transfer-encoding", 17 }, { "chunked", 7 } },
+    { { "connection", 10 }, { "close", 5 } },
+    { { "x-galenagate-model", 18 }, { "m/a1", 4 } },
+    { { "x-galenagate-token-usage", 24 }, { "1460,80", 7 } },
+    { { "x-galenagate-prompt-prefix", 26 }, { "5c1e:800,91bd:410", 17 } },
+    { { "last-event-id", 13 }, { "3", 1 } },
+    { { "x-empty", 7 }, { "", 0 } },
+  };
+  const struct call_stamp stamp = { .deadline_ms = 900,
+                                    .server_id = STR ("i-1"),
+                                    .priority = 2,
+                                    .last_event = STR ("5") };
+  static const char *const expected[] = {
+    "host: one.example",
+    "x-galenagate-attempt-id: id",
+    "x-galenagate-model: m/a1",
+    "x-galenagate-token-usage: 1460,80",
+    "x-galenagate-prompt-prefix: 5c1e:800,91bd:410",
+    "x-empty;",
+    "X-Galenagate-Deadline-Ms: 900",
+    "X-Galenagate-Expect-Instance: i-1",
+    "X-Galenagate-Request-Priority: 2",
+    "Last-Event-Id: 5",
+  };
+  const size_t count = sizeof fields / sizeof *fields;
+  const size_t lines_expected = sizeof expected / sizeof *expected;
+  struct str lines[CALL_HEADERS_MAX];
+  struct call_meta meta;
+
+  call_meta_read (fields, count, &meta);
+  CU_ASSERT (str_eq (meta.model, STR ("m")));
+  CU_ASSERT (str_eq (meta.adapter, STR ("a1")));
+  CU_ASSERT (str_eq (meta.prefix, STR ("5c1e")));
+  CU_ASSERT_TRUE (meta.deadline_ms == 12000 && meta.prompt_tokens == 1460
+                  && meta.output_tokens == 80);
+  const size_t n = call_headers (fields, count, &stamp, lines);
+  CU_ASSERT_EQUAL (n, lines_expected);
+  for (size_t i = 0; i < lines_expected; i++)
+    CU_ASSERT_TRUE (has_line (lines, n, expected[i]));
+  for (size_t i = 0; i < n; i++)
+    str_free (&lines[i]);
+}
+
+static const struct suite_case cases[] = {
+  { "find", test_find },           { "split", test_split },
+  { "values", test_values },       { "bad configuration", test_bad_config },
+  { "entries", test_entries },     { "headers", test_headers },
+};
+TEST_SUITE ("routing", cases)
