--- a/src/edge/fleet.c
+++ b/src/edge/fleet.c
@@ -223,6 +223,7 @@
   s->known = false;
   s->report_due_ms = 1;
   s->reserved_until_ms = 0;
+  s->reserved_cold = false;
   clear_pending (s);
 }
 
@@ -448,8 +449,8 @@
 
 /* Time that an adapter takes from the order until it can be used. */
 #define ADAPTER_MS 10
-/* Added to the time that a load should take before it is taken as done. */
-#define LOAD_SLACK_MS 20
+/* Added to the time that an order should take before it is taken as done. */
+#define ORDER_SLACK_MS 20
 /* An order without an answer is given again after this time. */
 #define RESEND_MS 1000
 /* A server that could not be reached gets no order for this long. */
@@ -487,22 +488,56 @@
   };
 }
 
+static bool
+has_running_calls (const struct fleet *f, const struct fleet_server *s,
+                   struct str model)
+{
+  const struct wish *w
+      = fleet_wish_find (f, s->service, model, (struct str){ 0 });
+
+  return w && w->running > 0;
+}
+
+/* An unload of a model without calls is done at once. Should it not be, the
+   server refuses the next order, and its report is read. */
+static void
+advance_unload (const struct fleet *f, struct fleet_server *s, uint64_t now)
+{
+  struct replica *r = fleet_replica (s, s->pending.model);
+
+  if (has_running_calls (f, s, s->pending.model))
+    return;
+  if (r)
+    fleet_drop_replica (s, r);
+  clear_pending (s);
+  s->report_due_ms = now + REPORT_LAG_MS;
+}
+
 /* A load from the server's own memory or disk takes a known time, so calls
    need not wait for the next report. */
+static void
+advance_load (struct fleet_server *s)
+{
+  struct replica *r = fleet_replica (s, s->pending.model);
+
+  if (!s->pending.cold && r && r->state == REPLICA_LOADING)
+    r->state = REPLICA_READY;
+}
+
 void
 fleet_advance (struct fleet *f, uint64_t now)
 {
   for (struct fleet_server *s = f->servers; s; s = s->hh.next)
     {
       const struct pending *p = &s->pending;
-      struct replica *r;
 
-      if (p->state != PENDING_ACCEPTED || p->kind != ORDER_LOAD || p->cold
-          || p->adapter.len > 0 || now < p->expected_ms + LOAD_SLACK_MS)
+      if (p->state != PENDING_ACCEPTED || p->adapter.len > 0
+          || now < p->expected_ms + ORDER_SLACK_MS)
         continue;
-      r = fleet_replica (s, p->model);
-      if (r && r->state == REPLICA_LOADING)
-        r->state = REPLICA_READY;
+      if (p->kind == ORDER_UNLOAD)
+        advance_unload (f, s, now);
+      else
+        advance_load (s);
     }
 }
 
--- a/src/edge/fleet_impl.h
+++ b/src/edge/fleet_impl.h
@@ -60,6 +60,7 @@
   struct pending pending;
   struct str reserved_model;
   uint64_t reserved_until_ms;
+  bool reserved_cold; /* the load will be one from the weight store */
   uint32_t running; /* sum over nodes; see fleet_demand.c */
   UT_hash_handle hh;
 };
--- a/src/edge/plan.c
+++ b/src/edge/plan.c
@@ -68,14 +68,20 @@
 }
 
 static uint32_t
-cold_running (const struct fleet *f, struct str service)
+cold_running (const struct fleet *f, const struct fleet_server *except,
+              uint64_t now)
 {
   uint32_t n = 0;
 
   for (const struct fleet_server *s = f->servers; s; s = s->hh.next)
-    if (s->pending.state != PENDING_NONE && s->pending.cold
-        && str_eq (s->service, service))
-      n++;
+    {
+      const bool loads = s->pending.state != PENDING_NONE && s->pending.cold;
+      const bool will_load = s->reserved_cold && now < s->reserved_until_ms;
+
+      if (s != except && (loads || will_load)
+          && str_eq (s->service, except->service))
+        n++;
+    }
   return n;
 }
 
@@ -92,7 +98,7 @@
       c->starts_ms[kept++] = c->starts_ms[i];
   c->count = kept;
   return c->count + 1 <= most && c->count < COLD_STARTS_MAX
-         && cold_running (f, s->service) < COLD_AT_ONCE;
+         && cold_running (f, s, now) < COLD_AT_ONCE;
 }
 
 void
@@ -411,6 +417,7 @@
     {
       str_assign (&s->reserved_model, w->spec->name);
       s->reserved_until_ms = now + RESERVE_MS;
+      s->reserved_cold = step->cold;
       *out = (struct planned){ .server = s,
                                .kind = ORDER_UNLOAD,
                                .model = step->remove->model,
@@ -418,6 +425,7 @@
       return;
     }
   s->reserved_until_ms = 0;
+  s->reserved_cold = false;
   *out = (struct planned){ .server = s,
                            .kind = ORDER_LOAD,
                            .model = w->spec->name,
@@ -425,30 +433,42 @@
                            .takes_ms = step->takes_ms };
 }
 
+/* The step on a server with reserved room. Gives the room up when the model
+   got a replica elsewhere meanwhile. */
+static bool
+reserved_step (struct fleet *f, struct fleet_server *s, uint64_t now,
+               struct planned *out)
+{
+  const struct engine_spec *e = fleet_engine (f, s);
+  const struct model_spec *m = e ? engine_model (e, s->reserved_model) : NULL;
+  const uint64_t until_ms = s->reserved_until_ms;
+  struct want w;
+  struct step step;
+
+  /* The reservation itself must not count as a replica. */
+  s->reserved_until_ms = 0;
+  if (!m)
+    return false;
+  w = want_of (f, s->service, e, m, now);
+  if (w.need == NEED_NONE || w.need == NEED_SPARE_ROOM)
+    return false;
+  if (step_on (f, s, &w, now, &step))
+    {
+      to_planned (&step, &w, now, out);
+      return true;
+    }
+  s->reserved_until_ms = until_ms;
+  return false;
+}
+
 /* Room that was reserved is used before anything else is decided. */
 static bool
 use_reserved (struct fleet *f, uint64_t now, struct planned *out)
 {
   for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    {
-      const struct engine_spec *e = fleet_engine (f, s);
-      const struct model_spec *m;
-      struct step step;
-
-      if (!e || now >= s->reserved_until_ms || !is_idle (s, now))
-        continue;
-      m = engine_model (e, s->reserved_model);
-      if (!m)
-        continue;
-      struct want w = want_of (f, s->service, e, m, now);
-      if (w.need == NEED_NONE)
-        w.need = NEED_WAITED_FOR;
-      if (step_on (f, s, &w, now, &step))
-        {
-          to_planned (&step, &w, now, out);
-          return true;
-        }
-    }
+    if (now < s->reserved_until_ms && is_idle (s, now)
+        && reserved_step (f, s, now, out))
+      return true;
   return false;
 }
 
