Refuse waiting calls before their clients lose patience

Clients leave a stream without a first event after two seconds, four times the objective or eight times the pause. Calls that waited for a model were held until their clients left; now they are refused in time, with the time when the model is ready if that is known.

--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -18,6 +18,9 @@
 #include "platform/callheaders.h"
 
 #define CALL_FIELDS_MAX 110
+/* An attempt is not begun with less time left than this: no server answers so
+   fast, and the answer would come late. */
+#define ATTEMPT_MIN_MS 20
 
 /* Retry budget of a service. */
 struct service_retries
@@ -64,6 +67,7 @@
  * which outlives it, except those marked as own.
  * @route_name, @service: own copies.
  * @end_ms: the client has its answer by then.
+ * @wait_end_ms: a call that was not sent by then is refused.
  * @runs: attempts that may have run.
  * @bounces: attempts that certainly did not run.
  * @waiting: no attempt is under way.
@@ -91,6 +95,7 @@
   bool resumable;
   uint64_t begun_ms;
   uint64_t end_ms;
+  uint64_t wait_end_ms;
   uint64_t deadline_end_ms; /* when the client stops waiting */
   uint32_t runs;
   uint32_t bounces;
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -8,9 +8,6 @@
 #include "metrics.h"
 
 #define LOG_MODULE "call"
-/* An attempt is not begun with less time left than this: no server answers so
-   fast, and the answer would come late. */
-#define ATTEMPT_MIN_MS 20
 /* Servers that may turn a call away before it is refused. */
 #define BOUNCES_MAX 6
 /* A call that may be repeated is sent to another server when the first one is
@@ -292,7 +289,7 @@
                                 : UINT32_MAX;
 
   if (ready_in != UINT32_MAX
-      && now + ready_in + ATTEMPT_MIN_MS > c->end_ms)
+      && now + ready_in > c->wait_end_ms)
     {
       call_give_up (c, ready_in, "model-loads-too-late");
       return;
--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -21,6 +21,13 @@
 #define DEADLINE_RESERVE_MS 30
 /* Nodes that may share a retry budget when the holder does not tell. */
 #define NODES_UNKNOWN 8
+/* Clients leave a stream after a pause of the longest of these: a time, some
+   latency objectives, some pauses that are still on time. */
+#define PATIENCE_MIN_MS 2000
+#define PATIENCE_TARGETS 4
+#define PATIENCE_GAPS 8
+/* Time for a refusal to reach the client before it leaves. */
+#define PATIENCE_RESERVE_MS 100
 #define STATUS_BAD_REQUEST 400
 #define STATUS_NOT_FOUND 404
 #define STATUS_GATEWAY_TIMEOUT 504
@@ -253,6 +260,19 @@
   return c;
 }
 
+/* How long clients wait for the first event of a stream. */
+static uint64_t
+patience_ms (const struct route *r)
+{
+  uint64_t ms = PATIENCE_MIN_MS;
+
+  if (ms < (uint64_t)r->target_ms * PATIENCE_TARGETS)
+    ms = (uint64_t)r->target_ms * PATIENCE_TARGETS;
+  if (ms < (uint64_t)r->event_gap_ms * PATIENCE_GAPS)
+    ms = (uint64_t)r->event_gap_ms * PATIENCE_GAPS;
+  return ms - PATIENCE_RESERVE_MS;
+}
+
 static void
 take_route (struct call *c, const struct route *r, const struct service *s)
 {
@@ -271,8 +291,11 @@
   if (wait_ms > DEADLINE_RESERVE_MS && wait_ms == c->meta.deadline_ms)
     wait_ms -= DEADLINE_RESERVE_MS;
   c->end_ms = c->begun_ms + wait_ms;
+  if (r->kind == CALL_STREAM && patience_ms (r) < wait_ms)
+    wait_ms = patience_ms (r);
+  c->wait_end_ms = c->begun_ms + wait_ms - ATTEMPT_MIN_MS;
   str_u64 (c->meta.last_event, &c->last_event);
-  uv_timer_start (&c->timer, on_end_of_time, wait_ms, 0);
+  uv_timer_start (&c->timer, on_end_of_time, c->end_ms - c->begun_ms, 0);
   if (!s->engine)
     return;
   struct demand *d = site_demand (c->calls->site);
@@ -356,7 +379,9 @@
           next = c->next;
           if (!c->waiting)
             continue;
-          if (c->priority == priority)
+          if (clock_ms () >= c->wait_end_ms)
+            call_give_up (c, 0, "waited-too-long");
+          else if (c->priority == priority)
             call_proceed (c);
           else if (c->priority > priority && c->priority < beyond)
             beyond = c->priority;
