Do not send a call again at once to the server that turned it away

A call whose only server was about to give the model up was sent there up to six times within 10 ms, each one against the retry budget.

--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -108,6 +108,7 @@
   struct forward *forward;
   struct pool_server *server; /* of the attempt under way */
   struct pool_server *avoid;
+  uint64_t avoid_until_ms;
   uint64_t sent_ms;
   uint64_t first_ms; /* when the answer began */
   struct demand_item *demand_model;
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -8,6 +8,8 @@
 #include "metrics.h"
 
 #define LOG_MODULE "call"
+/* A server that turned a call away does not get it again before this time. */
+#define TURNED_AWAY_MS 60
 /* Servers that may turn a call away before it is refused. */
 #define BOUNCES_MAX 6
 /* A call that may be repeated is sent to another server when the first one is
@@ -142,6 +144,7 @@
       break;
     }
   c->avoid = c->server;
+  c->avoid_until_ms = now + TURNED_AWAY_MS;
   if (c->bounces >= BOUNCES_MAX)
     call_refuse (c, 0, "turned-away");
   else
@@ -329,6 +332,9 @@
       return;
     }
   verdict = pool_choose (site_pool (all->site), &need, clock_ms (), &server);
+  if (verdict == POOL_CHOSEN && server == c->avoid
+      && clock_ms () < c->avoid_until_ms)
+    verdict = POOL_FULL;
   if (verdict == POOL_NO_SERVER)
     call_give_up (c, 0, "no-server");
   else if (verdict != POOL_CHOSEN)
