--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -15,11 +15,16 @@
 #include "metrics.h"
 #include "platform/orders.h"
 #include "platform/platform.h"
+#include "xdrcodec.h"
 
 #define LOG_MODULE "placer"
 #define TICK_MS 50
 /* Interval of the digests that say that nothing changed. */
 #define DIGEST_MS 250
+/* A server is told again after this time, also without a change. */
+#define REFRESH_MS 1000
+/* Changes of a server's calls below this number are not told at once. */
+#define RUNNING_STEP 4
 /* Shortest pause between two digests, or two plans. */
 #define DIGEST_GAP_MS 10
 /* A holder that is silent for this long may be gone. */
@@ -42,6 +47,15 @@
   UT_hash_handle hh;
 };
 
+/* What was last told of a server. */
+struct told
+{
+  uint64_t server;
+  uint64_t hash;
+  uint64_t at_ms;
+  UT_hash_handle hh;
+};
+
 /* The placement of models: one node holds the lease, hears the demand of all
    and gives the orders; all others tell it their demand. */
 struct placer
@@ -60,15 +74,17 @@
   bool store_reachable;
   bool changed; /* servers hold other than was told */
   uint64_t fence;
-  uint64_t lost_fence;     /* of this node's last lease that is over */
-  uint64_t told_ms;        /* last digest of this node's demand */
-  uint64_t broadcast_ms;   /* last digest of all servers */
+  uint64_t lost_fence; /* of this node's last lease that is over */
+  uint64_t told_ms;    /* last digest of this node's demand */
+  uint64_t scanned_ms; /* when servers were last compared with what was told */
+  uint64_t broadcast_ms; /* last digest of servers */
   uint64_t holder_heard_ms;
-  uint64_t holder_fence;   /* highest one heard */
+  uint64_t holder_fence; /* highest one heard */
   struct str holder_addr;
   uint32_t entries; /* nodes that share the load, as the holder tells */
   uint64_t sequence;
   struct listener *listeners;
+  struct told *told;
 };
 
 static const struct plugin_ops ops;
@@ -107,8 +123,7 @@
 static bool
 may_order (const struct placer *p)
 {
-  return p->holding
-         && (holderlease_valid (p->lease) || all_without_store (p));
+  return p->holding && (holderlease_valid (p->lease) || all_without_store (p));
 }
 
 /* ---- what the holder tells ---- */
@@ -193,6 +208,7 @@
   struct datagram d = { .kind = DATAGRAM_HOLDER };
   holder_digest *h = &d.datagram_u.holder;
 
+  p->broadcast_ms = clock_ms ();
   h->node = str_label (edge_settings ()->node_name);
   h->fence = p->fence;
   h->active = may_order (p);
@@ -234,13 +250,61 @@
   return HELD_DIGEST_READY;
 }
 
+/* Hash of what makes a difference for the nodes. */
+static uint64_t
+digest_hash (const server_digest *d)
+{
+  server_digest rough = *d;
+  struct str bytes;
+  uint64_t hash;
+
+  /* Loads end at the time told before. */
+  for (u_int i = 0; i < d->held.held_len; i++)
+    rough.held.held_val[i].ready_in_ms = 0;
+  rough.running = (d->running + RUNNING_STEP - 1) / RUNNING_STEP;
+  bytes = xdrcodec_encode ((xdrproc_t)xdr_server_digest, &rough);
+  hash = str_hash (bytes, 0);
+  str_free (&bytes);
+  return hash;
+}
+
+/* Is the server to be told now? Notes it as told if so. */
+static bool
+worth_telling (struct placer *p, const server_digest *d, uint64_t now)
+{
+  const uint64_t hash = digest_hash (d);
+  struct told *t;
+
+  HASH_FIND (hh, p->told, &d->server, sizeof d->server, t);
+  if (t && t->hash == hash && now < t->at_ms + REFRESH_MS)
+    return false;
+  if (!t)
+    {
+      t = xcalloc (1, sizeof *t);
+      t->server = d->server;
+      HASH_ADD (hh, p->told, server, sizeof t->server, t);
+    }
+  t->hash = hash;
+  t->at_ms = now;
+  return true;
+}
+
 static void
-add_server (void *ctx, const struct fleet_view *v)
+forget_told (struct placer *p)
 {
-  struct broadcast *b = ctx;
-  const uint64_t now = clock_ms ();
-  server_digest *d = &b->servers[b->count++];
+  struct told *t;
+  struct told *next;
+
+  HASH_ITER (hh, p->told, t, next)
+  {
+    HASH_DEL (p->told, t);
+    free (t);
+  }
+}
 
+static void
+fill_server (const struct fleet_view *v, uint64_t now, server_digest *d)
+{
   *d = (server_digest){ .server = v->hash,
                         .order_count = v->order_count,
                         .running = v->running,
@@ -256,19 +320,39 @@
       h->ready_in_ms = r->ready_ms > now ? (u_int)(r->ready_ms - now) : 0;
       fill_adapters (r, now, h);
     }
-  if (b->count == SERVERS_PER_DATAGRAM)
+}
+
+static void
+add_server (void *ctx, const struct fleet_view *v)
+{
+  struct broadcast *b = ctx;
+  server_digest *d = &b->servers[b->count];
+  server_digest rough;
+  const uint64_t now = clock_ms ();
+
+  fill_server (v, now, &rough);
+  const bool tell = worth_telling (b->placer, &rough, now);
+  free_server_digest (&rough);
+  if (!tell)
+    return;
+  fill_server (v, now, d);
+  if (++b->count == SERVERS_PER_DATAGRAM)
     flush (b);
 }
 
+/* Tells all nodes of the servers that changed, or only that the holder is
+   alive. */
 static void
 broadcast (struct placer *p)
 {
   struct broadcast b = { .placer = p };
+  const uint64_t now = clock_ms ();
 
-  p->broadcast_ms = clock_ms ();
   p->changed = false;
+  p->scanned_ms = now;
   fleet_each (p->fleet, add_server, &b);
-  flush (&b);
+  if (b.count > 0 || now >= p->broadcast_ms + DIGEST_MS)
+    flush (&b);
 }
 
 /* ---- demand ---- */
@@ -477,8 +561,7 @@
   while (may_order (p)
          && (s = fleet_next_order (p->fleet, clock_ms (), &order)))
     give_order (p, s, &order);
-  const uint64_t pause_ms = p->changed ? DIGEST_GAP_MS : DIGEST_MS;
-  if (clock_ms () >= p->broadcast_ms + pause_ms)
+  if (clock_ms () >= p->scanned_ms + DIGEST_GAP_MS)
     broadcast (p);
   else if (p->changed)
     act_soon (p);
@@ -496,6 +579,7 @@
     {
       l = xcalloc (1, sizeof *l);
       l->addr = str_dup (from);
+      forget_told (p);
       HASH_ADD_KEYPTR (hh, p->listeners, l->addr.data, l->addr.len, l);
     }
   if (!l)
@@ -514,12 +598,12 @@
   if (!holderlease_valid (p->lease))
     return;
   HASH_ITER (hh, p->listeners, l, next)
-    if (clock_ms () > l->heard_ms + NODE_SILENT_MS)
-      {
-        HASH_DEL (p->listeners, l);
-        str_free (&l->addr);
-        free (l);
-      }
+  if (clock_ms () > l->heard_ms + NODE_SILENT_MS)
+    {
+      HASH_DEL (p->listeners, l);
+      str_free (&l->addr);
+      free (l);
+    }
 }
 
 static void
@@ -564,6 +648,7 @@
   p->fence = fence;
   LOG_INFO ("term", "fence=%lu", fence);
   fleet_term (p->fleet);
+  forget_told (p);
 }
 
 static void
@@ -583,11 +668,10 @@
   struct placer *p = timer->data;
   const uint64_t now = clock_ms ();
 
-  holderlease_campaign (p->lease,
-                        !kernel_draining (p->kernel)
-                            && (p->holding
-                                || now > p->holder_heard_ms
-                                             + HOLDER_SILENT_MS));
+  holderlease_campaign (
+      p->lease,
+      !kernel_draining (p->kernel)
+          && (p->holding || now > p->holder_heard_ms + HOLDER_SILENT_MS));
   holderlease_step (p->lease);
   update_holding (p);
   if (now >= p->told_ms + DIGEST_MS)
@@ -730,11 +814,12 @@
   struct listener *next;
 
   HASH_ITER (hh, p->listeners, l, next)
-    {
-      HASH_DEL (p->listeners, l);
-      str_free (&l->addr);
-      free (l);
-    }
+  {
+    HASH_DEL (p->listeners, l);
+    str_free (&l->addr);
+    free (l);
+  }
+  forget_told (p);
   fleet_destroy (p->fleet);
   holderlease_destroy (p->lease);
   peers_destroy (p->peers);
