--- a/src/edge/front.c
+++ b/src/edge/front.c
@@ -13,8 +13,9 @@
 #define BODY_LIMIT_DEFAULT (4 * 1024 * 1024)
 #define DRAIN_CHECK_MS 50
 /* The platform's balancer sends new connections until it has missed two
-   readiness checks, a second apart. */
-#define LISTEN_ON_MS 3200
+   readiness checks, a second apart. Streams that come later than 3 s after the
+   signal could not end within the grace period. */
+#define LISTEN_ON_MS 2700
 /* Part of the grace period for which calls may wait for a server. The rest is
    for those that run. */
 #define WAIT_SHARE 0.5
