Take over a silent holder's lease sooner

The lease lasts half of the time within which holders may not take turns, and a candidate reads its object when it lapses instead of at its next second.

--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -286,13 +286,12 @@
 wait (struct call *c, const struct pool_need *need, enum pool_verdict verdict)
 {
   const uint64_t now = clock_ms ();
-  const uint32_t ready_in = verdict == POOL_NO_MODEL
-                                ? pool_ready_in (site_pool (c->calls->site),
-                                                 need, now)
-                                : UINT32_MAX;
+  const uint32_t ready_in
+      = verdict == POOL_NO_MODEL
+            ? pool_ready_in (site_pool (c->calls->site), need, now)
+            : UINT32_MAX;
 
-  if (ready_in != UINT32_MAX
-      && now + ready_in > c->wait_end_ms)
+  if (ready_in != UINT32_MAX && now + ready_in > c->wait_end_ms)
     {
       call_give_up (c, ready_in, "model-loads-too-late");
       return;
--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -86,24 +86,21 @@
          const char *reason)
 {
   const uint64_t now = clock_ms ();
-  const struct str server
-      = c->server ? pool_server_id (c->server) : STR ("-");
-
-  LOG_INFO ("call",
-            "id=" STR_FMT " route=" STR_FMT " service=" STR_FMT
-            " model=" STR_FMT " adapter=" STR_FMT " server=" STR_FMT
-            " end=%s status=%d reason=%s runs=%u bounces=%u wait_ms=%lu"
-            " first_ms=%lu total_ms=%lu config=%lu",
-            STR_ARG (c->meta.id), STR_ARG (c->route_name),
-            STR_ARG (c->service), STR_ARG (c->meta.model),
-            STR_ARG (c->meta.adapter), STR_ARG (server), end_names[end],
-            status, reason, c->runs, c->bounces,
-            (c->sent_ms > 0 ? c->sent_ms : now) - c->begun_ms,
-            c->first_ms > 0 ? c->first_ms - c->begun_ms : 0,
-            now - c->begun_ms,
-            site_routing (c->calls->site)
-                ? site_routing (c->calls->site)->version
-                : 0);
+  const struct str server = c->server ? pool_server_id (c->server) : STR ("-");
+
+  LOG_INFO (
+      "call",
+      "id=" STR_FMT " route=" STR_FMT " service=" STR_FMT " model=" STR_FMT
+      " adapter=" STR_FMT " server=" STR_FMT
+      " end=%s status=%d reason=%s runs=%u bounces=%u wait_ms=%lu"
+      " first_ms=%lu total_ms=%lu config=%lu",
+      STR_ARG (c->meta.id), STR_ARG (c->route_name), STR_ARG (c->service),
+      STR_ARG (c->meta.model), STR_ARG (c->meta.adapter), STR_ARG (server),
+      end_names[end], status, reason, c->runs, c->bounces,
+      (c->sent_ms > 0 ? c->sent_ms : now) - c->begun_ms,
+      c->first_ms > 0 ? c->first_ms - c->begun_ms : 0, now - c->begun_ms,
+      site_routing (c->calls->site) ? site_routing (c->calls->site)->version
+                                    : 0);
 }
 
 static void
@@ -114,8 +111,7 @@
   const uint64_t now = clock_ms ();
 
   metrics_add ("galenagate_calls_total", labels, 1);
-  metrics_observe ("galenagate_call_ms", labels,
-                   (double)(now - c->begun_ms));
+  metrics_observe ("galenagate_call_ms", labels, (double)(now - c->begun_ms));
   if (c->first_ms > 0)
     metrics_observe ("galenagate_call_first_ms", labels,
                      (double)(c->first_ms - c->begun_ms));
@@ -231,8 +227,8 @@
   /* h2o takes the Host header out of the list. */
   c->fields[c->field_count++]
       = (struct http_field){ STR ("Host"), of_iovec (req->input.authority) };
-  for (size_t i = 0;
-       i < req->headers.size && c->field_count < CALL_FIELDS_MAX; i++)
+  for (size_t i = 0; i < req->headers.size && c->field_count < CALL_FIELDS_MAX;
+       i++)
     {
       const h2o_header_t *h = &req->headers.entries[i];
 
@@ -299,8 +295,8 @@
   if (!s->engine)
     return;
   struct demand *d = site_demand (c->calls->site);
-  c->demand_model = demand_find (d, c->service, c->meta.model,
-                                 (struct str){ 0 });
+  c->demand_model
+      = demand_find (d, c->service, c->meta.model, (struct str){ 0 });
   c->demand_model->arrivals++;
   if (c->priority < c->demand_model->priority)
     c->demand_model->priority = c->priority;
@@ -476,10 +472,10 @@
   struct service_retries *next;
 
   HASH_ITER (hh, all->retries, r, next)
-    {
-      HASH_DEL (all->retries, r);
-      str_free (&r->service);
-      free (r);
-    }
+  {
+    HASH_DEL (all->retries, r);
+    str_free (&r->service);
+    free (r);
+  }
   free (all);
 }
--- a/src/edge/demand.c
+++ b/src/edge/demand.c
@@ -46,7 +46,7 @@
   struct node *next;
 
   HASH_ITER (hh, d->nodes, n, next)
-    forget (d, n);
+  forget (d, n);
   free (d);
 }
 
@@ -54,9 +54,9 @@
 demand_find (struct demand *d, struct str service, struct str model,
              struct str adapter)
 {
-  struct str key = str_printf (STR_FMT "\n" STR_FMT "\n" STR_FMT,
-                               STR_ARG (service), STR_ARG (model),
-                               STR_ARG (adapter));
+  struct str key
+      = str_printf (STR_FMT "\n" STR_FMT "\n" STR_FMT, STR_ARG (service),
+                    STR_ARG (model), STR_ARG (adapter));
   struct node *n;
 
   HASH_FIND (hh, d->nodes, key.data, key.len, n);
@@ -83,18 +83,18 @@
   struct node *next;
 
   HASH_ITER (hh, d->nodes, n, next)
-    {
-      struct demand_item *i = &n->item;
-      const bool active = i->waiting > 0 || i->running > 0 || i->arrivals > 0;
+  {
+    struct demand_item *i = &n->item;
+    const bool active = i->waiting > 0 || i->running > 0 || i->arrivals > 0;
 
-      if (!active && !n->told)
-        {
-          forget (d, n);
-          continue;
-        }
-      fn (ctx, i);
-      n->told = active;
-      i->arrivals = 0;
-      i->priority = PRIORITY_NONE;
-    }
+    if (!active && !n->told)
+      {
+        forget (d, n);
+        continue;
+      }
+    fn (ctx, i);
+    n->told = active;
+    i->arrivals = 0;
+    i->priority = PRIORITY_NONE;
+  }
 }
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -21,8 +21,8 @@
     FIELD (metrics_addr), "", 0, 0 },
   { "peer-addr", "IP:PORT", "address for other nodes (UDP)", SETTING_ADDRESS,
     FIELD (peer_addr), NULL, 0, 0 },
-  { "platform-addr", "IP:PORT", "the platform's object store",
-    SETTING_ADDRESS, FIELD (platform_addr), NULL, 0, 0 },
+  { "platform-addr", "IP:PORT", "the platform's object store", SETTING_ADDRESS,
+    FIELD (platform_addr), NULL, 0, 0 },
   { "node-name", "NAME", "name of this host", SETTING_STRING,
     FIELD (node_name), NULL, 0, 0 },
   { "domain", "NAME", "failure domain of this host", SETTING_STRING,
@@ -31,7 +31,7 @@
     FIELD (log_level), "info", 0, 0 },
   { "grace-s", "S", "time from SIGTERM to SIGKILL", SETTING_NUMBER,
     FIELD (grace_s), "8", 2, 3600 },
-  { "lease-ms", "MS", "two holders of a lease do not act within this time",
+  { "lease-ms", "MS", "time within which holders may not take turns",
     SETTING_NUMBER, FIELD (lease_ms), "3000", 500, 60000 },
   { "retry-ratio", "X", "repeated calls to a service for each first one",
     SETTING_NUMBER, FIELD (retry_ratio), "0.1", 0, 1 },
@@ -67,7 +67,8 @@
 run_kernel (void)
 {
   const double drain_limit_ms = current.grace_s * 1000 - GRACE_RESERVE_MS;
-  struct kernel *k = kernel_create (PROFILE_EDGE, NULL, (uint32_t)drain_limit_ms);
+  struct kernel *k
+      = kernel_create (PROFILE_EDGE, NULL, (uint32_t)drain_limit_ms);
   uv_signal_t reload;
   int rc;
 
@@ -104,8 +105,7 @@
   return rc;
 }
 
-static const struct cli_command command
-    = { .name = "edge",
-        .summary = "run a node on the users' platform",
-        .run = run };
+static const struct cli_command command = {
+  .name = "edge", .summary = "run a node on the users' platform", .run = run
+};
 CLI_COMMAND (command)
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -17,7 +17,7 @@
   struct str node_name;
   struct str domain; /* failure domain */
   enum log_level log_level;
-  double grace_s;       /* from SIGTERM to SIGKILL */
+  double grace_s; /* from SIGTERM to SIGKILL */
   double lease_ms;
   double retry_ratio; /* repeated calls to a service for each first one */
   double retry_window_s;
--- a/src/edge/fleet.c
+++ b/src/edge/fleet.c
@@ -41,8 +41,8 @@
 
   if (r)
     return r;
-  s->replicas = xrealloc (s->replicas,
-                          (s->replica_count + 1) * sizeof *s->replicas);
+  s->replicas
+      = xrealloc (s->replicas, (s->replica_count + 1) * sizeof *s->replicas);
   r = &s->replicas[s->replica_count++];
   *r = (struct replica){ .model = str_dup (model) };
   return r;
@@ -139,13 +139,13 @@
   struct cold_loads *next_cold;
 
   HASH_ITER (hh, f->servers, s, next)
-    free_server (f, s);
+  free_server (f, s);
   HASH_ITER (hh, f->cold, c, next_cold)
-    {
-      HASH_DEL (f->cold, c);
-      str_free (&c->service);
-      free (c);
-    }
+  {
+    HASH_DEL (f->cold, c);
+    str_free (&c->service);
+    free (c);
+  }
   fleet_demand_free (f);
   free (f);
 }
@@ -422,8 +422,7 @@
       s->report_due_ms = now + REPORT_RETRY_MS;
       return;
     }
-  if (r->started_ms > 0 && s->started_ms > 0
-      && r->started_ms != s->started_ms)
+  if (r->started_ms > 0 && s->started_ms > 0 && r->started_ms != s->started_ms)
     return; /* its entry will tell of the restart */
   switch (s->pending.state)
     {
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -7,8 +7,8 @@
 #include "platform/orders.h"
 
 /* Model servers as the placement holder believes them to be, the demand that
-   all nodes tell, and the orders that follow. Pure: it does no I/O and reads no
-   clock. */
+   all nodes tell, and the orders that follow. Pure: it does no I/O and reads
+   no clock. */
 
 struct fleet;
 struct fleet_server;
--- a/src/edge/fleet_demand.c
+++ b/src/edge/fleet_demand.c
@@ -18,9 +18,9 @@
 fleet_wish_find (const struct fleet *f, struct str service, struct str model,
                  struct str adapter)
 {
-  struct str key = str_printf (STR_FMT "\n" STR_FMT "\n" STR_FMT,
-                               STR_ARG (service), STR_ARG (model),
-                               STR_ARG (adapter));
+  struct str key
+      = str_printf (STR_FMT "\n" STR_FMT "\n" STR_FMT, STR_ARG (service),
+                    STR_ARG (model), STR_ARG (adapter));
   struct wish *w;
 
   HASH_FIND (hh, f->wishes, key.data, key.len, w);
@@ -37,9 +37,9 @@
   if (w)
     return w;
   w = xcalloc (1, sizeof *w);
-  w->key = str_printf (STR_FMT "\n" STR_FMT "\n" STR_FMT,
-                       STR_ARG (from->service), STR_ARG (from->model),
-                       STR_ARG (from->adapter));
+  w->key
+      = str_printf (STR_FMT "\n" STR_FMT "\n" STR_FMT, STR_ARG (from->service),
+                    STR_ARG (from->model), STR_ARG (from->adapter));
   w->service = str_dup (from->service);
   w->model = str_dup (from->model);
   w->adapter = str_dup (from->adapter);
@@ -142,9 +142,9 @@
   w->busy_ms = now;
   count_arrivals (w, from->arrivals, now);
   n->wishes = xrealloc (n->wishes, (n->wish_count + 1) * sizeof *n->wishes);
-  n->wishes[n->wish_count++] = (struct node_wish){
-    .wish = w, .waiting = from->waiting, .running = from->running
-  };
+  n->wishes[n->wish_count++] = (struct node_wish){ .wish = w,
+                                                   .waiting = from->waiting,
+                                                   .running = from->running };
 }
 
 void
@@ -194,15 +194,14 @@
   struct wish *next_wish;
 
   HASH_ITER (hh, f->nodes, n, next)
-    if (now >= n->told_ms + NODE_SILENT_MS)
-      {
-        drop_told (f, n);
-        node_free (f, n);
-      }
+  if (now >= n->told_ms + NODE_SILENT_MS)
+    {
+      drop_told (f, n);
+      node_free (f, n);
+    }
   HASH_ITER (hh, f->wishes, w, next_wish)
-    if (w->waiting == 0 && w->running == 0
-        && now >= w->used_ms + WISH_KEPT_MS)
-      wish_free (f, w);
+  if (w->waiting == 0 && w->running == 0 && now >= w->used_ms + WISH_KEPT_MS)
+    wish_free (f, w);
 }
 
 void
@@ -214,7 +213,7 @@
   struct wish *next_wish;
 
   HASH_ITER (hh, f->nodes, n, next)
-    node_free (f, n);
+  node_free (f, n);
   HASH_ITER (hh, f->wishes, w, next_wish)
-    wish_free (f, w);
+  wish_free (f, w);
 }
--- a/src/edge/fleet_impl.h
+++ b/src/edge/fleet_impl.h
@@ -61,7 +61,7 @@
   struct str reserved_model;
   uint64_t reserved_until_ms;
   bool reserved_cold; /* the load will be one from the weight store */
-  uint32_t running; /* sum over nodes; see fleet_demand.c */
+  uint32_t running;   /* sum over nodes; see fleet_demand.c */
   UT_hash_handle hh;
 };
 
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -59,7 +59,8 @@
 static bool
 is_own_answer (const struct forward *f, const struct answer_meta *meta)
 {
-  return !meta->encoded && (meta->id.len == 0 || str_eq (meta->id, f->call_id));
+  return !meta->encoded
+         && (meta->id.len == 0 || str_eq (meta->id, f->call_id));
 }
 
 static enum forward_outcome
--- a/src/edge/holderlease.c
+++ b/src/edge/holderlease.c
@@ -12,9 +12,11 @@
 #define LOG_MODULE "lease"
 #define KIND "galenagate-leases"
 #define NAME "placement"
+/* A holder that dies is followed sooner by a shorter lease. */
+#define TTL_DIVISOR 2
 /* Part of the lease that its holder does not use, against clocks that differ
    in speed and orders that are on their way. */
-#define MARGIN_DIVISOR 6
+#define MARGIN_DIVISOR 12
 
 struct holderlease
 {
@@ -22,7 +24,7 @@
   struct leasestate *state;
   void (*changed) (void *ctx);
   void *ctx;
-  bool held; /* as last logged */
+  bool held;       /* as last logged */
   int write_error; /* of the last write */
 };
 
@@ -34,7 +36,7 @@
   struct holderlease *l = xcalloc (1, sizeof *l);
 
   l->objects = objects;
-  l->state = leasestate_create (self, instance, lease_ms,
+  l->state = leasestate_create (self, instance, lease_ms / TTL_DIVISOR,
                                 lease_ms / MARGIN_DIVISOR);
   l->changed = changed;
   l->ctx = ctx;
@@ -56,8 +58,8 @@
   if (held == l->held)
     return;
   l->held = held;
-  LOG_INFO (held ? "lease-gained" : "lease-lost",
-            "fence=%lu holder=" STR_FMT, leasestate_fence (l->state),
+  LOG_INFO (held ? "lease-gained" : "lease-lost", "fence=%lu holder=" STR_FMT,
+            leasestate_fence (l->state),
             STR_ARG (leasestate_holder (l->state)));
 }
 
@@ -104,8 +106,7 @@
   if (err.code != 0 && err.code != l->write_error)
     LOG_INFO ("lease-write-failed", LOG_E_FMT, LOG_E_ARG (err));
   l->write_error = err.code;
-  leasestate_write_done (l->state, clock_ms (), err.code,
-                         o ? o->revision : 0);
+  leasestate_write_done (l->state, clock_ms (), err.code, o ? o->revision : 0);
   after_answer (l);
 }
 
--- a/src/edge/holderlease.h
+++ b/src/edge/holderlease.h
@@ -17,7 +17,7 @@
  * holderlease_create() - a lease that this node does not hold.
  * @self: address of this node for the others.
  * @instance: start of this process.
- * @lease_ms: two holders do not act within this time.
+ * @lease_ms: time within which holders may not take turns.
  * @changed: the holder's address became known or is another one.
  */
 struct holderlease *holderlease_create (struct objects *objects,
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -74,6 +74,7 @@
   bool store_reachable;
   bool changed; /* servers hold other than was told */
   uint64_t fence;
+  uint64_t ordered_ms; /* when this node gave its last order */
   uint64_t lost_fence; /* of this node's last lease that is over */
   uint64_t told_ms;    /* last digest of this node's demand */
   uint64_t scanned_ms; /* when servers were last compared with what was told */
@@ -506,6 +507,7 @@
   struct order_ctx *o = xcalloc (1, sizeof *o);
 
   p->changed = true;
+  p->ordered_ms = clock_ms ();
   order->holder = edge_settings ()->node_name;
   order->fence = p->fence;
   o->placer = p;
--- a/src/edge/plan.c
+++ b/src/edge/plan.c
@@ -219,8 +219,7 @@
 is_unused (const struct wish *w, uint64_t now)
 {
   return !w
-         || (w->waiting == 0 && w->running == 0
-             && now > w->used_ms + IDLE_MS);
+         || (w->waiting == 0 && w->running == 0 && now > w->used_ms + IDLE_MS);
 }
 
 /* Could another server load the model without the weight store? */
@@ -252,10 +251,9 @@
   w = want_of (f, s->service, e, m, now);
   if (w.target == 0 && w.ready > 1)
     return 20;
-  running_cost
-      = w.wish && w.ready > 0
-            ? UNLOAD_RUNNING_MS * w.wish->running / w.ready
-            : 0;
+  running_cost = w.wish && w.ready > 0
+                     ? UNLOAD_RUNNING_MS * w.wish->running / w.ready
+                     : 0;
   if (w.ready > w.target)
     return 100 + running_cost;
   /* Calls need the other model more: take what nobody uses right now. */
@@ -339,8 +337,7 @@
 {
   for (const struct fleet_server *o = f->servers; o; o = o->hh.next)
     if (o != s && fleet_usable (o) && str_eq (o->domain, s->domain)
-        && str_eq (o->service, s->service)
-        && fleet_replica (o, w->spec->name))
+        && str_eq (o->service, s->service) && fleet_replica (o, w->spec->name))
       return true;
   return false;
 }
@@ -507,8 +504,8 @@
         break;
       /* A server that is busy now, but has the weights at hand, may be worth
          the wait. */
-      found = best_step (f, &wants[i], now, &step)
-              && is_idle (step.server, now);
+      found
+          = best_step (f, &wants[i], now, &step) && is_idle (step.server, now);
       if (found)
         to_planned (&step, &wants[i], now, out);
     }
--- a/src/edge/plan_adapters.c
+++ b/src/edge/plan_adapters.c
@@ -66,8 +66,8 @@
     for (size_t j = 0; j < s->replicas[i].adapter_count; j++)
       {
         const struct replica *r = &s->replicas[i];
-        const struct wish *w = fleet_wish_find (f, s->service, r->model,
-                                                r->adapters[j].name);
+        const struct wish *w
+            = fleet_wish_find (f, s->service, r->model, r->adapters[j].name);
         const uint64_t used = w ? w->used_ms : 0;
 
         if (w
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -118,8 +118,8 @@
       .model = str_dup (v->holdings[i].model),
       .state = v->holdings[i].state,
       .ready_ms = now_ms + v->holdings[i].ready_in_ms,
-      .adapters = copy_names (v->holdings[i].adapters,
-                              v->holdings[i].adapter_count),
+      .adapters
+      = copy_names (v->holdings[i].adapters, v->holdings[i].adapter_count),
     };
 }
 
@@ -161,12 +161,12 @@
   struct pool_server *next;
 
   HASH_ITER (hh, p->servers, s, next)
-    if (!s->listed && s->running == 0
-        && now_ms > s->removed_ms + DEPARTED_KEPT_MS)
-      {
-        HASH_DEL (p->servers, s);
-        server_free (s);
-      }
+  if (!s->listed && s->running == 0
+      && now_ms > s->removed_ms + DEPARTED_KEPT_MS)
+    {
+      HASH_DEL (p->servers, s);
+      server_free (s);
+    }
 }
 
 static struct pool_server *
@@ -209,10 +209,10 @@
   struct pool_server *next;
 
   HASH_ITER (hh, p->servers, s, next)
-    {
-      HASH_DEL (p->servers, s);
-      server_free (s);
-    }
+  {
+    HASH_DEL (p->servers, s);
+    server_free (s);
+  }
   free (p);
 }
 
@@ -391,8 +391,7 @@
     {
       const struct placed_model *m = find_model (s, need->model);
 
-      if (!m || m->state != HELD_LOADING
-          || !str_eq (s->service, need->service)
+      if (!m || m->state != HELD_LOADING || !str_eq (s->service, need->service)
           || !pool_server_usable (s, now_ms))
         continue;
       const uint64_t left = m->ready_ms > now_ms ? m->ready_ms - now_ms : 0;
@@ -489,8 +488,8 @@
     {
       s->told = s->running;
       if (s->running > 0)
-        out[n++] = (struct pool_load){ .server = s->hash,
-                                       .running = s->running };
+        out[n++]
+            = (struct pool_load){ .server = s->hash, .running = s->running };
     }
   return n;
 }
--- a/src/edge/retries.c
+++ b/src/edge/retries.c
@@ -46,8 +46,8 @@
               uint32_t nodes, uint64_t now_ms)
 {
   advance (r, l, now_ms);
-  const double allowed = l->ratio * sum (r->first)
-                         + l->slack / (nodes > 0 ? nodes : 1);
+  const double allowed
+      = l->ratio * sum (r->first) + l->slack / (nodes > 0 ? nodes : 1);
 
   if (sum (r->repeated) + 1 > allowed * USED_SHARE)
     return false;
--- a/src/http.c
+++ b/src/http.c
@@ -550,8 +550,7 @@
   struct curl_header *h = NULL;
   size_t n = 0;
 
-  while (n < max
-         && (h = curl_easy_nextheader (c->easy, CURLH_HEADER, -1, h)))
+  while (n < max && (h = curl_easy_nextheader (c->easy, CURLH_HEADER, -1, h)))
     out[n++] = (struct http_field){ str_from (h->name), str_from (h->value) };
   return n;
 }
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -140,8 +140,7 @@
 {
   struct kernel *k = timer->data;
 
-  LOG_WARN ("drain-limit", "limit_ms=%u plugin=%s",
-            k->drain_limit_ms,
+  LOG_WARN ("drain-limit", "limit_ms=%u plugin=%s", k->drain_limit_ms,
             k->draining_next > 0 ? k->plugins[k->draining_next - 1]->ops->name
                                  : "-");
   stop (k);
--- a/src/leasestate.c
+++ b/src/leasestate.c
@@ -144,20 +144,27 @@
   return !s->mine && !s->busy && !s->must_read;
 }
 
-static bool
-lapsed (const struct leasestate *s, uint64_t now)
+/* When the lease is free if its object does not change. */
+static uint64_t
+lapse_ms (const struct leasestate *s)
 {
   uint32_t ttl = s->seen.ttl_ms;
 
   if (s->seen.holder.len == 0)
-    return true;
+    return 0;
   /* An earlier process of this node held it. It is gone, because this one has
      its address. */
   if (str_eq (s->seen.holder, s->self) && s->seen.instance != s->instance)
-    return true;
+    return 0;
   if (ttl < s->ttl_ms)
     ttl = s->ttl_ms;
-  return now >= s->first_seen_ms + ttl + s->margin_ms;
+  return s->first_seen_ms + ttl + s->margin_ms;
+}
+
+static bool
+lapsed (const struct leasestate *s, uint64_t now)
+{
+  return now >= lapse_ms (s);
 }
 
 static enum lease_step
@@ -256,6 +263,8 @@
   s->take = !s->mine && s->candidate && lapsed (s, now);
   if (s->take)
     s->due_ms = now;
+  else if (!s->mine && s->candidate && lapse_ms (s) < s->due_ms)
+    s->due_ms = lapse_ms (s);
 }
 
 void
--- a/src/settings.h
+++ b/src/settings.h
@@ -36,7 +36,7 @@
   SETTING_URL,     /* http://ip:port */
   SETTING_U32,
   SETTING_NUMBER, /* a double between min and max */
-  SETTING_BOOL, /* true or false */
+  SETTING_BOOL,   /* true or false */
   SETTING_LOG_LEVEL,
 };
 
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -39,7 +39,7 @@
 {
   enum cluster_role role;
   char name[32];
-  char url[48];      /* of its HTTP side, http://ip:port */
+  char url[48];       /* of its HTTP side, http://ip:port */
   char bus_addr[32];  /* nodes only */
   char ready_url[48]; /* edges only: readiness checks */
   char service[48];
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -33,9 +33,9 @@
 
   edges = edges_create ();
   servers[0] = cluster_server (edges.cluster, service, "a", bad);
-  servers[1] = cluster_server (
-      edges.cluster, service, "a",
-      CLUSTER_FLAGS ("--models", engine ? "m1,m2" : ""));
+  servers[1]
+      = cluster_server (edges.cluster, service, "a",
+                        CLUSTER_FLAGS ("--models", engine ? "m1,m2" : ""));
   edges_register (&edges, servers[0], "ready", models);
   edges_register (&edges, servers[1], "ready", models);
   edges_configure (&edges, 5000);
@@ -65,24 +65,22 @@
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
     {
-      struct cluster_reply r
-          = edges_call (edge, cases[i].method, cases[i].path, "id-1", NULL,
-                        cases[i].body);
+      struct cluster_reply r = edges_call (
+          edge, cases[i].method, cases[i].path, "id-1", NULL, cases[i].body);
 
       CU_ASSERT_EQUAL (r.status, 200);
       CU_ASSERT (str_eq (buf_str (&r.body), str_from (cases[i].answer)));
-      CU_ASSERT (str_eq (cluster_header (&r, "content-type"),
-                         STR ("text/x-test")));
+      CU_ASSERT (
+          str_eq (cluster_header (&r, "content-type"), STR ("text/x-test")));
       CU_ASSERT (str_eq (cluster_header (&r, "x-galenagate-server-seal"),
                          STR ("s.1")));
       cluster_reply_free (&r);
     }
   json_t *counts = cluster_json (servers[0], "/counts");
   const json_t *seen = json_object_get (counts, "headers");
-  CU_ASSERT_STRING_EQUAL (
-      json_string_value (
-          json_object_get (seen, "x-galenagate-expect-instance")),
-      servers[0]->name);
+  CU_ASSERT_STRING_EQUAL (json_string_value (json_object_get (
+                              seen, "x-galenagate-expect-instance")),
+                          servers[0]->name);
   CU_ASSERT_PTR_NOT_NULL (json_object_get (seen, "x-galenagate-deadline-ms"));
   json_decref (counts);
   edges_destroy (&edges);
@@ -101,12 +99,18 @@
     int first_runs;
     int second_runs;
   } cases[] = {
-    { "shed", "/plain/x", 200, 0, 1 },     { "shed", "/once/x", 200, 0, 1 },
-    { "close", "/plain/x", 200, 1, 1 },    { "close", "/once/x", 502, 1, 0 },
-    { "cut", "/plain/x", 200, 1, 1 },      { "cut", "/once/x", 502, 1, 0 },
-    { "unsealed", "/plain/x", 200, 1, 1 }, { "unsealed", "/once/x", 502, 1, 0 },
-    { "crossed", "/plain/x", 200, 1, 1 },  { "crossed", "/once/x", 502, 1, 0 },
-    { "unframed", "/once/x", 200, 1, 0 },  { "error", "/once/x", 500, 1, 0 },
+    { "shed", "/plain/x", 200, 0, 1 },
+    { "shed", "/once/x", 200, 0, 1 },
+    { "close", "/plain/x", 200, 1, 1 },
+    { "close", "/once/x", 502, 1, 0 },
+    { "cut", "/plain/x", 200, 1, 1 },
+    { "cut", "/once/x", 502, 1, 0 },
+    { "unsealed", "/plain/x", 200, 1, 1 },
+    { "unsealed", "/once/x", 502, 1, 0 },
+    { "crossed", "/plain/x", 200, 1, 1 },
+    { "crossed", "/once/x", 502, 1, 0 },
+    { "unframed", "/once/x", 200, 1, 0 },
+    { "error", "/once/x", 500, 1, 0 },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
@@ -116,10 +120,10 @@
           = start_pair ("plain", cases[i].fault, servers);
       struct cluster_reply r
           = edges_call (edge, "POST", cases[i].path, "id-2", NULL, "b");
-      const bool ok = r.status == cases[i].status
-                      && edges_runs (servers[0], "id-2") == cases[i].first_runs
-                      && edges_runs (servers[1], "id-2")
-                             == cases[i].second_runs;
+      const bool ok
+          = r.status == cases[i].status
+            && edges_runs (servers[0], "id-2") == cases[i].first_runs
+            && edges_runs (servers[1], "id-2") == cases[i].second_runs;
 
       CU_ASSERT_TRUE (ok);
       if (!ok)
@@ -151,9 +155,12 @@
     bool whole;
     int second_runs;
   } cases[] = {
-    { "", "/stream/x", true, 0 },          { "cut-event", "/stream/x", true, 1 },
-    { "silent", "/stream/x", true, 1 },    { "close", "/stream/x", true, 1 },
-    { "cut-event", "/whole/x", false, 0 }, { "", "/whole/x", true, 0 },
+    { "", "/stream/x", true, 0 },
+    { "cut-event", "/stream/x", true, 1 },
+    { "silent", "/stream/x", true, 1 },
+    { "close", "/stream/x", true, 1 },
+    { "cut-event", "/whole/x", false, 0 },
+    { "", "/whole/x", true, 0 },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
@@ -222,12 +229,11 @@
   edges_put (&edges, "config", "main",
              "{\"version\":1,\"routes\":[],\"services\":[]}");
   edges_faults (&edges, "{\"forget\":true}");
-  edges_put (
-      &edges, "config", "main",
-      "{\"version\":60,\"routes\":[{\"name\":\"n\",\"hostname\":"
-      "\"test.example\",\"path_prefix\":\"/none/\",\"route_type\":"
-      "\"idempotent\",\"service\":\"plain\"}],\"services\":[{\"name\":"
-      "\"plain\"}]}");
+  edges_put (&edges, "config", "main",
+             "{\"version\":60,\"routes\":[{\"name\":\"n\",\"hostname\":"
+             "\"test.example\",\"path_prefix\":\"/none/\",\"route_type\":"
+             "\"idempotent\",\"service\":\"plain\"}],\"services\":[{\"name\":"
+             "\"plain\"}]}");
   x.status = 200;
   CU_ASSERT_TRUE (cluster_until (has_status, &x, WAIT_MS));
   x = (struct expected){ edge, "/plain/x", 404 };
@@ -292,8 +298,7 @@
 {
   json_t *counts = cluster_json (server, "/counts");
   const json_t *orders = json_object_get (counts, "orders");
-  const json_t *last
-      = json_array_get (orders, json_array_size (orders) - 1);
+  const json_t *last = json_array_get (orders, json_array_size (orders) - 1);
   const json_int_t fence
       = json_integer_value (json_object_get (last, "fencing_token"));
 
@@ -377,8 +382,8 @@
   edges_destroy (&edges);
 }
 
-/* Guards against answers that are cut when a node stops, and against a node
-   that does not end. */
+/* Guards against answers that are cut when a node stops, calls that are taken
+   too late to end in the grace period, and a node that does not end. */
 static void
 test_stop (void)
 {
@@ -404,6 +409,12 @@
   CU_ASSERT_EQUAL (second.status, 200);
   cluster_reply_free (&first);
   cluster_reply_free (&second);
+  usleep (2000000);
+  struct cluster_reply late
+      = edges_call (edge, "POST", "/once/x", "id-12", NULL, "b");
+  CU_ASSERT_EQUAL (late.error, CURLE_COULDNT_CONNECT);
+  cluster_reply_free (&late);
+  CU_ASSERT_EQUAL (edges_runs (server, "id-12"), 0);
   CU_ASSERT_EQUAL (cluster_wait_exit (edge, WAIT_MS), 0);
   edges_destroy (&edges);
 }
--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -13,8 +13,7 @@
 struct edges
 edges_create (void)
 {
-  struct edges e = { .cluster = cluster_create ("test-region"),
-                     .version = 3 };
+  struct edges e = { .cluster = cluster_create ("test-region"), .version = 3 };
 
   e.store = cluster_objects (e.cluster);
   return e;
@@ -96,10 +95,10 @@
 
       snprintf (name, sizeof name, "m%d", i);
       json_array_append_new (
-          models, json_pack ("{s:s, s:i, s:f, s:i, s:i, s:f, s:f}", "name",
-                             name, "weights_mb", 40, "load_s", 0.1, "adapters",
-                             4, "adapter_mb", 1, "warm_s", 0.05, "disk_s",
-                             0.05));
+          models,
+          json_pack ("{s:s, s:i, s:f, s:i, s:i, s:f, s:f}", "name", name,
+                     "weights_mb", 40, "load_s", 0.1, "adapters", 4,
+                     "adapter_mb", 1, "warm_s", 0.05, "disk_s", 0.05));
     }
   return json_pack ("{s:i, s:i, s:o, s:i, s:i, s:i}", "slots", 8,
                     "kv_capacity_tokens", 10000, "models", models,
@@ -115,10 +114,9 @@
       route ("once", "non_idempotent", "plain", timeout_ms, 1, false),
       route ("stream", "streaming", "lm", timeout_ms, 2, true),
       route ("whole", "streaming", "lm", timeout_ms, 1, false));
-  json_t *services
-      = json_pack ("[{s:s, s:i}, {s:s, s:i, s:o}]", "name", "plain",
-                   "max_connections", 100, "name", "lm", "max_connections",
-                   100, "engine", engine ());
+  json_t *services = json_pack ("[{s:s, s:i}, {s:s, s:i, s:o}]", "name",
+                                "plain", "max_connections", 100, "name", "lm",
+                                "max_connections", 100, "engine", engine ());
   json_t *spec = json_pack (
       "{s:I, s:o, s:o, s:{s:i, s:i, s:i, s:i}}", "version",
       (json_int_t)e->version, "routes", routes, "services", services, "limits",
--- a/tests/standin_objects.c
+++ b/tests/standin_objects.c
@@ -151,8 +151,7 @@
   const size_t n = json_object_size (objects);
   const char **names = xcalloc (n + 1, sizeof *names);
   size_t count = 0;
-  json_object_foreach (objects, name, object)
-    names[count++] = name;
+  json_object_foreach (objects, name, object) names[count++] = name;
   /* Pages follow the order of names. */
   for (size_t i = 0; i < count; i++)
     for (size_t j = i + 1; j < count; j++)
@@ -343,8 +342,8 @@
   else if (faults.down && !from_test)
     standin_error (req, 503, "down");
   else if (str_starts (path, prefix))
-    serve_objects (req, (struct str){ path.data + prefix.len,
-                                      path.len - prefix.len });
+    serve_objects (
+        req, (struct str){ path.data + prefix.len, path.len - prefix.len });
   else
     standin_error (req, 404, "no_such_path");
 }
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -45,10 +45,10 @@
     "2", 1, MODELS_MAX },
   { "most-adapters", "N", "adapters that fit", SETTING_U32,
     FIELD (most_adapters), "2", 0, 64 },
-  { "load-ms", "MS", "duration of a load", SETTING_U32, FIELD (load_ms),
-    "100", 0, 60000 },
-  { "delay-ms", "MS", "time that a call takes", SETTING_U32,
-    FIELD (delay_ms), "0", 0, 60000 },
+  { "load-ms", "MS", "duration of a load", SETTING_U32, FIELD (load_ms), "100",
+    0, 60000 },
+  { "delay-ms", "MS", "time that a call takes", SETTING_U32, FIELD (delay_ms),
+    "0", 0, 60000 },
 };
 
 static struct options options;
@@ -104,8 +104,7 @@
   json_t *list;
   size_t n = 0;
 
-  json_object_foreach (models, name, list)
-    n += json_array_size (list);
+  json_object_foreach (models, name, list) n += json_array_size (list);
   return n;
 }
 
@@ -189,10 +188,9 @@
   const char *name;
   json_t *adapters;
 
-  json_object_foreach (models, name, adapters)
-    json_array_append_new (list,
-                           json_pack ("{s:s, s:i, s:O}", "name", name,
-                                      "version", 1, "adapters", adapters));
+  json_object_foreach (models, name, adapters) json_array_append_new (
+      list, json_pack ("{s:s, s:i, s:O}", "name", name, "version", 1,
+                       "adapters", adapters));
   standin_json (req, 200,
                 json_pack ("{s:s, s:o, s:b, s:I, s:i, s:i, s:{s:[], s:[]}}",
                            "stage", "colocated", "models", list, "busy", busy,
@@ -234,10 +232,10 @@
 answer_raw (h2o_req_t *req, const char *framing, const char *body)
 {
   char id[64];
-  struct str text = str_printf (
-      "HTTP/1.1 200 OK\r\nX-Galenagate-Attempt-Id: %s\r\n"
-      "X-Galenagate-Server-Seal: " SEAL "\r\n%s\r\n%s",
-      answer_id (req, id, sizeof id), framing, body);
+  struct str text
+      = str_printf ("HTTP/1.1 200 OK\r\nX-Galenagate-Attempt-Id: %s\r\n"
+                    "X-Galenagate-Server-Seal: " SEAL "\r\n%s\r\n%s",
+                    answer_id (req, id, sizeof id), framing, body);
 
   raw (req, text.data);
   str_free (&text);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -253,9 +253,9 @@
     {
       for (int k = 0; k < s->held[j].adapter_count; k++)
         adapters[j][k] = str_from (s->held[j].adapters[k]);
-      models[j] = (struct held_model){ str_from (s->held[j].model),
-                                       adapters[j],
-                                       (size_t)s->held[j].adapter_count };
+      models[j]
+          = (struct held_model){ str_from (s->held[j].model), adapters[j],
+                                 (size_t)s->held[j].adapter_count };
     }
   for (int j = 0; j < s->disk_count; j++)
     disk[j] = str_from (s->on_disk[j]);
@@ -327,17 +327,17 @@
 
       snprintf (name, sizeof name, "m%d", i);
       json_array_append_new (
-          models, json_pack ("{s:s, s:i, s:f, s:f, s:f, s:i, s:f}", "name",
-                             name, "weights_mb", MODEL_MB, "load_s",
-                             LOAD_MS / 1000.0, "warm_s", DISK_MS / 1000.0,
-                             "disk_s", DISK_MS / 1000.0, "adapters", 4,
-                             "adapter_mb", 1.0));
+          models,
+          json_pack ("{s:s, s:i, s:f, s:f, s:f, s:i, s:f}", "name", name,
+                     "weights_mb", MODEL_MB, "load_s", LOAD_MS / 1000.0,
+                     "warm_s", DISK_MS / 1000.0, "disk_s", DISK_MS / 1000.0,
+                     "adapters", 4, "adapter_mb", 1.0));
     }
-  json_t *json = json_pack (
-      "{s:i, s:[], s:[{s:s, s:{s:i, s:i, s:i, s:i, s:o}}]}", "version", 1,
-      "routes", "services", "name", "lm", "engine", "slots", 8, "weights_mb",
-      SERVER_MB, "adapter_slots", ADAPTER_SLOTS, "loads_per_s", COLD_PER_S,
-      "models", models);
+  json_t *json
+      = json_pack ("{s:i, s:[], s:[{s:s, s:{s:i, s:i, s:i, s:i, s:o}}]}",
+                   "version", 1, "routes", "services", "name", "lm", "engine",
+                   "slots", 8, "weights_mb", SERVER_MB, "adapter_slots",
+                   ADAPTER_SLOTS, "loads_per_s", COLD_PER_S, "models", models);
   m.routing = routing_decode (json);
   json_decref (json);
   m.faults = faults;
@@ -414,8 +414,8 @@
     {
       size_t n = 0;
 
-      for (size_t j = i; j < m->cold_count
-                         && m->cold_starts[j] < m->cold_starts[i] + 5000;
+      for (size_t j = i;
+           j < m->cold_count && m->cold_starts[j] < m->cold_starts[i] + 5000;
            j++)
         n++;
       if (n > most)
@@ -490,7 +490,8 @@
                   wish (&m, model, "a1", 1);
                 }
               tick (&m);
-              brought = somewhere (&m, model, "") && somewhere (&m, model, "a1");
+              brought
+                  = somewhere (&m, model, "") && somewhere (&m, model, "a1");
             }
           CU_ASSERT_TRUE (brought);
         }
--- a/tests/test_retries.c
+++ b/tests/test_retries.c
@@ -30,8 +30,8 @@
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
     {
       struct retries r = { 0 };
-      const double most = limits.ratio * cases[i].first
-                          + limits.slack / cases[i].nodes;
+      const double most
+          = limits.ratio * cases[i].first + limits.slack / cases[i].nodes;
       uint32_t taken;
 
       for (uint32_t n = 0; n < cases[i].first; n++)
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -21,7 +21,8 @@
       "{\"service\":\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":10}],"
       "\"resumable\":true,\"priority\":0,\"timeout_ms\":4000,"
       "\"latency_target_ms\":500,\"gap_aim_ms\":200}],"
-      "\"services\":[{\"name\":\"s\"},{\"name\":\"t\",\"engine\":{\"slots\":96,"
+      "\"services\":[{\"name\":\"s\"},{\"name\":\"t\",\"engine\":{\"slots\":"
+      "96,"
       "\"weights_mb\":83000.0,\"adapter_slots\":8,\"loads_per_s\":2.7,"
       "\"models\":[{\"name\":\"m\",\"weights_mb\":16100.0,\"load_s\":6.0,"
       "\"adapters\":3,\"adapter_mb\":14.0,\"warm_s\":0.27,"
@@ -66,8 +67,8 @@
       if (!cases[i].route)
         CU_ASSERT_PTR_NULL (found);
       if (cases[i].route)
-        CU_ASSERT_TRUE (
-            found && str_eq (found->name, str_from (cases[i].route)));
+        CU_ASSERT_TRUE (found
+                        && str_eq (found->name, str_from (cases[i].route)));
     }
   routing_destroy (r);
 }
@@ -248,8 +249,8 @@
 }
 
 static const struct suite_case cases[] = {
-  { "find", test_find },           { "split", test_split },
-  { "values", test_values },       { "bad configuration", test_bad_config },
-  { "entries", test_entries },     { "headers", test_headers },
+  { "find", test_find },       { "split", test_split },
+  { "values", test_values },   { "bad configuration", test_bad_config },
+  { "entries", test_entries }, { "headers", test_headers },
 };
 TEST_SUITE ("routing", cases)
