Let the placement test send a refused call again

The killed holder's successor takes about as long as the test's clients wait for a first event (2 s), and a call that cannot be served in that time is to be refused as not run. The test failed once with such a refusal. It now sends the call again until it is served and asserts that it ran once, and that nothing but a refusal comes before.

--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -320,6 +320,28 @@
   cluster_reply_free (&r);
 }
 
+/* A call that is refused while there is no holder, and then sent again. */
+struct retried
+{
+  struct cluster_proc *edge;
+  const char *id;
+  const char *model;
+};
+
+static bool
+is_served (void *ctx)
+{
+  const struct retried *x = ctx;
+  struct cluster_reply r
+      = edges_call (x->edge, "POST", "/stream/x", x->id, x->model, "p");
+  const bool served
+      = r.status == 200 && str_eq (buf_str (&r.body), whole_stream ());
+
+  CU_ASSERT_TRUE (served || r.status == 503);
+  cluster_reply_free (&r);
+  return served;
+}
+
 /* Guards against models and adapters that are not brought when they are asked
    for, memory and adapter places that are exceeded, and orders of a successor
    that do not supersede those of a killed holder. */
@@ -352,7 +374,9 @@
   CU_ASSERT_TRUE (fence > 0);
 
   cluster_kill (nodes[0]);
-  check_served (nodes[1], "id-7", "m4");
+  struct retried x = { nodes[1], "id-7", "m4" };
+  CU_ASSERT_TRUE (cluster_until (is_served, &x, WAIT_MS));
+  CU_ASSERT_EQUAL (edges_runs (server, "id-7"), 1);
   check_served (nodes[1], "id-8", "m2");
   CU_ASSERT_TRUE (last_fence (server) > fence);
   CU_ASSERT_EQUAL (count_of (server, "violations"), 0);
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -115,15 +115,17 @@
 static void
 test_bad_config (void)
 {
+  static const char other_kind[]
+      = "{\"version\":7,\"routes\":[{\"name\":\"a\",\"hostname\":\"h\","
+        "\"path_prefix\":\"/\",\"route_type\":\"other\",\"service\":\"s\"}],"
+        "\"services\":[]}";
   static const char *const cases[] = {
     "{}",
     "[]",
     "{\"version\":\"7\",\"routes\":[],\"services\":[]}",
     "{\"version\":7,\"routes\":{},\"services\":[]}",
     "{\"version\":7,\"routes\":[{}],\"services\":[]}",
-    "{\"version\":7,\"routes\":[{\"name\":\"a\",\"hostname\":\"h\","
-    "\"path_prefix\":\"/\",\"route_type\":\"other\",\"service\":\"s\"}],"
-    "\"services\":[]}",
+    other_kind,
     "{\"version\":7,\"routes\":[],\"services\":[{\"name\":7}]}",
   };
 
