--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -298,8 +298,6 @@
   c->demand_model
       = demand_find (d, c->service, c->meta.model, (struct str){ 0 });
   c->demand_model->arrivals++;
-  if (c->priority < c->demand_model->priority)
-    c->demand_model->priority = c->priority;
   if (c->meta.adapter.len == 0)
     return;
   c->demand_adapter
--- a/src/edge/demand.c
+++ b/src/edge/demand.c
@@ -7,8 +7,6 @@
 
 #include "err.h"
 
-#define PRIORITY_NONE UINT32_MAX
-
 struct node
 {
   struct demand_item item;
@@ -70,7 +68,6 @@
   n->item.service = str_dup (service);
   n->item.model = str_dup (model);
   n->item.adapter = str_dup (adapter);
-  n->item.priority = PRIORITY_NONE;
   HASH_ADD_KEYPTR (hh, d->nodes, n->key.data, n->key.len, n);
   return &n->item;
 }
--- a/src/edge/demand.h
+++ b/src/edge/demand.h
@@ -14,7 +14,6 @@
  * @waiting: calls that wait now.
  * @running: calls at servers now.
  * @arrivals: calls since the last demand_take().
- * @priority: of the most urgent call that arrived; 0 is the most urgent.
  */
 struct demand_item
 {
@@ -24,7 +23,6 @@
   uint32_t waiting;
   uint32_t running;
   uint32_t arrivals;
-  uint32_t priority;
 };
 
 struct demand *demand_create (void);
--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -26,7 +26,6 @@
 	u_int waiting;
 	u_int running;
 	u_int arrivals;
-	u_int priority;
 };
 typedef struct demand_digest demand_digest;
 
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -14,7 +14,6 @@
   unsigned int waiting;
   unsigned int running;
   unsigned int arrivals; /* since the digest before */
-  unsigned int priority; /* of the most urgent arrival */
 };
 
 struct load_digest
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -20,57 +20,6 @@
 {
 	register int32_t *buf;
 
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_label (xdrs, &objp->service))
-			 return FALSE;
-		 if (!xdr_label (xdrs, &objp->model))
-			 return FALSE;
-		 if (!xdr_label (xdrs, &objp->adapter))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->waiting))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->running))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->arrivals))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->priority))
-				 return FALSE;
-		} else {
-			IXDR_PUT_U_LONG(buf, objp->waiting);
-			IXDR_PUT_U_LONG(buf, objp->running);
-			IXDR_PUT_U_LONG(buf, objp->arrivals);
-			IXDR_PUT_U_LONG(buf, objp->priority);
-		}
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_label (xdrs, &objp->service))
-			 return FALSE;
-		 if (!xdr_label (xdrs, &objp->model))
-			 return FALSE;
-		 if (!xdr_label (xdrs, &objp->adapter))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->waiting))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->running))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->arrivals))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->priority))
-				 return FALSE;
-		} else {
-			objp->waiting = IXDR_GET_U_LONG(buf);
-			objp->running = IXDR_GET_U_LONG(buf);
-			objp->arrivals = IXDR_GET_U_LONG(buf);
-			objp->priority = IXDR_GET_U_LONG(buf);
-		}
-	 return TRUE;
-	}
-
 	 if (!xdr_label (xdrs, &objp->service))
 		 return FALSE;
 	 if (!xdr_label (xdrs, &objp->model))
@@ -83,8 +32,6 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->arrivals))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->priority))
-		 return FALSE;
 	return TRUE;
 }
 
--- a/src/edge/fleet.c
+++ b/src/edge/fleet.c
@@ -106,8 +106,8 @@
   return xcalloc (1, sizeof (struct fleet));
 }
 
-static void
-clear_pending (struct fleet_server *s)
+void
+fleet_clear_pending (struct fleet_server *s)
 {
   str_free (&s->pending.model);
   str_free (&s->pending.adapter);
@@ -119,7 +119,7 @@
 {
   HASH_DEL (f->servers, s);
   clear_replicas (s);
-  clear_pending (s);
+  fleet_clear_pending (s);
   name_list_free (&s->in_memory);
   name_list_free (&s->on_disk);
   str_free (&s->reserved_model);
@@ -193,9 +193,9 @@
   return to;
 }
 
-static void
-take_at_hand (struct fleet_server *s, const struct name_list *memory,
-              const struct name_list *disk)
+void
+fleet_take_at_hand (struct fleet_server *s, const struct name_list *memory,
+                    const struct name_list *disk)
 {
   name_list_free (&s->in_memory);
   name_list_free (&s->on_disk);
@@ -203,9 +203,9 @@
   s->on_disk = copy_list (disk);
 }
 
-static void
-take_models (struct fleet_server *s, const struct held_model *models,
-             size_t count)
+void
+fleet_take_models (struct fleet_server *s, const struct held_model *models,
+                   size_t count)
 {
   clear_replicas (s);
   for (size_t i = 0; i < count; i++)
@@ -224,7 +224,7 @@
   s->report_due_ms = 1;
   s->reserved_until_ms = 0;
   s->reserved_cold = false;
-  clear_pending (s);
+  fleet_clear_pending (s);
 }
 
 void
@@ -257,8 +257,8 @@
   str_assign (&s->domain, e->domain);
   if (s->known)
     return;
-  take_models (s, e->models, e->model_count);
-  take_at_hand (s, &e->in_memory, &e->on_disk);
+  fleet_take_models (s, e->models, e->model_count);
+  fleet_take_at_hand (s, &e->in_memory, &e->on_disk);
 }
 
 void
@@ -310,339 +310,3 @@
         fn (ctx, &view);
     }
 }
-
-/* ---- reports ---- */
-
-/* Interval of reports while an order is being carried out. */
-#define REPORT_MS 100
-/* Pause before a server that gave no report is asked again. */
-#define REPORT_RETRY_MS 500
-/* A report shows the server as it was up to this long before. */
-#define REPORT_LAG_MS 120
-
-struct fleet_server *
-fleet_next_report (struct fleet *f, uint64_t now)
-{
-  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    if (fleet_usable (s) && fleet_engine (f, s) && !s->reporting
-        && s->report_due_ms > 0 && now >= s->report_due_ms)
-      {
-        s->reporting = true;
-        s->report_due_ms = 0;
-        return s;
-      }
-  return NULL;
-}
-
-static void
-take_coming (struct fleet_server *s, const struct server_report *r,
-             uint64_t now)
-{
-  for (size_t i = 0; i < r->coming.count; i++)
-    {
-      const struct str item = r->coming.names[i];
-      const char *slash = memchr (item.data, '/', item.len);
-
-      if (!slash)
-        continue;
-      const struct str model = { item.data, (size_t)(slash - item.data) };
-      struct str adapter = { slash + 1, item.len - model.len - 1 };
-      const char *at = memchr (adapter.data, '@', adapter.len);
-      struct replica *replica = fleet_replica (s, model);
-
-      if (at)
-        adapter.len = (size_t)(at - adapter.data);
-      if (replica)
-        fleet_add_adapter (replica, adapter, now);
-    }
-}
-
-/* Takes the report over whole, unless it is older than what is known: within
-   one start of a server the count of orders only grows. */
-static void
-adopt (struct fleet_server *s, const struct server_report *r, uint64_t now)
-{
-  if (r->order_count < s->order_count)
-    {
-      s->report_due_ms = now + REPORT_MS;
-      return;
-    }
-  s->known = true;
-  s->order_count = r->order_count;
-  take_models (s, r->models, r->model_count);
-  take_coming (s, r, now);
-  take_at_hand (s, &r->in_memory, &r->on_disk);
-}
-
-/* An order without an answer: was it carried out? */
-static void
-settle_unanswered (struct fleet_server *s, const struct server_report *r,
-                   uint64_t now)
-{
-  if (r->order_count > s->order_count && !r->busy)
-    {
-      clear_pending (s);
-      adopt (s, r, now);
-    }
-  else if (r->order_count > s->order_count)
-    {
-      s->order_count = r->order_count;
-      s->pending.state = PENDING_ACCEPTED;
-      s->report_due_ms = now + REPORT_MS;
-    }
-  /* Otherwise the plan sends it again: the server carries out only one of
-     several orders that expect the same count. */
-}
-
-static void
-settle_accepted (struct fleet_server *s, const struct server_report *r,
-                 uint64_t now)
-{
-  if (r->order_count < s->order_count || r->busy)
-    {
-      s->report_due_ms = now + REPORT_MS;
-      return;
-    }
-  clear_pending (s);
-  adopt (s, r, now);
-}
-
-void
-fleet_report (struct fleet *f, struct str id, const struct server_report *r,
-              uint64_t now)
-{
-  struct fleet_server *s = fleet_find (f, id);
-
-  if (!s)
-    return;
-  s->reporting = false;
-  s->reported_ms = now;
-  if (!r)
-    {
-      s->report_due_ms = now + REPORT_RETRY_MS;
-      return;
-    }
-  if (r->started_ms > 0 && s->started_ms > 0 && r->started_ms != s->started_ms)
-    return; /* its entry will tell of the restart */
-  switch (s->pending.state)
-    {
-    case PENDING_SENT:
-      s->report_due_ms = now + REPORT_MS;
-      break;
-    case PENDING_UNANSWERED:
-      settle_unanswered (s, r, now);
-      break;
-    case PENDING_ACCEPTED:
-      settle_accepted (s, r, now);
-      break;
-    case PENDING_NONE:
-      if (r->busy)
-        s->report_due_ms = now + REPORT_MS;
-      else
-        adopt (s, r, now);
-      break;
-    }
-}
-
-/* ---- orders ---- */
-
-/* Time that an adapter takes from the order until it can be used. */
-#define ADAPTER_MS 10
-/* Added to the time that an order should take before it is taken as done. */
-#define ORDER_SLACK_MS 20
-/* An order without an answer is given again after this time. */
-#define RESEND_MS 1000
-/* A server that could not be reached gets no order for this long. */
-#define AVOID_MS 500
-
-static void
-note_begin (struct fleet_server *s, const struct planned *p, uint64_t now)
-{
-  struct replica *r = fleet_replica (s, p->model);
-
-  if (p->adapter.len > 0 && r && p->kind == ORDER_LOAD)
-    fleet_add_adapter (r, p->adapter, now + ADAPTER_MS + p->takes_ms);
-  else if (p->adapter.len > 0 && r)
-    fleet_drop_adapter (r, p->adapter);
-  else if (p->kind == ORDER_UNLOAD && r)
-    r->state = REPLICA_UNLOADING;
-  else if (p->kind == ORDER_LOAD)
-    {
-      r = fleet_add_replica (s, p->model);
-      r->state = REPLICA_LOADING;
-      r->ready_ms = now + p->takes_ms;
-    }
-}
-
-static void
-fill_order (const struct fleet_server *s, struct order *out)
-{
-  *out = (struct order){
-    .kind = s->pending.kind,
-    .model = s->pending.model,
-    .adapter = s->pending.adapter,
-    .server_address = s->address,
-    .server_id = s->id,
-    .order_count = s->order_count,
-  };
-}
-
-static bool
-has_running_calls (const struct fleet *f, const struct fleet_server *s,
-                   struct str model)
-{
-  const struct wish *w
-      = fleet_wish_find (f, s->service, model, (struct str){ 0 });
-
-  return w && w->running > 0;
-}
-
-/* An unload of a model without calls is done at once. Should it not be, the
-   server refuses the next order, and its report is read. */
-static void
-advance_unload (const struct fleet *f, struct fleet_server *s, uint64_t now)
-{
-  struct replica *r = fleet_replica (s, s->pending.model);
-
-  if (has_running_calls (f, s, s->pending.model))
-    return;
-  if (r)
-    fleet_drop_replica (s, r);
-  clear_pending (s);
-  s->report_due_ms = now + REPORT_LAG_MS;
-}
-
-/* A load from the server's own memory or disk takes a known time, so calls
-   need not wait for the next report. */
-static void
-advance_load (struct fleet_server *s)
-{
-  struct replica *r = fleet_replica (s, s->pending.model);
-
-  if (!s->pending.cold && r && r->state == REPLICA_LOADING)
-    r->state = REPLICA_READY;
-}
-
-void
-fleet_advance (struct fleet *f, uint64_t now)
-{
-  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    {
-      const struct pending *p = &s->pending;
-
-      if (p->state != PENDING_ACCEPTED || p->adapter.len > 0
-          || now < p->expected_ms + ORDER_SLACK_MS)
-        continue;
-      if (p->kind == ORDER_UNLOAD)
-        advance_unload (f, s, now);
-      else
-        advance_load (s);
-    }
-}
-
-static struct fleet_server *
-resend (struct fleet *f, uint64_t now)
-{
-  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    if (fleet_usable (s) && s->pending.state == PENDING_UNANSWERED
-        && now >= s->pending.since_ms + RESEND_MS && now >= s->avoid_until_ms)
-      return s;
-  return NULL;
-}
-
-struct fleet_server *
-fleet_next_order (struct fleet *f, uint64_t now, struct order *out)
-{
-  struct fleet_server *s = resend (f, now);
-  struct planned p;
-
-  if (s)
-    {
-      s->pending.state = PENDING_SENT;
-      s->pending.since_ms = now;
-      fill_order (s, out);
-      return s;
-    }
-  if (!plan_adapters (f, now, &p) && !plan_models (f, now, &p))
-    return NULL;
-  s = p.server;
-  s->pending = (struct pending){
-    .state = PENDING_SENT,
-    .kind = p.kind,
-    .model = str_dup (p.model),
-    .adapter = str_dup (p.adapter),
-    .cold = p.cold,
-    .since_ms = now,
-    .takes_ms = p.takes_ms,
-  };
-  if (p.cold)
-    cold_begin (f, s, now);
-  note_begin (s, &p, now);
-  fill_order (s, out);
-  return s;
-}
-
-static void
-on_accepted (struct fleet_server *s, bool at_once, uint64_t now)
-{
-  const bool adapter = s->pending.adapter.len > 0;
-  struct replica *r = fleet_replica (s, s->pending.model);
-
-  s->order_count++;
-  if (adapter && (s->pending.kind == ORDER_LOAD || at_once))
-    {
-      clear_pending (s);
-      return;
-    }
-  s->pending.state = PENDING_ACCEPTED;
-  s->pending.expected_ms = now + s->pending.takes_ms;
-  s->report_due_ms = s->pending.expected_ms + REPORT_MS;
-  if (r && r->state == REPLICA_LOADING)
-    r->ready_ms = s->pending.expected_ms;
-}
-
-/* Something else than believed holds: the server's report tells. */
-static void
-read_again (struct fleet_server *s, uint64_t now)
-{
-  clear_pending (s);
-  s->known = false;
-  s->report_due_ms = now + REPORT_LAG_MS;
-}
-
-void
-fleet_order_done (struct fleet *f, struct str id, enum order_result result,
-                  uint64_t now)
-{
-  struct fleet_server *s = fleet_find (f, id);
-
-  if (!s || s->pending.state != PENDING_SENT)
-    return;
-  switch (result)
-    {
-    case ORDER_ACCEPTED:
-      on_accepted (s, false, now);
-      break;
-    case ORDER_UNANSWERED:
-      s->pending.state = PENDING_UNANSWERED;
-      s->report_due_ms = now + REPORT_MS;
-      break;
-    case ORDER_NOT_SENT:
-      s->avoid_until_ms = now + AVOID_MS;
-      read_again (s, now);
-      break;
-    case ORDER_HOLDS_ALREADY:
-      /* An adapter is unloaded at once, with this answer. */
-      if (s->pending.kind == ORDER_UNLOAD && s->pending.adapter.len > 0)
-        on_accepted (s, true, now);
-      else
-        read_again (s, now);
-      break;
-    case ORDER_CONFLICT:
-    case ORDER_FENCED:
-    case ORDER_OTHER_INSTANCE:
-    case ORDER_REJECTED:
-      read_again (s, now);
-      break;
-    }
-}
--- a/src/edge/fleet_impl.h
+++ b/src/edge/fleet_impl.h
@@ -152,6 +152,15 @@
 /** fleet_usable() - may get orders and calls. */
 bool fleet_usable (const struct fleet_server *server);
 
+void fleet_clear_pending (struct fleet_server *server);
+/** fleet_take_models() - replace the replicas by what the server holds. */
+void fleet_take_models (struct fleet_server *server,
+                        const struct held_model *models, size_t count);
+/** fleet_take_at_hand() - replace the lists of weights at hand. */
+void fleet_take_at_hand (struct fleet_server *server,
+                         const struct name_list *memory,
+                         const struct name_list *disk);
+
 /* ---- fleet_demand.c ---- */
 
 /** fleet_wish_find() - demand of a key, or NULL. */
--- /dev/null
+++ b/src/edge/placer_hear.c
@@ -0,0 +1,93 @@
+#include "edge/placer_impl.h"
+
+#include <stdlib.h>
+
+#include "clock.h"
+#include "err.h"
+#include "log.h"
+
+#define LOG_MODULE "placer"
+
+/* What other nodes tell: the holder of servers, all of their demand. */
+
+static void
+apply_server (struct placer *p, const server_digest *d)
+{
+  struct holding *holdings = xcalloc (d->held.held_len + 1, sizeof *holdings);
+  const struct pool_view view = {
+    .server = d->server,
+    .order_count = d->order_count,
+    .running = d->running,
+    .placed = d->placed,
+    .holdings = holdings,
+    .holding_count = d->held.held_len,
+  };
+
+  for (u_int i = 0; i < d->held.held_len; i++)
+    {
+      const held_digest *h = &d->held.held_val[i];
+      struct str *adapters
+          = xcalloc (h->adapters.adapters_len + 1, sizeof *adapters);
+
+      for (u_int j = 0; j < h->adapters.adapters_len; j++)
+        adapters[j] = label_str (h->adapters.adapters_val[j]);
+      holdings[i] = (struct holding){
+        .model = label_str (h->model),
+        .state = (enum held_state)h->state,
+        .ready_in_ms = h->ready_in_ms,
+        .adapters = adapters,
+        .adapter_count = h->adapters.adapters_len,
+      };
+    }
+  pool_apply_view (site_pool (p->site), &view, clock_ms ());
+  for (u_int i = 0; i < d->held.held_len; i++)
+    free ((void *)holdings[i].adapters);
+  free (holdings);
+}
+
+void
+placer_hear_holder (struct placer *p, struct str from, const holder_digest *d)
+{
+  if (d->fence < p->holder_fence)
+    return;
+  if (d->fence > p->holder_fence)
+    LOG_INFO ("holder", "holder=" STR_FMT " node=" STR_FMT " fence=%lu",
+              STR_ARG (from), STR_ARG (label_str (d->node)), d->fence);
+  p->holder_fence = d->fence;
+  /* A holder whose lease ran out is taken for silent, so that another node
+     campaigns. */
+  if (d->active)
+    p->holder_heard_ms = clock_ms ();
+  holderlease_hint (p->lease, d->lease_revision);
+  p->entries = d->entries;
+  str_assign (&p->holder_addr, from);
+  for (u_int i = 0; i < d->servers.servers_len; i++)
+    apply_server (p, &d->servers.servers_val[i]);
+  kernel_publish (p->kernel, TOPIC_POOL, NULL, NULL);
+}
+
+void
+placer_hear_entry (struct placer *p, const entry_digest *d)
+{
+  const uint64_t now = clock_ms ();
+  const struct str node = label_str (d->node);
+
+  fleet_node_begin (p->fleet, node, now);
+  for (u_int i = 0; i < d->demand.demand_len; i++)
+    {
+      const demand_digest *w = &d->demand.demand_val[i];
+      const struct fleet_wish wish = {
+        .service = label_str (w->service),
+        .model = label_str (w->model),
+        .adapter = label_str (w->adapter),
+        .waiting = w->waiting,
+        .running = w->running,
+        .arrivals = w->arrivals,
+      };
+
+      fleet_node_wish (p->fleet, node, &wish, now);
+    }
+  for (u_int i = 0; i < d->loads.loads_len; i++)
+    fleet_node_load (p->fleet, node, d->loads.loads_val[i].server,
+                     d->loads.loads_val[i].running);
+}
--- /dev/null
+++ b/src/edge/placer_impl.h
@@ -0,0 +1,92 @@
+#pragma once
+
+/* Parts of the placer; included by edge/placer*.c only. */
+
+#include <uthash.h>
+
+#include "edge/edge.h"
+#include "edge/fleet.h"
+#include "edge/holderlease.h"
+#include "edge/peers.h"
+#include "edge/placer.h"
+#include "edge/site.h"
+#include "http.h"
+
+/* A node that is silent for this long is not counted any more. */
+#define NODE_SILENT_MS 2000
+
+/* A node that tells its demand to this one. */
+struct listener
+{
+  struct str addr;
+  uint64_t instance; /* start of its process */
+  uint64_t sequence; /* of its newest digest */
+  uint64_t heard_ms;
+  bool store_reachable;
+  UT_hash_handle hh;
+};
+
+/* What was last told of a server. */
+struct told
+{
+  uint64_t server;
+  uint64_t hash;
+  uint64_t at_ms;
+  UT_hash_handle hh;
+};
+
+/* The placement of models: one node holds the lease, hears the demand of all
+   and gives the orders; all others tell it their demand. */
+struct placer
+{
+  struct plugin plugin;
+  struct kernel *kernel;
+  struct site *site;
+  struct http *http;
+  struct fleet *fleet;
+  struct holderlease *lease;
+  struct peers *peers;
+  uv_timer_t tick;
+  uv_timer_t soon; /* a digest or plan that is due before the next tick */
+  uv_timer_t drain_timer;
+  bool holding; /* as of the last tick */
+  bool store_reachable;
+  bool changed; /* servers hold other than was told */
+  uint64_t fence;
+  uint64_t ordered_ms; /* when this node gave its last order */
+  uint64_t lost_fence; /* of this node's last lease that is over */
+  uint64_t told_ms;    /* last digest of this node's demand */
+  uint64_t scanned_ms; /* when servers were last compared with what was told */
+  uint64_t broadcast_ms; /* last digest of servers */
+  uint64_t holder_heard_ms;
+  uint64_t holder_fence; /* highest one heard */
+  struct str holder_addr;
+  uint32_t entries; /* nodes that share the load, as the holder tells */
+  uint64_t sequence;
+  struct listener *listeners;
+  struct told *told;
+};
+
+/* ---- placer_tell.c ---- */
+
+/** placer_broadcast() - tell all nodes of the servers that changed, or only
+ * that the holder is alive; at most once in a while. Returns false when it is
+ * too early. */
+bool placer_broadcast (struct placer *p);
+/** placer_forget_told() - tell all servers anew at the next broadcast. */
+void placer_forget_told (struct placer *p);
+/** placer_tell_demand() - tell the holder what this node's calls ask for. */
+void placer_tell_demand (struct placer *p);
+
+/* ---- placer_hear.c ---- */
+
+/** placer_hear_holder() - take over a digest of the holder. */
+void placer_hear_holder (struct placer *p, struct str from,
+                         const holder_digest *digest);
+/** placer_hear_entry() - take over a node's demand. */
+void placer_hear_entry (struct placer *p, const entry_digest *digest);
+
+/* ---- placer.c ---- */
+
+/** placer_may_order() - may this node give orders now. */
+bool placer_may_order (const struct placer *p);
--- /dev/null
+++ b/src/edge/placer_tell.c
@@ -0,0 +1,253 @@
+#include "edge/placer_impl.h"
+
+#include <stdlib.h>
+
+#include "clock.h"
+#include "err.h"
+#include "xdrcodec.h"
+
+/* What this node tells the others: as holder of all servers, and to the holder
+   of its own demand. */
+
+/* The holder tells at this interval that it is alive. */
+#define ALIVE_MS 250
+/* A server is told again after this time, also without a change. */
+#define REFRESH_MS 1000
+/* Changes of a server's calls below this number are not told at once. */
+#define RUNNING_STEP 4
+/* Shortest pause between two comparisons with what was told. */
+#define SCAN_GAP_MS 10
+/* Servers that are compared with what was told, for each ms of the pause. */
+#define SERVERS_PER_MS 3
+#define SERVERS_PER_DATAGRAM 4
+#define LOADS_MAX 2048
+
+/* ---- servers ---- */
+
+struct broadcast
+{
+  struct placer *placer;
+  server_digest servers[SERVERS_PER_DATAGRAM];
+  u_int count;
+};
+
+static void
+free_server_digest (server_digest *d)
+{
+  for (u_int i = 0; i < d->held.held_len; i++)
+    free (d->held.held_val[i].adapters.adapters_val);
+  free (d->held.held_val);
+}
+
+static void
+flush (struct broadcast *b)
+{
+  struct placer *p = b->placer;
+  struct datagram d = { .kind = DATAGRAM_HOLDER };
+  holder_digest *h = &d.datagram_u.holder;
+
+  p->broadcast_ms = clock_ms ();
+  h->node = str_label (edge_settings ()->node_name);
+  h->fence = p->fence;
+  h->active = placer_may_order (p);
+  h->lease_revision = holderlease_revision (p->lease);
+  h->entries = fleet_nodes (p->fleet, clock_ms ());
+  h->servers.servers_val = b->servers;
+  h->servers.servers_len = b->count;
+  for (struct listener *l = p->listeners; l; l = l->hh.next)
+    peers_send (p->peers, l->addr, &d);
+  placer_hear_holder (p, edge_settings ()->peer_addr, h);
+  for (u_int i = 0; i < b->count; i++)
+    free_server_digest (&b->servers[i]);
+  b->count = 0;
+}
+
+static void
+fill_adapters (const struct replica *r, uint64_t now, held_digest *out)
+{
+  out->adapters.adapters_val
+      = xcalloc (r->adapter_count + 1, sizeof *out->adapters.adapters_val);
+  for (size_t i = 0; i < r->adapter_count; i++)
+    if (r->adapters[i].ready_ms <= now)
+      out->adapters.adapters_val[out->adapters.adapters_len++]
+          = str_label (r->adapters[i].name);
+}
+
+static held_state_digest
+state_digest (enum replica_state state)
+{
+  switch (state)
+    {
+    case REPLICA_LOADING:
+      return HELD_DIGEST_LOADING;
+    case REPLICA_UNLOADING:
+      return HELD_DIGEST_UNLOADING;
+    case REPLICA_READY:
+      break;
+    }
+  return HELD_DIGEST_READY;
+}
+
+/* Hash of what makes a difference for the nodes. */
+static uint64_t
+digest_hash (const server_digest *d)
+{
+  server_digest rough = *d;
+  struct str bytes;
+  uint64_t hash;
+
+  /* Loads end at the time told before. */
+  for (u_int i = 0; i < d->held.held_len; i++)
+    rough.held.held_val[i].ready_in_ms = 0;
+  rough.running = (d->running + RUNNING_STEP - 1) / RUNNING_STEP;
+  bytes = xdrcodec_encode ((xdrproc_t)xdr_server_digest, &rough);
+  hash = str_hash (bytes, 0);
+  str_free (&bytes);
+  return hash;
+}
+
+/* Is the server to be told now? Notes it as told if so. */
+static bool
+worth_telling (struct placer *p, const server_digest *d, uint64_t now)
+{
+  const uint64_t hash = digest_hash (d);
+  struct told *t;
+
+  HASH_FIND (hh, p->told, &d->server, sizeof d->server, t);
+  if (t && t->hash == hash && now < t->at_ms + REFRESH_MS)
+    return false;
+  if (!t)
+    {
+      t = xcalloc (1, sizeof *t);
+      t->server = d->server;
+      HASH_ADD (hh, p->told, server, sizeof t->server, t);
+    }
+  t->hash = hash;
+  t->at_ms = now;
+  return true;
+}
+
+void
+placer_forget_told (struct placer *p)
+{
+  struct told *t;
+  struct told *next;
+
+  HASH_ITER (hh, p->told, t, next)
+  {
+    HASH_DEL (p->told, t);
+    free (t);
+  }
+}
+
+static void
+fill_server (const struct fleet_view *v, uint64_t now, server_digest *d)
+{
+  *d = (server_digest){ .server = v->hash,
+                        .order_count = v->order_count,
+                        .running = v->running,
+                        .placed = v->known };
+  d->held.held_val = xcalloc (v->replica_count + 1, sizeof *d->held.held_val);
+  for (size_t i = 0; i < v->replica_count; i++)
+    {
+      const struct replica *r = &v->replicas[i];
+      held_digest *h = &d->held.held_val[d->held.held_len++];
+
+      h->model = str_label (r->model);
+      h->state = state_digest (r->state);
+      h->ready_in_ms = r->ready_ms > now ? (u_int)(r->ready_ms - now) : 0;
+      fill_adapters (r, now, h);
+    }
+}
+
+static void
+add_server (void *ctx, const struct fleet_view *v)
+{
+  struct broadcast *b = ctx;
+  server_digest *d = &b->servers[b->count];
+  server_digest rough;
+  const uint64_t now = clock_ms ();
+
+  fill_server (v, now, &rough);
+  const bool tell = worth_telling (b->placer, &rough, now);
+  free_server_digest (&rough);
+  if (!tell)
+    return;
+  fill_server (v, now, d);
+  if (++b->count == SERVERS_PER_DATAGRAM)
+    flush (b);
+}
+
+bool
+placer_broadcast (struct placer *p)
+{
+  struct broadcast b = { .placer = p };
+  const uint64_t now = clock_ms ();
+
+  /* The more servers there are, the rarer they are compared. */
+  if (now
+      < p->scanned_ms + SCAN_GAP_MS + HASH_COUNT (p->told) / SERVERS_PER_MS)
+    return false;
+  p->changed = false;
+  p->scanned_ms = now;
+  fleet_each (p->fleet, add_server, &b);
+  if (b.count > 0 || now >= p->broadcast_ms + ALIVE_MS)
+    flush (&b);
+  return true;
+}
+
+/* ---- demand ---- */
+
+struct told_demand
+{
+  demand_digest *items;
+  u_int count;
+};
+
+static void
+add_demand (void *ctx, const struct demand_item *i)
+{
+  struct told_demand *t = ctx;
+
+  t->items = xrealloc (t->items, (t->count + 1) * sizeof *t->items);
+  t->items[t->count++] = (demand_digest){
+    .service = str_label (i->service),
+    .model = str_label (i->model),
+    .adapter = str_label (i->adapter),
+    .waiting = i->waiting,
+    .running = i->running,
+    .arrivals = i->arrivals,
+  };
+}
+
+void
+placer_tell_demand (struct placer *p)
+{
+  struct datagram d = { .kind = DATAGRAM_ENTRY };
+  entry_digest *e = &d.datagram_u.entry;
+  struct told_demand t = { 0 };
+  struct pool_load *loads = xcalloc (LOADS_MAX, sizeof *loads);
+  load_digest *told = xcalloc (LOADS_MAX, sizeof *told);
+  const size_t n = pool_loads (site_pool (p->site), loads, LOADS_MAX);
+
+  p->told_ms = clock_ms ();
+  for (size_t i = 0; i < n; i++)
+    told[i] = (load_digest){ .server = loads[i].server,
+                             .running = loads[i].running };
+  demand_take (site_demand (p->site), add_demand, &t);
+  e->node = str_label (edge_settings ()->node_name);
+  e->instance = kernel_instance (p->kernel);
+  e->sequence = ++p->sequence;
+  e->store_reachable = p->store_reachable;
+  e->demand.demand_val = t.items;
+  e->demand.demand_len = t.count;
+  e->loads.loads_val = told;
+  e->loads.loads_len = (u_int)n;
+  if (p->holding)
+    placer_hear_entry (p, e);
+  else if (p->holder_addr.len > 0)
+    peers_send (p->peers, p->holder_addr, &d);
+  free (t.items);
+  free (told);
+  free (loads);
+}
--- a/src/edge/plan.c
+++ b/src/edge/plan.c
@@ -23,6 +23,9 @@
 #define UNLOAD_RUNNING_MS 100
 /* An unload waits for calls that run; it is asked about after this time. */
 #define UNLOAD_MS 50
+/* Models for which a step is looked for in one plan; the others can wait for
+   the next one. */
+#define WANTS_TRIED 24
 /* Loads from the weight store at once. More only make each of them slower. */
 #define COLD_AT_ONCE 4
 
@@ -194,6 +197,25 @@
   return w;
 }
 
+/* What all models of a service want, in the order of its configuration. */
+struct wants
+{
+  const struct engine_spec *engine;
+  struct want *items;
+};
+
+static struct wants
+wants_create (const struct fleet *f, struct str service,
+              const struct engine_spec *e, uint64_t now)
+{
+  struct wants all = { .engine = e };
+
+  all.items = xcalloc (e->model_count + 1, sizeof *all.items);
+  for (size_t i = 0; i < e->model_count; i++)
+    all.items[i] = want_of (f, service, e, &e->models[i], now);
+  return all;
+}
+
 /* ---- room on a server ---- */
 
 static double
@@ -239,16 +261,16 @@
    it must stay. */
 static double
 removal_cost (const struct fleet *f, const struct fleet_server *s,
-              const struct engine_spec *e, const struct replica *r,
+              const struct wants *all, const struct replica *r,
               const struct want *for_whom, uint64_t now)
 {
-  const struct model_spec *m = engine_model (e, r->model);
+  const struct model_spec *m = engine_model (all->engine, r->model);
   uint32_t running_cost;
   struct want w;
 
   if (!m)
     return 10;
-  w = want_of (f, s->service, e, m, now);
+  w = all->items[m - all->engine->models];
   if (w.target == 0 && w.ready > 1)
     return 20;
   running_cost = w.wish && w.ready > 0
@@ -266,7 +288,7 @@
 /* The cheapest replica to remove, or NULL. */
 static const struct replica *
 cheapest (const struct fleet *f, const struct fleet_server *s,
-          const struct engine_spec *e, const struct want *w, uint64_t now,
+          const struct wants *all, const struct want *w, uint64_t now,
           double *cost)
 {
   const struct replica *best = NULL;
@@ -276,7 +298,7 @@
     {
       const struct replica *r = &s->replicas[i];
       const double c = r->state == REPLICA_READY
-                           ? removal_cost (f, s, e, r, w, now)
+                           ? removal_cost (f, s, all, r, w, now)
                            : INFINITY;
 
       if (c < *cost)
@@ -358,10 +380,9 @@
 };
 
 static bool
-step_on (struct fleet *f, struct fleet_server *s, const struct want *w,
-         uint64_t now, struct step *out)
+step_on (struct fleet *f, struct fleet_server *s, const struct wants *all,
+         const struct want *w, uint64_t now, struct step *out)
 {
-  const struct engine_spec *e = fleet_engine (f, s);
   double removal = 0;
 
   if (!fleet_usable (s) || !s->known || now < s->avoid_until_ms
@@ -372,11 +393,11 @@
   out->takes_ms = load_ms (s, w->spec, &out->cold);
   if (out->cold && !cold_allowed (f, s, now))
     return false;
-  if (free_mb (s, e) < w->spec->weights_mb)
+  if (free_mb (s, all->engine) < w->spec->weights_mb)
     {
       if (w->need == NEED_SPARE_ROOM)
         return false;
-      out->remove = cheapest (f, s, e, w, now, &removal);
+      out->remove = cheapest (f, s, all, w, now, &removal);
       if (!out->remove)
         return false;
     }
@@ -388,14 +409,14 @@
 }
 
 static bool
-best_step (struct fleet *f, const struct want *w, uint64_t now,
-           struct step *out)
+best_step (struct fleet *f, const struct wants *all, const struct want *w,
+           uint64_t now, struct step *out)
 {
   bool found = false;
   struct step step;
 
   for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    if (str_eq (s->service, w->service) && step_on (f, s, w, now, &step)
+    if (str_eq (s->service, w->service) && step_on (f, s, all, w, now, &step)
         && (!found || step.cost_ms < out->cost_ms))
       {
         *out = step;
@@ -439,8 +460,10 @@
   const struct engine_spec *e = fleet_engine (f, s);
   const struct model_spec *m = e ? engine_model (e, s->reserved_model) : NULL;
   const uint64_t until_ms = s->reserved_until_ms;
+  struct wants all;
   struct want w;
   struct step step;
+  bool found;
 
   /* The reservation itself must not count as a replica. */
   s->reserved_until_ms = 0;
@@ -449,13 +472,14 @@
   w = want_of (f, s->service, e, m, now);
   if (w.need == NEED_NONE || w.need == NEED_SPARE_ROOM)
     return false;
-  if (step_on (f, s, &w, now, &step))
-    {
-      to_planned (&step, &w, now, out);
-      return true;
-    }
-  s->reserved_until_ms = until_ms;
-  return false;
+  all = wants_create (f, s->service, e, now);
+  found = step_on (f, s, &all, &w, now, &step);
+  if (found)
+    to_planned (&step, &w, now, out);
+  else
+    s->reserved_until_ms = until_ms;
+  free (all.items);
+  return found;
 }
 
 /* Room that was reserved is used before anything else is decided. */
@@ -474,8 +498,8 @@
 static int
 by_urgency (const void *a, const void *b)
 {
-  const struct want *x = a;
-  const struct want *y = b;
+  const struct want *x = *(const struct want *const *)a;
+  const struct want *y = *(const struct want *const *)b;
 
   if (x->need != y->need)
     return x->need > y->need ? -1 : 1;
@@ -486,30 +510,33 @@
   return 0;
 }
 
+/* The most urgent step of a service that can be taken now. */
 static bool
 plan_service (struct fleet *f, const struct service *service, uint64_t now,
               struct planned *out)
 {
   const struct engine_spec *e = service->engine;
-  struct want *wants = xcalloc (e->model_count + 1, sizeof *wants);
+  struct wants all = wants_create (f, service->name, e, now);
+  const struct want **order = xcalloc (e->model_count + 1, sizeof *order);
+  size_t count = 0;
   bool found = false;
   struct step step;
 
   for (size_t i = 0; i < e->model_count; i++)
-    wants[i] = want_of (f, service->name, e, &e->models[i], now);
-  qsort (wants, e->model_count, sizeof *wants, by_urgency);
-  for (size_t i = 0; i < e->model_count && !found; i++)
+    if (all.items[i].need != NEED_NONE)
+      order[count++] = &all.items[i];
+  qsort (order, count, sizeof *order, by_urgency);
+  for (size_t i = 0; i < count && i < WANTS_TRIED && !found; i++)
     {
-      if (wants[i].need == NEED_NONE)
-        break;
       /* A server that is busy now, but has the weights at hand, may be worth
          the wait. */
-      found
-          = best_step (f, &wants[i], now, &step) && is_idle (step.server, now);
+      found = best_step (f, &all, order[i], now, &step)
+              && is_idle (step.server, now);
       if (found)
-        to_planned (&step, &wants[i], now, out);
+        to_planned (&step, order[i], now, out);
     }
-  free (wants);
+  free (order);
+  free (all.items);
   return found;
 }
 
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -473,12 +473,6 @@
   return s->address;
 }
 
-struct str
-pool_server_domain (const struct pool_server *s)
-{
-  return s->domain;
-}
-
 size_t
 pool_loads (struct pool *p, struct pool_load *out, size_t max)
 {
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -116,7 +116,6 @@
 
 struct str pool_server_id (const struct pool_server *server);
 struct str pool_server_address (const struct pool_server *server);
-struct str pool_server_domain (const struct pool_server *server);
 bool pool_server_usable (const struct pool_server *server, uint64_t now_ms);
 
 /** struct pool_load - calls of this node at one server. */
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -369,6 +369,14 @@
       snprintf (id, sizeof id, "id-6-%zu", i);
       check_served (nodes[i % 2], id, asked[i]);
     }
+  /* A model that nobody has is refused as not run while the client still
+     waits, with a time to come back. */
+  struct cluster_reply none
+      = edges_call (nodes[1], "POST", "/stream/x", "id-6-9", "m9", "p");
+  CU_ASSERT_EQUAL (none.status, 503);
+  CU_ASSERT_TRUE (cluster_header (&none, "retry-after").len > 0);
+  CU_ASSERT_EQUAL (edges_runs (server, "id-6-9"), 0);
+  cluster_reply_free (&none);
   CU_ASSERT_EQUAL (count_of (server, "violations"), 0);
   const json_int_t fence = last_fence (server);
   CU_ASSERT_TRUE (fence > 0);
