--- a/src/edge/demand.c
+++ b/src/edge/demand.c
@@ -92,6 +92,5 @@
     fn (ctx, i);
     n->told = active;
     i->arrivals = 0;
-    i->priority = PRIORITY_NONE;
   }
 }
