--- a/src/httpd.c
+++ b/src/httpd.c
@@ -18,6 +18,7 @@
   h2o_accept_ctx_t accept;
   uv_tcp_t listener;
   bool listening;
+  bool closed;
   httpd_request_fn fn;
   void *ctx;
 };
@@ -118,7 +119,8 @@
 httpd_limits (struct httpd *d, const struct httpd_options *options)
 {
   d->config.max_request_entity_size = options->body_limit_bytes;
-  if (options->idle_ms > 0)
+  /* Once the server is closed, idle connections end at once. */
+  if (options->idle_ms > 0 && !d->closed)
     d->context.http1.req_timeout.timeout = options->idle_ms;
 }
 
@@ -146,6 +148,7 @@
   if (!d->listening)
     return;
   d->listening = false;
+  d->closed = true;
   uv_close ((uv_handle_t *)&d->listener, NULL);
   h2o_context_request_shutdown (&d->context);
   close_idle (d);
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <unistd.h>
@@ -451,6 +452,90 @@
   edges_destroy (&edges);
 }
 
+static size_t
+ignore_body (char *data, size_t size, size_t n, void *ctx)
+{
+  (void)data;
+  (void)ctx;
+  return size * n;
+}
+
+static CURLcode
+call_on (CURL *curl, const struct cluster_proc *edge, const char *id)
+{
+  struct str line = str_printf ("X-Galenagate-Attempt-Id: %s", id);
+  struct str url = str_printf ("%s/whole/x", edge->url);
+  struct curl_slist *list = curl_slist_append (NULL, "Host: test.example");
+
+  list = curl_slist_append (list, "X-Galenagate-Model: m1");
+  list = curl_slist_append (list, line.data);
+  curl_easy_setopt (curl, CURLOPT_URL, url.data);
+  curl_easy_setopt (curl, CURLOPT_HTTPHEADER, list);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, ignore_body);
+  const CURLcode code = curl_easy_perform (curl);
+  curl_slist_free_all (list);
+  str_free (&url);
+  str_free (&line);
+  return code;
+}
+
+struct kept_call
+{
+  CURL *curl;
+  const struct cluster_proc *edge;
+  CURLcode code;
+};
+
+static void *
+run_kept_call (void *ctx)
+{
+  struct kept_call *k = ctx;
+
+  k->code = call_on (k->curl, k->edge, "id-20");
+  return NULL;
+}
+
+/* Guards against calls that are taken late on a kept connection that was in
+   use when the idle ones were closed, also after a change of the limits. */
+static void
+test_stop_kept_connection (void)
+{
+  struct kept_call kept = { .curl = curl_easy_init () };
+  pthread_t thread;
+
+  edges = edges_create ();
+  struct cluster_proc *server = cluster_server (
+      edges.cluster, "lm", "a",
+      CLUSTER_FLAGS ("--models", "m1", "--event-gap-ms", "450"));
+  edges_register (&edges, server, "ready",
+                  "[{\"name\":\"m1\",\"version\":1,\"adapters\":[]}]");
+  edges_configure (&edges, 6000);
+  struct cluster_proc *edge = cluster_edge (edges.cluster, "a", NULL);
+  CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
+
+  kept.edge = edge;
+  pthread_create (&thread, NULL, run_kept_call, &kept);
+  usleep (300000);
+  cluster_signal (edge, SIGTERM);
+  /* Keeps the node running when the first stream has ended. */
+  usleep (1500000);
+  struct cluster_call *other
+      = edges_begin (edge, "POST", "/whole/x", "id-22", "m1", "b");
+  usleep (1500000);
+  edges_configure (&edges, 6001);
+  pthread_join (thread, NULL);
+  CU_ASSERT_EQUAL (kept.code, CURLE_OK);
+  usleep (100000);
+  CU_ASSERT_NOT_EQUAL (call_on (kept.curl, edge, "id-21"), CURLE_OK);
+  CU_ASSERT_EQUAL (edges_runs (server, "id-21"), 0);
+  struct cluster_reply last = cluster_end (other);
+  CU_ASSERT (str_eq (buf_str (&last.body), whole_stream ()));
+  cluster_reply_free (&last);
+  CU_ASSERT_EQUAL (cluster_wait_exit (edge, WAIT_MS), 0);
+  curl_easy_cleanup (kept.curl);
+  edges_destroy (&edges);
+}
+
 /* Guards against calls that fail, or servers that are forgotten, because the
    store is away. */
 static void
@@ -481,6 +566,7 @@
   { "placement", test_placement },
   { "client leaves", test_client_leaves },
   { "stop", test_stop },
+  { "stop, kept connection", test_stop_kept_connection },
   { "store away", test_store_away },
 };
 TEST_SUITE ("edge", cases)
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -12,7 +12,6 @@
    exceed its memory. --fault makes all its answers bad in one way. */
 
 #define EVENTS 8
-#define EVENT_GAP_MS 20
 #define ADAPTER_LOAD_MS 6
 #define MODELS_MAX 32
 #define SEAL "s.1"
@@ -27,6 +26,7 @@
   uint32_t most_adapters;
   uint32_t load_ms;
   uint32_t delay_ms;
+  uint32_t event_gap_ms;
 };
 
 #define FIELD(f) .offset = offsetof (struct options, f)
@@ -49,6 +49,8 @@
     0, 60000 },
   { "delay-ms", "MS", "time that a call takes", SETTING_U32, FIELD (delay_ms),
     "0", 0, 60000 },
+  { "event-gap-ms", "MS", "pause between the events of a stream", SETTING_U32,
+    FIELD (event_gap_ms), "20", 1, 60000 },
 };
 
 static struct options options;
@@ -315,7 +317,7 @@
       free (a); /* the connection stays open */
       return;
     }
-  standin_after (EVENT_GAP_MS, next_event, a);
+  standin_after (options.event_gap_ms, next_event, a);
 }
 
 static void
