Share the key of demand and the copy of name lists

demand.c and fleet_demand.c built the same key three times, and pool.c and fleet.c each copied lists of names. Fields and includes that nothing used are gone.

--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -2,10 +2,6 @@
 
 #include <stdio.h>
 
-#include "clock.h"
-#include "log.h"
-
-#define LOG_MODULE "call"
 #define ANSWER_FIELDS_MAX 64
 /* When to come back if nothing better is known: servers and routes come back
    after about this time. */
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -5,7 +5,6 @@
 
 #include "clock.h"
 #include "log.h"
-#include "metrics.h"
 
 #define LOG_MODULE "call"
 /* A server that turned a call away does not get it again before this time. */
--- a/src/edge/demand.c
+++ b/src/edge/demand.c
@@ -48,13 +48,18 @@
   free (d);
 }
 
+struct str
+demand_key (struct str service, struct str model, struct str adapter)
+{
+  return str_printf (STR_FMT "\n" STR_FMT "\n" STR_FMT, STR_ARG (service),
+                     STR_ARG (model), STR_ARG (adapter));
+}
+
 struct demand_item *
 demand_find (struct demand *d, struct str service, struct str model,
              struct str adapter)
 {
-  struct str key
-      = str_printf (STR_FMT "\n" STR_FMT "\n" STR_FMT, STR_ARG (service),
-                    STR_ARG (model), STR_ARG (adapter));
+  struct str key = demand_key (service, model, adapter);
   struct node *n;
 
   HASH_FIND (hh, d->nodes, key.data, key.len, n);
--- a/src/edge/demand.h
+++ b/src/edge/demand.h
@@ -27,6 +27,9 @@
 
 struct demand *demand_create (void);
 void demand_destroy (struct demand *demand);
+/** demand_key() - one string for the three names; free with str_free(). */
+struct str demand_key (struct str service, struct str model,
+                       struct str adapter);
 /** demand_find() - the item of a key; made at first use. Valid until it is
  * taken without calls. */
 struct demand_item *demand_find (struct demand *demand, struct str service,
--- a/src/edge/fleet.c
+++ b/src/edge/fleet.c
@@ -182,25 +182,14 @@
   return s->listed && !s->leaving;
 }
 
-static struct name_list
-copy_list (const struct name_list *from)
-{
-  struct name_list to
-      = { .names = xcalloc (from->count + 1, sizeof (struct str)) };
-
-  for (size_t i = 0; i < from->count; i++)
-    to.names[to.count++] = str_dup (from->names[i]);
-  return to;
-}
-
 void
 fleet_take_at_hand (struct fleet_server *s, const struct name_list *memory,
                     const struct name_list *disk)
 {
   name_list_free (&s->in_memory);
   name_list_free (&s->on_disk);
-  s->in_memory = copy_list (memory);
-  s->on_disk = copy_list (disk);
+  s->in_memory = name_list_copy (memory->names, memory->count);
+  s->on_disk = name_list_copy (disk->names, disk->count);
 }
 
 void
--- a/src/edge/fleet_demand.c
+++ b/src/edge/fleet_demand.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <stdlib.h>
 
+#include "edge/demand.h"
 #include "err.h"
 
 /* Time constant of the rates of calls. */
@@ -18,9 +19,7 @@
 fleet_wish_find (const struct fleet *f, struct str service, struct str model,
                  struct str adapter)
 {
-  struct str key
-      = str_printf (STR_FMT "\n" STR_FMT "\n" STR_FMT, STR_ARG (service),
-                    STR_ARG (model), STR_ARG (adapter));
+  struct str key = demand_key (service, model, adapter);
   struct wish *w;
 
   HASH_FIND (hh, f->wishes, key.data, key.len, w);
@@ -37,9 +36,7 @@
   if (w)
     return w;
   w = xcalloc (1, sizeof *w);
-  w->key
-      = str_printf (STR_FMT "\n" STR_FMT "\n" STR_FMT, STR_ARG (from->service),
-                    STR_ARG (from->model), STR_ARG (from->adapter));
+  w->key = demand_key (from->service, from->model, from->adapter);
   w->service = str_dup (from->service);
   w->model = str_dup (from->model);
   w->adapter = str_dup (from->adapter);
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -3,12 +3,9 @@
 #include <errno.h>
 #include <stdlib.h>
 
-#include "clock.h"
-#include "log.h"
 #include "platform/callheaders.h"
 #include "sse.h"
 
-#define LOG_MODULE "forward"
 /* A server that does not take a connection in this time is dark or cut off. */
 #define CONNECT_MS 250
 /* Answers up to this size are held until they are whole, so that one that
--- a/src/edge/front.c
+++ b/src/edge/front.c
@@ -9,7 +9,6 @@
 #include "log.h"
 #include "metrics.h"
 
-#define LOG_MODULE "front"
 #define BODY_LIMIT_DEFAULT (4 * 1024 * 1024)
 #define DRAIN_CHECK_MS 50
 /* The platform's balancer sends new connections until it has missed two
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -57,7 +57,6 @@
   uint32_t told;    /* of these, as last told to the holder */
   uint32_t failures;
   uint64_t avoid_until_ms;
-  struct pool *pool;
   UT_hash_handle hh;
 };
 
@@ -83,16 +82,6 @@
   s->model_count = 0;
 }
 
-static struct name_list
-copy_names (const struct str *names, size_t count)
-{
-  struct name_list l = { .names = xcalloc (count + 1, sizeof (struct str)) };
-
-  for (size_t i = 0; i < count; i++)
-    l.names[l.count++] = str_dup (names[i]);
-  return l;
-}
-
 static void
 models_from_entry (struct pool_server *s, const struct server_entry *e)
 {
@@ -103,7 +92,7 @@
       .model = str_dup (e->models[i].name),
       .state = HELD_READY,
       .adapters
-      = copy_names (e->models[i].adapters, e->models[i].adapter_count),
+      = name_list_copy (e->models[i].adapters, e->models[i].adapter_count),
     };
 }
 
@@ -119,7 +108,7 @@
       .state = v->holdings[i].state,
       .ready_ms = now_ms + v->holdings[i].ready_in_ms,
       .adapters
-      = copy_names (v->holdings[i].adapters, v->holdings[i].adapter_count),
+      = name_list_copy (v->holdings[i].adapters, v->holdings[i].adapter_count),
     };
 }
 
@@ -176,7 +165,6 @@
 
   s->id = str_dup (id);
   s->hash = str_hash (id, 0);
-  s->pool = p;
   HASH_ADD_KEYPTR (hh, p->servers, s->id.data, s->id.len, s);
   return s;
 }
--- a/src/edge/topology.c
+++ b/src/edge/topology.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "err.h"
+
 /* ---- routing ---- */
 
 static void
@@ -128,6 +130,16 @@
   *l = (struct name_list){ 0 };
 }
 
+struct name_list
+name_list_copy (const struct str *names, size_t count)
+{
+  struct name_list l = { .names = xcalloc (count + 1, sizeof (struct str)) };
+
+  for (size_t i = 0; i < count; i++)
+    l.names[l.count++] = str_dup (names[i]);
+  return l;
+}
+
 bool
 name_list_has (const struct name_list *l, struct str name)
 {
--- a/src/edge/topology.h
+++ b/src/edge/topology.h
@@ -201,4 +201,6 @@
 void server_report_free (struct server_report *report);
 void held_models_free (struct held_model *models, size_t count);
 void name_list_free (struct name_list *list);
+/** name_list_copy() - heap copy of names; free with name_list_free(). */
+struct name_list name_list_copy (const struct str *names, size_t count);
 bool name_list_has (const struct name_list *list, struct str name);
