Treat servers that take no connection as down; keep silent streams

Calls now wait for a replica; nodes tell the placement holder which servers they cannot reach, and the holder places the models elsewhere when the server gives no report either, instead of after three missed heartbeats.

A silent server is now given up only when another one and the retry budget allow to go on.

A model may fill half of a batch before it gets another replica (a quarter before), since replicas of busy models took the room of others. Orders log what decided them, calls the longest pause between events.

--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -112,7 +112,7 @@
   if (c->answer_begun)
     caller_end (c->caller, false);
   else
-    send_reason (c, c->sent_before ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
+    send_reason (c, c->counted ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
                  "client-left");
   call_close (c, CALL_LEFT, 0, "client-left");
 }
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -99,7 +99,9 @@
   uint64_t deadline_end_ms; /* when the client stops waiting */
   uint32_t runs;
   uint32_t bounces;
-  bool sent_before;
+  bool counted;     /* as a first call to the service */
+  bool arrived;     /* an attempt before may have reached a server */
+  bool from_budget; /* the attempt under way is one of the retry budget */
   bool waiting;
   enum pool_verdict verdict; /* why it waits */
   bool answer_begun;
@@ -111,6 +113,8 @@
   uint64_t avoid_until_ms;
   uint64_t sent_ms;
   uint64_t first_ms; /* when the answer began */
+  uint64_t part_ms;  /* when the newest event came */
+  uint64_t gap_ms;   /* longest pause between two events */
   struct demand_item *demand_model;
   struct demand_item *demand_adapter;
 };
@@ -154,7 +158,11 @@
 /** call_close() - log, count and free. */
 void call_close (struct call *call, enum call_end end, int status,
                  const char *reason);
-/** call_retry_budget() - may the call be sent once more. */
-bool call_retry_budget (struct call *call);
+/** call_retry_take() - may the call be sent once more. */
+bool call_retry_take (struct call *call);
+/** call_retry_left() - would call_retry_take() allow it. */
+bool call_retry_left (struct call *call);
+/** call_retry_give_back() - what was taken reached no server. */
+void call_retry_give_back (struct call *call);
 /** call_count_first() - the call is sent for the first time. */
 void call_count_first (struct call *call);
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -91,12 +91,23 @@
     call_begin_answer (c, answer, status);
 }
 
+static void
+note_gap (struct call *c)
+{
+  const uint64_t now = clock_ms ();
+
+  if (c->part_ms > 0 && now - c->part_ms > c->gap_ms)
+    c->gap_ms = now - c->part_ms;
+  c->part_ms = now;
+}
+
 static void
 on_part (void *ctx, struct str part, uint64_t last_event)
 {
   struct call *c = ctx;
 
   c->last_event = last_event;
+  note_gap (c);
   if (caller_write (c->caller, part))
     return;
   call_abandon (c);
@@ -121,12 +132,27 @@
   c->server = NULL;
 }
 
+/* No connection: the server saw nothing of the call. */
+static void
+on_unreached (struct call *c)
+{
+  const uint64_t now = clock_ms ();
+
+  pool_unreached (c->server, now);
+  if (c->from_budget)
+    call_retry_give_back (c);
+  c->avoid = c->server;
+  c->avoid_until_ms = now + TURNED_AWAY_MS;
+  call_proceed (c);
+}
+
 /* The call certainly did not run at the server. */
 static void
 on_turned_away (struct call *c, const struct forward_result *r)
 {
   const uint64_t now = clock_ms ();
 
+  c->arrived = true;
   c->bounces++;
   switch (r->outcome)
     {
@@ -136,9 +162,6 @@
     case FORWARD_REPLACED:
       pool_replaced (c->server);
       break;
-    case FORWARD_NOT_SENT:
-      pool_failed (c->server, now);
-      break;
     default:
       break;
     }
@@ -155,6 +178,7 @@
 on_broken (struct call *c, const struct forward_result *r)
 {
   pool_failed (c->server, clock_ms ());
+  c->arrived = true;
   c->runs++;
   c->avoid = c->server;
   if (!repeatable (c) || !attempts_left (c)
@@ -200,14 +224,55 @@
     case FORWARD_BROKEN:
       on_broken (c, r);
       break;
+    case FORWARD_NOT_SENT:
+      on_unreached (c);
+      break;
     default:
       on_turned_away (c, r);
       break;
     }
 }
 
-static const struct forward_events forward_events
-    = { .begin = on_begin, .part = on_part, .done = on_done };
+static struct pool_need
+need_of (const struct call *c)
+{
+  const struct routing *routing = site_routing (c->calls->site);
+  const struct service *service
+      = routing ? routing_service (routing, c->service) : NULL;
+
+  return (struct pool_need){
+    .service = c->service,
+    .engine = service ? service->engine : NULL,
+    .model = c->meta.model,
+    .adapter = c->meta.adapter,
+    .domain = edge_settings ()->domain,
+    .avoid = c->avoid,
+  };
+}
+
+/* A silent server may still answer. It is given up only when the call can go
+   on elsewhere at once. */
+static bool
+on_silent (void *ctx)
+{
+  struct call *c = ctx;
+  struct pool_need need = need_of (c);
+  struct pool_server *other;
+
+  need.avoid = c->server;
+  return call_retry_left (c)
+         && pool_choose (site_pool (c->calls->site), &need, clock_ms (),
+                         &other)
+                == POOL_CHOSEN
+         && other != c->server;
+}
+
+static const struct forward_events forward_events = {
+  .silent = on_silent,
+  .begin = on_begin,
+  .part = on_part,
+  .done = on_done,
+};
 
 static struct str
 resume_point (struct call *c)
@@ -261,14 +326,17 @@
 
 /* ---- choice ---- */
 
-/* Counts the send. Returns false when the budget does not allow it. */
+/* Counts the send. An attempt that reached no server is none. Returns false
+   when the budget does not allow it. */
 static bool
 count_send (struct call *c)
 {
-  if (c->sent_before)
-    return call_retry_budget (c);
-  c->sent_before = true;
-  call_count_first (c);
+  c->from_budget = c->arrived;
+  if (c->arrived)
+    return call_retry_take (c);
+  if (!c->counted)
+    call_count_first (c);
+  c->counted = true;
   return true;
 }
 
@@ -310,17 +378,7 @@
 call_proceed (struct call *c)
 {
   struct calls *all = c->calls;
-  const struct routing *routing = site_routing (all->site);
-  const struct service *service
-      = routing ? routing_service (routing, c->service) : NULL;
-  const struct pool_need need = {
-    .service = c->service,
-    .engine = service ? service->engine : NULL,
-    .model = c->meta.model,
-    .adapter = c->meta.adapter,
-    .domain = edge_settings ()->domain,
-    .avoid = c->avoid,
-  };
+  const struct pool_need need = need_of (c);
   struct pool_server *server;
   enum pool_verdict verdict;
 
--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -93,12 +93,13 @@
       "id=" STR_FMT " route=" STR_FMT " service=" STR_FMT " model=" STR_FMT
       " adapter=" STR_FMT " server=" STR_FMT
       " end=%s status=%d reason=%s runs=%u bounces=%u wait_ms=%lu"
-      " first_ms=%lu total_ms=%lu config=%lu",
+      " first_ms=%lu gap_ms=%lu total_ms=%lu config=%lu",
       STR_ARG (c->meta.id), STR_ARG (c->route_name), STR_ARG (c->service),
       STR_ARG (c->meta.model), STR_ARG (c->meta.adapter), STR_ARG (server),
       end_names[end], status, reason, c->runs, c->bounces,
       (c->sent_ms > 0 ? c->sent_ms : now) - c->begun_ms,
-      c->first_ms > 0 ? c->first_ms - c->begun_ms : 0, now - c->begun_ms,
+      c->first_ms > 0 ? c->first_ms - c->begun_ms : 0, c->gap_ms,
+      now - c->begun_ms,
       site_routing (c->calls->site) ? site_routing (c->calls->site)->version
                                     : 0);
 }
@@ -172,14 +173,38 @@
   };
 }
 
+static uint32_t
+budget_nodes (const struct call *c)
+{
+  const uint32_t nodes = placer_nodes (placer_get (c->calls->kernel));
+
+  return nodes > 0 ? nodes : NODES_UNKNOWN;
+}
+
 bool
-call_retry_budget (struct call *c)
+call_retry_take (struct call *c)
 {
   const struct retries_limits limits = retry_limits ();
-  const uint32_t nodes = placer_nodes (placer_get (c->calls->kernel));
 
   return retries_take (retries_of (c->calls, c->service), &limits,
-                       nodes > 0 ? nodes : NODES_UNKNOWN, clock_ms ());
+                       budget_nodes (c), clock_ms ());
+}
+
+bool
+call_retry_left (struct call *c)
+{
+  const struct retries_limits limits = retry_limits ();
+
+  return retries_left (retries_of (c->calls, c->service), &limits,
+                       budget_nodes (c), clock_ms ());
+}
+
+void
+call_retry_give_back (struct call *c)
+{
+  const struct retries_limits limits = retry_limits ();
+
+  retries_give_back (retries_of (c->calls, c->service), &limits, clock_ms ());
 }
 
 void
--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -32,6 +32,7 @@
 struct load_digest {
 	u_quad_t server;
 	u_int running;
+	bool_t unreached;
 };
 typedef struct load_digest load_digest;
 
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -20,6 +20,7 @@
 {
   unsigned hyper server; /* hash of the server's id */
   unsigned int running;  /* calls of the node */
+  bool unreached;        /* takes no connection from the node */
 };
 
 struct entry_digest
--- a/src/edge/fleet.c
+++ b/src/edge/fleet.c
@@ -179,7 +179,7 @@
 bool
 fleet_usable (const struct fleet_server *s)
 {
-  return s->listed && !s->leaving;
+  return s->listed && !s->leaving && !s->down;
 }
 
 void
@@ -211,6 +211,8 @@
 {
   s->known = false;
   s->report_due_ms = 1;
+  s->suspected_ms = 0;
+  s->down = false;
   s->reserved_until_ms = 0;
   s->reserved_cold = false;
   fleet_clear_pending (s);
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -53,6 +53,9 @@
 /** fleet_node_load() - calls of the node at a server, by hash of its id. */
 void fleet_node_load (struct fleet *fleet, struct str node, uint64_t server,
                       uint32_t running);
+/** fleet_suspect() - a node cannot reach a server. The server is asked for a
+ * report; without one, it counts as down until it gives one. */
+void fleet_suspect (struct fleet *fleet, uint64_t server, uint64_t now_ms);
 /** fleet_nodes() - nodes that told something lately. */
 uint32_t fleet_nodes (const struct fleet *fleet, uint64_t now_ms);
 /** fleet_expire() - drop what nodes told that are silent. */
@@ -60,15 +63,37 @@
 
 /* ---- orders ---- */
 
+/**
+ * struct order_reason - what decided an order, for the log.
+ * @need: how much the model needs a replica; "adapter" for adapters.
+ * @weights: where a load takes the weights from.
+ * @for_model: the model that an unload makes room for.
+ * @waiting, @running, @rate: demand of that model, or of the one to load.
+ * @replicas, @target: how many it has and should have.
+ */
+struct order_reason
+{
+  const char *need;
+  const char *weights;
+  struct str for_model;
+  uint32_t waiting;
+  uint32_t running;
+  double rate;
+  uint32_t replicas;
+  uint32_t target;
+};
+
 /**
  * fleet_next_order() - the order that is due now.
  * @out: holder and fence are left empty; strings are valid until the next
  *   call that changes the fleet.
+ * @why: likewise.
  *
  * Returns the server that gets the order, or NULL. The order is taken as sent.
  */
 struct fleet_server *fleet_next_order (struct fleet *fleet, uint64_t now_ms,
-                                       struct order *out);
+                                       struct order *out,
+                                       struct order_reason *why);
 /** fleet_advance() - take loads as done whose time has passed. */
 void fleet_advance (struct fleet *fleet, uint64_t now_ms);
 /** fleet_order_done() - how an order ended. */
--- a/src/edge/fleet_impl.h
+++ b/src/edge/fleet_impl.h
@@ -35,6 +35,8 @@
 /**
  * struct fleet_server - a model server.
  * @known: holdings and order count were read from the server in this term.
+ * @suspected_ms: when a node last told that it cannot reach the server.
+ * @down: nor could the holder.
  * @reserved_model: for which room was made here, until @reserved_until_ms.
  */
 struct fleet_server
@@ -49,6 +51,8 @@
   bool leaving;
   bool known;
   bool reporting;
+  uint64_t suspected_ms;
+  bool down;
   uint64_t report_due_ms; /* 0: none is due */
   uint64_t reported_ms;
   uint64_t avoid_until_ms;
@@ -183,6 +187,7 @@
   struct str adapter;
   bool cold;
   uint32_t takes_ms;
+  struct order_reason reason;
 };
 
 /** plan_models() - the most useful load or unload of a model, if any. */
--- a/src/edge/fleet_orders.c
+++ b/src/edge/fleet_orders.c
@@ -16,11 +16,29 @@
 /* A report shows the server as it was up to this long before. */
 #define REPORT_LAG_MS 120
 
+/* A suspected server that gave a report is not asked again before this. */
+#define SUSPECT_AGAIN_MS 300
+/* How long a node's word that it cannot reach a server counts. */
+#define SUSPECT_FRESH_MS 1500
+
+void
+fleet_suspect (struct fleet *f, uint64_t server, uint64_t now)
+{
+  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
+    if (s->hash == server)
+      {
+        s->suspected_ms = now;
+        if (s->report_due_ms == 0 && now >= s->reported_ms + SUSPECT_AGAIN_MS)
+          s->report_due_ms = now;
+        return;
+      }
+}
+
 struct fleet_server *
 fleet_next_report (struct fleet *f, uint64_t now)
 {
   for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    if (fleet_usable (s) && fleet_engine (f, s) && !s->reporting
+    if (s->listed && !s->leaving && fleet_engine (f, s) && !s->reporting
         && s->report_due_ms > 0 && now >= s->report_due_ms)
       {
         s->reporting = true;
@@ -116,8 +134,10 @@
   if (!r)
     {
       s->report_due_ms = now + REPORT_RETRY_MS;
+      s->down = s->down || now < s->suspected_ms + SUSPECT_FRESH_MS;
       return;
     }
+  s->down = false;
   if (r->started_ms > 0 && s->started_ms > 0 && r->started_ms != s->started_ms)
     return; /* its entry will tell of the restart */
   switch (s->pending.state)
@@ -247,7 +267,8 @@
 }
 
 struct fleet_server *
-fleet_next_order (struct fleet *f, uint64_t now, struct order *out)
+fleet_next_order (struct fleet *f, uint64_t now, struct order *out,
+                  struct order_reason *why)
 {
   struct fleet_server *s = resend (f, now);
   struct planned p;
@@ -257,6 +278,7 @@
       s->pending.state = PENDING_SENT;
       s->pending.since_ms = now;
       fill_order (s, out);
+      *why = (struct order_reason){ .need = "no-answer", .weights = "-" };
       return s;
     }
   if (!plan_adapters (f, now, &p) && !plan_models (f, now, &p))
@@ -275,6 +297,7 @@
     cold_begin (f, s, now);
   note_begin (s, &p, now);
   fill_order (s, out);
+  *why = p.reason;
   return s;
 }
 
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -11,6 +11,8 @@
 /* Answers up to this size are held until they are whole, so that one that
    breaks off can be repeated or refused. */
 #define HELD_BYTES (256 * 1024)
+/* A silent server that nobody can replace is looked at again after this. */
+#define SILENCE_RECHECK_MS 100
 #define STATUS_OK 200
 
 struct forward
@@ -129,6 +131,11 @@
   struct forward *f = timer->data;
   struct http_call *call = f->call;
 
+  if (!f->events->silent (f->ctx))
+    {
+      uv_timer_start (timer, on_gap, SILENCE_RECHECK_MS, 0);
+      return;
+    }
   f->silent = true;
   finish (f, call, err_make (-ETIMEDOUT, "wait", f->server_id), true);
   http_cancel (call);
--- a/src/edge/forward.h
+++ b/src/edge/forward.h
@@ -70,6 +70,8 @@
 
 /**
  * struct forward_events - callbacks.
+ * @silent: nothing arrived within the bound. Returns whether to give up on the
+ *   server; otherwise it is asked again soon.
  * @begin: the answer will be passed on in parts. The head is read from @call.
  * @part: a part; for a stream whole events only, @last_event is the number of
  *   the last one.
@@ -77,6 +79,7 @@
  */
 struct forward_events
 {
+  bool (*silent) (void *ctx);
   void (*begin) (void *ctx, const struct http_call *call, int status);
   void (*part) (void *ctx, struct str part, uint64_t last_event);
   void (*done) (void *ctx, const struct forward_result *result,
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -123,7 +123,7 @@
 
 static void
 give_order (struct placer *p, const struct fleet_server *s,
-            struct order *order)
+            struct order *order, const struct order_reason *why)
 {
   struct order_ctx *o = xcalloc (1, sizeof *o);
 
@@ -134,13 +134,15 @@
   o->placer = p;
   o->server_id = str_dup (fleet_server_id (s));
   o->fence = p->fence;
-  LOG_INFO ("order",
-            "server=" STR_FMT " kind=%s model=" STR_FMT " adapter=" STR_FMT
-            " order_count=%lu fence=%lu",
-            STR_ARG (o->server_id),
-            order->kind == ORDER_LOAD ? "load" : "unload",
-            STR_ARG (order->model), STR_ARG (order->adapter),
-            order->order_count, order->fence);
+  LOG_INFO (
+      "order",
+      "server=" STR_FMT " kind=%s model=" STR_FMT " adapter=" STR_FMT
+      " need=%s weights=%s for=" STR_FMT " waiting=%u running=%u"
+      " rate=%.2f replicas=%u target=%u order_count=%lu fence=%lu",
+      STR_ARG (o->server_id), order->kind == ORDER_LOAD ? "load" : "unload",
+      STR_ARG (order->model), STR_ARG (order->adapter), why->need,
+      why->weights, STR_ARG (why->for_model), why->waiting, why->running,
+      why->rate, why->replicas, why->target, order->order_count, order->fence);
   order_send (p->http, order, on_order_done, o);
 }
 
@@ -175,6 +177,7 @@
 {
   struct fleet_server *s;
   struct order order;
+  struct order_reason why;
 
   if (!p->holding)
     return;
@@ -182,8 +185,8 @@
   while ((s = fleet_next_report (p->fleet, clock_ms ())))
     ask_report (p, s);
   while (placer_may_order (p)
-         && (s = fleet_next_order (p->fleet, clock_ms (), &order)))
-    give_order (p, s, &order);
+         && (s = fleet_next_order (p->fleet, clock_ms (), &order, &why)))
+    give_order (p, s, &order, &why);
   if (!placer_broadcast (p) && p->changed)
     act_soon (p);
 }
--- a/src/edge/placer_hear.c
+++ b/src/edge/placer_hear.c
@@ -88,6 +88,11 @@
       fleet_node_wish (p->fleet, node, &wish, now);
     }
   for (u_int i = 0; i < d->loads.loads_len; i++)
-    fleet_node_load (p->fleet, node, d->loads.loads_val[i].server,
-                     d->loads.loads_val[i].running);
+    {
+      const load_digest *l = &d->loads.loads_val[i];
+
+      fleet_node_load (p->fleet, node, l->server, l->running);
+      if (l->unreached)
+        fleet_suspect (p->fleet, l->server, now);
+    }
 }
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -233,7 +233,8 @@
   p->told_ms = clock_ms ();
   for (size_t i = 0; i < n; i++)
     told[i] = (load_digest){ .server = loads[i].server,
-                             .running = loads[i].running };
+                             .running = loads[i].running,
+                             .unreached = loads[i].unreached };
   demand_take (site_demand (p->site), add_demand, &t);
   e->node = str_label (edge_settings ()->node_name);
   e->instance = kernel_instance (p->kernel);
--- a/src/edge/plan.c
+++ b/src/edge/plan.c
@@ -9,7 +9,7 @@
 #define RATE_IN_USE 0.02
 /* Part of a server's batch that the calls of one model may fill before the
    model gets another replica; other models share the batch. */
-#define BATCH_SHARE 0.25
+#define BATCH_SHARE 0.5
 /* A model with more calls a second has two replicas at least, so that the
    death of a server does not stop it. */
 #define RATE_OF_TWO 4.0
@@ -39,6 +39,14 @@
   NEED_WAITED_FOR, /* calls wait, and there is none */
 };
 
+static const char *const need_names[] = {
+  [NEED_NONE] = "none",
+  [NEED_SPARE_ROOM] = "spare-room",
+  [NEED_MORE] = "more",
+  [NEED_FIRST] = "first",
+  [NEED_WAITED_FOR] = "waited-for",
+};
+
 /* A model of a service with its replicas and demand. */
 struct want
 {
@@ -425,6 +433,29 @@
   return found;
 }
 
+static const char *
+weights_of (const struct step *step, const struct model_spec *m)
+{
+  if (step->cold)
+    return "store";
+  return name_list_has (&step->server->in_memory, m->name) ? "memory" : "disk";
+}
+
+static struct order_reason
+reason_of (const struct step *step, const struct want *w)
+{
+  return (struct order_reason){
+    .need = need_names[w->need],
+    .weights = weights_of (step, w->spec),
+    .for_model = w->spec->name,
+    .waiting = w->wish ? w->wish->waiting : 0,
+    .running = w->wish ? w->wish->running : 0,
+    .rate = w->rate,
+    .replicas = w->have,
+    .target = w->target,
+  };
+}
+
 static void
 to_planned (const struct step *step, const struct want *w, uint64_t now,
             struct planned *out)
@@ -439,7 +470,8 @@
       *out = (struct planned){ .server = s,
                                .kind = ORDER_UNLOAD,
                                .model = step->remove->model,
-                               .takes_ms = UNLOAD_MS };
+                               .takes_ms = UNLOAD_MS,
+                               .reason = reason_of (step, w) };
       return;
     }
   s->reserved_until_ms = 0;
@@ -448,7 +480,8 @@
                            .kind = ORDER_LOAD,
                            .model = w->spec->name,
                            .cold = step->cold,
-                           .takes_ms = step->takes_ms };
+                           .takes_ms = step->takes_ms,
+                           .reason = reason_of (step, w) };
 }
 
 /* The step on a server with reserved room. Gives the room up when the model
--- a/src/edge/plan_adapters.c
+++ b/src/edge/plan_adapters.c
@@ -84,6 +84,21 @@
   return found;
 }
 
+static struct order_reason
+reason_of (const struct wish *w, uint32_t replicas, uint64_t now)
+{
+  return (struct order_reason){
+    .need = "adapter",
+    .weights = "-",
+    .for_model = w->model,
+    .waiting = w->waiting,
+    .running = w->running,
+    .rate = fleet_rate (w, now),
+    .replicas = replicas,
+    .target = replicas + 1,
+  };
+}
+
 /* Loads the adapter beside a replica, or makes a place for it. */
 static bool
 plan_first (struct fleet *f, const struct wish *w, uint64_t now,
@@ -115,7 +130,8 @@
           *out = (struct planned){ .server = s,
                                    .kind = ORDER_UNLOAD,
                                    .model = model,
-                                   .adapter = adapter };
+                                   .adapter = adapter,
+                                   .reason = reason_of (w, 0, now) };
         }
     }
   if (!room)
@@ -123,7 +139,8 @@
   *out = (struct planned){ .server = room,
                            .kind = ORDER_LOAD,
                            .model = w->model,
-                           .adapter = w->adapter };
+                           .adapter = w->adapter,
+                           .reason = reason_of (w, 0, now) };
   return true;
 }
 
@@ -143,7 +160,8 @@
       *out = (struct planned){ .server = s,
                                .kind = ORDER_LOAD,
                                .model = w->model,
-                               .adapter = w->adapter };
+                               .adapter = w->adapter,
+                               .reason = reason_of (w, copies (f, w), now) };
       return true;
     }
   return false;
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -15,6 +15,9 @@
    further failure. */
 #define AVOID_MIN_MS 300
 #define AVOID_MAX_MS 5000
+/* A server that took no connection is tried again after this time. A try costs
+   the server nothing. */
+#define UNREACHED_MS 300
 /* Load at which a plain service's server is taken as full: calls for each of
    its places, since it keeps a short queue. */
 #define PLAIN_QUEUE 3
@@ -57,6 +60,7 @@
   uint32_t told;    /* of these, as last told to the holder */
   uint32_t failures;
   uint64_t avoid_until_ms;
+  bool unreached; /* it took no connection the last time */
   UT_hash_handle hh;
 };
 
@@ -182,6 +186,7 @@
   s->others = 0;
   s->failures = 0;
   s->avoid_until_ms = 0;
+  s->unreached = false;
 }
 
 struct pool *
@@ -309,14 +314,18 @@
 
 /* Can the server run the call, full or not? */
 static enum pool_verdict
-suits (const struct pool_server *s, const struct pool_need *need)
+suits (const struct pool_server *s, const struct pool_need *need,
+       uint64_t now_ms)
 {
   const struct placed_model *m;
 
   if (!need->engine)
     return POOL_CHOSEN;
   m = find_model (s, need->model);
-  if (!m || m->state != HELD_READY)
+  /* A server that is down holds nothing when it is back. Calls that wait tell
+     the placement holder to load the model elsewhere. */
+  if (!m || m->state != HELD_READY
+      || (s->unreached && now_ms < s->avoid_until_ms))
     return POOL_NO_MODEL;
   if (need->adapter.len > 0 && !name_list_has (&m->adapters, need->adapter))
     return POOL_NO_ADAPTER;
@@ -355,7 +364,7 @@
       if (!str_eq (s->service, need->service)
           || !pool_server_usable (s, now_ms))
         continue;
-      enum pool_verdict v = suits (s, need);
+      enum pool_verdict v = suits (s, need, now_ms);
       if (v == POOL_CHOSEN && is_full (s, need))
         v = POOL_FULL;
       if (v != POOL_CHOSEN)
@@ -411,13 +420,22 @@
   for (uint32_t i = 0; i < s->failures && wait_ms < AVOID_MAX_MS; i++)
     wait_ms *= 2;
   s->failures++;
+  s->unreached = false;
   s->avoid_until_ms
       = now_ms + (wait_ms < AVOID_MAX_MS ? wait_ms : AVOID_MAX_MS);
 }
 
+void
+pool_unreached (struct pool_server *s, uint64_t now_ms)
+{
+  s->unreached = true;
+  s->avoid_until_ms = now_ms + UNREACHED_MS;
+}
+
 void
 pool_served (struct pool_server *s)
 {
+  s->unreached = false;
   s->failures = 0;
   s->avoid_until_ms = 0;
 }
@@ -469,9 +487,10 @@
   for (struct pool_server *s = p->servers; s && n < max; s = s->hh.next)
     {
       s->told = s->running;
-      if (s->running > 0)
-        out[n++]
-            = (struct pool_load){ .server = s->hash, .running = s->running };
+      if (s->running > 0 || s->unreached)
+        out[n++] = (struct pool_load){ .server = s->hash,
+                                       .running = s->running,
+                                       .unreached = s->unreached };
     }
   return n;
 }
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -106,6 +106,8 @@
 void pool_end (struct pool_server *server);
 /** pool_failed() - a call met a server that did not answer or broke off. */
 void pool_failed (struct pool_server *server, uint64_t now_ms);
+/** pool_unreached() - the server took no connection. */
+void pool_unreached (struct pool_server *server, uint64_t now_ms);
 /** pool_served() - a call was answered as it should be. */
 void pool_served (struct pool_server *server);
 /** pool_misplaced() - the server does not hold the model or adapter. */
@@ -118,11 +120,17 @@
 struct str pool_server_address (const struct pool_server *server);
 bool pool_server_usable (const struct pool_server *server, uint64_t now_ms);
 
-/** struct pool_load - calls of this node at one server. */
+/**
+ * struct pool_load - what this node knows of one server by its calls.
+ * @server: str_hash() of its id.
+ * @running: calls of this node.
+ * @unreached: it takes no connection from this node.
+ */
 struct pool_load
 {
-  uint64_t server; /* str_hash() of its id */
+  uint64_t server;
   uint32_t running;
+  bool unreached;
 };
 /** pool_loads() - servers with calls of this node, to be told to the holder.
  * Returns their number. */
--- a/src/edge/retries.c
+++ b/src/edge/retries.c
@@ -42,14 +42,34 @@
 }
 
 bool
-retries_take (struct retries *r, const struct retries_limits *l,
+retries_left (struct retries *r, const struct retries_limits *l,
               uint32_t nodes, uint64_t now_ms)
 {
   advance (r, l, now_ms);
   const double allowed
       = l->ratio * sum (r->first) + l->slack / (nodes > 0 ? nodes : 1);
 
-  if (sum (r->repeated) + 1 > allowed * USED_SHARE)
+  return sum (r->repeated) + 1 <= allowed * USED_SHARE;
+}
+
+void
+retries_give_back (struct retries *r, const struct retries_limits *l,
+                   uint64_t now_ms)
+{
+  advance (r, l, now_ms);
+  for (uint64_t i = r->bucket; i + RETRIES_BUCKETS > r->bucket; i--)
+    if (r->repeated[i % RETRIES_BUCKETS] > 0)
+      {
+        r->repeated[i % RETRIES_BUCKETS]--;
+        return;
+      }
+}
+
+bool
+retries_take (struct retries *r, const struct retries_limits *l,
+              uint32_t nodes, uint64_t now_ms)
+{
+  if (!retries_left (r, l, nodes, now_ms))
     return false;
   r->repeated[r->bucket % RETRIES_BUCKETS]++;
   return true;
--- a/src/edge/retries.h
+++ b/src/edge/retries.h
@@ -40,3 +40,10 @@
  */
 bool retries_take (struct retries *r, const struct retries_limits *limits,
                    uint32_t nodes, uint64_t now_ms);
+/** retries_left() - would retries_take() allow it. */
+bool retries_left (struct retries *r, const struct retries_limits *limits,
+                   uint32_t nodes, uint64_t now_ms);
+/** retries_give_back() - the call that retries_take() allowed reached no
+ * server. */
+void retries_give_back (struct retries *r, const struct retries_limits *limits,
+                        uint64_t now_ms);
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -185,6 +185,32 @@
     }
 }
 
+/* Guards against a stream that is cut because its server paused, while no
+   other server could have gone on with it. */
+static void
+test_pause (void)
+{
+  static const char *const flags[]
+      = { "--fault", "pause", "--models", "m1,m2", NULL };
+
+  edges = edges_create ();
+  struct cluster_proc *server
+      = cluster_server (edges.cluster, "lm", "a", flags);
+  edges_register (&edges, server, "ready",
+                  "[{\"name\":\"m1\",\"version\":1,\"adapters\":[]}]");
+  edges_configure (&edges, 5000);
+  struct cluster_proc *edge = cluster_edge (edges.cluster, "a", RETRY_FLAGS);
+  CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
+
+  struct cluster_reply r
+      = edges_call (edge, "POST", "/stream/x", "id-4", "m1", "prompt");
+  CU_ASSERT_EQUAL (r.error, CURLE_OK);
+  CU_ASSERT (str_eq (buf_str (&r.body), whole_stream ()));
+  CU_ASSERT_EQUAL (edges_runs (server, "id-4"), 1);
+  cluster_reply_free (&r);
+  edges_destroy (&edges);
+}
+
 /* A call and the status that is waited for. */
 struct expected
 {
@@ -561,6 +587,7 @@
   { "bytes", test_bytes },
   { "bad answers", test_bad_answers },
   { "streams", test_streams },
+  { "pause", test_pause },
   { "configuration", test_configuration },
   { "entries", test_entries },
   { "placement", test_placement },
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -29,6 +29,9 @@
   uint32_t event_gap_ms;
 };
 
+/* Longer than nodes wait for an event when they can go on elsewhere. */
+#define PAUSE_MS 1500
+
 #define FIELD(f) .offset = offsetof (struct options, f)
 
 static const struct setting settings[] = {
@@ -38,8 +41,8 @@
   { "models", "LIST", "models held at the start; - for none", SETTING_STRING,
     FIELD (models), "", 0, 0 },
   { "fault", "WORD",
-    "shed, close, cut, unsealed, crossed, unframed, error, cut-event or "
-    "silent",
+    "shed, close, cut, unsealed, crossed, unframed, error, cut-event, "
+    "silent or pause",
     SETTING_STRING, FIELD (fault), "", 0, 0 },
   { "most-models", "N", "models that fit", SETTING_U32, FIELD (most_models),
     "2", 1, MODELS_MAX },
@@ -317,7 +320,9 @@
       free (a); /* the connection stays open */
       return;
     }
-  standin_after (options.event_gap_ms, next_event, a);
+  standin_after (fault ("pause") && a->event == 4 ? PAUSE_MS
+                                                  : options.event_gap_ms,
+                 next_event, a);
 }
 
 static void
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -49,6 +49,7 @@
   bool loading;
   char busy_model[16];
   uint64_t busy_until_ms;
+  bool dark; /* answers nobody */
 };
 
 /* An order that is on its way to a server, or whose answer was lost. */
@@ -249,6 +250,11 @@
     .on_disk = { disk, (size_t)s->disk_count },
   };
 
+  if (s->dark)
+    {
+      fleet_report (m->fleet, str_from (s->id), NULL, m->now);
+      return;
+    }
   for (int j = 0; j < s->count; j++)
     {
       for (int k = 0; k < s->held[j].adapter_count; k++)
@@ -287,6 +293,11 @@
   snprintf (l.model, sizeof l.model, STR_FMT, STR_ARG (order->model));
   snprintf (l.adapter, sizeof l.adapter, STR_FMT, STR_ARG (order->adapter));
   l.order.fence = m->fence;
+  if (m->servers[i].dark)
+    {
+      fleet_order_done (m->fleet, id, ORDER_NOT_SENT, m->now);
+      return;
+    }
   if (draw (m, 100) >= m->faults)
     {
       fleet_order_done (m->fleet, id, carry_out (m, &m->servers[i], &l),
@@ -376,6 +387,7 @@
 {
   struct fleet_server *s;
   struct order order;
+  struct order_reason why;
 
   m->now += TICK_MS;
   for (int i = 0; i < SERVERS; i++)
@@ -384,7 +396,7 @@
   fleet_advance (m->fleet, m->now);
   while ((s = fleet_next_report (m->fleet, m->now)))
     tell_report (m, server_index (m, fleet_server_id (s)));
-  while ((s = fleet_next_order (m->fleet, m->now, &order)))
+  while ((s = fleet_next_order (m->fleet, m->now, &order, &why)))
     send_order (m, s, &order);
 }
 
@@ -530,8 +542,74 @@
   sim_destroy (&m);
 }
 
+/* The servers that hold the model and answer. */
+static int
+live_replicas (struct sim *m, const char *model)
+{
+  int n = 0;
+
+  for (int i = 0; i < SERVERS; i++)
+    if (!m->servers[i].dark && find_held (&m->servers[i], model))
+      n++;
+  return n;
+}
+
+/* Plays calls that wait for "m0" until a live server holds it. Returns the
+   time that took, and @max_ms when none did. */
+static uint64_t
+time_to_replica (struct sim *m, bool suspected, uint64_t max_ms)
+{
+  const struct fleet_wish waits
+      = { .service = STR ("lm"), .model = STR ("m0"), .waiting = 2 };
+  const uint64_t begun_ms = m->now;
+
+  while (live_replicas (m, "m0") == 0 && m->now < begun_ms + max_ms)
+    {
+      fleet_node_begin (m->fleet, STR ("node"), m->now);
+      fleet_node_wish (m->fleet, STR ("node"), &waits, m->now);
+      for (int i = 0; i < SERVERS && suspected; i++)
+        if (m->servers[i].dark)
+          fleet_suspect (m->fleet, str_hash (str_from (m->servers[i].id), 0),
+                         m->now);
+      tick (m);
+    }
+  return m->now - begun_ms;
+}
+
+/* Guards against calls that wait for a crashed server until its entry lapses,
+   three heartbeats later, instead of a replica elsewhere; and against a server
+   that counts as down on the word of a node that is itself cut off. */
+static void
+test_server_down (void)
+{
+  struct sim m = sim_create (3, 0);
+
+  CU_ASSERT_TRUE (time_to_replica (&m, false, 5000) < 2 * LOAD_MS);
+  fleet_suspect (m.fleet, str_hash (STR ("i-0"), 0), m.now);
+  for (int i = 0; i < SERVERS; i++)
+    m.servers[i].dark = find_held (&m.servers[i], "m0") != NULL;
+  CU_ASSERT_EQUAL (live_replicas (&m, "m0"), 0);
+  CU_ASSERT_TRUE (time_to_replica (&m, true, 5000) < 2 * LOAD_MS);
+  for (int i = 0; i < SERVERS; i++)
+    m.servers[i].dark = false;
+  for (int i = 0; i < 200; i++)
+    tick (&m);
+  fleet_suspect (m.fleet, str_hash (STR ("i-0"), 0), m.now);
+  const int held = live_replicas (&m, "m0");
+  for (int i = 0; i < 200; i++)
+    {
+      fleet_node_begin (m.fleet, STR ("node"), m.now);
+      wish (&m, "m0", "", 0);
+      tick (&m);
+    }
+  CU_ASSERT_TRUE (live_replicas (&m, "m0") <= held);
+  CU_ASSERT_EQUAL (m.violations, 0);
+  sim_destroy (&m);
+}
+
 static const struct suite_case cases[] = {
   { "limits", test_limits },
+  { "server down", test_server_down },
   { "served", test_served },
   { "busy model stays", test_busy_model_stays },
 };
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -191,9 +191,40 @@
   pool_destroy (p);
 }
 
+/* Guards against calls that go again and again to a server that is down, which
+   are refused after a few tries, while the model could be loaded elsewhere. */
+static void
+test_unreached (void)
+{
+  struct pool *p = pool_create ();
+  const struct pool_need need = { .service = STR ("s"),
+                                  .engine = &engine,
+                                  .model = STR ("m"),
+                                  .domain = STR ("a") };
+  struct pool_load loads[2];
+
+  add (p, "i-1", "a", 10);
+  hold (p, "i-1", "m", HELD_READY, NULL, 1, 10);
+  struct pool_server *s = choose (p, &need, 20, POOL_CHOSEN);
+  CU_ASSERT_EQUAL (pool_loads (p, loads, 2), 0);
+  pool_unreached (s, 20);
+  choose (p, &need, 21, POOL_NO_MODEL);
+  CU_ASSERT_EQUAL (pool_loads (p, loads, 2), 1);
+  CU_ASSERT_TRUE (loads[0].unreached);
+  CU_ASSERT_EQUAL (loads[0].running, 0);
+  choose (p, &plain, 21, POOL_CHOSEN);
+  /* It is tried again, since only this node's path may have been cut. */
+  CU_ASSERT_PTR_EQUAL (choose (p, &need, 1000, POOL_CHOSEN), s);
+  pool_unreached (s, 1000);
+  pool_served (s);
+  choose (p, &need, 1001, POOL_CHOSEN);
+  CU_ASSERT_EQUAL (pool_loads (p, loads, 2), 0);
+  pool_destroy (p);
+}
+
 static const struct suite_case cases[] = {
   { "leaving", test_leaving },       { "lapse", test_lapse },
   { "unreadable", test_unreadable }, { "preference", test_preference },
-  { "models", test_models },
+  { "models", test_models },         { "unreached", test_unreached },
 };
 TEST_SUITE ("pool", cases)
--- a/tests/test_retries.c
+++ b/tests/test_retries.c
@@ -59,6 +59,24 @@
   CU_ASSERT_EQUAL (take_all (&r, 1, 960000), 0);
 }
 
-static const struct suite_case cases[]
-    = { { "budget", test_budget }, { "window", test_window } };
+/* Guards against a budget that connections refused by dead servers use up:
+   466 of the repeats of one day reached no server, and 231 calls were refused
+   for the budget. */
+static void
+test_give_back (void)
+{
+  struct retries r = { 0 };
+  const uint32_t most = take_all (&r, 1, 100000);
+
+  CU_ASSERT_FALSE (retries_left (&r, &limits, 1, 104000));
+  retries_give_back (&r, &limits, 104000);
+  CU_ASSERT_TRUE (retries_left (&r, &limits, 1, 104000));
+  CU_ASSERT_EQUAL (take_all (&r, 1, 104000), 1);
+  retries_give_back (&r, &limits, 900000);
+  CU_ASSERT_EQUAL (take_all (&r, 1, 900000), most);
+}
+
+static const struct suite_case cases[] = { { "budget", test_budget },
+                                           { "window", test_window },
+                                           { "give back", test_give_back } };
 TEST_SUITE ("retries", cases)
