Let crowded models displace replicas that have no call

The logged pauses grow with the calls on a server: 1 % of the streams with fewer than 24 beside them, 29 % with 32, 65 % with 88. Three servers had 500 calls each, the others 74 to 160: a second replica of a busy model came only into free room.

A model whose calls fill 0.45 of a batch on each replica may now displace a replica without a call of a model asked for half as often.

--- a/src/edge/plan.c
+++ b/src/edge/plan.c
@@ -10,6 +10,9 @@
 /* Part of a server's batch that the calls of one model may fill before the
    model gets another replica; other models share the batch. */
 #define BATCH_SHARE 0.5
+/* Part of a batch at which one model's calls on each of its replicas slow each
+   other down so much that events come late. */
+#define CROWDED_SHARE 0.45
 /* A model with more calls a second has two replicas at least, so that the
    death of a server does not stop it. */
 #define RATE_OF_TWO 4.0
@@ -274,6 +277,18 @@
   return false;
 }
 
+/* May a replica that is in use, but has no call now, go for the other model? A
+   model that nobody waits for can wait for its first call. */
+static bool
+may_displace (const struct want *for_whom, const struct want *w,
+              const struct engine_spec *e)
+{
+  if (for_whom->need == NEED_WAITED_FOR)
+    return true;
+  return for_whom->need == NEED_MORE && w->rate * 2 < for_whom->rate
+         && for_whom->busy > for_whom->have * CROWDED_SHARE * e->batch;
+}
+
 /* With more models in use than fit, removing the newest replicas lets a few
    models take turns on the same place, and spares all others. */
 static double
@@ -305,8 +320,7 @@
                      : 0;
   if (w.ready > w.target)
     return 100 + running_cost;
-  /* A model that nobody waits for can wait for its first call. */
-  if (for_whom->need == NEED_WAITED_FOR && is_unused (w.wish, now))
+  if (may_displace (for_whom, &w, all->engine) && is_unused (w.wish, now))
     return 400 + 1000 * w.rate + age_cost (r, now)
            + (others_have_weights (f, s, m) ? 0 : 500);
   return INFINITY;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -767,7 +767,45 @@
   sim_destroy (&m);
 }
 
+/* Guards against a model whose calls crowd its only replica while others hold
+   places with few calls: the pattern of demand that moves to another model. */
+static void
+test_crowded (void)
+{
+  struct sim m = sim_create (13, 0);
+  char model[16];
+
+  take_away (&m, 0);
+  for (int i = 1; i < SERVERS; i++)
+    for (int j = 0; j < MODELS; j++)
+      snprintf (m.servers[i].on_disk[m.servers[i].disk_count++], 16, "m%d", j);
+  play_calls (&m, 5000);
+  for (int j = 0; j < 500; j++)
+    {
+      const struct fleet_wish busy = { .service = STR ("lm"),
+                                       .model = STR ("m0"),
+                                       .running = 16,
+                                       .arrivals = j % 5 == 0 };
+
+      fleet_node_begin (m.fleet, STR ("node"), m.now);
+      fleet_node_wish (m.fleet, STR ("node"), &busy, m.now);
+      for (int i = 1; i < MODELS; i++)
+        {
+          const struct fleet_wish rare = { .service = STR ("lm"),
+                                           .model = str_from (model),
+                                           .arrivals = j % 200 == 10 * i };
+
+          snprintf (model, sizeof model, "m%d", i);
+          fleet_node_wish (m.fleet, STR ("node"), &rare, m.now);
+        }
+      tick (&m);
+    }
+  CU_ASSERT_TRUE (live_replicas (&m, "m0") >= 2);
+  sim_destroy (&m);
+}
+
 static const struct suite_case cases[] = {
+  { "crowded", test_crowded },
   { "nobody waits", test_nobody_waits },
   { "more models than room", test_more_models_than_room },
   { "weights elsewhere", test_weights_elsewhere },
