Tell a new placement holder the demand so far, and wait for it

Nodes now tell a new holder all their models with rate and time of the last call, and a holder removes nothing for the first 600 ms of its term. Answers that an adapter was already unloaded are no longer logged as failed orders.

--- a/src/edge/demand.c
+++ b/src/edge/demand.c
@@ -1,17 +1,22 @@
 #include "edge/demand.h"
 
-#include <stdbool.h>
+#include <math.h>
 #include <stdlib.h>
 
 #include <uthash.h>
 
 #include "err.h"
 
+/* Rate at which an item without calls is forgotten. */
+#define RATE_FORGOTTEN 0.02
+
 struct node
 {
   struct demand_item item;
   struct str key; /* names joined by line feeds */
   bool told;      /* the last take had calls */
+  uint64_t taken_ms;
+  uint64_t used_ms;
   UT_hash_handle hh;
 };
 
@@ -77,8 +82,23 @@
   return &n->item;
 }
 
+static void
+bring_up_to_date (struct node *n, uint64_t now_ms)
+{
+  struct demand_item *i = &n->item;
+  const double passed_ms
+      = n->taken_ms > 0 ? (double)(now_ms - n->taken_ms) : 0;
+
+  i->rate = i->rate * exp (-passed_ms / DEMAND_RATE_MS)
+            + i->arrivals * 1000.0 / DEMAND_RATE_MS;
+  n->taken_ms = now_ms;
+  if (i->arrivals > 0)
+    n->used_ms = now_ms;
+  i->idle_ms = (uint32_t)(now_ms - n->used_ms);
+}
+
 void
-demand_take (struct demand *d,
+demand_take (struct demand *d, bool whole, uint64_t now_ms,
              void (*fn) (void *ctx, const struct demand_item *item), void *ctx)
 {
   struct node *n;
@@ -89,12 +109,14 @@
     struct demand_item *i = &n->item;
     const bool active = i->waiting > 0 || i->running > 0 || i->arrivals > 0;
 
-    if (!active && !n->told)
+    bring_up_to_date (n, now_ms);
+    if (!active && !n->told && i->rate < RATE_FORGOTTEN)
       {
         forget (d, n);
         continue;
       }
-    fn (ctx, i);
+    if (active || n->told || whole)
+      fn (ctx, i);
     n->told = active;
     i->arrivals = 0;
   }
--- a/src/edge/demand.h
+++ b/src/edge/demand.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "str.h"
@@ -14,6 +15,8 @@
  * @waiting: calls that wait now.
  * @running: calls at servers now.
  * @arrivals: calls since the last demand_take().
+ * @rate: calls a second, over about DEMAND_RATE_MS.
+ * @idle_ms: since the last call.
  */
 struct demand_item
 {
@@ -23,8 +26,13 @@
   uint32_t waiting;
   uint32_t running;
   uint32_t arrivals;
+  double rate;
+  uint32_t idle_ms;
 };
 
+/* Time constant of the rates of calls. */
+#define DEMAND_RATE_MS 8000.0
+
 struct demand *demand_create (void);
 void demand_destroy (struct demand *demand);
 /** demand_key() - one string for the three names; free with str_free(). */
@@ -36,8 +44,9 @@
                                  struct str model, struct str adapter);
 /**
  * demand_take() - items with calls, and those that had some the last time.
+ * @whole: all items that are not forgotten, for one who knows nothing yet.
  * @fn: called for each; the arrivals count from 0 again after it.
  */
-void demand_take (struct demand *demand,
+void demand_take (struct demand *demand, bool whole, uint64_t now_ms,
                   void (*fn) (void *ctx, const struct demand_item *item),
                   void *ctx);
--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -26,6 +26,8 @@
 	u_int waiting;
 	u_int running;
 	u_int arrivals;
+	u_int rate_milli;
+	u_int idle_ms;
 };
 typedef struct demand_digest demand_digest;
 
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -14,6 +14,8 @@
   unsigned int waiting;
   unsigned int running;
   unsigned int arrivals; /* since the digest before */
+  unsigned int rate_milli; /* calls in 1,000 s */
+  unsigned int idle_ms;    /* since the last call */
 };
 
 struct load_digest
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -8,171 +8,225 @@
 bool_t
 xdr_label (XDR *xdrs, label *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_bytes (xdrs, (char **)&objp->label_val, (u_int *)&objp->label_len,
-                  256))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->label_val, (u_int *) &objp->label_len, 256))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_demand_digest (XDR *xdrs, demand_digest *objp)
 {
-  register int32_t *buf;
-
-  if (!xdr_label (xdrs, &objp->service))
-    return FALSE;
-  if (!xdr_label (xdrs, &objp->model))
-    return FALSE;
-  if (!xdr_label (xdrs, &objp->adapter))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->waiting))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->running))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->arrivals))
-    return FALSE;
-  return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_label (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_label (xdrs, &objp->model))
+			 return FALSE;
+		 if (!xdr_label (xdrs, &objp->adapter))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->arrivals))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->idle_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->waiting);
+			IXDR_PUT_U_LONG(buf, objp->running);
+			IXDR_PUT_U_LONG(buf, objp->arrivals);
+			IXDR_PUT_U_LONG(buf, objp->rate_milli);
+			IXDR_PUT_U_LONG(buf, objp->idle_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_label (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_label (xdrs, &objp->model))
+			 return FALSE;
+		 if (!xdr_label (xdrs, &objp->adapter))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->arrivals))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->idle_ms))
+				 return FALSE;
+		} else {
+			objp->waiting = IXDR_GET_U_LONG(buf);
+			objp->running = IXDR_GET_U_LONG(buf);
+			objp->arrivals = IXDR_GET_U_LONG(buf);
+			objp->rate_milli = IXDR_GET_U_LONG(buf);
+			objp->idle_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_label (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_label (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_label (xdrs, &objp->adapter))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->arrivals))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->idle_ms))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_load_digest (XDR *xdrs, load_digest *objp)
 {
-  register int32_t *buf;
-
-  if (!xdr_u_quad_t (xdrs, &objp->server))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->running))
-    return FALSE;
-  if (!xdr_bool (xdrs, &objp->unreached))
-    return FALSE;
-  return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->unreached))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_entry_digest (XDR *xdrs, entry_digest *objp)
 {
-  register int32_t *buf;
-
-  if (!xdr_label (xdrs, &objp->node))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->instance))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->sequence))
-    return FALSE;
-  if (!xdr_bool (xdrs, &objp->store_reachable))
-    return FALSE;
-  if (!xdr_array (xdrs, (char **)&objp->demand.demand_val,
-                  (u_int *)&objp->demand.demand_len, ~0,
-                  sizeof (demand_digest), (xdrproc_t)xdr_demand_digest))
-    return FALSE;
-  if (!xdr_array (xdrs, (char **)&objp->loads.loads_val,
-                  (u_int *)&objp->loads.loads_len, ~0, sizeof (load_digest),
-                  (xdrproc_t)xdr_load_digest))
-    return FALSE;
-  return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_label (xdrs, &objp->node))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->instance))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->store_reachable))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, ~0,
+		sizeof (demand_digest), (xdrproc_t) xdr_demand_digest))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, ~0,
+		sizeof (load_digest), (xdrproc_t) xdr_load_digest))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_held_state_digest (XDR *xdrs, held_state_digest *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_enum (xdrs, (enum_t *)objp))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_held_digest (XDR *xdrs, held_digest *objp)
 {
-  register int32_t *buf;
-
-  if (!xdr_label (xdrs, &objp->model))
-    return FALSE;
-  if (!xdr_held_state_digest (xdrs, &objp->state))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->ready_in_ms))
-    return FALSE;
-  if (!xdr_array (xdrs, (char **)&objp->adapters.adapters_val,
-                  (u_int *)&objp->adapters.adapters_len, ~0, sizeof (label),
-                  (xdrproc_t)xdr_label))
-    return FALSE;
-  return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_label (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_held_state_digest (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ready_in_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->adapters.adapters_val, (u_int *) &objp->adapters.adapters_len, ~0,
+		sizeof (label), (xdrproc_t) xdr_label))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_server_digest (XDR *xdrs, server_digest *objp)
 {
-  register int32_t *buf;
-
-  if (!xdr_u_quad_t (xdrs, &objp->server))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->order_count))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->running))
-    return FALSE;
-  if (!xdr_bool (xdrs, &objp->placed))
-    return FALSE;
-  if (!xdr_array (xdrs, (char **)&objp->held.held_val,
-                  (u_int *)&objp->held.held_len, ~0, sizeof (held_digest),
-                  (xdrproc_t)xdr_held_digest))
-    return FALSE;
-  return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->order_count))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->placed))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, ~0,
+		sizeof (held_digest), (xdrproc_t) xdr_held_digest))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_holder_digest (XDR *xdrs, holder_digest *objp)
 {
-  register int32_t *buf;
-
-  if (!xdr_label (xdrs, &objp->node))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->fence))
-    return FALSE;
-  if (!xdr_bool (xdrs, &objp->active))
-    return FALSE;
-  if (!xdr_u_quad_t (xdrs, &objp->lease_revision))
-    return FALSE;
-  if (!xdr_u_int (xdrs, &objp->entries))
-    return FALSE;
-  if (!xdr_array (xdrs, (char **)&objp->servers.servers_val,
-                  (u_int *)&objp->servers.servers_len, ~0,
-                  sizeof (server_digest), (xdrproc_t)xdr_server_digest))
-    return FALSE;
-  return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_label (xdrs, &objp->node))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->active))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->lease_revision))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->entries))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, ~0,
+		sizeof (server_digest), (xdrproc_t) xdr_server_digest))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_datagram_kind (XDR *xdrs, datagram_kind *objp)
 {
-  register int32_t *buf;
+	register int32_t *buf;
 
-  if (!xdr_enum (xdrs, (enum_t *)objp))
-    return FALSE;
-  return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
 xdr_datagram (XDR *xdrs, datagram *objp)
 {
-  register int32_t *buf;
-
-  if (!xdr_datagram_kind (xdrs, &objp->kind))
-    return FALSE;
-  switch (objp->kind)
-    {
-    case DATAGRAM_ENTRY:
-      if (!xdr_entry_digest (xdrs, &objp->datagram_u.entry))
-        return FALSE;
-      break;
-    case DATAGRAM_HOLDER:
-      if (!xdr_holder_digest (xdrs, &objp->datagram_u.holder))
-        return FALSE;
-      break;
-    default:
-      return FALSE;
-    }
-  return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_datagram_kind (xdrs, &objp->kind))
+		 return FALSE;
+	switch (objp->kind) {
+	case DATAGRAM_ENTRY:
+		 if (!xdr_entry_digest (xdrs, &objp->datagram_u.entry))
+			 return FALSE;
+		break;
+	case DATAGRAM_HOLDER:
+		 if (!xdr_holder_digest (xdrs, &objp->datagram_u.holder))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
 }
--- a/src/edge/fleet.c
+++ b/src/edge/fleet.c
@@ -146,7 +146,7 @@
     str_free (&c->service);
     free (c);
   }
-  fleet_demand_free (f);
+  fleet_forget_demand (f);
   free (f);
 }
 
@@ -274,10 +274,15 @@
 }
 
 void
-fleet_term (struct fleet *f)
+fleet_term (struct fleet *f, uint64_t now_ms)
 {
+  f->term_ms = now_ms;
+  fleet_forget_demand (f);
   for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    forget (s);
+    {
+      forget (s);
+      s->running = 0;
+    }
 }
 
 struct str
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -28,12 +28,18 @@
 /** fleet_removed() - the store has no entry of the server any more. */
 void fleet_removed (struct fleet *fleet, struct str id);
 /** fleet_term() - this node became the holder: what servers hold must be read
- * from them before they get orders. */
-void fleet_term (struct fleet *fleet);
+ * from them before they get orders, and what nodes ask for before replicas are
+ * removed. */
+void fleet_term (struct fleet *fleet, uint64_t now_ms);
 
 /* ---- demand ---- */
 
-/** struct fleet_wish - demand of one node for a model or an adapter. */
+/**
+ * struct fleet_wish - demand of one node for a model or an adapter.
+ * @arrivals: calls since the node told last.
+ * @rate, @idle_ms: calls a second and time since the last one, as the node
+ *   knows them; taken over when the node tells for the first time.
+ */
 struct fleet_wish
 {
   struct str service;
@@ -42,6 +48,8 @@
   uint32_t waiting;
   uint32_t running;
   uint32_t arrivals;
+  double rate;
+  uint32_t idle_ms;
 };
 
 /** fleet_node_begin() - a node tells its demand and loads anew; what it told
--- a/src/edge/fleet_demand.c
+++ b/src/edge/fleet_demand.c
@@ -6,8 +6,6 @@
 #include "edge/demand.h"
 #include "err.h"
 
-/* Time constant of the rates of calls. */
-#define RATE_MS 8000.0
 /* Time constant of the decay of the number of calls at once. */
 #define BUSY_MS 5000.0
 /* A node that told nothing for this long is not counted. */
@@ -62,18 +60,29 @@
 {
   const double age = now > w->rate_ms ? (double)(now - w->rate_ms) : 0;
 
-  return w->rate * exp (-age / RATE_MS);
+  return w->rate * exp (-age / DEMAND_RATE_MS);
 }
 
 static void
 count_arrivals (struct wish *w, uint32_t arrivals, uint64_t now)
 {
-  w->rate = fleet_rate (w, now) + arrivals * 1000.0 / RATE_MS;
+  w->rate = fleet_rate (w, now) + arrivals * 1000.0 / DEMAND_RATE_MS;
   w->rate_ms = now;
   if (arrivals > 0)
     w->used_ms = now;
 }
 
+/* What the node counted before it told this holder. */
+static void
+take_over_rate (struct wish *w, const struct fleet_wish *from, uint64_t now)
+{
+  const uint64_t used_ms = now > from->idle_ms ? now - from->idle_ms : 0;
+
+  w->rate += from->rate;
+  if (from->rate > 0 && (used_ms > w->used_ms || w->used_ms == now))
+    w->used_ms = used_ms;
+}
+
 double
 fleet_busy (const struct wish *w, uint64_t now)
 {
@@ -122,6 +131,8 @@
       n->name = str_dup (name);
       HASH_ADD_KEYPTR (hh, f->nodes, n->name.data, n->name.len, n);
     }
+  else
+    n->known = true;
   drop_told (f, n);
   n->told_ms = now;
 }
@@ -138,6 +149,8 @@
   w->busy = fleet_busy (w, now);
   w->busy_ms = now;
   count_arrivals (w, from->arrivals, now);
+  if (!n->known)
+    take_over_rate (w, from, now);
   n->wishes = xrealloc (n->wishes, (n->wish_count + 1) * sizeof *n->wishes);
   n->wishes[n->wish_count++] = (struct node_wish){ .wish = w,
                                                    .waiting = from->waiting,
@@ -202,7 +215,7 @@
 }
 
 void
-fleet_demand_free (struct fleet *f)
+fleet_forget_demand (struct fleet *f)
 {
   struct node *n;
   struct node *next;
--- a/src/edge/fleet_impl.h
+++ b/src/edge/fleet_impl.h
@@ -112,6 +112,7 @@
 {
   struct str name;
   uint64_t told_ms;
+  bool known; /* told before what it tells now */
   struct node_wish *wishes;
   size_t wish_count;
   struct node_load *loads;
@@ -134,6 +135,7 @@
 {
   const struct routing *routing;
   uint32_t load_window_ms;
+  uint64_t term_ms; /* begin of this node's term as holder */
   struct fleet_server *servers;
   struct wish *wishes;
   struct node *nodes;
@@ -176,7 +178,8 @@
 double fleet_rate (const struct wish *wish, uint64_t now_ms);
 /** fleet_busy() - calls at once, lately. */
 double fleet_busy (const struct wish *wish, uint64_t now_ms);
-void fleet_demand_free (struct fleet *fleet);
+/** fleet_forget_demand() - drop what nodes told. */
+void fleet_forget_demand (struct fleet *fleet);
 
 /* ---- plan.c ---- */
 
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -107,7 +107,7 @@
   struct order_ctx *o = ctx;
   struct placer *p = o->placer;
 
-  if (result != ORDER_ACCEPTED)
+  if (result != ORDER_ACCEPTED && result != ORDER_HOLDS_ALREADY)
     LOG_INFO ("order-ended", "server=" STR_FMT " result=%s fence=%lu",
               STR_ARG (o->server_id), order_result_name (result), o->fence);
   metrics_add ("galenagate_orders_total", str_from (""), 1);
@@ -279,7 +279,7 @@
     return;
   p->fence = fence;
   LOG_INFO ("term", "fence=%lu", fence);
-  fleet_term (p->fleet);
+  fleet_term (p->fleet, clock_ms ());
   placer_forget_told (p);
 }
 
--- a/src/edge/placer_hear.c
+++ b/src/edge/placer_hear.c
@@ -83,6 +83,8 @@
         .waiting = w->waiting,
         .running = w->running,
         .arrivals = w->arrivals,
+        .rate = w->rate_milli / 1000.0,
+        .idle_ms = w->idle_ms,
       };
 
       fleet_node_wish (p->fleet, node, &wish, now);
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -56,6 +56,8 @@
   uint64_t ordered_ms; /* when this node gave its last order */
   uint64_t lost_fence; /* of this node's last lease that is over */
   uint64_t told_ms;    /* last digest of this node's demand */
+  uint64_t told_fence; /* of the holder that was last told */
+  unsigned whole_left; /* digests to it that still tell all demand */
   uint64_t scanned_ms; /* when servers were last compared with what was told */
   uint64_t broadcast_ms; /* last digest of servers */
   uint64_t holder_heard_ms;
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -21,6 +21,8 @@
 #define SERVERS_PER_MS 3
 #define SERVERS_PER_DATAGRAM 4
 #define LOADS_MAX 2048
+/* Digests with all demand for a new holder, since some may be lost. */
+#define WHOLE_DIGESTS 3
 
 /* ---- servers ---- */
 
@@ -217,9 +219,26 @@
     .waiting = i->waiting,
     .running = i->running,
     .arrivals = i->arrivals,
+    .rate_milli = (u_int)(i->rate * 1000),
+    .idle_ms = i->idle_ms,
   };
 }
 
+/* A new holder knows nothing of the demand so far. */
+static bool
+tell_whole (struct placer *p)
+{
+  const uint64_t fence = p->holding ? p->fence : p->holder_fence;
+
+  if (fence != p->told_fence)
+    p->whole_left = WHOLE_DIGESTS;
+  p->told_fence = fence;
+  if (p->whole_left == 0)
+    return false;
+  p->whole_left--;
+  return true;
+}
+
 void
 placer_tell_demand (struct placer *p)
 {
@@ -235,7 +254,8 @@
     told[i] = (load_digest){ .server = loads[i].server,
                              .running = loads[i].running,
                              .unreached = loads[i].unreached };
-  demand_take (site_demand (p->site), add_demand, &t);
+  demand_take (site_demand (p->site), tell_whole (p), p->told_ms, add_demand,
+               &t);
   e->node = str_label (edge_settings ()->node_name);
   e->instance = kernel_instance (p->kernel);
   e->sequence = ++p->sequence;
--- a/src/edge/plan.c
+++ b/src/edge/plan.c
@@ -30,6 +30,9 @@
 #define UNLOAD_RUNNING_MS 100
 /* An unload waits for calls that run; it is asked about after this time. */
 #define UNLOAD_MS 50
+/* A new holder removes nothing before all nodes had time to tell what they
+   need; they tell each 250 ms. */
+#define LEARN_MS 600
 /* Models for which a step is looked for in one plan; the others can wait for
    the next one. */
 #define WANTS_TRIED 24
@@ -438,7 +441,7 @@
     {
       /* A place on a server with the weights comes sooner than a load from
          the weight store ends. */
-      if (w->need == NEED_SPARE_ROOM
+      if (w->need == NEED_SPARE_ROOM || now < f->term_ms + LEARN_MS
           || (out->cold && others_have_weights (f, s, w->spec)))
         return false;
       out->remove = cheapest (f, s, all, w, now, &removal);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -354,7 +354,7 @@
   m.faults = faults;
   m.fleet = fleet_create ();
   fleet_routing (m.fleet, m.routing, 5000);
-  fleet_term (m.fleet);
+  fleet_term (m.fleet, m.now);
   for (int i = 0; i < SERVERS; i++)
     {
       snprintf (m.servers[i].id, sizeof m.servers[i].id, "i-%d", i);
@@ -465,7 +465,7 @@
           if (m.faults > 0 && draw (&m, 1500) == 0)
             {
               m.fence++;
-              fleet_term (m.fleet);
+              fleet_term (m.fleet, m.now);
             }
           tick (&m);
         }
@@ -804,7 +804,57 @@
   sim_destroy (&m);
 }
 
+/* Guards against a new holder that takes busy models for unused ones, because
+   a node with waiting calls told it something before the others did, or
+   because it counts calls only from then on. */
+static void
+test_takeover (void)
+{
+  struct sim m = sim_create (17, 0);
+  int absent = 0;
+
+  take_away (&m, 0);
+  for (int i = 1; i < SERVERS; i++)
+    for (int j = 0; j < MODELS; j++)
+      snprintf (m.servers[i].on_disk[m.servers[i].disk_count++], 16, "m%d", j);
+  time_to_replica (&m, false, 5000);
+  play_calls (&m, 5000);
+  time_to_replica (&m, false, 5000);
+  m.fence++;
+  fleet_term (m.fleet, m.now);
+  for (int i = 0; i < 200; i++)
+    {
+      const struct fleet_wish busy = { .service = STR ("lm"),
+                                       .model = STR ("m0"),
+                                       .arrivals = i % 50 == 40,
+                                       .rate = 10,
+                                       .idle_ms = 100 };
+      char model[16];
+
+      fleet_node_begin (m.fleet, STR ("first"), m.now);
+      for (int j = 1; j < MODELS; j++)
+        {
+          const struct fleet_wish waits = { .service = STR ("lm"),
+                                            .model = str_from (model),
+                                            .waiting = 1 };
+
+          snprintf (model, sizeof model, "m%d", j);
+          fleet_node_wish (m.fleet, STR ("first"), &waits, m.now);
+        }
+      if (i >= 30)
+        {
+          fleet_node_begin (m.fleet, STR ("second"), m.now);
+          fleet_node_wish (m.fleet, STR ("second"), &busy, m.now);
+        }
+      tick (&m);
+      absent += live_replicas (&m, "m0") == 0;
+    }
+  CU_ASSERT_EQUAL (absent, 0);
+  sim_destroy (&m);
+}
+
 static const struct suite_case cases[] = {
+  { "takeover", test_takeover },
   { "crowded", test_crowded },
   { "nobody waits", test_nobody_waits },
   { "more models than room", test_more_models_than_room },
