--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -87,6 +87,7 @@
   struct str body;
   struct str route_name;
   struct str service;
+  uint64_t config; /* version that routed the call; 0 for none */
   enum call_kind kind;
   uint32_t target_ms;
   uint32_t event_gap_ms;
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -5,6 +5,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "metrics.h"
 
 #define LOG_MODULE "call"
 /* A server that turned a call away does not get it again before this time. */
@@ -203,6 +204,17 @@
     call_relay (c, r, answer);
 }
 
+static void
+count_attempt (const struct call *c, enum forward_outcome outcome)
+{
+  struct str labels
+      = str_printf ("service=\"" STR_FMT "\",outcome=\"%s\"",
+                    STR_ARG (c->service), forward_outcome_name (outcome));
+
+  metrics_add ("galenagate_attempts_total", labels, 1);
+  str_free (&labels);
+}
+
 static void
 on_done (void *ctx, const struct forward_result *r,
          const struct http_call *answer)
@@ -210,12 +222,14 @@
   struct call *c = ctx;
 
   end_attempt (c);
+  count_attempt (c, r->outcome);
   if (r->outcome != FORWARD_ANSWERED)
     LOG_INFO ("attempt-failed",
               "id=" STR_FMT " server=" STR_FMT
-              " outcome=%d status=%d silent=%d begun=%d " LOG_E_FMT,
+              " outcome=%s status=%d silent=%d begun=%d " LOG_E_FMT,
               STR_ARG (c->meta.id), STR_ARG (pool_server_id (c->server)),
-              r->outcome, r->status, r->silent, r->begun, LOG_E_ARG (r->err));
+              forward_outcome_name (r->outcome), r->status, r->silent,
+              r->begun, LOG_E_ARG (r->err));
   switch (r->outcome)
     {
     case FORWARD_ANSWERED:
@@ -284,6 +298,24 @@
   return str_from (c->last_event_text);
 }
 
+static void
+log_send (const struct call *c, const struct pool_server *server)
+{
+  const struct pool_belief b = pool_server_belief (server, clock_ms ());
+
+  LOG_INFO ("send",
+            "id=" STR_FMT " route=" STR_FMT " service=" STR_FMT
+            " model=" STR_FMT " adapter=" STR_FMT " server=" STR_FMT
+            " attempt=%u last_event=%lu running=%u others=%u"
+            " view_age_ms=%lu wait_ms=%lu deadline_ms=%lu config=%lu",
+            STR_ARG (c->meta.id), STR_ARG (c->route_name),
+            STR_ARG (c->service), STR_ARG (c->meta.model),
+            STR_ARG (c->meta.adapter), STR_ARG (pool_server_id (server)),
+            c->runs + c->bounces + 1, c->last_event, b.running, b.others,
+            b.view_age_ms, clock_ms () - c->begun_ms,
+            left_ms (c->deadline_end_ms), c->config);
+}
+
 static void
 send_to (struct call *c, struct pool_server *server, bool engine)
 {
@@ -314,6 +346,7 @@
   };
 
   call_set_waiting (c, false);
+  log_send (c, server);
   c->server = server;
   c->sent_ms = clock_ms ();
   pool_begin (server);
@@ -326,6 +359,12 @@
 
 /* ---- choice ---- */
 
+static const char *const verdict_names[] = {
+  [POOL_CHOSEN] = "chosen",         [POOL_NO_SERVER] = "no-server",
+  [POOL_NO_MODEL] = "no-model",     [POOL_NO_ADAPTER] = "no-adapter",
+  [POOL_FULL] = "all-servers-full",
+};
+
 /* Counts the send. An attempt that reached no server is none. Returns false
    when the budget does not allow it. */
 static bool
@@ -367,9 +406,15 @@
     return;
   call_set_waiting (c, true);
   c->verdict = verdict;
-  LOG_DBG ("wait", "id=" STR_FMT " model=" STR_FMT "/" STR_FMT " verdict=%d",
-           STR_ARG (c->meta.id), STR_ARG (c->meta.model),
-           STR_ARG (c->meta.adapter), verdict);
+  LOG_INFO ("wait",
+            "id=" STR_FMT " route=" STR_FMT " service=" STR_FMT
+            " model=" STR_FMT " adapter=" STR_FMT
+            " reason=%s ready_in_ms=%ld patience_ms=%lu config=%lu",
+            STR_ARG (c->meta.id), STR_ARG (c->route_name),
+            STR_ARG (c->service), STR_ARG (c->meta.model),
+            STR_ARG (c->meta.adapter), verdict_names[verdict],
+            ready_in == UINT32_MAX ? -1L : (long)ready_in,
+            left_ms (c->wait_end_ms), c->config);
   if (verdict == POOL_NO_MODEL || verdict == POOL_NO_ADAPTER)
     kernel_publish (c->calls->kernel, TOPIC_DEMAND, NULL, NULL);
 }
--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -88,20 +88,27 @@
   const uint64_t now = clock_ms ();
   const struct str server = c->server ? pool_server_id (c->server) : STR ("-");
 
-  LOG_INFO (
-      "call",
-      "id=" STR_FMT " route=" STR_FMT " service=" STR_FMT " model=" STR_FMT
-      " adapter=" STR_FMT " server=" STR_FMT
-      " end=%s status=%d reason=%s runs=%u bounces=%u wait_ms=%lu"
-      " first_ms=%lu gap_ms=%lu total_ms=%lu config=%lu",
-      STR_ARG (c->meta.id), STR_ARG (c->route_name), STR_ARG (c->service),
-      STR_ARG (c->meta.model), STR_ARG (c->meta.adapter), STR_ARG (server),
-      end_names[end], status, reason, c->runs, c->bounces,
-      (c->sent_ms > 0 ? c->sent_ms : now) - c->begun_ms,
-      c->first_ms > 0 ? c->first_ms - c->begun_ms : 0, c->gap_ms,
-      now - c->begun_ms,
-      site_routing (c->calls->site) ? site_routing (c->calls->site)->version
-                                    : 0);
+  LOG_INFO ("call",
+            "id=" STR_FMT " route=" STR_FMT " service=" STR_FMT
+            " model=" STR_FMT " adapter=" STR_FMT " server=" STR_FMT
+            " end=%s status=%d reason=%s runs=%u bounces=%u wait_ms=%lu"
+            " first_ms=%lu gap_ms=%lu total_ms=%lu config=%lu",
+            STR_ARG (c->meta.id), STR_ARG (c->route_name),
+            STR_ARG (c->service), STR_ARG (c->meta.model),
+            STR_ARG (c->meta.adapter), STR_ARG (server), end_names[end],
+            status, reason, c->runs, c->bounces,
+            (c->sent_ms > 0 ? c->sent_ms : now) - c->begun_ms,
+            c->first_ms > 0 ? c->first_ms - c->begun_ms : 0, c->gap_ms,
+            now - c->begun_ms, c->config);
+}
+
+static void
+count_refusal (const char *reason)
+{
+  struct str labels = str_printf ("reason=\"%s\"", reason);
+
+  metrics_add ("galenagate_refused_total", labels, 1);
+  str_free (&labels);
 }
 
 static void
@@ -138,6 +145,8 @@
 {
   log_end (c, end, status, reason);
   count_end (c, end);
+  if (end == CALL_REFUSED)
+    count_refusal (reason);
   call_set_waiting (c, false);
   unlink_call (c);
   caller_release (c->caller);
@@ -343,6 +352,7 @@
       call_refuse (c, 0, "no-configuration");
       return;
     }
+  c->config = routing->version;
   route = routing_find (routing, of_iovec (req->input.authority), c->target);
   if (!route)
     {
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -35,6 +35,18 @@
   struct buf held;
 };
 
+static const char *const outcome_names[] = {
+  [FORWARD_ANSWERED] = "answered",         [FORWARD_NOT_SENT] = "not-sent",
+  [FORWARD_NOT_EXECUTED] = "not-executed", [FORWARD_MISPLACED] = "no-model",
+  [FORWARD_REPLACED] = "other-server",     [FORWARD_BROKEN] = "broken",
+};
+
+const char *
+forward_outcome_name (enum forward_outcome outcome)
+{
+  return outcome_names[outcome];
+}
+
 /* Runs after the callback that ended the attempt, which may still read the
    buffers. */
 static void
--- a/src/edge/forward.h
+++ b/src/edge/forward.h
@@ -51,6 +51,9 @@
   FORWARD_BROKEN,       /* no whole answer; the call may have run */
 };
 
+/** forward_outcome_name() - for logs and counters. */
+const char *forward_outcome_name (enum forward_outcome outcome);
+
 /**
  * struct forward_result - end of an attempt.
  * @status: of the answer; 0 without one.
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -479,6 +479,16 @@
   return s->address;
 }
 
+struct pool_belief
+pool_server_belief (const struct pool_server *s, uint64_t now_ms)
+{
+  return (struct pool_belief){
+    .running = s->running,
+    .others = s->others,
+    .view_age_ms = s->view_ms > 0 ? now_ms - s->view_ms : 0,
+  };
+}
+
 size_t
 pool_loads (struct pool *p, struct pool_load *out, size_t max)
 {
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -118,6 +118,21 @@
 
 struct str pool_server_id (const struct pool_server *server);
 struct str pool_server_address (const struct pool_server *server);
+/**
+ * struct pool_belief - what decides about a server, for the log.
+ * @running: calls of this node.
+ * @others: calls of other nodes, as the placement holder told.
+ * @view_age_ms: since the holder told of its models; 0 when only its entry
+ *   did.
+ */
+struct pool_belief
+{
+  uint32_t running;
+  uint32_t others;
+  uint64_t view_age_ms;
+};
+struct pool_belief pool_server_belief (const struct pool_server *server,
+                                       uint64_t now_ms);
 bool pool_server_usable (const struct pool_server *server, uint64_t now_ms);
 
 /**
--- a/src/log.c
+++ b/src/log.c
@@ -11,11 +11,14 @@
 #include <log4c.h>
 
 #include "clock.h"
+#include "logbudget.h"
 
 #define LINE_MAX_BYTES 2048
 
 static log4c_category_t *category;
-static uint64_t dropped; /* lines that stdout did not take */
+static uint64_t dropped; /* lines that stdout or the budget did not take */
+static bool bounded;     /* lines beyond the budget are dropped */
+static struct log_budget budget;
 static char node_name[80];
 
 static const int priorities[] = {
@@ -124,6 +127,7 @@
   /* A reader that is slow must not stop the node. */
   if (flags >= 0)
     fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  bounded = true;
   return start (level, node, &dropping_appender);
 }
 
@@ -155,26 +159,65 @@
                              (unsigned)(ms % 1000));
 }
 
-void
-log_line (enum log_level level, const char *module, const char *event,
-          const char *fmt, ...)
+static void
+write_line (enum log_level level, const char *module, const char *event,
+            const char *fmt, va_list ap)
 {
-  if (!category
-      || !log4c_category_is_priority_enabled (category, priorities[level]))
-    return;
-
   char line[LINE_MAX_BYTES];
   size_t n = put_time (line, sizeof line);
+
   n += (size_t)snprintf (line + n, sizeof line - n,
                          " level=%s node=%s module=%s event=%s ",
                          level_names[level], node_name, module, event);
-  va_list ap;
-  va_start (ap, fmt);
   vsnprintf (line + n, sizeof line - n, fmt, ap);
-  va_end (ap);
   /* A value taken from a caller must not be able to start a new line. */
   for (char *p = line + n; *p; p++)
     if (*p == '\n' || *p == '\r')
       *p = ' ';
   log4c_category_log (category, priorities[level], "%s", line);
 }
+
+static void
+write_event (enum log_level level, const char *module, const char *event,
+             const char *fmt, ...)
+{
+  va_list ap;
+
+  va_start (ap, fmt);
+  write_line (level, module, event, fmt, ap);
+  va_end (ap);
+}
+
+/* Counts the line against the budget, and tells of lines dropped before. */
+static bool
+within_budget (enum log_level level)
+{
+  uint64_t lost;
+
+  if (!bounded)
+    return true;
+  if (!log_budget_take (&budget, level >= LOG_LEVEL_WARN, clock_ms ()))
+    {
+      dropped++;
+      return false;
+    }
+  lost = log_budget_report (&budget);
+  if (lost > 0)
+    write_event (LOG_LEVEL_WARN, "log", "lines-dropped", "count=%lu", lost);
+  return true;
+}
+
+void
+log_line (enum log_level level, const char *module, const char *event,
+          const char *fmt, ...)
+{
+  va_list ap;
+
+  if (!category
+      || !log4c_category_is_priority_enabled (category, priorities[level])
+      || !within_budget (level))
+    return;
+  va_start (ap, fmt);
+  write_line (level, module, event, fmt, ap);
+  va_end (ap);
+}
--- a/src/log.h
+++ b/src/log.h
@@ -17,7 +17,8 @@
 /** log_start() - set up log4c; lines go to stderr. Returns 0 or -EINVAL. */
 int log_start (enum log_level level, const char *node);
 /** log_start_stdout() - likewise; lines go to stdout, which is not waited for:
- * lines that it does not take at once are counted and dropped. */
+ * lines that it does not take at once, and those beyond a budget a second, are
+ * counted and dropped. */
 int log_start_stdout (enum log_level level, const char *node);
 /** log_dropped() - number of lines dropped so far. */
 uint64_t log_dropped (void);
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -583,7 +583,76 @@
   edges_destroy (&edges);
 }
 
+/* Does the edge's log have a line with all these words? */
+static bool
+logged (const struct cluster_proc *edge, const char *const words[])
+{
+  FILE *f = fopen (edge->log, "r");
+  char line[4096];
+  bool found = false;
+
+  while (f && !found && fgets (line, sizeof line, f))
+    {
+      found = true;
+      for (size_t i = 0; words[i]; i++)
+        found = found && strstr (line, words[i]);
+    }
+  if (f)
+    fclose (f);
+  return found;
+}
+
+/* Guards against refusals that leave no line with the call's id, the reason
+   and what it was decided on. */
+static void
+test_refusals_logged (void)
+{
+  static const struct
+  {
+    const char *path;
+    const char *model;
+    const char *reason;
+  } cases[] = {
+    { "/plain/x", NULL, "reason=no-server" },
+    { "/none/x", NULL, "reason=no-route" },
+    { "/stream/x", "m9", "reason=waited-too-long" },
+    { "/once/x", NULL, "reason=no-server" },
+  };
+  char id[32];
+
+  edges = edges_create ();
+  struct cluster_proc *edge = cluster_edge (edges.cluster, "a", RETRY_FLAGS);
+  struct cluster_proc *engine = cluster_server (
+      edges.cluster, "lm", "a", CLUSTER_FLAGS ("--models", "m1,m2"));
+  struct cluster_reply r
+      = edges_call (edge, "GET", "/plain/x", "id-first", NULL, NULL);
+  CU_ASSERT_EQUAL (r.status, 503);
+  cluster_reply_free (&r);
+  edges_register (&edges, engine, "ready",
+                  "[{\"name\":\"m1\",\"version\":1,\"adapters\":[]}]");
+  edges_configure (&edges, 1000);
+  CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
+  CU_ASSERT_TRUE (logged (
+      edge,
+      (const char *const[]){ "event=call", "id=id-first ", "end=refused",
+                             "reason=no-configuration", "config=0", NULL }));
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      snprintf (id, sizeof id, "id=id-%zu ", i);
+      id[strlen (id) - 1] = '\0';
+      r = edges_call (edge, "POST", cases[i].path, id + 3, cases[i].model,
+                      "x");
+      CU_ASSERT_TRUE (r.status == 503 || r.status == 404);
+      cluster_reply_free (&r);
+      CU_ASSERT_TRUE (logged (
+          edge, (const char *const[]){ "event=call", id, cases[i].reason,
+                                       "config=", "wait_ms=", NULL }));
+    }
+  edges_destroy (&edges);
+}
+
 static const struct suite_case cases[] = {
+  { "refusals logged", test_refusals_logged },
   { "bytes", test_bytes },
   { "bad answers", test_bad_answers },
   { "streams", test_streams },
