Let a new placement holder announce itself to all nodes

A holder now names the nodes that it knows in its digests, eight at a time, and a new one tells all of them of itself.

--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -90,6 +90,10 @@
 	bool_t active;
 	u_quad_t lease_revision;
 	u_int entries;
+	struct {
+		u_int nodes_len;
+		label *nodes_val;
+	} nodes;
 	struct {
 		u_int servers_len;
 		server_digest *servers_val;
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -66,6 +66,7 @@
   bool active; /* the holder gives orders */
   unsigned hyper lease_revision; /* of the lease's object */
   unsigned int entries; /* nodes that tell their demand */
+  label nodes<>;        /* addresses of some of them, others the next time */
   server_digest servers<>;
 };
 
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -193,6 +193,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->entries))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->nodes.nodes_val, (u_int *) &objp->nodes.nodes_len, ~0,
+		sizeof (label), (xdrproc_t) xdr_label))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, ~0,
 		sizeof (server_digest), (xdrproc_t) xdr_server_digest))
 		 return FALSE;
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -19,7 +19,6 @@
 #define HOLDER_SILENT_MS 700
 /* What a node told of the store is believed for this long. */
 #define AGREED_MS 600
-#define NODES_MAX 512
 #define DRAIN_CHECK_MS 20
 
 static const struct plugin_ops ops;
@@ -193,23 +192,51 @@
 
 /* ---- datagrams ---- */
 
+static struct listener *
+add_listener (struct placer *p, struct str addr)
+{
+  struct listener *l;
+
+  HASH_FIND (hh, p->listeners, addr.data, addr.len, l);
+  if (l || HASH_COUNT (p->listeners) >= NODES_MAX)
+    return l;
+  l = xcalloc (1, sizeof *l);
+  l->addr = str_dup (addr);
+  placer_forget_told (p);
+  HASH_ADD_KEYPTR (hh, p->listeners, l->addr.data, l->addr.len, l);
+  return l;
+}
+
+/* A new holder tells all nodes of itself. Those that the store does not answer
+   cannot learn of it otherwise. */
+static void
+announce (struct placer *p)
+{
+  const uint64_t now = clock_ms ();
+  struct known_node *k;
+  struct known_node *next;
+
+  HASH_ITER (hh, p->known_nodes, k, next)
+  {
+    struct listener *l = NULL;
+
+    if (now < k->told_ms + NODE_KNOWN_MS
+        && !str_eq (k->addr, edge_settings ()->peer_addr))
+      l = add_listener (p, k->addr);
+    if (l)
+      l->heard_ms = now;
+  }
+}
+
 /* Notes who told something. Returns false for a digest that was overtaken by a
    newer one. */
 static bool
 note_listener (struct placer *p, struct str from, const entry_digest *d)
 {
-  struct listener *l;
+  struct listener *l = add_listener (p, from);
 
-  HASH_FIND (hh, p->listeners, from.data, from.len, l);
-  if (!l && HASH_COUNT (p->listeners) >= NODES_MAX)
-    return true;
   if (!l)
-    {
-      l = xcalloc (1, sizeof *l);
-      l->addr = str_dup (from);
-      placer_forget_told (p);
-      HASH_ADD_KEYPTR (hh, p->listeners, l->addr.data, l->addr.len, l);
-    }
+    return true;
   if (d->instance == l->instance && d->sequence <= l->sequence)
     return false;
   l->instance = d->instance;
@@ -281,6 +308,7 @@
   LOG_INFO ("term", "fence=%lu", fence);
   fleet_term (p->fleet, clock_ms ());
   placer_forget_told (p);
+  announce (p);
 }
 
 static void
@@ -444,6 +472,8 @@
   struct placer *p = (struct placer *)plugin;
   struct listener *l;
   struct listener *next;
+  struct known_node *k;
+  struct known_node *next_known;
 
   HASH_ITER (hh, p->listeners, l, next)
   {
@@ -451,6 +481,12 @@
     str_free (&l->addr);
     free (l);
   }
+  HASH_ITER (hh, p->known_nodes, k, next_known)
+  {
+    HASH_DEL (p->known_nodes, k);
+    str_free (&k->addr);
+    free (k);
+  }
   placer_forget_told (p);
   fleet_destroy (p->fleet);
   holderlease_destroy (p->lease);
--- a/src/edge/placer_hear.c
+++ b/src/edge/placer_hear.c
@@ -45,6 +45,30 @@
   free (holdings);
 }
 
+void
+placer_know_node (struct placer *p, struct str addr)
+{
+  struct known_node *k;
+
+  HASH_FIND (hh, p->known_nodes, addr.data, addr.len, k);
+  if (!k && HASH_COUNT (p->known_nodes) < NODES_MAX)
+    {
+      k = xcalloc (1, sizeof *k);
+      k->addr = str_dup (addr);
+      HASH_ADD_KEYPTR (hh, p->known_nodes, k->addr.data, k->addr.len, k);
+    }
+  if (k)
+    k->told_ms = clock_ms ();
+}
+
+static void
+hear_nodes (struct placer *p, struct str from, const holder_digest *d)
+{
+  placer_know_node (p, from);
+  for (u_int i = 0; i < d->nodes.nodes_len; i++)
+    placer_know_node (p, label_str (d->nodes.nodes_val[i]));
+}
+
 void
 placer_hear_holder (struct placer *p, struct str from, const holder_digest *d)
 {
@@ -61,6 +85,7 @@
   holderlease_hint (p->lease, d->lease_revision);
   p->entries = d->entries;
   str_assign (&p->holder_addr, from);
+  hear_nodes (p, from, d);
   for (u_int i = 0; i < d->servers.servers_len; i++)
     apply_server (p, &d->servers.servers_val[i]);
   kernel_publish (p->kernel, TOPIC_POOL, NULL, NULL);
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -14,6 +14,10 @@
 
 /* A node that is silent for this long is not counted any more. */
 #define NODE_SILENT_MS 2000
+/* Nodes that are kept track of. */
+#define NODES_MAX 512
+/* A node that no holder told of for this long is forgotten. */
+#define NODE_KNOWN_MS 60000
 
 /* A node that tells its demand to this one. */
 struct listener
@@ -26,6 +30,14 @@
   UT_hash_handle hh;
 };
 
+/* Address of a node, as a holder told. */
+struct known_node
+{
+  struct str addr;
+  uint64_t told_ms;
+  UT_hash_handle hh;
+};
+
 /* What was last told of a server. */
 struct told
 {
@@ -66,6 +78,8 @@
   uint32_t entries; /* nodes that share the load, as the holder tells */
   uint64_t sequence;
   struct listener *listeners;
+  struct known_node *known_nodes; /* to whom a new holder tells of itself */
+  size_t nodes_told; /* place in the listeners from which the next are told */
   struct told *told;
 };
 
@@ -88,6 +102,9 @@
 /** placer_hear_entry() - take over a node's demand. */
 void placer_hear_entry (struct placer *p, const entry_digest *digest);
 
+/** placer_know_node() - keep the address of a node. */
+void placer_know_node (struct placer *p, struct str addr);
+
 /* ---- placer.c ---- */
 
 /** placer_may_order() - may this node give orders now. */
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -20,6 +20,7 @@
 /* Servers that are compared with what was told, for each ms of the pause. */
 #define SERVERS_PER_MS 3
 #define SERVERS_PER_DATAGRAM 4
+#define NODES_PER_DATAGRAM 8
 #define LOADS_MAX 2048
 /* Digests with all demand for a new holder, since some may be lost. */
 #define WHOLE_DIGESTS 3
@@ -41,9 +42,28 @@
   free (d->held.held_val);
 }
 
+/* Some of the listeners, from where the last digest ended. */
+static u_int
+next_nodes (struct placer *p, label nodes[NODES_PER_DATAGRAM])
+{
+  const size_t count = HASH_COUNT (p->listeners);
+  size_t place = 0;
+  u_int n = 0;
+
+  if (p->nodes_told >= count)
+    p->nodes_told = 0;
+  for (struct listener *l = p->listeners; l && n < NODES_PER_DATAGRAM;
+       l = l->hh.next)
+    if (place++ >= p->nodes_told)
+      nodes[n++] = str_label (l->addr);
+  p->nodes_told += n;
+  return n;
+}
+
 static void
 flush (struct broadcast *b)
 {
+  label nodes[NODES_PER_DATAGRAM];
   struct placer *p = b->placer;
   struct datagram d = { .kind = DATAGRAM_HOLDER };
   holder_digest *h = &d.datagram_u.holder;
@@ -54,6 +74,8 @@
   h->active = placer_may_order (p);
   h->lease_revision = holderlease_revision (p->lease);
   h->entries = fleet_nodes (p->fleet, clock_ms ());
+  h->nodes.nodes_val = nodes;
+  h->nodes.nodes_len = next_nodes (p, nodes);
   h->servers.servers_val = b->servers;
   h->servers.servers_len = b->count;
   for (struct listener *l = p->listeners; l; l = l->hh.next)
