--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -343,6 +343,7 @@
     .first_ms = first_bound (c),
     .gap_ms = gap_bound (c),
     .total_ms = 0,
+    .repeatable = repeatable (c),
   };
 
   call_set_waiting (c, false);
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -258,8 +258,8 @@
     .total_ms = spec->total_ms,
     .unframed = true,
     /* libcurl repeats a request by itself on a reused connection that closes
-       before the answer. A repeat must be decided here. */
-    .fresh = true,
+       before the answer. */
+    .fresh = !spec->repeatable,
   };
 
   f->events = events;
--- a/src/edge/forward.h
+++ b/src/edge/forward.h
@@ -23,6 +23,8 @@
  * @first_ms: bound for the answer's first event or whole body; 0 for none.
  * @gap_ms: bound for the pause between events; 0 for none.
  * @total_ms: bound for the whole attempt.
+ * @repeatable: the call may run more than once, so a kept connection may be
+ *   used.
  */
 struct forward_spec
 {
@@ -39,6 +41,7 @@
   uint32_t first_ms;
   uint32_t gap_ms;
   uint32_t total_ms;
+  bool repeatable;
 };
 
 enum forward_outcome
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -211,6 +211,57 @@
   edges_destroy (&edges);
 }
 
+/* The edge's port from which the call with the id came to the server. */
+static json_int_t
+port_of (const struct cluster_proc *server, const char *id)
+{
+  struct cluster_reply r
+      = cluster_http (server, "GET", "/counts", NULL, NULL, EDGE_CALL_MS);
+  json_t *counts = json_loadb (r.body.data, r.body.len, 0, NULL);
+  const json_int_t port = json_integer_value (
+      json_object_get (json_object_get (counts, "ports"), id));
+
+  json_decref (counts);
+  cluster_reply_free (&r);
+  return port;
+}
+
+/* Guards against a new connection for each call, and against a kept one for a
+   call that may run once: the library repeats a request by itself when a kept
+   connection closes. */
+static void
+test_connections (void)
+{
+  static const struct
+  {
+    const char *path;
+    bool kept;
+  } cases[] = { { "/plain/x", true }, { "/once/x", false } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      edges = edges_create ();
+      struct cluster_proc *server
+          = cluster_server (edges.cluster, "plain", "a", NULL);
+      edges_register (&edges, server, "ready", NO_MODELS);
+      edges_configure (&edges, 5000);
+      struct cluster_proc *edge = cluster_edge (edges.cluster, "a", NULL);
+      CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
+
+      for (int j = 0; j < 2; j++)
+        {
+          struct cluster_reply r = edges_call (edge, "POST", cases[i].path,
+                                               j ? "id-b" : "id-a", NULL, "x");
+          CU_ASSERT_EQUAL (r.status, 200);
+          cluster_reply_free (&r);
+        }
+      CU_ASSERT_TRUE (port_of (server, "id-a") > 0);
+      CU_ASSERT_EQUAL (port_of (server, "id-a") == port_of (server, "id-b"),
+                       cases[i].kept);
+      edges_destroy (&edges);
+    }
+}
+
 /* A call and the status that is waited for. */
 struct expected
 {
@@ -657,6 +708,7 @@
   { "bad answers", test_bad_answers },
   { "streams", test_streams },
   { "pause", test_pause },
+  { "connections", test_connections },
   { "configuration", test_configuration },
   { "entries", test_entries },
   { "placement", test_placement },
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -60,6 +60,7 @@
 static json_t *models;  /* name -> list of adapters */
 static json_t *runs;    /* runs by call id */
 static json_t *headers; /* of the last call */
+static json_t *ports;   /* caller's port by call id */
 static json_t *orders;  /* all that were accepted */
 static json_int_t arrivals;
 static json_int_t ended_early; /* calls whose caller left */
@@ -376,6 +377,16 @@
   standin_error (req, status, "not_run");
 }
 
+static json_int_t
+peer_port (const h2o_req_t *req)
+{
+  struct sockaddr_storage addr;
+  const struct sockaddr_in *sin = (const struct sockaddr_in *)&addr;
+
+  req->conn->callbacks->get_peername (req->conn, (struct sockaddr *)&addr);
+  return ntohs (sin->sin_port);
+}
+
 static void
 count_run (const h2o_req_t *req)
 {
@@ -386,6 +397,7 @@
   json_object_set_new (
       runs, id,
       json_integer (json_integer_value (json_object_get (runs, id)) + 1));
+  json_object_set_new (ports, id, json_integer (peer_port (req)));
   json_object_clear (headers);
   for (size_t i = 0; i < req->headers.size; i++)
     {
@@ -431,10 +443,11 @@
 
   if (str_eq (path, STR ("/counts")))
     standin_json (req, 200,
-                  json_pack ("{s:O, s:I, s:I, s:I, s:O, s:O, s:O}", "runs",
-                             runs, "arrivals", arrivals, "violations",
+                  json_pack ("{s:O, s:I, s:I, s:I, s:O, s:O, s:O, s:O}",
+                             "runs", runs, "arrivals", arrivals, "violations",
                              violations, "ended_early", ended_early, "orders",
-                             orders, "models", models, "headers", headers));
+                             orders, "models", models, "headers", headers,
+                             "ports", ports));
   else if (str_eq (path, STR ("/report")))
     report (req);
   else if (str_eq (path, STR ("/order")))
@@ -464,6 +477,7 @@
   models = json_object ();
   runs = json_object ();
   headers = json_object ();
+  ports = json_object ();
   orders = json_array ();
   if (is_engine ())
     hold_first_models ();
