Give crowded models a further replica before models without calls get one

A model whose calls crowd its replicas is now a need of its own, before models in use that nobody waits for.

--- a/src/edge/plan.c
+++ b/src/edge/plan.c
@@ -47,15 +47,14 @@
   NEED_SPARE_ROOM, /* not in use: only where room is free */
   NEED_MORE,       /* in use, with fewer replicas than it should have */
   NEED_FIRST,      /* in use, with none */
+  NEED_CROWDED, /* likewise with fewer, and its calls slow each other down */
   NEED_WAITED_FOR, /* calls wait, and there is none */
 };
 
 static const char *const need_names[] = {
-  [NEED_NONE] = "none",
-  [NEED_SPARE_ROOM] = "spare-room",
-  [NEED_MORE] = "more",
-  [NEED_FIRST] = "first",
-  [NEED_WAITED_FOR] = "waited-for",
+  [NEED_NONE] = "none",       [NEED_SPARE_ROOM] = "spare-room",
+  [NEED_MORE] = "more",       [NEED_FIRST] = "first",
+  [NEED_CROWDED] = "crowded", [NEED_WAITED_FOR] = "waited-for",
 };
 
 /* A model of a service with its replicas and demand. */
@@ -195,13 +194,16 @@
 }
 
 static enum need
-need_of (const struct want *w)
+need_of (const struct want *w, const struct engine_spec *e)
 {
   if (w->have == 0 && w->wish && w->wish->waiting > 0)
     return NEED_WAITED_FOR;
   if (w->have == 0)
     return w->target > 0 ? NEED_FIRST : NEED_SPARE_ROOM;
-  return w->have < w->target ? NEED_MORE : NEED_NONE;
+  if (w->have >= w->target)
+    return NEED_NONE;
+  return w->busy > w->have * CROWDED_SHARE * e->batch ? NEED_CROWDED
+                                                      : NEED_MORE;
 }
 
 static struct want
@@ -216,7 +218,7 @@
   w.ready = ready_replicas (f, service, m->name);
   w.target = target_of (&w, e);
   w.have = replicas_of (f, service, m->name, now);
-  w.need = need_of (&w);
+  w.need = need_of (&w, e);
   return w;
 }
 
@@ -283,13 +285,11 @@
 /* May a replica that is in use, but has no call now, go for the other model? A
    model that nobody waits for can wait for its first call. */
 static bool
-may_displace (const struct want *for_whom, const struct want *w,
-              const struct engine_spec *e)
+may_displace (const struct want *for_whom, const struct want *w)
 {
   if (for_whom->need == NEED_WAITED_FOR)
     return true;
-  return for_whom->need == NEED_MORE && w->rate * 2 < for_whom->rate
-         && for_whom->busy > for_whom->have * CROWDED_SHARE * e->batch;
+  return for_whom->need == NEED_CROWDED && w->rate * 2 < for_whom->rate;
 }
 
 /* With more models in use than fit, removing the newest replicas lets a few
@@ -323,7 +323,7 @@
                      : 0;
   if (w.ready > w.target)
     return 100 + running_cost;
-  if (may_displace (for_whom, &w, all->engine) && is_unused (w.wish, now))
+  if (may_displace (for_whom, &w) && is_unused (w.wish, now))
     return 400 + 1000 * w.rate + age_cost (r, now)
            + (others_have_weights (f, s, m) ? 0 : 500);
   return INFINITY;
@@ -450,7 +450,7 @@
     }
   out->cost_ms = order_left_ms (s, now) + out->takes_ms + removal
                  + CROWDED_MS * s->running;
-  if (w->need == NEED_MORE && domain_taken (f, s, w))
+  if (w->have > 0 && domain_taken (f, s, w))
     out->cost_ms += SAME_DOMAIN_MS;
   return true;
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -18,6 +18,7 @@
 
 #define SERVERS 4
 #define MODELS 10
+#define MODELS_MAX 40
 #define MODEL_MB 30
 #define SERVER_MB 100
 #define ADAPTER_SLOTS 2
@@ -43,7 +44,7 @@
   uint64_t fence;
   struct held held[HELD_MAX];
   int count;
-  char on_disk[MODELS][16];
+  char on_disk[MODELS_MAX][16];
   int disk_count;
   bool busy;
   bool loading;
@@ -240,7 +241,7 @@
   struct server *s = &m->servers[i];
   struct held_model models[HELD_MAX];
   struct str adapters[HELD_MAX][HELD_MAX];
-  struct str disk[MODELS];
+  struct str disk[MODELS_MAX];
   struct server_report r = {
     .started_ms = s->started_ms,
     .order_count = s->order_count,
@@ -327,12 +328,12 @@
 }
 
 static struct sim
-sim_create (uint64_t seed, unsigned faults)
+sim_create_with (uint64_t seed, unsigned faults, int model_count)
 {
   struct sim m = { .now = 100000, .random = seed, .fence = 1 };
   json_t *models = json_array ();
 
-  for (int i = 0; i < MODELS; i++)
+  for (int i = 0; i < model_count; i++)
     {
       char name[16];
 
@@ -363,6 +364,12 @@
   return m;
 }
 
+static struct sim
+sim_create (uint64_t seed, unsigned faults)
+{
+  return sim_create_with (seed, faults, MODELS);
+}
+
 static void
 sim_destroy (struct sim *m)
 {
@@ -853,7 +860,46 @@
   sim_destroy (&m);
 }
 
+/* Guards against a crowded model that gets no second replica because many
+   models in use have none and no room: 1,500 calls of a grown site found all
+   servers of one model full. */
+static void
+test_crowded_among_many (void)
+{
+  struct sim m = sim_create_with (19, 0, MODELS_MAX);
+  char model[16];
+
+  take_away (&m, 0);
+  for (int i = 1; i < SERVERS; i++)
+    for (int j = 0; j < MODELS_MAX; j++)
+      snprintf (m.servers[i].on_disk[m.servers[i].disk_count++], 16, "m%d", j);
+  time_to_replica (&m, false, 5000);
+  for (int j = 0; j < 500; j++)
+    {
+      const struct fleet_wish busy = { .service = STR ("lm"),
+                                       .model = STR ("m0"),
+                                       .running = 16,
+                                       .arrivals = j % 5 == 0 };
+
+      fleet_node_begin (m.fleet, STR ("node"), m.now);
+      fleet_node_wish (m.fleet, STR ("node"), &busy, m.now);
+      for (int i = 1; i < MODELS_MAX; i++)
+        {
+          const struct fleet_wish rare = { .service = STR ("lm"),
+                                           .model = str_from (model),
+                                           .arrivals = j % 200 == i };
+
+          snprintf (model, sizeof model, "m%d", i);
+          fleet_node_wish (m.fleet, STR ("node"), &rare, m.now);
+        }
+      tick (&m);
+    }
+  CU_ASSERT_TRUE (live_replicas (&m, "m0") >= 2);
+  sim_destroy (&m);
+}
+
 static const struct suite_case cases[] = {
+  { "crowded among many", test_crowded_among_many },
   { "takeover", test_takeover },
   { "crowded", test_crowded },
   { "nobody waits", test_nobody_waits },
