Refuse requests that crash the servers that run them

A request that crashes each server and is sent again through any node took one server after the other: in the new end-to-end test all seven. A broken attempt now probes whether its server still takes connections, at the price of one connection. Nodes tell each other which requests were running at servers that died; a request of one client with three deaths that never completed is refused for ten minutes. The probe also tells the placement holder of crashes before other calls meet them.

One run of the new test failed because it read the log before the node wrote the line of a call that it had already answered; the tests that look for log lines wait for them now.

--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -85,6 +85,7 @@
   struct str method;
   struct str target;
   struct str body;
+  uint64_t fingerprint; /* the same when a client sends it again */
   struct str route_name;
   struct str service;
   uint64_t config; /* version that routed the call; 0 for none */
@@ -152,6 +153,14 @@
 /** call_drop() - the client has left; h2o is made to close its connection. */
 void call_drop (struct call *call);
 
+/* ---- call_death.c ---- */
+
+/** call_suspect() - an attempt broke off at a server: find out whether the
+ * server is dead. */
+void call_suspect (struct call *call);
+/** call_found_dead() - the server takes no connection. */
+void call_found_dead (struct calls *calls, struct pool_server *server);
+
 /* ---- calls.c ---- */
 
 /** call_set_waiting() - count the call as one that waits, or no longer. */
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -21,6 +21,8 @@
 #define GAP_FACTOR 5
 #define GAP_MIN_MS 1000
 #define PRIORITY_LOWEST 9
+/* When a request that crashes servers may come back. */
+#define CRASHER_RETRY_AFTER_MS 60000
 #define STATUS_BAD_GATEWAY 502
 #define STATUS_GATEWAY_TIMEOUT 504
 
@@ -139,7 +141,7 @@
 {
   const uint64_t now = clock_ms ();
 
-  pool_unreached (c->server, now);
+  call_found_dead (c->calls, c->server);
   if (c->from_budget)
     call_retry_give_back (c);
   c->avoid = c->server;
@@ -178,6 +180,7 @@
 static void
 on_broken (struct call *c, const struct forward_result *r)
 {
+  call_suspect (c);
   pool_failed (c->server, clock_ms ());
   c->arrived = true;
   c->runs++;
@@ -197,6 +200,8 @@
              const struct http_call *answer)
 {
   c->runs++;
+  crashers_completed (site_crashers (c->calls->site), c->fingerprint,
+                      clock_ms ());
   pool_served (c->server);
   if (r->begun)
     call_end_answer (c);
@@ -433,6 +438,12 @@
       call_give_up (c, 0, "no-time-left");
       return;
     }
+  if (crashers_refused (site_crashers (all->site), c->fingerprint,
+                        clock_ms ()))
+    {
+      call_give_up (c, CRASHER_RETRY_AFTER_MS, "crashes-servers");
+      return;
+    }
   verdict = pool_choose (site_pool (all->site), &need, clock_ms (), &server);
   if (verdict == POOL_CHOSEN && server == c->avoid
       && clock_ms () < c->avoid_until_ms)
--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -271,6 +271,17 @@
     }
 }
 
+/* The client's address, without its port. */
+static uint64_t
+client_of (h2o_req_t *req)
+{
+  struct sockaddr_storage addr = { 0 };
+  const struct sockaddr_in *sin = (const struct sockaddr_in *)&addr;
+
+  req->conn->callbacks->get_peername (req->conn, (struct sockaddr *)&addr);
+  return sin->sin_family == AF_INET ? sin->sin_addr.s_addr : 0;
+}
+
 static struct call *
 create_call (struct calls *all, h2o_req_t *req)
 {
@@ -285,6 +296,8 @@
   c->method = of_iovec (req->input.method);
   c->target = of_iovec (req->input.path);
   c->body = of_iovec (req->entity);
+  c->fingerprint
+      = crashers_fingerprint (client_of (req), c->method, c->target, c->body);
   c->caller = caller_create (req, on_client_gone, c);
   link_call (c);
   return c;
--- /dev/null
+++ b/src/edge/crashers.c
@@ -0,0 +1,184 @@
+#include "edge/crashers.h"
+
+#include <stdlib.h>
+
+#include <uthash.h>
+
+#include "err.h"
+
+/* Deaths after which a request is refused: two may be chance while servers
+   crash for other reasons. */
+#define DEATHS_REFUSED 3
+/* How long deaths are remembered. */
+#define REMEMBERED_MS (10 * 60 * 1000)
+/* A death is put down to attempts that broke off this long before at most. */
+#define SUSPECTED_MS 3000
+#define SUSPECTS_MAX 256
+#define REQUESTS_MAX 4096
+
+struct suspect
+{
+  struct crash crash;
+  uint64_t at_ms;
+};
+
+/* A request that was running when servers died, or that completed. */
+struct request
+{
+  uint64_t fingerprint;
+  uint64_t servers[DEATHS_REFUSED];
+  uint32_t deaths;
+  bool completed;
+  uint64_t newest_ms;
+  UT_hash_handle hh;
+};
+
+struct crashers
+{
+  struct request *requests; /* oldest first */
+  struct suspect suspects[SUSPECTS_MAX];
+  size_t next_suspect;
+};
+
+struct crashers *
+crashers_create (void)
+{
+  return xcalloc (1, sizeof (struct crashers));
+}
+
+static void
+forget (struct crashers *c, struct request *r)
+{
+  HASH_DEL (c->requests, r);
+  free (r);
+}
+
+void
+crashers_destroy (struct crashers *c)
+{
+  struct request *r;
+  struct request *next;
+
+  HASH_ITER (hh, c->requests, r, next)
+  forget (c, r);
+  free (c);
+}
+
+uint64_t
+crashers_fingerprint (uint64_t client, struct str method, struct str target,
+                      struct str body)
+{
+  return str_hash (body, str_hash (target, str_hash (method, client)));
+}
+
+uint64_t
+crashers_server (struct str id, uint64_t started_ms)
+{
+  return str_hash (id, started_ms);
+}
+
+static struct request *
+find (const struct crashers *c, uint64_t fingerprint)
+{
+  struct request *r;
+
+  HASH_FIND (hh, c->requests, &fingerprint, sizeof fingerprint, r);
+  return r;
+}
+
+static void
+make_room (struct crashers *c, uint64_t now_ms)
+{
+  while (c->requests
+         && (HASH_COUNT (c->requests) >= REQUESTS_MAX
+             || now_ms > c->requests->newest_ms + REMEMBERED_MS))
+    forget (c, c->requests);
+}
+
+void
+crashers_suspect (struct crashers *c, const struct crash *suspect,
+                  uint64_t now_ms)
+{
+  c->suspects[c->next_suspect] = (struct suspect){ *suspect, now_ms };
+  c->next_suspect = (c->next_suspect + 1) % SUSPECTS_MAX;
+}
+
+void
+crashers_died (struct crashers *c, uint64_t server, uint64_t now_ms)
+{
+  for (size_t i = 0; i < SUSPECTS_MAX; i++)
+    {
+      struct suspect *s = &c->suspects[i];
+
+      if (s->at_ms == 0 || s->crash.server != server)
+        continue;
+      if (now_ms <= s->at_ms + SUSPECTED_MS)
+        crashers_merge (c, &s->crash, now_ms);
+      s->at_ms = 0;
+    }
+}
+
+static struct request *
+find_or_add (struct crashers *c, uint64_t fingerprint, uint64_t now_ms)
+{
+  struct request *r = find (c, fingerprint);
+
+  if (r)
+    return r;
+  make_room (c, now_ms);
+  r = xcalloc (1, sizeof *r);
+  r->fingerprint = fingerprint;
+  HASH_ADD (hh, c->requests, fingerprint, sizeof r->fingerprint, r);
+  return r;
+}
+
+void
+crashers_completed (struct crashers *c, uint64_t fingerprint, uint64_t now_ms)
+{
+  struct request *r = find_or_add (c, fingerprint, now_ms);
+
+  r->completed = true;
+  r->deaths = 0;
+  r->newest_ms = now_ms;
+}
+
+void
+crashers_merge (struct crashers *c, const struct crash *crash, uint64_t now_ms)
+{
+  struct request *r = find_or_add (c, crash->fingerprint, now_ms);
+
+  if (r->completed)
+    return;
+  for (uint32_t i = 0; i < r->deaths; i++)
+    if (r->servers[i] == crash->server)
+      return;
+  if (r->deaths < DEATHS_REFUSED)
+    r->servers[r->deaths++] = crash->server;
+  r->newest_ms = now_ms;
+}
+
+bool
+crashers_refused (const struct crashers *c, uint64_t fingerprint,
+                  uint64_t now_ms)
+{
+  const struct request *r = find (c, fingerprint);
+
+  return r && r->deaths >= DEATHS_REFUSED
+         && now_ms <= r->newest_ms + REMEMBERED_MS;
+}
+
+size_t
+crashers_tell (const struct crashers *c, uint32_t least, uint32_t max_age_ms,
+               uint64_t now_ms, struct crash *out, size_t max)
+{
+  size_t n = 0;
+
+  for (const struct request *r = c->requests; r; r = r->hh.next)
+    {
+      if (r->deaths < least || now_ms > r->newest_ms + max_age_ms)
+        continue;
+      for (uint32_t i = 0; i < r->deaths && n < max; i++)
+        out[n++] = (struct crash){ r->fingerprint, r->servers[i] };
+    }
+  return n;
+}
--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -38,6 +38,12 @@
 };
 typedef struct load_digest load_digest;
 
+struct crash_digest {
+	u_quad_t fingerprint;
+	u_quad_t server;
+};
+typedef struct crash_digest crash_digest;
+
 struct entry_digest {
 	label node;
 	u_quad_t instance;
@@ -51,6 +57,10 @@
 		u_int loads_len;
 		load_digest *loads_val;
 	} loads;
+	struct {
+		u_int crashes_len;
+		crash_digest *crashes_val;
+	} crashes;
 };
 typedef struct entry_digest entry_digest;
 
@@ -94,6 +104,10 @@
 		u_int nodes_len;
 		label *nodes_val;
 	} nodes;
+	struct {
+		u_int crashes_len;
+		crash_digest *crashes_val;
+	} crashes;
 	struct {
 		u_int servers_len;
 		server_digest *servers_val;
@@ -122,6 +136,7 @@
 extern  bool_t xdr_label (XDR *, label*);
 extern  bool_t xdr_demand_digest (XDR *, demand_digest*);
 extern  bool_t xdr_load_digest (XDR *, load_digest*);
+extern  bool_t xdr_crash_digest (XDR *, crash_digest*);
 extern  bool_t xdr_entry_digest (XDR *, entry_digest*);
 extern  bool_t xdr_held_state_digest (XDR *, held_state_digest*);
 extern  bool_t xdr_held_digest (XDR *, held_digest*);
@@ -134,6 +149,7 @@
 extern bool_t xdr_label ();
 extern bool_t xdr_demand_digest ();
 extern bool_t xdr_load_digest ();
+extern bool_t xdr_crash_digest ();
 extern bool_t xdr_entry_digest ();
 extern bool_t xdr_held_state_digest ();
 extern bool_t xdr_held_digest ();
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -25,6 +25,13 @@
   bool unreached;        /* takes no connection from the node */
 };
 
+/* A server that died while it ran a request. */
+struct crash_digest
+{
+  unsigned hyper fingerprint; /* of the request */
+  unsigned hyper server;      /* hash of its id and start */
+};
+
 struct entry_digest
 {
   label node;
@@ -33,6 +40,7 @@
   bool store_reachable;
   demand_digest demand<>;
   load_digest loads<>;
+  crash_digest crashes<>;
 };
 
 enum held_state_digest
@@ -67,6 +75,7 @@
   unsigned hyper lease_revision; /* of the lease's object */
   unsigned int entries; /* nodes that tell their demand */
   label nodes<>;        /* addresses of some of them, others the next time */
+  crash_digest crashes<>; /* of requests with several */
   server_digest servers<>;
 };
 
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -110,6 +110,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_crash_digest (XDR *xdrs, crash_digest *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->server))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_entry_digest (XDR *xdrs, entry_digest *objp)
 {
@@ -129,6 +141,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, ~0,
 		sizeof (load_digest), (xdrproc_t) xdr_load_digest))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, ~0,
+		sizeof (crash_digest), (xdrproc_t) xdr_crash_digest))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -196,6 +211,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->nodes.nodes_val, (u_int *) &objp->nodes.nodes_len, ~0,
 		sizeof (label), (xdrproc_t) xdr_label))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, ~0,
+		sizeof (crash_digest), (xdrproc_t) xdr_crash_digest))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, ~0,
 		sizeof (server_digest), (xdrproc_t) xdr_server_digest))
 		 return FALSE;
--- /dev/null
+++ b/src/edge/liveprobe.c
@@ -0,0 +1,86 @@
+#include "edge/liveprobe.h"
+
+#include <stdlib.h>
+
+#include "err.h"
+#include "netaddr.h"
+
+/* A crash is seen only after the server's connections are closed. */
+#define PAUSE_MS 30
+/* A server that does not take a connection in this time is dark or cut off. */
+#define CONNECT_MS 250
+
+struct liveprobe
+{
+  uv_timer_t timer;
+  uv_tcp_t socket;
+  uv_connect_t request;
+  struct sockaddr_in address;
+  liveprobe_fn fn;
+  void *ctx;
+  bool ended;
+  unsigned open_handles;
+};
+
+static void
+on_closed (uv_handle_t *handle)
+{
+  struct liveprobe *p = handle->data;
+
+  if (--p->open_handles == 0)
+    free (p);
+}
+
+static void
+end (struct liveprobe *p, bool reached)
+{
+  if (p->ended)
+    return;
+  p->ended = true;
+  p->fn (p->ctx, reached);
+  uv_close ((uv_handle_t *)&p->timer, on_closed);
+  uv_close ((uv_handle_t *)&p->socket, on_closed);
+}
+
+static void
+on_connected (uv_connect_t *request, int status)
+{
+  end (request->data, status == 0);
+}
+
+static void
+on_timeout (uv_timer_t *timer)
+{
+  end (timer->data, false);
+}
+
+static void
+on_pause_over (uv_timer_t *timer)
+{
+  struct liveprobe *p = timer->data;
+
+  uv_timer_start (timer, on_timeout, CONNECT_MS, 0);
+  if (uv_tcp_connect (&p->request, &p->socket,
+                      (const struct sockaddr *)&p->address, on_connected)
+      != 0)
+    end (p, false);
+}
+
+void
+liveprobe_start (uv_loop_t *loop, struct str address, liveprobe_fn fn,
+                 void *ctx)
+{
+  struct liveprobe *p = xcalloc (1, sizeof *p);
+
+  p->fn = fn;
+  p->ctx = ctx;
+  p->open_handles = 2;
+  uv_timer_init (loop, &p->timer);
+  uv_tcp_init (loop, &p->socket);
+  p->timer.data = p;
+  p->socket.data = p;
+  p->request.data = p;
+  /* An address that cannot be read fails when the connection is begun. */
+  netaddr_parse (address, &p->address);
+  uv_timer_start (&p->timer, on_pause_over, PAUSE_MS, 0);
+}
--- a/src/edge/placer_hear.c
+++ b/src/edge/placer_hear.c
@@ -45,6 +45,17 @@
   free (holdings);
 }
 
+static void
+hear_crashes (struct placer *p, const crash_digest *crashes, u_int count)
+{
+  for (u_int i = 0; i < count; i++)
+    {
+      const struct crash crash = { crashes[i].fingerprint, crashes[i].server };
+
+      crashers_merge (site_crashers (p->site), &crash, clock_ms ());
+    }
+}
+
 void
 placer_know_node (struct placer *p, struct str addr)
 {
@@ -86,6 +97,7 @@
   p->entries = d->entries;
   str_assign (&p->holder_addr, from);
   hear_nodes (p, from, d);
+  hear_crashes (p, d->crashes.crashes_val, d->crashes.crashes_len);
   for (u_int i = 0; i < d->servers.servers_len; i++)
     apply_server (p, &d->servers.servers_val[i]);
   kernel_publish (p->kernel, TOPIC_POOL, NULL, NULL);
@@ -97,6 +109,7 @@
   const uint64_t now = clock_ms ();
   const struct str node = label_str (d->node);
 
+  hear_crashes (p, d->crashes.crashes_val, d->crashes.crashes_len);
   fleet_node_begin (p->fleet, node, now);
   for (u_int i = 0; i < d->demand.demand_len; i++)
     {
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -22,6 +22,12 @@
 #define SERVERS_PER_DATAGRAM 4
 #define NODES_PER_DATAGRAM 8
 #define LOADS_MAX 2048
+/* A node tells the holder of deaths for this long; the holder tells all nodes
+   of requests with so many deaths, for as long as they matter. */
+#define CRASHES_NEW_MS 3000
+#define CRASHES_TOLD 2
+#define CRASHES_KEPT_MS (10 * 60 * 1000)
+#define CRASHES_PER_DATAGRAM 32
 /* Digests with all demand for a new holder, since some may be lost. */
 #define WHOLE_DIGESTS 3
 
@@ -60,9 +66,24 @@
   return n;
 }
 
+/* Deaths that a digest tells. Returns their number. */
+static u_int
+next_crashes (struct placer *p, uint32_t least, uint32_t max_age_ms,
+              crash_digest out[CRASHES_PER_DATAGRAM])
+{
+  struct crash crashes[CRASHES_PER_DATAGRAM];
+  const size_t n = crashers_tell (site_crashers (p->site), least, max_age_ms,
+                                  clock_ms (), crashes, CRASHES_PER_DATAGRAM);
+
+  for (size_t i = 0; i < n; i++)
+    out[i] = (crash_digest){ crashes[i].fingerprint, crashes[i].server };
+  return (u_int)n;
+}
+
 static void
 flush (struct broadcast *b)
 {
+  crash_digest crashes[CRASHES_PER_DATAGRAM];
   label nodes[NODES_PER_DATAGRAM];
   struct placer *p = b->placer;
   struct datagram d = { .kind = DATAGRAM_HOLDER };
@@ -76,6 +97,9 @@
   h->entries = fleet_nodes (p->fleet, clock_ms ());
   h->nodes.nodes_val = nodes;
   h->nodes.nodes_len = next_nodes (p, nodes);
+  h->crashes.crashes_val = crashes;
+  h->crashes.crashes_len
+      = next_crashes (p, CRASHES_TOLD, CRASHES_KEPT_MS, crashes);
   h->servers.servers_val = b->servers;
   h->servers.servers_len = b->count;
   for (struct listener *l = p->listeners; l; l = l->hh.next)
@@ -267,6 +291,7 @@
   struct datagram d = { .kind = DATAGRAM_ENTRY };
   entry_digest *e = &d.datagram_u.entry;
   struct told_demand t = { 0 };
+  crash_digest crashes[CRASHES_PER_DATAGRAM];
   struct pool_load *loads = xcalloc (LOADS_MAX, sizeof *loads);
   load_digest *told = xcalloc (LOADS_MAX, sizeof *told);
   const size_t n = pool_loads (site_pool (p->site), loads, LOADS_MAX);
@@ -286,6 +311,8 @@
   e->demand.demand_len = t.count;
   e->loads.loads_val = told;
   e->loads.loads_len = (u_int)n;
+  e->crashes.crashes_val = crashes;
+  e->crashes.crashes_len = next_crashes (p, 1, CRASHES_NEW_MS, crashes);
   if (p->holding)
     placer_hear_entry (p, e);
   else if (p->holder_addr.len > 0)
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -128,7 +128,7 @@
 /* ---- servers ---- */
 
 static struct pool_server *
-find (struct pool *p, struct str id)
+find (const struct pool *p, struct str id)
 {
   struct pool_server *s;
 
@@ -473,6 +473,18 @@
   return s->id;
 }
 
+uint64_t
+pool_server_started (const struct pool_server *s)
+{
+  return s->started_ms;
+}
+
+struct pool_server *
+pool_find (const struct pool *p, struct str id)
+{
+  return find (p, id);
+}
+
 struct str
 pool_server_address (const struct pool_server *s)
 {
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -117,6 +117,10 @@
 void pool_replaced (struct pool_server *server);
 
 struct str pool_server_id (const struct pool_server *server);
+/** pool_server_started() - Unix ms of the server's start, 0 when unknown. */
+uint64_t pool_server_started (const struct pool_server *server);
+/** pool_find() - server by id, or NULL. */
+struct pool_server *pool_find (const struct pool *pool, struct str id);
 struct str pool_server_address (const struct pool_server *server);
 /**
  * struct pool_belief - what decides about a server, for the log.
--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -16,6 +16,7 @@
   struct kernel *kernel;
   struct pool *pool;
   struct demand *demand;
+  struct crashers *crashers;
   bool servers_listed;
   const struct site_listener *listener;
   void *ctx;
@@ -48,6 +49,12 @@
   return s->demand;
 }
 
+struct crashers *
+site_crashers (struct site *s)
+{
+  return s->crashers;
+}
+
 const struct routing *
 site_routing (const struct site *s)
 {
@@ -78,6 +85,18 @@
   kernel_publish (s->kernel, TOPIC_ROUTING, routing, destroy_routing);
 }
 
+/* A server that started again died before. */
+static void
+note_restart (struct site *s, const struct server_entry *e)
+{
+  const struct pool_server *before = pool_find (s->pool, e->id);
+  const uint64_t started_ms = before ? pool_server_started (before) : 0;
+
+  if (started_ms > 0 && e->started_ms > started_ms)
+    crashers_died (s->crashers, crashers_server (e->id, started_ms),
+                   clock_ms ());
+}
+
 static void
 on_server (void *ctx, const struct server_entry *e)
 {
@@ -89,6 +108,7 @@
   if (e->state == SERVER_LEAVING)
     LOG_INFO ("server-leaving", "server=" STR_FMT " service=" STR_FMT,
               STR_ARG (e->id), STR_ARG (e->service));
+  note_restart (s, e);
   pool_update (s->pool, e, clock_ms ());
   s->listener->server (s->ctx, e);
   kernel_publish (s->kernel, TOPIC_POOL, NULL, NULL);
@@ -151,6 +171,7 @@
   s->kernel = kernel;
   s->pool = pool_create ();
   s->demand = demand_create ();
+  s->crashers = crashers_create ();
   platform_listen (platform_get (kernel), &events, s);
   return &s->plugin;
 }
@@ -162,6 +183,7 @@
 
   pool_destroy (s->pool);
   demand_destroy (s->demand);
+  crashers_destroy (s->crashers);
   free (s);
 }
 
--- a/src/edge/site.h
+++ b/src/edge/site.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "edge/crashers.h"
 #include "edge/demand.h"
 #include "edge/pool.h"
 #include "edge/topology.h"
@@ -26,6 +27,8 @@
                   void *ctx);
 struct pool *site_pool (struct site *site);
 struct demand *site_demand (struct site *site);
+/** site_crashers() - requests that crash servers. */
+struct crashers *site_crashers (struct site *site);
 /** site_routing() - configuration in force, or NULL before the first one.
  * Valid until control returns to the loop. */
 const struct routing *site_routing (const struct site *site);
--- a/src/logtrace.c
+++ b/src/logtrace.c
@@ -1,7 +1,6 @@
 #include "logtrace.h"
 
 #include <stdbool.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -82,14 +81,18 @@
   const struct str value = logtrace_field (line, "time");
   char text[40];
   struct tm tm = { 0 };
-  int ms = 0;
+  char *end;
+  long ms;
 
   if (value.len == 0 || value.len >= sizeof text)
     return -1;
   memcpy (text, value.data, value.len);
   text[value.len] = '\0';
   const char *rest = strptime (text, "%Y-%m-%dT%H:%M:%S", &tm);
-  if (!rest || sscanf (rest, ".%3dZ", &ms) != 1)
+  if (!rest || rest[0] != '.')
+    return -1;
+  ms = strtol (rest + 1, &end, 10);
+  if (end != rest + 4 || *end != 'Z')
     return -1;
   return (int64_t)timegm (&tm) * 1000 + ms;
 }
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -634,25 +634,41 @@
   edges_destroy (&edges);
 }
 
-/* Does the edge's log have a line with all these words? */
+/* A line that is waited for in an edge's log: it has all these words. */
+struct expected_line
+{
+  const struct cluster_proc *edge;
+  const char *const *words;
+};
+
 static bool
-logged (const struct cluster_proc *edge, const char *const words[])
+has_line (void *ctx)
 {
-  FILE *f = fopen (edge->log, "r");
+  const struct expected_line *x = ctx;
+  FILE *f = fopen (x->edge->log, "r");
   char line[4096];
   bool found = false;
 
   while (f && !found && fgets (line, sizeof line, f))
     {
       found = true;
-      for (size_t i = 0; words[i]; i++)
-        found = found && strstr (line, words[i]);
+      for (size_t i = 0; x->words[i]; i++)
+        found = found && strstr (line, x->words[i]);
     }
   if (f)
     fclose (f);
   return found;
 }
 
+/* A node writes the line of a call after it sent the answer. */
+static bool
+logged (const struct cluster_proc *edge, const char *const words[])
+{
+  struct expected_line x = { edge, words };
+
+  return cluster_until (has_line, &x, WAIT_MS);
+}
+
 /* Guards against refusals that leave no line with the call's id, the reason
    and what it was decided on. */
 static void
@@ -702,7 +718,63 @@
   edges_destroy (&edges);
 }
 
+#define CRASH_SERVERS 7
+/* Time that nodes get to tell each other of a death. */
+#define CONTACT_S 3
+
+/* Guards against a request that crashes all servers of a service, one after
+   the other, when its client sends it again through any node. */
+static void
+test_crashing_request (void)
+{
+  struct cluster_proc *servers[CRASH_SERVERS];
+  struct cluster_proc *nodes[2];
+  struct cluster_reply r;
+  char id[16];
+  int alive = 0;
+
+  edges = edges_create ();
+  for (int i = 0; i < CRASH_SERVERS; i++)
+    {
+      servers[i] = cluster_server (edges.cluster, "plain", "a", NULL);
+      edges_register (&edges, servers[i], "ready", NO_MODELS);
+    }
+  edges_configure (&edges, 2000);
+  nodes[0] = cluster_edge (edges.cluster, "a", RETRY_FLAGS);
+  CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
+  nodes[1] = cluster_edge (edges.cluster, "b", RETRY_FLAGS);
+  CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
+  for (int i = 0; i < 4; i++)
+    {
+      snprintf (id, sizeof id, "id-c%d", i);
+      r = edges_call (nodes[i % 2], "POST", "/plain/crash", id, NULL, "x");
+      CU_ASSERT_TRUE (r.status == 502 || r.status == 503);
+      cluster_reply_free (&r);
+      sleep (CONTACT_S);
+    }
+  for (int i = 0; i < CRASH_SERVERS; i++)
+    {
+      r = cluster_http (servers[i], "GET", "/counts", NULL, NULL,
+                        EDGE_CALL_MS);
+      alive += r.error == CURLE_OK;
+      cluster_reply_free (&r);
+    }
+  /* Two attempts may be under way when the third death becomes known. */
+  CU_ASSERT_TRUE (alive >= CRASH_SERVERS - 4);
+  r = edges_call (nodes[0], "POST", "/plain/crash", "id-c9", NULL, "x");
+  CU_ASSERT_EQUAL (r.status, 503);
+  cluster_reply_free (&r);
+  CU_ASSERT_TRUE (logged (
+      nodes[0], (const char *const[]){ "id=id-c9 ", "end=refused",
+                                       "reason=crashes-servers", NULL }));
+  r = edges_call (nodes[1], "POST", "/plain/ok", "id-c10", NULL, "x");
+  CU_ASSERT_EQUAL (r.status, 200);
+  cluster_reply_free (&r);
+  edges_destroy (&edges);
+}
+
 static const struct suite_case cases[] = {
+  { "crashing request", test_crashing_request },
   { "refusals logged", test_refusals_logged },
   { "bytes", test_bytes },
   { "bad answers", test_bad_answers },
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -427,6 +427,8 @@
   else
     {
       count_run (req);
+      if (str_eq (standin_path (req), STR ("/plain/crash")))
+        _exit (1);
       if (fault ("close"))
         standin_close (req);
       else if (is_engine ())
