Remove replicas only when all room for the model can be made

The plan now counts all that has to go, as one replica that is large enough or as several, and takes nothing where the room cannot be made.

--- a/src/edge/plan.c
+++ b/src/edge/plan.c
@@ -33,6 +33,8 @@
 /* A new holder removes nothing before all nodes had time to tell what they
    need; they tell each 250 ms. */
 #define LEARN_MS 600
+/* Time until the end of an order is known from a report. */
+#define ORDER_END_MS 150
 /* Models for which a step is looked for in one plan; the others can wait for
    the next one. */
 #define WANTS_TRIED 24
@@ -243,6 +245,15 @@
 
 /* ---- room on a server ---- */
 
+/* A model that the configuration does not name may be of any size. */
+static double
+replica_mb (const struct replica *r, const struct engine_spec *e)
+{
+  const struct model_spec *m = engine_model (e, r->model);
+
+  return m ? m->weights_mb : e->weights_mb;
+}
+
 static double
 free_mb (const struct fleet_server *s, const struct engine_spec *e)
 {
@@ -253,12 +264,7 @@
     if (e->models[i].adapter_mb > adapter_mb)
       adapter_mb = e->models[i].adapter_mb;
   for (size_t i = 0; i < s->replica_count; i++)
-    {
-      const struct model_spec *m = engine_model (e, s->replicas[i].model);
-
-      /* A model that the configuration does not name may be of any size. */
-      used += m ? m->weights_mb : e->weights_mb;
-    }
+    used += replica_mb (&s->replicas[i], e);
   return e->weights_mb - used - adapter_mb * e->adapter_slots;
 }
 
@@ -329,22 +335,28 @@
   return INFINITY;
 }
 
-/* The cheapest replica to remove, or NULL. */
+/* Replicas on one server that would have to go, as bits by their index. */
+typedef uint64_t replica_set;
+#define REPLICAS_MAX 64
+
+/* The cheapest replica to remove that is not in @gone and frees @least_mb, or
+   NULL. */
 static const struct replica *
 cheapest (const struct fleet *f, const struct fleet_server *s,
           const struct wants *all, const struct want *w, uint64_t now,
-          double *cost)
+          replica_set gone, double least_mb, double *cost)
 {
   const struct replica *best = NULL;
 
   *cost = INFINITY;
-  for (size_t i = 0; i < s->replica_count; i++)
+  for (size_t i = 0; i < s->replica_count && i < REPLICAS_MAX; i++)
     {
       const struct replica *r = &s->replicas[i];
-      const double c = r->state == REPLICA_READY
-                           ? removal_cost (f, s, all, r, w, now)
-                           : INFINITY;
 
+      if (r->state != REPLICA_READY || (gone & ((replica_set)1 << i))
+          || replica_mb (r, all->engine) < least_mb)
+        continue;
+      const double c = removal_cost (f, s, all, r, w, now);
       if (c < *cost)
         {
           *cost = c;
@@ -354,6 +366,39 @@
   return best;
 }
 
+/* What to remove first for @missing_mb of room: one replica that is large
+   enough, or several. NULL when the room cannot be made, so that nothing goes
+   in vain. */
+static const struct replica *
+make_room (const struct fleet *f, const struct fleet_server *s,
+           const struct wants *all, const struct want *w, uint64_t now,
+           double missing_mb, double *cost)
+{
+  const struct replica *first = NULL;
+  replica_set gone = 0;
+  double several = 0;
+  double c;
+  const struct replica *one
+      = cheapest (f, s, all, w, now, 0, missing_mb, cost);
+
+  while (missing_mb > 0)
+    {
+      const struct replica *r = cheapest (f, s, all, w, now, gone, 0, &c);
+
+      if (!r)
+        return one;
+      several += c + (first ? UNLOAD_MS + ORDER_END_MS : 0);
+      if (!first)
+        first = r;
+      gone |= (replica_set)1 << (r - s->replicas);
+      missing_mb -= replica_mb (r, all->engine);
+    }
+  if (one && *cost <= several)
+    return one;
+  *cost = several;
+  return first;
+}
+
 /* ---- choice of a server ---- */
 
 static bool
@@ -363,9 +408,6 @@
          && now >= s->avoid_until_ms;
 }
 
-/* Time until the end of an order is known from a report. */
-#define ORDER_END_MS 150
-
 /* A server that carries an order out takes the next one after it. */
 static uint32_t
 order_left_ms (const struct fleet_server *s, uint64_t now)
@@ -428,6 +470,7 @@
          const struct want *w, uint64_t now, struct step *out)
 {
   double removal = 0;
+  double missing_mb;
 
   if (!fleet_usable (s) || !s->known || now < s->avoid_until_ms
       || reserved_for_other (s, w->spec->name, now)
@@ -437,14 +480,15 @@
   out->takes_ms = load_ms (s, w->spec, &out->cold);
   if (out->cold && !cold_allowed (f, s, w->need == NEED_SPARE_ROOM, now))
     return false;
-  if (free_mb (s, all->engine) < w->spec->weights_mb)
+  missing_mb = w->spec->weights_mb - free_mb (s, all->engine);
+  if (missing_mb > 0)
     {
       /* A place on a server with the weights comes sooner than a load from
          the weight store ends. */
       if (w->need == NEED_SPARE_ROOM || now < f->term_ms + LEARN_MS
           || (out->cold && others_have_weights (f, s, w->spec)))
         return false;
-      out->remove = cheapest (f, s, all, w, now, &removal);
+      out->remove = make_room (f, s, all, w, now, missing_mb, &removal);
       if (!out->remove)
         return false;
     }
