--- a/src/edge/fleet_impl.h
+++ b/src/edge/fleet_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/* Parts of the fleet; included by edge/fleet*.c and edge/plan*.c only. */
+/* Parts of the fleet; included by edge/fleet*.c, edge/plan*.c and
+   edge/coldloads.c only. */
 
 #include <uthash.h>
 
@@ -198,12 +199,15 @@
 
 /** plan_models() - the most useful load or unload of a model, if any. */
 bool plan_models (struct fleet *fleet, uint64_t now_ms, struct planned *out);
-/** plan_adapters() - likewise for adapters. */
+/** plan_adapters() - likewise for adapters; in plan_adapters.c. */
 bool plan_adapters (struct fleet *fleet, uint64_t now_ms, struct planned *out);
 
+/* ---- coldloads.c ---- */
+
 /** cold_allowed() - may a load from the weight store begin. @spare: of a model
  * that is not in use. */
 bool cold_allowed (struct fleet *fleet, const struct fleet_server *server,
                    bool spare, uint64_t now_ms);
+/** cold_begin() - count a load that begins. */
 void cold_begin (struct fleet *fleet, const struct fleet_server *server,
                  uint64_t now_ms);
