--- a/src/edge/coldloads.c
+++ b/src/edge/coldloads.c
@@ -8,7 +8,7 @@
 
 /* Loads from the weight store at once. The memory for each serves nobody for
    seconds, which costs more calls than a further copy of weights saves. */
-#define COLD_AT_ONCE 1
+#define COLD_AT_ONCE 2
 
 static struct cold_loads *
 cold_of (struct fleet *f, struct str service)
