Tell of unreachable servers only while the news is fresh; share test code

From reading the change: a node told the holder for ever of a server that it had not reached once and not called since, and the holder would have asked that server for a report each time. Deaths are looked through for a digest only when there are any. Two tests of crowded models share their load, and two others set a name before it is used.

--- a/src/edge/crashers.c
+++ b/src/edge/crashers.c
@@ -36,6 +36,7 @@
 struct crashers
 {
   struct request *requests; /* oldest first */
+  size_t marked;            /* requests with deaths */
   struct suspect suspects[SUSPECTS_MAX];
   size_t next_suspect;
 };
@@ -46,9 +47,18 @@
   return xcalloc (1, sizeof (struct crashers));
 }
 
+static void
+clear_deaths (struct crashers *c, struct request *r)
+{
+  if (r->deaths > 0)
+    c->marked--;
+  r->deaths = 0;
+}
+
 static void
 forget (struct crashers *c, struct request *r)
 {
+  clear_deaths (c, r);
   HASH_DEL (c->requests, r);
   free (r);
 }
@@ -137,8 +147,8 @@
 {
   struct request *r = find_or_add (c, fingerprint, now_ms);
 
+  clear_deaths (c, r);
   r->completed = true;
-  r->deaths = 0;
   r->newest_ms = now_ms;
 }
 
@@ -152,6 +162,8 @@
   for (uint32_t i = 0; i < r->deaths; i++)
     if (r->servers[i] == crash->server)
       return;
+  if (r->deaths == 0)
+    c->marked++;
   if (r->deaths < DEATHS_REFUSED)
     r->servers[r->deaths++] = crash->server;
   r->newest_ms = now_ms;
@@ -173,6 +185,9 @@
 {
   size_t n = 0;
 
+  /* Most requests complete, and need not be looked at for each digest. */
+  if (c->marked == 0)
+    return 0;
   for (const struct request *r = c->requests; r; r = r->hh.next)
     {
       if (r->deaths < least || now_ms > r->newest_ms + max_age_ms)
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -294,9 +294,10 @@
   crash_digest crashes[CRASHES_PER_DATAGRAM];
   struct pool_load *loads = xcalloc (LOADS_MAX, sizeof *loads);
   load_digest *told = xcalloc (LOADS_MAX, sizeof *told);
-  const size_t n = pool_loads (site_pool (p->site), loads, LOADS_MAX);
+  size_t n;
 
   p->told_ms = clock_ms ();
+  n = pool_loads (site_pool (p->site), p->told_ms, loads, LOADS_MAX);
   for (size_t i = 0; i < n; i++)
     told[i] = (load_digest){ .server = loads[i].server,
                              .running = loads[i].running,
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -18,6 +18,9 @@
 /* A server that took no connection is tried again after this time. A try costs
    the server nothing. */
 #define UNREACHED_MS 300
+/* The placement holder is told of it for this much longer: it asks the server
+   itself. */
+#define UNREACHED_TOLD_MS 1000
 /* Load at which a plain service's server is taken as full: calls for each of
    its places, since it keeps a short queue. */
 #define PLAIN_QUEUE 3
@@ -502,17 +505,20 @@
 }
 
 size_t
-pool_loads (struct pool *p, struct pool_load *out, size_t max)
+pool_loads (struct pool *p, uint64_t now_ms, struct pool_load *out, size_t max)
 {
   size_t n = 0;
 
   for (struct pool_server *s = p->servers; s && n < max; s = s->hh.next)
     {
       s->told = s->running;
-      if (s->running > 0 || s->unreached)
+      const bool unreached = s->listed && s->unreached
+                             && now_ms < s->avoid_until_ms + UNREACHED_TOLD_MS;
+
+      if (s->running > 0 || unreached)
         out[n++] = (struct pool_load){ .server = s->hash,
                                        .running = s->running,
-                                       .unreached = s->unreached };
+                                       .unreached = unreached };
     }
   return n;
 }
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -153,7 +153,8 @@
 };
 /** pool_loads() - servers with calls of this node, to be told to the holder.
  * Returns their number. */
-size_t pool_loads (struct pool *pool, struct pool_load *out, size_t max);
+size_t pool_loads (struct pool *pool, uint64_t now_ms, struct pool_load *out,
+                   size_t max);
 /** pool_ready_in() - shortest time until a server that loads the model holds
  * it; UINT32_MAX when none does. */
 uint32_t pool_ready_in (const struct pool *pool, const struct pool_need *need,
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -681,13 +681,12 @@
       fleet_node_begin (m->fleet, STR ("node"), m->now);
       for (int i = 0; i < MODELS; i++)
         {
+          snprintf (model, sizeof model, "m%d", i);
           const struct fleet_wish w = { .service = STR ("lm"),
                                         .model = str_from (model),
                                         .waiting = waiting[i],
                                         .running = running[i],
                                         .arrivals = arrivals[i] };
-
-          snprintf (model, sizeof model, "m%d", i);
           fleet_node_wish (m->fleet, STR ("node"), &w, m->now);
         }
       tick (m);
@@ -774,19 +773,12 @@
   sim_destroy (&m);
 }
 
-/* Guards against a model whose calls crowd its only replica while others hold
-   places with few calls: the pattern of demand that moves to another model. */
+/* Plays calls that crowd "m0" and single ones of all other models. */
 static void
-test_crowded (void)
+play_busy_beside_rare (struct sim *m, int model_count)
 {
-  struct sim m = sim_create (13, 0);
   char model[16];
 
-  take_away (&m, 0);
-  for (int i = 1; i < SERVERS; i++)
-    for (int j = 0; j < MODELS; j++)
-      snprintf (m.servers[i].on_disk[m.servers[i].disk_count++], 16, "m%d", j);
-  play_calls (&m, 5000);
   for (int j = 0; j < 500; j++)
     {
       const struct fleet_wish busy = { .service = STR ("lm"),
@@ -794,19 +786,34 @@
                                        .running = 16,
                                        .arrivals = j % 5 == 0 };
 
-      fleet_node_begin (m.fleet, STR ("node"), m.now);
-      fleet_node_wish (m.fleet, STR ("node"), &busy, m.now);
-      for (int i = 1; i < MODELS; i++)
+      fleet_node_begin (m->fleet, STR ("node"), m->now);
+      fleet_node_wish (m->fleet, STR ("node"), &busy, m->now);
+      for (int i = 1; i < model_count; i++)
         {
+          snprintf (model, sizeof model, "m%d", i);
           const struct fleet_wish rare = { .service = STR ("lm"),
                                            .model = str_from (model),
-                                           .arrivals = j % 200 == 10 * i };
+                                           .arrivals = j % 200 == i };
 
-          snprintf (model, sizeof model, "m%d", i);
-          fleet_node_wish (m.fleet, STR ("node"), &rare, m.now);
+          fleet_node_wish (m->fleet, STR ("node"), &rare, m->now);
         }
-      tick (&m);
+      tick (m);
     }
+}
+
+/* Guards against a model whose calls crowd its only replica while others hold
+   places with few calls: the pattern of demand that moves to another model. */
+static void
+test_crowded (void)
+{
+  struct sim m = sim_create (13, 0);
+
+  take_away (&m, 0);
+  for (int i = 1; i < SERVERS; i++)
+    for (int j = 0; j < MODELS; j++)
+      snprintf (m.servers[i].on_disk[m.servers[i].disk_count++], 16, "m%d", j);
+  play_calls (&m, 5000);
+  play_busy_beside_rare (&m, MODELS);
   CU_ASSERT_TRUE (live_replicas (&m, "m0") >= 2);
   sim_destroy (&m);
 }
@@ -841,11 +848,10 @@
       fleet_node_begin (m.fleet, STR ("first"), m.now);
       for (int j = 1; j < MODELS; j++)
         {
+          snprintf (model, sizeof model, "m%d", j);
           const struct fleet_wish waits = { .service = STR ("lm"),
                                             .model = str_from (model),
                                             .waiting = 1 };
-
-          snprintf (model, sizeof model, "m%d", j);
           fleet_node_wish (m.fleet, STR ("first"), &waits, m.now);
         }
       if (i >= 30)
@@ -867,33 +873,13 @@
 test_crowded_among_many (void)
 {
   struct sim m = sim_create_with (19, 0, MODELS_MAX);
-  char model[16];
 
   take_away (&m, 0);
   for (int i = 1; i < SERVERS; i++)
     for (int j = 0; j < MODELS_MAX; j++)
       snprintf (m.servers[i].on_disk[m.servers[i].disk_count++], 16, "m%d", j);
   time_to_replica (&m, false, 5000);
-  for (int j = 0; j < 500; j++)
-    {
-      const struct fleet_wish busy = { .service = STR ("lm"),
-                                       .model = STR ("m0"),
-                                       .running = 16,
-                                       .arrivals = j % 5 == 0 };
-
-      fleet_node_begin (m.fleet, STR ("node"), m.now);
-      fleet_node_wish (m.fleet, STR ("node"), &busy, m.now);
-      for (int i = 1; i < MODELS_MAX; i++)
-        {
-          const struct fleet_wish rare = { .service = STR ("lm"),
-                                           .model = str_from (model),
-                                           .arrivals = j % 200 == i };
-
-          snprintf (model, sizeof model, "m%d", i);
-          fleet_node_wish (m.fleet, STR ("node"), &rare, m.now);
-        }
-      tick (&m);
-    }
+  play_busy_beside_rare (&m, MODELS_MAX);
   CU_ASSERT_TRUE (live_replicas (&m, "m0") >= 2);
   sim_destroy (&m);
 }
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -206,19 +206,21 @@
   add (p, "i-1", "a", 10);
   hold (p, "i-1", "m", HELD_READY, NULL, 1, 10);
   struct pool_server *s = choose (p, &need, 20, POOL_CHOSEN);
-  CU_ASSERT_EQUAL (pool_loads (p, loads, 2), 0);
+  CU_ASSERT_EQUAL (pool_loads (p, 20, loads, 2), 0);
   pool_unreached (s, 20);
   choose (p, &need, 21, POOL_NO_MODEL);
-  CU_ASSERT_EQUAL (pool_loads (p, loads, 2), 1);
+  CU_ASSERT_EQUAL (pool_loads (p, 21, loads, 2), 1);
   CU_ASSERT_TRUE (loads[0].unreached);
   CU_ASSERT_EQUAL (loads[0].running, 0);
   choose (p, &plain, 21, POOL_CHOSEN);
+  /* Old news is not told: the holder would ask the server for ever. */
+  CU_ASSERT_EQUAL (pool_loads (p, 5000, loads, 2), 0);
   /* It is tried again, since only this node's path may have been cut. */
   CU_ASSERT_PTR_EQUAL (choose (p, &need, 1000, POOL_CHOSEN), s);
   pool_unreached (s, 1000);
   pool_served (s);
   choose (p, &need, 1001, POOL_CHOSEN);
-  CU_ASSERT_EQUAL (pool_loads (p, loads, 2), 0);
+  CU_ASSERT_EQUAL (pool_loads (p, 1001, loads, 2), 0);
   pool_destroy (p);
 }
 
