Give a waiting call's refusal one reason, however late the tick is

A waiting call ends at the tick after its patience, or at its end timer when the tick comes late; both say waited-too-long now.

--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -242,7 +242,8 @@
 
   if (!c->forward && c->runs == 0)
     {
-      call_refuse (c, 0, "no-time-left");
+      /* The same end as at the last tick before, which may come late. */
+      call_refuse (c, 0, c->waiting ? "waited-too-long" : "no-time-left");
       return;
     }
   call_abandon (c);
