Share what the edge profile did twice; drop what nothing reads

From reading the whole change again; behaviour stays as it is. - The holder encodes a digest once for all nodes, and fills a server's part once: it was filled again because taking its hash cleared its times. - The plan's parts share which servers may get orders and which replicas are ready; where weights come from is one value instead of a flag and a second look-up; reserved room no longer works out the same want twice. - Nodes and holder share the formula of rates, the retry limits are taken from the settings once, call lines share their fields. - Two bounds that stood twice are one each (connections to servers, memory of deaths). struct death was struct crash, a name that src/crash.h has. - Gone: a bound of attempts that was always 0, the time of the last order.

--- a/src/edge/call_death.c
+++ b/src/edge/call_death.c
@@ -54,12 +54,12 @@
 call_suspect (struct call *c)
 {
   struct calls *all = c->calls;
-  const struct crash crash = { c->fingerprint, death_of (c->server) };
+  const struct death death = { c->fingerprint, death_of (c->server) };
   struct probe *p = xcalloc (1, sizeof *p);
 
-  crashers_suspect (site_crashers (all->site), &crash, clock_ms ());
+  crashers_suspect (site_crashers (all->site), &death, clock_ms ());
   p->calls = all;
   p->server_id = str_dup (pool_server_id (c->server));
-  p->death = crash.server;
+  p->death = death.server;
   liveprobe_start (all->loop, pool_server_address (c->server), on_probed, p);
 }
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -45,6 +45,7 @@
   struct call *first;
   struct call *last;
   size_t open;
+  struct retries_limits retry_limits;
   struct service_retries *retries;
   uint64_t random;
   uint64_t last_wait_ms; /* no call waits beyond; UINT64_MAX until a drain */
@@ -121,6 +122,14 @@
   struct demand_item *demand_adapter;
 };
 
+/* Fields of a call that its log lines begin with. */
+#define CALL_LOG_FMT                                                          \
+  "id=" STR_FMT " route=" STR_FMT " service=" STR_FMT " model=" STR_FMT       \
+  " adapter=" STR_FMT
+#define CALL_LOG_ARG(c)                                                       \
+  STR_ARG ((c)->meta.id), STR_ARG ((c)->route_name), STR_ARG ((c)->service),  \
+      STR_ARG ((c)->meta.model), STR_ARG ((c)->meta.adapter)
+
 /* ---- call_send.c ---- */
 
 /** call_proceed() - choose a server and send, or wait, or refuse. */
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -135,17 +135,22 @@
   c->server = NULL;
 }
 
+/* The server of the attempt that ended does not get the call again soon. */
+static void
+avoid_server (struct call *c)
+{
+  c->avoid = c->server;
+  c->avoid_until_ms = clock_ms () + TURNED_AWAY_MS;
+}
+
 /* No connection: the server saw nothing of the call. */
 static void
 on_unreached (struct call *c)
 {
-  const uint64_t now = clock_ms ();
-
   call_found_dead (c->calls, c->server);
   if (c->from_budget)
     call_retry_give_back (c);
-  c->avoid = c->server;
-  c->avoid_until_ms = now + TURNED_AWAY_MS;
+  avoid_server (c);
   call_proceed (c);
 }
 
@@ -153,8 +158,6 @@
 static void
 on_turned_away (struct call *c, const struct forward_result *r)
 {
-  const uint64_t now = clock_ms ();
-
   c->arrived = true;
   c->bounces++;
   switch (r->outcome)
@@ -168,8 +171,7 @@
     default:
       break;
     }
-  c->avoid = c->server;
-  c->avoid_until_ms = now + TURNED_AWAY_MS;
+  avoid_server (c);
   if (c->bounces >= BOUNCES_MAX)
     call_refuse (c, 0, "turned-away");
   else
@@ -309,13 +311,11 @@
   const struct pool_belief b = pool_server_belief (server, clock_ms ());
 
   LOG_INFO ("send",
-            "id=" STR_FMT " route=" STR_FMT " service=" STR_FMT
-            " model=" STR_FMT " adapter=" STR_FMT " server=" STR_FMT
+            CALL_LOG_FMT
+            " server=" STR_FMT
             " attempt=%u last_event=%lu running=%u others=%u"
             " view_age_ms=%lu wait_ms=%lu deadline_ms=%lu config=%lu",
-            STR_ARG (c->meta.id), STR_ARG (c->route_name),
-            STR_ARG (c->service), STR_ARG (c->meta.model),
-            STR_ARG (c->meta.adapter), STR_ARG (pool_server_id (server)),
+            CALL_LOG_ARG (c), STR_ARG (pool_server_id (server)),
             c->runs + c->bounces + 1, c->last_event, b.running, b.others,
             b.view_age_ms, clock_ms () - c->begun_ms,
             left_ms (c->deadline_end_ms), c->config);
@@ -347,7 +347,6 @@
     .last_event = c->last_event,
     .first_ms = first_bound (c),
     .gap_ms = gap_bound (c),
-    .total_ms = 0,
     .repeatable = repeatable (c),
   };
 
@@ -413,12 +412,9 @@
   call_set_waiting (c, true);
   c->verdict = verdict;
   LOG_INFO ("wait",
-            "id=" STR_FMT " route=" STR_FMT " service=" STR_FMT
-            " model=" STR_FMT " adapter=" STR_FMT
+            CALL_LOG_FMT
             " reason=%s ready_in_ms=%ld patience_ms=%lu config=%lu",
-            STR_ARG (c->meta.id), STR_ARG (c->route_name),
-            STR_ARG (c->service), STR_ARG (c->meta.model),
-            STR_ARG (c->meta.adapter), verdict_names[verdict],
+            CALL_LOG_ARG (c), verdict_names[verdict],
             ready_in == UINT32_MAX ? -1L : (long)ready_in,
             left_ms (c->wait_end_ms), c->config);
   if (verdict == POOL_NO_MODEL || verdict == POOL_NO_ADAPTER)
--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -88,18 +88,15 @@
   const uint64_t now = clock_ms ();
   const struct str server = c->server ? pool_server_id (c->server) : STR ("-");
 
-  LOG_INFO ("call",
-            "id=" STR_FMT " route=" STR_FMT " service=" STR_FMT
-            " model=" STR_FMT " adapter=" STR_FMT " server=" STR_FMT
-            " end=%s status=%d reason=%s runs=%u bounces=%u wait_ms=%lu"
-            " first_ms=%lu gap_ms=%lu total_ms=%lu config=%lu",
-            STR_ARG (c->meta.id), STR_ARG (c->route_name),
-            STR_ARG (c->service), STR_ARG (c->meta.model),
-            STR_ARG (c->meta.adapter), STR_ARG (server), end_names[end],
-            status, reason, c->runs, c->bounces,
-            (c->sent_ms > 0 ? c->sent_ms : now) - c->begun_ms,
-            c->first_ms > 0 ? c->first_ms - c->begun_ms : 0, c->gap_ms,
-            now - c->begun_ms, c->config);
+  LOG_INFO (
+      "call",
+      CALL_LOG_FMT " server=" STR_FMT
+                   " end=%s status=%d reason=%s runs=%u bounces=%u wait_ms=%lu"
+                   " first_ms=%lu gap_ms=%lu total_ms=%lu config=%lu",
+      CALL_LOG_ARG (c), STR_ARG (server), end_names[end], status, reason,
+      c->runs, c->bounces, (c->sent_ms > 0 ? c->sent_ms : now) - c->begun_ms,
+      c->first_ms > 0 ? c->first_ms - c->begun_ms : 0, c->gap_ms,
+      now - c->begun_ms, c->config);
 }
 
 static void
@@ -170,18 +167,6 @@
   return &r->retries;
 }
 
-static struct retries_limits
-retry_limits (void)
-{
-  const struct edge_settings *s = edge_settings ();
-
-  return (struct retries_limits){
-    .ratio = s->retry_ratio,
-    .slack = s->retry_slack,
-    .window_ms = (uint32_t)(s->retry_window_s * 1000),
-  };
-}
-
 static uint32_t
 budget_nodes (const struct call *c)
 {
@@ -193,35 +178,29 @@
 bool
 call_retry_take (struct call *c)
 {
-  const struct retries_limits limits = retry_limits ();
-
-  return retries_take (retries_of (c->calls, c->service), &limits,
-                       budget_nodes (c), clock_ms ());
+  return retries_take (retries_of (c->calls, c->service),
+                       &c->calls->retry_limits, budget_nodes (c), clock_ms ());
 }
 
 bool
 call_retry_left (struct call *c)
 {
-  const struct retries_limits limits = retry_limits ();
-
-  return retries_left (retries_of (c->calls, c->service), &limits,
-                       budget_nodes (c), clock_ms ());
+  return retries_left (retries_of (c->calls, c->service),
+                       &c->calls->retry_limits, budget_nodes (c), clock_ms ());
 }
 
 void
 call_retry_give_back (struct call *c)
 {
-  const struct retries_limits limits = retry_limits ();
-
-  retries_give_back (retries_of (c->calls, c->service), &limits, clock_ms ());
+  retries_give_back (retries_of (c->calls, c->service),
+                     &c->calls->retry_limits, clock_ms ());
 }
 
 void
 call_count_first (struct call *c)
 {
-  const struct retries_limits limits = retry_limits ();
-
-  retries_first (retries_of (c->calls, c->service), &limits, clock_ms ());
+  retries_first (retries_of (c->calls, c->service), &c->calls->retry_limits,
+                 clock_ms ());
 }
 
 /* ---- arrival ---- */
@@ -476,12 +455,18 @@
 struct calls *
 calls_create (struct kernel *kernel)
 {
+  const struct edge_settings *s = edge_settings ();
   struct calls *all = xcalloc (1, sizeof *all);
 
   all->kernel = kernel;
   all->site = site_get (kernel);
   all->http = http_get (kernel);
   all->loop = kernel_loop (kernel);
+  all->retry_limits = (struct retries_limits){
+    .ratio = s->retry_ratio,
+    .slack = s->retry_slack,
+    .window_ms = (uint32_t)(s->retry_window_s * 1000),
+  };
   all->random = clock_us ();
   all->last_wait_ms = UINT64_MAX;
   uv_timer_init (all->loop, &all->wait_timer);
--- a/src/edge/crashers.c
+++ b/src/edge/crashers.c
@@ -9,8 +9,6 @@
 /* Deaths after which a request is refused: two may be chance while servers
    crash for other reasons. */
 #define DEATHS_REFUSED 3
-/* How long deaths are remembered. */
-#define REMEMBERED_MS (10 * 60 * 1000)
 /* A death is put down to attempts that broke off this long before at most. */
 #define SUSPECTED_MS 3000
 #define SUSPECTS_MAX 256
@@ -18,7 +16,7 @@
 
 struct suspect
 {
-  struct crash crash;
+  struct death death;
   uint64_t at_ms;
 };
 
@@ -101,12 +99,12 @@
 {
   while (c->requests
          && (HASH_COUNT (c->requests) >= REQUESTS_MAX
-             || now_ms > c->requests->newest_ms + REMEMBERED_MS))
+             || now_ms > c->requests->newest_ms + CRASHERS_REMEMBERED_MS))
     forget (c, c->requests);
 }
 
 void
-crashers_suspect (struct crashers *c, const struct crash *suspect,
+crashers_suspect (struct crashers *c, const struct death *suspect,
                   uint64_t now_ms)
 {
   c->suspects[c->next_suspect] = (struct suspect){ *suspect, now_ms };
@@ -120,10 +118,10 @@
     {
       struct suspect *s = &c->suspects[i];
 
-      if (s->at_ms == 0 || s->crash.server != server)
+      if (s->at_ms == 0 || s->death.server != server)
         continue;
       if (now_ms <= s->at_ms + SUSPECTED_MS)
-        crashers_merge (c, &s->crash, now_ms);
+        crashers_merge (c, &s->death, now_ms);
       s->at_ms = 0;
     }
 }
@@ -153,19 +151,19 @@
 }
 
 void
-crashers_merge (struct crashers *c, const struct crash *crash, uint64_t now_ms)
+crashers_merge (struct crashers *c, const struct death *death, uint64_t now_ms)
 {
-  struct request *r = find_or_add (c, crash->fingerprint, now_ms);
+  struct request *r = find_or_add (c, death->fingerprint, now_ms);
 
   if (r->completed)
     return;
   for (uint32_t i = 0; i < r->deaths; i++)
-    if (r->servers[i] == crash->server)
+    if (r->servers[i] == death->server)
       return;
   if (r->deaths == 0)
     c->marked++;
   if (r->deaths < DEATHS_REFUSED)
-    r->servers[r->deaths++] = crash->server;
+    r->servers[r->deaths++] = death->server;
   r->newest_ms = now_ms;
 }
 
@@ -176,12 +174,12 @@
   const struct request *r = find (c, fingerprint);
 
   return r && r->deaths >= DEATHS_REFUSED
-         && now_ms <= r->newest_ms + REMEMBERED_MS;
+         && now_ms <= r->newest_ms + CRASHERS_REMEMBERED_MS;
 }
 
 size_t
 crashers_tell (const struct crashers *c, uint32_t least, uint32_t max_age_ms,
-               uint64_t now_ms, struct crash *out, size_t max)
+               uint64_t now_ms, struct death *out, size_t max)
 {
   size_t n = 0;
 
@@ -193,7 +191,7 @@
       if (r->deaths < least || now_ms > r->newest_ms + max_age_ms)
         continue;
       for (uint32_t i = 0; i < r->deaths && n < max; i++)
-        out[n++] = (struct crash){ r->fingerprint, r->servers[i] };
+        out[n++] = (struct death){ r->fingerprint, r->servers[i] };
     }
   return n;
 }
--- a/src/edge/crashers.h
+++ b/src/edge/crashers.h
@@ -15,9 +15,14 @@
 
 struct crashers;
 
-/** struct crash - a death. @server: crashers_server() of the start that died.
+/* How long deaths are remembered. */
+#define CRASHERS_REMEMBERED_MS (10 * 60 * 1000)
+
+/**
+ * struct death - a server that died while it ran a request.
+ * @server: crashers_server() of the start that died.
  */
-struct crash
+struct death
 {
   uint64_t fingerprint;
   uint64_t server;
@@ -34,7 +39,7 @@
 uint64_t crashers_server (struct str id, uint64_t started_ms);
 
 /** crashers_suspect() - the request broke off at the server. */
-void crashers_suspect (struct crashers *crashers, const struct crash *suspect,
+void crashers_suspect (struct crashers *crashers, const struct death *suspect,
                        uint64_t now_ms);
 /** crashers_died() - the server is dead. Its suspects count. */
 void crashers_died (struct crashers *crashers, uint64_t server,
@@ -45,7 +50,7 @@
                          uint64_t now_ms);
 /** crashers_merge() - another node told of a death; told twice, it counts
  * once. */
-void crashers_merge (struct crashers *crashers, const struct crash *crash,
+void crashers_merge (struct crashers *crashers, const struct death *death,
                      uint64_t now_ms);
 /** crashers_refused() - has the request crashed so many servers that it is not
  * run again. */
@@ -59,5 +64,5 @@
  * Returns their number.
  */
 size_t crashers_tell (const struct crashers *crashers, uint32_t least,
-                      uint32_t max_age_ms, uint64_t now_ms, struct crash *out,
+                      uint32_t max_age_ms, uint64_t now_ms, struct death *out,
                       size_t max);
--- a/src/edge/demand.c
+++ b/src/edge/demand.c
@@ -7,6 +7,8 @@
 
 #include "err.h"
 
+/* Time constant of the rates of calls. */
+#define RATE_MS 8000.0
 /* Rate at which an item without calls is forgotten. */
 #define RATE_FORGOTTEN 0.02
 
@@ -82,6 +84,12 @@
   return &n->item;
 }
 
+double
+demand_rate (double rate, double passed_ms, uint32_t arrivals)
+{
+  return rate * exp (-passed_ms / RATE_MS) + arrivals * 1000.0 / RATE_MS;
+}
+
 static void
 bring_up_to_date (struct node *n, uint64_t now_ms)
 {
@@ -89,8 +97,7 @@
   const double passed_ms
       = n->taken_ms > 0 ? (double)(now_ms - n->taken_ms) : 0;
 
-  i->rate = i->rate * exp (-passed_ms / DEMAND_RATE_MS)
-            + i->arrivals * 1000.0 / DEMAND_RATE_MS;
+  i->rate = demand_rate (i->rate, passed_ms, i->arrivals);
   n->taken_ms = now_ms;
   if (i->arrivals > 0)
     n->used_ms = now_ms;
--- a/src/edge/demand.h
+++ b/src/edge/demand.h
@@ -15,7 +15,7 @@
  * @waiting: calls that wait now.
  * @running: calls at servers now.
  * @arrivals: calls since the last demand_take().
- * @rate: calls a second, over about DEMAND_RATE_MS.
+ * @rate: calls a second, over about 8 s.
  * @idle_ms: since the last call.
  */
 struct demand_item
@@ -30,9 +30,8 @@
   uint32_t idle_ms;
 };
 
-/* Time constant of the rates of calls. */
-#define DEMAND_RATE_MS 8000.0
-
+/** demand_rate() - a rate after some time, and the calls that came then. */
+double demand_rate (double rate, double passed_ms, uint32_t arrivals);
 struct demand *demand_create (void);
 void demand_destroy (struct demand *demand);
 /** demand_key() - one string for the three names; free with str_free(). */
--- a/src/edge/fleet.c
+++ b/src/edge/fleet.c
@@ -167,6 +167,15 @@
   return s;
 }
 
+struct fleet_server *
+fleet_find_hash (const struct fleet *f, uint64_t hash)
+{
+  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
+    if (s->hash == hash)
+      return s;
+  return NULL;
+}
+
 const struct engine_spec *
 fleet_engine (const struct fleet *f, const struct fleet_server *s)
 {
@@ -182,6 +191,30 @@
   return s->listed && !s->leaving && !s->down;
 }
 
+bool
+fleet_may_order (const struct fleet_server *s, uint64_t now)
+{
+  return fleet_usable (s) && s->known && now >= s->avoid_until_ms;
+}
+
+bool
+fleet_is_idle (const struct fleet_server *s, uint64_t now)
+{
+  return fleet_may_order (s, now) && s->pending.state == PENDING_NONE;
+}
+
+struct replica *
+fleet_ready_replica (const struct fleet_server *s, struct str service,
+                     struct str model)
+{
+  struct replica *r;
+
+  if (!fleet_usable (s) || !str_eq (s->service, service))
+    return NULL;
+  r = fleet_replica (s, model);
+  return r && r->state == REPLICA_READY ? r : NULL;
+}
+
 void
 fleet_take_at_hand (struct fleet_server *s, const struct name_list *memory,
                     const struct name_list *disk)
--- a/src/edge/fleet_demand.c
+++ b/src/edge/fleet_demand.c
@@ -58,15 +58,15 @@
 double
 fleet_rate (const struct wish *w, uint64_t now)
 {
-  const double age = now > w->rate_ms ? (double)(now - w->rate_ms) : 0;
+  const double age_ms = now > w->rate_ms ? (double)(now - w->rate_ms) : 0;
 
-  return w->rate * exp (-age / DEMAND_RATE_MS);
+  return demand_rate (w->rate, age_ms, 0);
 }
 
 static void
 count_arrivals (struct wish *w, uint32_t arrivals, uint64_t now)
 {
-  w->rate = fleet_rate (w, now) + arrivals * 1000.0 / DEMAND_RATE_MS;
+  w->rate = demand_rate (fleet_rate (w, now), 0, arrivals);
   w->rate_ms = now;
   if (arrivals > 0)
     w->used_ms = now;
@@ -112,10 +112,13 @@
       n->wishes[i].wish->waiting -= n->wishes[i].waiting;
       n->wishes[i].wish->running -= n->wishes[i].running;
     }
-  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    for (size_t i = 0; i < n->load_count; i++)
-      if (s->hash == n->loads[i].server)
+  for (size_t i = 0; i < n->load_count; i++)
+    {
+      struct fleet_server *s = fleet_find_hash (f, n->loads[i].server);
+
+      if (s)
         s->running -= n->loads[i].running;
+    }
   n->wish_count = 0;
   n->load_count = 0;
 }
@@ -162,16 +165,14 @@
                  uint32_t running)
 {
   struct node *n = find_node (f, name);
-
-  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    if (s->hash == server)
-      {
-        s->running += running;
-        n->loads = xrealloc (n->loads, (n->load_count + 1) * sizeof *n->loads);
-        n->loads[n->load_count++]
-            = (struct node_load){ .server = server, .running = running };
-        return;
-      }
+  struct fleet_server *s = fleet_find_hash (f, server);
+
+  if (!s)
+    return;
+  s->running += running;
+  n->loads = xrealloc (n->loads, (n->load_count + 1) * sizeof *n->loads);
+  n->loads[n->load_count++]
+      = (struct node_load){ .server = server, .running = running };
 }
 
 uint32_t
--- a/src/edge/fleet_impl.h
+++ b/src/edge/fleet_impl.h
@@ -146,6 +146,9 @@
 /* ---- fleet.c ---- */
 
 struct fleet_server *fleet_find (const struct fleet *fleet, struct str id);
+/** fleet_find_hash() - server by str_hash() of its id, or NULL. */
+struct fleet_server *fleet_find_hash (const struct fleet *fleet,
+                                      uint64_t hash);
 struct replica *fleet_replica (const struct fleet_server *server,
                                struct str model);
 struct replica *fleet_add_replica (struct fleet_server *server,
@@ -170,6 +173,15 @@
                          const struct name_list *memory,
                          const struct name_list *disk);
 
+/** fleet_may_order() - usable, read in this term, and not avoided. */
+bool fleet_may_order (const struct fleet_server *server, uint64_t now_ms);
+/** fleet_is_idle() - likewise, and without an order under way. */
+bool fleet_is_idle (const struct fleet_server *server, uint64_t now_ms);
+/** fleet_ready_replica() - the replica of a model that takes calls, or NULL.
+ */
+struct replica *fleet_ready_replica (const struct fleet_server *server,
+                                     struct str service, struct str model);
+
 /* ---- fleet_demand.c ---- */
 
 /** fleet_wish_find() - demand of a key, or NULL. */
--- a/src/edge/fleet_orders.c
+++ b/src/edge/fleet_orders.c
@@ -24,14 +24,13 @@
 void
 fleet_suspect (struct fleet *f, uint64_t server, uint64_t now)
 {
-  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    if (s->hash == server)
-      {
-        s->suspected_ms = now;
-        if (s->report_due_ms == 0 && now >= s->reported_ms + SUSPECT_AGAIN_MS)
-          s->report_due_ms = now;
-        return;
-      }
+  struct fleet_server *s = fleet_find_hash (f, server);
+
+  if (!s)
+    return;
+  s->suspected_ms = now;
+  if (s->report_due_ms == 0 && now >= s->reported_ms + SUSPECT_AGAIN_MS)
+    s->report_due_ms = now;
 }
 
 struct fleet_server *
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -3,11 +3,10 @@
 #include <errno.h>
 #include <stdlib.h>
 
+#include "edge/topology.h"
 #include "platform/callheaders.h"
 #include "sse.h"
 
-/* A server that does not take a connection in this time is dark or cut off. */
-#define CONNECT_MS 250
 /* Answers up to this size are held until they are whole, so that one that
    breaks off can be repeated or refused. */
 #define HELD_BYTES (256 * 1024)
@@ -254,8 +253,7 @@
     .headers = spec->lines,
     .header_count = spec->line_count,
     .body = spec->body,
-    .connect_ms = CONNECT_MS,
-    .total_ms = spec->total_ms,
+    .connect_ms = SERVER_CONNECT_MS,
     .unframed = true,
     /* libcurl repeats a request by itself on a reused connection that closes
        before the answer. */
--- a/src/edge/forward.h
+++ b/src/edge/forward.h
@@ -22,7 +22,6 @@
  * @last_event: number of the last event that the client has.
  * @first_ms: bound for the answer's first event or whole body; 0 for none.
  * @gap_ms: bound for the pause between events; 0 for none.
- * @total_ms: bound for the whole attempt.
  * @repeatable: the call may run more than once, so a kept connection may be
  *   used.
  */
@@ -40,7 +39,6 @@
   uint64_t last_event;
   uint32_t first_ms;
   uint32_t gap_ms;
-  uint32_t total_ms;
   bool repeatable;
 };
 
--- a/src/edge/liveprobe.c
+++ b/src/edge/liveprobe.c
@@ -2,13 +2,12 @@
 
 #include <stdlib.h>
 
+#include "edge/topology.h"
 #include "err.h"
 #include "netaddr.h"
 
 /* A crash is seen only after the server's connections are closed. */
 #define PAUSE_MS 30
-/* A server that does not take a connection in this time is dark or cut off. */
-#define CONNECT_MS 250
 
 struct liveprobe
 {
@@ -59,7 +58,7 @@
 {
   struct liveprobe *p = timer->data;
 
-  uv_timer_start (timer, on_timeout, CONNECT_MS, 0);
+  uv_timer_start (timer, on_timeout, SERVER_CONNECT_MS, 0);
   if (uv_tcp_connect (&p->request, &p->socket,
                       (const struct sockaddr *)&p->address, on_connected)
       != 0)
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -92,23 +92,26 @@
   return rc;
 }
 
+struct str
+peers_encode (const struct datagram *d)
+{
+  return xdrcodec_encode ((xdrproc_t)xdr_datagram, d);
+}
+
 void
-peers_send (struct peers *p, struct str to, const struct datagram *d)
+peers_send (struct peers *p, struct str to, struct str bytes)
 {
+  const uv_buf_t buf = uv_buf_init ((char *)bytes.data, (unsigned)bytes.len);
   struct sockaddr_in sin;
-  struct str bytes;
 
   if (!netaddr_parse (to, &sin))
     return;
-  bytes = xdrcodec_encode ((xdrproc_t)xdr_datagram, d);
-  const uv_buf_t buf = uv_buf_init ((char *)bytes.data, (unsigned)bytes.len);
   /* A datagram that is lost is made good by the next one. */
   const int rc
       = uv_udp_try_send (&p->socket, &buf, 1, (const struct sockaddr *)&sin);
   if (rc < 0)
     LOG_DBG ("datagram-not-sent", "peer=" STR_FMT " error=\"%s\"",
              STR_ARG (to), err_str (rc));
-  str_free (&bytes);
 }
 
 void
--- a/src/edge/peers.h
+++ b/src/edge/peers.h
@@ -16,8 +16,11 @@
 struct peers *peers_create (uv_loop_t *loop, peers_fn fn, void *ctx);
 /** peers_listen() - Returns 0 or a negative errno value. */
 int peers_listen (struct peers *peers, struct str addr);
-void peers_send (struct peers *peers, struct str to,
-                 const struct datagram *datagram);
+/** peers_encode() - bytes of a datagram, for one or several receivers; free
+ * with str_free(). */
+struct str peers_encode (const struct datagram *datagram);
+/** peers_send() - @bytes are those of peers_encode(). */
+void peers_send (struct peers *peers, struct str to, struct str bytes);
 void peers_close (struct peers *peers);
 void peers_destroy (struct peers *peers);
 /** label_str() - view a label of a datagram. */
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -127,7 +127,6 @@
   struct order_ctx *o = xcalloc (1, sizeof *o);
 
   p->changed = true;
-  p->ordered_ms = clock_ms ();
   order->holder = edge_settings ()->node_name;
   order->fence = p->fence;
   o->placer = p;
--- a/src/edge/placer_hear.c
+++ b/src/edge/placer_hear.c
@@ -50,14 +50,14 @@
 {
   for (u_int i = 0; i < count; i++)
     {
-      const struct crash crash = { crashes[i].fingerprint, crashes[i].server };
+      const struct death death = { crashes[i].fingerprint, crashes[i].server };
 
-      crashers_merge (site_crashers (p->site), &crash, clock_ms ());
+      crashers_merge (site_crashers (p->site), &death, clock_ms ());
     }
 }
 
-void
-placer_know_node (struct placer *p, struct str addr)
+static void
+know_node (struct placer *p, struct str addr)
 {
   struct known_node *k;
 
@@ -75,9 +75,9 @@
 static void
 hear_nodes (struct placer *p, struct str from, const holder_digest *d)
 {
-  placer_know_node (p, from);
+  know_node (p, from);
   for (u_int i = 0; i < d->nodes.nodes_len; i++)
-    placer_know_node (p, label_str (d->nodes.nodes_val[i]));
+    know_node (p, label_str (d->nodes.nodes_val[i]));
 }
 
 void
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -65,7 +65,6 @@
   bool store_reachable;
   bool changed; /* servers hold other than was told */
   uint64_t fence;
-  uint64_t ordered_ms; /* when this node gave its last order */
   uint64_t lost_fence; /* of this node's last lease that is over */
   uint64_t told_ms;    /* last digest of this node's demand */
   uint64_t told_fence; /* of the holder that was last told */
@@ -102,9 +101,6 @@
 /** placer_hear_entry() - take over a node's demand. */
 void placer_hear_entry (struct placer *p, const entry_digest *digest);
 
-/** placer_know_node() - keep the address of a node. */
-void placer_know_node (struct placer *p, struct str addr);
-
 /* ---- placer.c ---- */
 
 /** placer_may_order() - may this node give orders now. */
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -26,7 +26,6 @@
    of requests with so many deaths, for as long as they matter. */
 #define CRASHES_NEW_MS 3000
 #define CRASHES_TOLD 2
-#define CRASHES_KEPT_MS (10 * 60 * 1000)
 #define CRASHES_PER_DATAGRAM 32
 /* Digests with all demand for a new holder, since some may be lost. */
 #define WHOLE_DIGESTS 3
@@ -71,12 +70,12 @@
 next_crashes (struct placer *p, uint32_t least, uint32_t max_age_ms,
               crash_digest out[CRASHES_PER_DATAGRAM])
 {
-  struct crash crashes[CRASHES_PER_DATAGRAM];
+  struct death deaths[CRASHES_PER_DATAGRAM];
   const size_t n = crashers_tell (site_crashers (p->site), least, max_age_ms,
-                                  clock_ms (), crashes, CRASHES_PER_DATAGRAM);
+                                  clock_ms (), deaths, CRASHES_PER_DATAGRAM);
 
   for (size_t i = 0; i < n; i++)
-    out[i] = (crash_digest){ crashes[i].fingerprint, crashes[i].server };
+    out[i] = (crash_digest){ deaths[i].fingerprint, deaths[i].server };
   return (u_int)n;
 }
 
@@ -88,6 +87,7 @@
   struct placer *p = b->placer;
   struct datagram d = { .kind = DATAGRAM_HOLDER };
   holder_digest *h = &d.datagram_u.holder;
+  struct str bytes;
 
   p->broadcast_ms = clock_ms ();
   h->node = str_label (edge_settings ()->node_name);
@@ -99,11 +99,13 @@
   h->nodes.nodes_len = next_nodes (p, nodes);
   h->crashes.crashes_val = crashes;
   h->crashes.crashes_len
-      = next_crashes (p, CRASHES_TOLD, CRASHES_KEPT_MS, crashes);
+      = next_crashes (p, CRASHES_TOLD, CRASHERS_REMEMBERED_MS, crashes);
   h->servers.servers_val = b->servers;
   h->servers.servers_len = b->count;
+  bytes = peers_encode (&d);
   for (struct listener *l = p->listeners; l; l = l->hh.next)
-    peers_send (p->peers, l->addr, &d);
+    peers_send (p->peers, l->addr, bytes);
+  str_free (&bytes);
   placer_hear_holder (p, edge_settings ()->peer_addr, h);
   for (u_int i = 0; i < b->count; i++)
     free_server_digest (&b->servers[i]);
@@ -136,7 +138,8 @@
   return HELD_DIGEST_READY;
 }
 
-/* Hash of what makes a difference for the nodes. */
+/* Hash of what makes a difference for the nodes. Taken before fill_times(),
+   since loads end at the time told before. */
 static uint64_t
 digest_hash (const server_digest *d)
 {
@@ -144,9 +147,6 @@
   struct str bytes;
   uint64_t hash;
 
-  /* Loads end at the time told before. */
-  for (u_int i = 0; i < d->held.held_len; i++)
-    rough.held.held_val[i].ready_in_ms = 0;
   rough.running = (d->running + RUNNING_STEP - 1) / RUNNING_STEP;
   bytes = xdrcodec_encode ((xdrproc_t)xdr_server_digest, &rough);
   hash = str_hash (bytes, 0);
@@ -203,25 +203,32 @@
 
       h->model = str_label (r->model);
       h->state = state_digest (r->state);
-      h->ready_in_ms = r->ready_ms > now ? (u_int)(r->ready_ms - now) : 0;
       fill_adapters (r, now, h);
     }
 }
 
+static void
+fill_times (const struct fleet_view *v, uint64_t now, server_digest *d)
+{
+  for (size_t i = 0; i < v->replica_count; i++)
+    if (v->replicas[i].ready_ms > now)
+      d->held.held_val[i].ready_in_ms = (u_int)(v->replicas[i].ready_ms - now);
+}
+
 static void
 add_server (void *ctx, const struct fleet_view *v)
 {
   struct broadcast *b = ctx;
   server_digest *d = &b->servers[b->count];
-  server_digest rough;
   const uint64_t now = clock_ms ();
 
-  fill_server (v, now, &rough);
-  const bool tell = worth_telling (b->placer, &rough, now);
-  free_server_digest (&rough);
-  if (!tell)
-    return;
   fill_server (v, now, d);
+  if (!worth_telling (b->placer, d, now))
+    {
+      free_server_digest (d);
+      return;
+    }
+  fill_times (v, now, d);
   if (++b->count == SERVERS_PER_DATAGRAM)
     flush (b);
 }
@@ -317,7 +324,12 @@
   if (p->holding)
     placer_hear_entry (p, e);
   else if (p->holder_addr.len > 0)
-    peers_send (p->peers, p->holder_addr, &d);
+    {
+      struct str bytes = peers_encode (&d);
+
+      peers_send (p->peers, p->holder_addr, bytes);
+      str_free (&bytes);
+    }
   free (t.items);
   free (told);
   free (loads);
--- a/src/edge/plan.c
+++ b/src/edge/plan.c
@@ -18,13 +18,6 @@
 
 /* ---- choice of a server ---- */
 
-static bool
-is_idle (const struct fleet_server *s, uint64_t now)
-{
-  return fleet_usable (s) && s->known && s->pending.state == PENDING_NONE
-         && now >= s->avoid_until_ms;
-}
-
 /* A server that carries an order out takes the next one after it. */
 static uint32_t
 order_left_ms (const struct fleet_server *s, uint64_t now)
@@ -43,15 +36,40 @@
   return now < s->reserved_until_ms && !str_eq (s->reserved_model, model);
 }
 
-static uint32_t
-load_ms (const struct fleet_server *s, const struct model_spec *m, bool *cold)
+/* Where a load takes the weights from. */
+enum weights
+{
+  WEIGHTS_MEMORY, /* of the server's host */
+  WEIGHTS_DISK,   /* likewise */
+  WEIGHTS_STORE,
+};
+
+static const char *const weights_names[] = {
+  [WEIGHTS_MEMORY] = "memory",
+  [WEIGHTS_DISK] = "disk",
+  [WEIGHTS_STORE] = "store",
+};
+
+static enum weights
+weights_of (const struct fleet_server *s, const struct model_spec *m)
 {
-  *cold = false;
   if (name_list_has (&s->in_memory, m->name))
-    return m->memory_load_ms;
-  if (name_list_has (&s->on_disk, m->name))
-    return m->disk_load_ms;
-  *cold = true;
+    return WEIGHTS_MEMORY;
+  return name_list_has (&s->on_disk, m->name) ? WEIGHTS_DISK : WEIGHTS_STORE;
+}
+
+static uint32_t
+load_ms (const struct model_spec *m, enum weights from)
+{
+  switch (from)
+    {
+    case WEIGHTS_MEMORY:
+      return m->memory_load_ms;
+    case WEIGHTS_DISK:
+      return m->disk_load_ms;
+    case WEIGHTS_STORE:
+      break;
+    }
   return m->load_ms;
 }
 
@@ -79,9 +97,15 @@
   const struct replica *remove; /* NULL: load at once */
   double cost_ms;
   uint32_t takes_ms;
-  bool cold;
+  enum weights weights;
 };
 
+static bool
+is_cold (const struct step *step)
+{
+  return step->weights == WEIGHTS_STORE;
+}
+
 static bool
 step_on (struct fleet *f, struct fleet_server *s, const struct wants *all,
          const struct want *w, uint64_t now, struct step *out)
@@ -89,13 +113,12 @@
   double removal = 0;
   double missing_mb;
 
-  if (!fleet_usable (s) || !s->known || now < s->avoid_until_ms
-      || reserved_for_other (s, w->spec->name, now)
+  if (!fleet_may_order (s, now) || reserved_for_other (s, w->spec->name, now)
       || fleet_replica (s, w->spec->name))
     return false;
-  *out = (struct step){ .server = s };
-  out->takes_ms = load_ms (s, w->spec, &out->cold);
-  if (out->cold && !cold_allowed (f, s, w->need == NEED_SPARE_ROOM, now))
+  *out = (struct step){ .server = s, .weights = weights_of (s, w->spec) };
+  out->takes_ms = load_ms (w->spec, out->weights);
+  if (is_cold (out) && !cold_allowed (f, s, w->need == NEED_SPARE_ROOM, now))
     return false;
   missing_mb = w->spec->weights_mb - plan_free_mb (s, all->engine);
   if (missing_mb > 0)
@@ -103,7 +126,7 @@
       /* A place on a server with the weights comes sooner than a load from
          the weight store ends. */
       if (w->need == NEED_SPARE_ROOM || now < f->term_ms + LEARN_MS
-          || (out->cold && plan_weights_elsewhere (f, s, w->spec)))
+          || (is_cold (out) && plan_weights_elsewhere (f, s, w->spec)))
         return false;
       out->remove = plan_make_room (f, s, all, w, now, missing_mb, &removal);
       if (!out->remove)
@@ -133,20 +156,12 @@
   return found;
 }
 
-static const char *
-weights_of (const struct step *step, const struct model_spec *m)
-{
-  if (step->cold)
-    return "store";
-  return name_list_has (&step->server->in_memory, m->name) ? "memory" : "disk";
-}
-
 static struct order_reason
 reason_of (const struct step *step, const struct want *w)
 {
   return (struct order_reason){
     .need = plan_need_name (w->need),
-    .weights = weights_of (step, w->spec),
+    .weights = weights_names[step->weights],
     .for_model = w->spec->name,
     .waiting = w->wish ? w->wish->waiting : 0,
     .running = w->wish ? w->wish->running : 0,
@@ -166,7 +181,7 @@
     {
       str_assign (&s->reserved_model, w->spec->name);
       s->reserved_until_ms = now + RESERVE_MS;
-      s->reserved_cold = step->cold;
+      s->reserved_cold = is_cold (step);
       *out = (struct planned){ .server = s,
                                .kind = ORDER_UNLOAD,
                                .model = step->remove->model,
@@ -179,7 +194,7 @@
   *out = (struct planned){ .server = s,
                            .kind = ORDER_LOAD,
                            .model = w->spec->name,
-                           .cold = step->cold,
+                           .cold = is_cold (step),
                            .spare = w->need == NEED_SPARE_ROOM,
                            .takes_ms = step->takes_ms,
                            .reason = reason_of (step, w) };
@@ -194,24 +209,25 @@
   const struct engine_spec *e = fleet_engine (f, s);
   const struct model_spec *m = e ? engine_model (e, s->reserved_model) : NULL;
   const uint64_t until_ms = s->reserved_until_ms;
+  const struct want *w;
   struct wants all;
-  struct want w;
   struct step step;
-  bool found;
+  bool found = false;
 
   /* The reservation itself must not count as a replica. */
   s->reserved_until_ms = 0;
   if (!m)
     return false;
-  w = plan_want (f, s->service, e, m, now);
-  if (w.need == NEED_NONE || w.need == NEED_SPARE_ROOM)
-    return false;
   all = plan_wants (f, s->service, e, now);
-  found = step_on (f, s, &all, &w, now, &step);
-  if (found)
-    to_planned (&step, &w, now, out);
-  else
-    s->reserved_until_ms = until_ms;
+  w = &all.items[m - e->models];
+  if (w->need != NEED_NONE && w->need != NEED_SPARE_ROOM)
+    {
+      found = step_on (f, s, &all, w, now, &step);
+      if (found)
+        to_planned (&step, w, now, out);
+      else
+        s->reserved_until_ms = until_ms;
+    }
   free (all.items);
   return found;
 }
@@ -221,7 +237,7 @@
 use_reserved (struct fleet *f, uint64_t now, struct planned *out)
 {
   for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    if (now < s->reserved_until_ms && is_idle (s, now)
+    if (now < s->reserved_until_ms && fleet_is_idle (s, now)
         && reserved_step (f, s, now, out))
       return true;
   return false;
@@ -265,7 +281,7 @@
       /* A server that is busy now, but has the weights at hand, may be worth
          the wait. */
       found = best_step (f, &all, order[i], now, &step)
-              && is_idle (step.server, now);
+              && fleet_is_idle (step.server, now);
       if (found)
         to_planned (&step, order[i], now, out);
     }
--- a/src/edge/plan_adapters.c
+++ b/src/edge/plan_adapters.c
@@ -25,19 +25,13 @@
 static bool
 can_take (const struct fleet_server *s, uint64_t now)
 {
-  return fleet_usable (s) && s->known && s->pending.state == PENDING_NONE
-         && now >= s->avoid_until_ms && coming (s, now) < COMING_MAX;
+  return fleet_is_idle (s, now) && coming (s, now) < COMING_MAX;
 }
 
 static struct replica *
 ready_replica (const struct fleet_server *s, const struct wish *w)
 {
-  struct replica *r;
-
-  if (!fleet_usable (s) || !str_eq (s->service, w->service))
-    return NULL;
-  r = fleet_replica (s, w->model);
-  return r && r->state == REPLICA_READY ? r : NULL;
+  return fleet_ready_replica (s, w->service, w->model);
 }
 
 static uint32_t
--- a/src/edge/plan_impl.h
+++ b/src/edge/plan_impl.h
@@ -43,10 +43,6 @@
 
 /* ---- plan_wants.c ---- */
 
-/** plan_want() - what a model wants now. @service is borrowed. */
-struct want plan_want (const struct fleet *fleet, struct str service,
-                       const struct engine_spec *engine,
-                       const struct model_spec *model, uint64_t now_ms);
 /** plan_wants() - what all models of a service want; free @items. */
 struct wants plan_wants (const struct fleet *fleet, struct str service,
                          const struct engine_spec *engine, uint64_t now_ms);
--- a/src/edge/plan_wants.c
+++ b/src/edge/plan_wants.c
@@ -61,13 +61,8 @@
   uint32_t n = 0;
 
   for (const struct fleet_server *s = f->servers; s; s = s->hh.next)
-    {
-      const struct replica *r = fleet_replica (s, model);
-
-      if (r && r->state == REPLICA_READY && fleet_usable (s)
-          && str_eq (s->service, service))
-        n++;
-    }
+    if (fleet_ready_replica (s, service, model))
+      n++;
   return n;
 }
 
@@ -99,10 +94,9 @@
                                                       : NEED_MORE;
 }
 
-struct want
-plan_want (const struct fleet *f, struct str service,
-           const struct engine_spec *e, const struct model_spec *m,
-           uint64_t now)
+static struct want
+want_of (const struct fleet *f, struct str service,
+         const struct engine_spec *e, const struct model_spec *m, uint64_t now)
 {
   struct want w = { .spec = m, .service = service };
 
@@ -124,6 +118,6 @@
 
   all.items = xcalloc (e->model_count + 1, sizeof *all.items);
   for (size_t i = 0; i < e->model_count; i++)
-    all.items[i] = plan_want (f, service, e, &e->models[i], now);
+    all.items[i] = want_of (f, service, e, &e->models[i], now);
   return all;
 }
--- a/src/edge/topology.h
+++ b/src/edge/topology.h
@@ -129,6 +129,9 @@
 const struct model_spec *engine_model (const struct engine_spec *engine,
                                        struct str name);
 
+/* A server that does not take a connection in this time is dark or cut off. */
+#define SERVER_CONNECT_MS 250
+
 enum server_state
 {
   SERVER_READY,
--- a/tests/test_crashers.c
+++ b/tests/test_crashers.c
@@ -4,7 +4,7 @@
 
 #define REQUEST 77
 
-static const struct crash at_server[]
+static const struct death at_server[]
     = { { REQUEST, 1 }, { REQUEST, 2 }, { REQUEST, 3 }, { REQUEST, 4 } };
 
 /* Guards against a request that takes one server after the other, and against
@@ -65,7 +65,7 @@
 {
   struct crashers *a = crashers_create ();
   struct crashers *b = crashers_create ();
-  struct crash told[8];
+  struct death told[8];
   size_t n;
 
   for (size_t i = 0; i < 2; i++)
@@ -93,10 +93,10 @@
 test_bounded (void)
 {
   struct crashers *c = crashers_create ();
-  static struct crash told[20000];
+  static struct death told[20000];
 
   for (uint64_t i = 1; i <= 20000; i++)
-    crashers_merge (c, &(struct crash){ i, 1 }, 1000 + i);
+    crashers_merge (c, &(struct death){ i, 1 }, 1000 + i);
   CU_ASSERT_TRUE (crashers_tell (c, 1, UINT32_MAX, 21000, told, 20000)
                   <= 4096);
   CU_ASSERT_TRUE (crashers_server (STR ("i-1"), 1)
