--- /dev/null
+++ b/tests/fleetsim.c
@@ -0,0 +1,403 @@
+#include "fleetsim.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "platform/routingcodec.h"
+#include "random.h"
+
+uint32_t
+sim_draw (struct sim *m, uint32_t below)
+{
+  return (uint32_t)(random_next (&m->random) % below);
+}
+
+/* ---- servers ---- */
+
+struct held *
+sim_find_held (struct server *s, const char *model)
+{
+  for (int i = 0; i < s->count; i++)
+    if (strcmp (s->held[i].model, model) == 0)
+      return &s->held[i];
+  return NULL;
+}
+
+static bool
+on_disk (const struct server *s, const char *model)
+{
+  for (int i = 0; i < s->disk_count; i++)
+    if (strcmp (s->on_disk[i], model) == 0)
+      return true;
+  return false;
+}
+
+static int
+adapters_held (const struct server *s)
+{
+  int n = 0;
+
+  for (int i = 0; i < s->count; i++)
+    n += s->held[i].adapter_count;
+  return n;
+}
+
+static void
+begin_load (struct sim *m, struct server *s, const char *model)
+{
+  if ((s->count + 1) * MODEL_MB > SERVER_MB)
+    m->violations++;
+  s->busy = true;
+  s->loading = true;
+  snprintf (s->busy_model, sizeof s->busy_model, "%s", model);
+  s->busy_until_ms = m->now + (on_disk (s, model) ? DISK_MS : LOAD_MS);
+  if (!on_disk (s, model) && m->cold_count < 4096)
+    m->cold_starts[m->cold_count++] = m->now;
+}
+
+static void
+begin_unload (struct sim *m, struct server *s, const char *model)
+{
+  s->busy = true;
+  s->loading = false;
+  snprintf (s->busy_model, sizeof s->busy_model, "%s", model);
+  s->busy_until_ms = m->now + sim_draw (m, 200);
+}
+
+static void
+finish (struct sim *m, struct server *s)
+{
+  if (!s->busy || m->now < s->busy_until_ms)
+    return;
+  s->busy = false;
+  if (s->loading && s->count < HELD_MAX)
+    {
+      struct held *h = &s->held[s->count++];
+
+      memset (h, 0, sizeof *h);
+      snprintf (h->model, sizeof h->model, "%s", s->busy_model);
+      if (!on_disk (s, s->busy_model))
+        snprintf (s->on_disk[s->disk_count++], 16, "%s", s->busy_model);
+      return;
+    }
+  struct held *h = sim_find_held (s, s->busy_model);
+  if (h)
+    *h = s->held[--s->count];
+}
+
+static enum order_result
+adapter_order (struct sim *m, struct server *s, const char *model,
+               const char *adapter, bool load)
+{
+  struct held *h = sim_find_held (s, model);
+
+  if (!h)
+    return ORDER_REJECTED;
+  s->order_count++;
+  if (load)
+    {
+      if (adapters_held (s) >= ADAPTER_SLOTS)
+        m->violations++;
+      snprintf (h->adapters[h->adapter_count++], 16, "%s", adapter);
+      return ORDER_ACCEPTED;
+    }
+  for (int i = 0; i < h->adapter_count; i++)
+    if (strcmp (h->adapters[i], adapter) == 0)
+      memcpy (h->adapters[i], h->adapters[--h->adapter_count], 16);
+  return ORDER_HOLDS_ALREADY;
+}
+
+static enum order_result
+carry_out (struct sim *m, struct server *s, const struct late *l)
+{
+  const bool load = l->order.kind == ORDER_LOAD;
+
+  if (s->started_ms != l->started_ms)
+    return ORDER_OTHER_INSTANCE;
+  if (l->order.fence < s->fence)
+    return ORDER_FENCED;
+  if (s->busy || l->order.order_count != s->order_count)
+    return ORDER_CONFLICT;
+  s->fence = l->order.fence;
+  if (l->adapter[0])
+    return adapter_order (m, s, l->model, l->adapter, load);
+  if (load == (sim_find_held (s, l->model) != NULL))
+    return ORDER_HOLDS_ALREADY;
+  s->order_count++;
+  if (load)
+    begin_load (m, s, l->model);
+  else
+    begin_unload (m, s, l->model);
+  return ORDER_ACCEPTED;
+}
+
+static void
+tell_entry (struct sim *m, int i)
+{
+  struct server *s = &m->servers[i];
+  const struct server_entry e = {
+    .id = str_from (s->id),
+    .service = STR ("lm"),
+    .address = STR ("10.0.0.1:80"),
+    .domain = i % 2 ? STR ("a") : STR ("b"),
+    .state = SERVER_READY,
+    .started_ms = s->started_ms,
+    .slots = 8,
+  };
+
+  fleet_entry (m->fleet, &e);
+}
+
+void
+sim_restart (struct sim *m, int i)
+{
+  struct server *s = &m->servers[i];
+
+  s->started_ms = m->now + 1;
+  s->order_count = 0;
+  s->fence = 0;
+  s->count = 0;
+  s->busy = false;
+  tell_entry (m, i);
+}
+
+static void
+tell_report (struct sim *m, int i)
+{
+  struct server *s = &m->servers[i];
+  struct held_model models[HELD_MAX];
+  struct str adapters[HELD_MAX][HELD_MAX];
+  struct str disk[MODELS_MAX];
+  struct server_report r = {
+    .started_ms = s->started_ms,
+    .order_count = s->order_count,
+    .busy = s->busy,
+    .models = models,
+    .model_count = (size_t)s->count,
+    .on_disk = { disk, (size_t)s->disk_count },
+  };
+
+  if (s->dark)
+    {
+      fleet_report (m->fleet, str_from (s->id), NULL, m->now);
+      return;
+    }
+  for (int j = 0; j < s->count; j++)
+    {
+      for (int k = 0; k < s->held[j].adapter_count; k++)
+        adapters[j][k] = str_from (s->held[j].adapters[k]);
+      models[j]
+          = (struct held_model){ str_from (s->held[j].model), adapters[j],
+                                 (size_t)s->held[j].adapter_count };
+    }
+  for (int j = 0; j < s->disk_count; j++)
+    disk[j] = str_from (s->on_disk[j]);
+  fleet_report (m->fleet, str_from (s->id), sim_draw (m, 20) ? &r : NULL,
+                m->now);
+}
+
+/* ---- orders ---- */
+
+static int
+server_index (const struct sim *m, struct str id)
+{
+  for (int i = 0; i < SERVERS; i++)
+    if (str_eq (str_from (m->servers[i].id), id))
+      return i;
+  return -1;
+}
+
+static void
+send_order (struct sim *m, const struct fleet_server *to,
+            const struct order *order)
+{
+  const int i = server_index (m, fleet_server_id (to));
+  struct late l = { .server = i,
+                    .at_ms = m->now + 1000 + sim_draw (m, 8000),
+                    .started_ms = m->servers[i].started_ms,
+                    .order = *order };
+  const struct str id = str_from (m->servers[i].id);
+
+  snprintf (l.model, sizeof l.model, STR_FMT, STR_ARG (order->model));
+  snprintf (l.adapter, sizeof l.adapter, STR_FMT, STR_ARG (order->adapter));
+  l.order.fence = m->fence;
+  if (m->servers[i].dark)
+    {
+      fleet_order_done (m->fleet, id, ORDER_NOT_SENT, m->now);
+      return;
+    }
+  if (sim_draw (m, 100) >= m->faults)
+    {
+      fleet_order_done (m->fleet, id, carry_out (m, &m->servers[i], &l),
+                        m->now);
+      return;
+    }
+  /* Done at once without an answer, done late, or never. */
+  const uint32_t fate = sim_draw (m, 3);
+  if (fate == 0)
+    carry_out (m, &m->servers[i], &l);
+  else if (fate == 1 && m->late_count < LATE_MAX)
+    m->late[m->late_count++] = l;
+  fleet_order_done (m->fleet, id, ORDER_UNANSWERED, m->now);
+}
+
+static void
+carry_out_late (struct sim *m)
+{
+  for (size_t i = 0; i < m->late_count; i++)
+    if (m->now >= m->late[i].at_ms)
+      {
+        const struct late l = m->late[i];
+
+        m->late[i--] = m->late[--m->late_count];
+        carry_out (m, &m->servers[l.server], &l);
+      }
+}
+
+struct sim
+sim_create_with (uint64_t seed, unsigned faults, int model_count)
+{
+  struct sim m = { .now = 100000, .random = seed, .fence = 1 };
+  json_t *models = json_array ();
+
+  for (int i = 0; i < model_count; i++)
+    {
+      char name[16];
+
+      snprintf (name, sizeof name, "m%d", i);
+      json_array_append_new (
+          models,
+          json_pack ("{s:s, s:i, s:f, s:f, s:f, s:i, s:f}", "name", name,
+                     "weights_mb", MODEL_MB, "load_s", LOAD_MS / 1000.0,
+                     "warm_s", DISK_MS / 1000.0, "disk_s", DISK_MS / 1000.0,
+                     "adapters", 4, "adapter_mb", 1.0));
+    }
+  json_t *json
+      = json_pack ("{s:i, s:[], s:[{s:s, s:{s:i, s:i, s:i, s:i, s:o}}]}",
+                   "version", 1, "routes", "services", "name", "lm", "engine",
+                   "slots", 8, "weights_mb", SERVER_MB, "adapter_slots",
+                   ADAPTER_SLOTS, "loads_per_s", COLD_PER_S, "models", models);
+  m.routing = routing_decode (json);
+  json_decref (json);
+  m.faults = faults;
+  m.fleet = fleet_create ();
+  fleet_routing (m.fleet, m.routing, 5000);
+  fleet_term (m.fleet, m.now);
+  for (int i = 0; i < SERVERS; i++)
+    {
+      snprintf (m.servers[i].id, sizeof m.servers[i].id, "i-%d", i);
+      sim_restart (&m, i);
+    }
+  return m;
+}
+
+struct sim
+sim_create (uint64_t seed, unsigned faults)
+{
+  return sim_create_with (seed, faults, MODELS);
+}
+
+void
+sim_destroy (struct sim *m)
+{
+  fleet_destroy (m->fleet);
+  routing_destroy (m->routing);
+}
+
+void
+sim_wish (struct sim *m, const char *model, const char *adapter,
+          uint32_t waiting)
+{
+  const struct fleet_wish w = { .service = STR ("lm"),
+                                .model = str_from (model),
+                                .adapter = str_from (adapter),
+                                .waiting = waiting,
+                                .arrivals = waiting };
+
+  fleet_node_wish (m->fleet, STR ("node"), &w, m->now);
+}
+
+void
+sim_tick (struct sim *m)
+{
+  struct fleet_server *s;
+  struct order order;
+  struct order_reason why;
+
+  m->now += TICK_MS;
+  for (int i = 0; i < SERVERS; i++)
+    finish (m, &m->servers[i]);
+  carry_out_late (m);
+  fleet_advance (m->fleet, m->now);
+  while ((s = fleet_next_report (m->fleet, m->now)))
+    tell_report (m, server_index (m, fleet_server_id (s)));
+  while ((s = fleet_next_order (m->fleet, m->now, &order, &why)))
+    send_order (m, s, &order);
+}
+
+bool
+sim_holds (struct sim *m, const char *model, const char *adapter)
+{
+  for (int i = 0; i < SERVERS; i++)
+    {
+      struct held *h = sim_find_held (&m->servers[i], model);
+
+      for (int j = 0; h && adapter[0] && j < h->adapter_count; j++)
+        if (strcmp (h->adapters[j], adapter) == 0)
+          return true;
+      if (h && !adapter[0])
+        return true;
+    }
+  return false;
+}
+
+/* Most loads from the weight store that began within 5 s. */
+size_t
+sim_most_cold (const struct sim *m)
+{
+  size_t most = 0;
+
+  for (size_t i = 0; i < m->cold_count; i++)
+    {
+      size_t n = 0;
+
+      for (size_t j = i;
+           j < m->cold_count && m->cold_starts[j] < m->cold_starts[i] + 5000;
+           j++)
+        n++;
+      if (n > most)
+        most = n;
+    }
+  return most;
+}
+
+/* The servers that hold the model and answer. */
+int
+sim_live_replicas (struct sim *m, const char *model)
+{
+  int n = 0;
+
+  for (int i = 0; i < SERVERS; i++)
+    if (!m->servers[i].dark && sim_find_held (&m->servers[i], model))
+      n++;
+  return n;
+}
+
+/* Removes a server from the store's list. */
+void
+sim_take_away (struct sim *m, int i)
+{
+  fleet_removed (m->fleet, str_from (m->servers[i].id));
+  m->servers[i].dark = true;
+}
+
+void
+sim_fill_disks (struct sim *m, int model_count)
+{
+  for (int i = 1; i < SERVERS; i++)
+    for (int j = 0; j < model_count; j++)
+      snprintf (m->servers[i].on_disk[m->servers[i].disk_count++], 16, "m%d",
+                j);
+}
