Index the fleet and the plan by model, server and time

Cause: each plan compared names over models x servers, worked all wants out again for each reserved server, and looked at all servers for each model. With 90 servers and 500 models the holder used half a core, so orders, refusals and the cancelling of calls came late.

Names are now looked up once, where they enter. Each model knows its replicas, the servers with its weights, and what it wants; what changes marks the models that it concerns, and a queue by due time covers what changes by itself (decay of rates, ends of reservations). Models that need a replica stand in a tree by urgency, servers in one by free memory. Reports, resends, ends of orders and news for the other nodes are due queues as well. Servers that left the store are forgotten after ten minutes; before, they stayed for good.

The plan decides as before, with three exceptions. Room for a load from the weight store is looked for on all servers at most each 100 ms for a model, since such a load takes seconds. Adapters that calls wait for are served in the order in which they began to wait. Further copies of adapters are tried for 16 adapters in each plan, in turn.

tests/plainplan.c keeps the plan that walks everything as reference; over random histories with restarts, lost orders, changes of holder and of configuration both must decide the same. It found one fault in the index: the calls at once that fall exactly to a multiple of the batch share.

--- a/src/edge/demand.c
+++ b/src/edge/demand.c
@@ -7,8 +7,6 @@
 
 #include "err.h"
 
-/* Time constant of the rates of calls. */
-#define RATE_MS 8000.0
 /* Rate at which an item without calls is forgotten. */
 #define RATE_FORGOTTEN 0.02
 
@@ -87,7 +85,8 @@
 double
 demand_rate (double rate, double passed_ms, uint32_t arrivals)
 {
-  return rate * exp (-passed_ms / RATE_MS) + arrivals * 1000.0 / RATE_MS;
+  return rate * exp (-passed_ms / DEMAND_RATE_MS)
+         + arrivals * 1000.0 / DEMAND_RATE_MS;
 }
 
 static void
--- a/src/edge/demand.h
+++ b/src/edge/demand.h
@@ -7,6 +7,9 @@
 
 /* What calls of this node ask of models and adapters. Pure. */
 
+/* Time constant of the rates of calls. */
+#define DEMAND_RATE_MS 8000.0
+
 struct demand;
 
 /**
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -11,6 +11,8 @@
    no clock. */
 
 struct fleet;
+struct fleet_adapter;
+struct fleet_model;
 struct fleet_server;
 
 struct fleet *fleet_create (void);
@@ -64,8 +66,9 @@
 /** fleet_suspect() - a node cannot reach a server. The server is asked for a
  * report; without one, it counts as down until it gives one. */
 void fleet_suspect (struct fleet *fleet, uint64_t server, uint64_t now_ms);
-/** fleet_nodes() - nodes that told something lately. */
-uint32_t fleet_nodes (const struct fleet *fleet, uint64_t now_ms);
+/** fleet_nodes() - nodes that told something before the last
+ * fleet_expire(). */
+uint32_t fleet_nodes (const struct fleet *fleet);
 /** fleet_expire() - drop what nodes told that are silent. */
 void fleet_expire (struct fleet *fleet, uint64_t now_ms);
 
@@ -130,6 +133,7 @@
 struct replica_adapter
 {
   struct str name;
+  struct fleet_adapter *ref;
   uint64_t ready_ms;
 };
 
@@ -138,6 +142,7 @@
 struct replica
 {
   struct str model;
+  struct fleet_model *ref;
   enum replica_state state;
   uint64_t ready_ms;
   uint64_t since_ms;
@@ -159,7 +164,13 @@
   size_t replica_count;
 };
 
-/** fleet_each() - call @fn for each server that is in the store. */
-void fleet_each (const struct fleet *fleet,
-                 void (*fn) (void *ctx, const struct fleet_view *view),
-                 void *ctx);
+/**
+ * fleet_each_changed() - call @fn for each listed server that may differ from
+ * what @fn last saw, or was last seen @refresh_ms ago.
+ */
+void fleet_each_changed (struct fleet *fleet, uint64_t now_ms,
+                         uint32_t refresh_ms,
+                         void (*fn) (void *ctx, const struct fleet_view *view),
+                         void *ctx);
+/** fleet_retell() - the next fleet_each_changed() sees all servers. */
+void fleet_retell (struct fleet *fleet);
--- a/src/edge/fleet_demand.c
+++ b/src/edge/fleet_demand.c
@@ -6,54 +6,14 @@
 #include "edge/demand.h"
 #include "err.h"
 
+/* Demand as the nodes tell it. */
+
 /* Time constant of the decay of the number of calls at once. */
 #define BUSY_MS 5000.0
 /* A node that told nothing for this long is not counted. */
 #define NODE_SILENT_MS 1500
-/* Demand without calls is forgotten after this time. */
-#define WISH_KEPT_MS 60000
-
-struct wish *
-fleet_wish_find (const struct fleet *f, struct str service, struct str model,
-                 struct str adapter)
-{
-  struct str key = demand_key (service, model, adapter);
-  struct wish *w;
-
-  HASH_FIND (hh, f->wishes, key.data, key.len, w);
-  str_free (&key);
-  return w;
-}
-
-static struct wish *
-find_or_add (struct fleet *f, const struct fleet_wish *from, uint64_t now)
-{
-  struct wish *w
-      = fleet_wish_find (f, from->service, from->model, from->adapter);
-
-  if (w)
-    return w;
-  w = xcalloc (1, sizeof *w);
-  w->key = demand_key (from->service, from->model, from->adapter);
-  w->service = str_dup (from->service);
-  w->model = str_dup (from->model);
-  w->adapter = str_dup (from->adapter);
-  w->rate_ms = now;
-  w->used_ms = now;
-  HASH_ADD_KEYPTR (hh, f->wishes, w->key.data, w->key.len, w);
-  return w;
-}
 
-static void
-wish_free (struct fleet *f, struct wish *w)
-{
-  HASH_DEL (f->wishes, w);
-  str_free (&w->key);
-  str_free (&w->service);
-  str_free (&w->model);
-  str_free (&w->adapter);
-  free (w);
-}
+/* ---- models and adapters ---- */
 
 double
 fleet_rate (const struct wish *w, uint64_t now)
@@ -63,6 +23,12 @@
   return demand_rate (w->rate, age_ms, 0);
 }
 
+uint64_t
+fleet_rate_falls_ms (const struct wish *w, double rate)
+{
+  return w->rate_ms + (uint64_t)(DEMAND_RATE_MS * log (w->rate / rate));
+}
+
 static void
 count_arrivals (struct wish *w, uint32_t arrivals, uint64_t now)
 {
@@ -93,6 +59,74 @@
   return current > decayed ? current : decayed;
 }
 
+uint64_t
+fleet_busy_falls_ms (const struct wish *w, double busy)
+{
+  if (w->running + w->waiting > busy || w->busy <= 0)
+    return UINT64_MAX;
+  return w->busy_ms + (uint64_t)(BUSY_MS * log (w->busy / busy));
+}
+
+static void
+list_adapter (struct fleet *f, struct fleet_adapter *a, uint64_t now)
+{
+  const bool waits = a->wish.waiting > 0;
+
+  if (waits && !a->is_waiting)
+    DL_APPEND2 (f->waiting_adapters, a, waiting_prev, waiting_next);
+  if (!waits && a->is_waiting)
+    DL_DELETE2 (f->waiting_adapters, a, waiting_prev, waiting_next);
+  a->is_waiting = waits;
+  if (a->is_hot || fleet_rate (&a->wish, now) <= PLAN_RATE_OF_COPIES)
+    return;
+  a->is_hot = true;
+  DL_APPEND2 (f->hot_adapters, a, hot_prev, hot_next);
+}
+
+static void
+wish_changed (struct fleet *f, struct wish *w, uint64_t now)
+{
+  if (w->adapter)
+    list_adapter (f, w->adapter, now);
+  else
+    fleet_stale (f, w->model);
+}
+
+static struct wish *
+wish_of (struct fleet *f, const struct fleet_wish *from, uint64_t now)
+{
+  struct fleet_service *v = fleet_service_get (f, from->service);
+  struct fleet_model *m = fleet_model_get (f, v, from->model);
+  struct wish *w = from->adapter.len > 0
+                       ? &fleet_adapter_get (m, from->adapter)->wish
+                       : &m->wish;
+
+  if (w->used_ms > 0)
+    return w;
+  w->rate_ms = now;
+  w->used_ms = now;
+  return w;
+}
+
+/* Demand that a node tells keeps its model or adapter. */
+static void
+ref (struct wish *w)
+{
+  if (w->adapter)
+    w->adapter->refs++;
+  else
+    w->model->refs++;
+}
+
+static void
+unref (struct wish *w)
+{
+  if (w->adapter)
+    w->adapter->refs--;
+  else
+    w->model->refs--;
+}
+
 /* ---- nodes ---- */
 
 static struct node *
@@ -104,21 +138,34 @@
   return n;
 }
 
+/* Notes whether the calls at a server changed so much that other nodes should
+   hear of it. */
+static void
+add_running (struct fleet *f, uint64_t server, uint32_t added, uint32_t gone)
+{
+  struct fleet_server *s = fleet_find_hash (f, server);
+
+  if (!s)
+    return;
+  s->running += added - gone;
+  if (s->listed && s->tell.at_ms > 0)
+    due_set (&f->tells, &s->tell, 0);
+}
+
 static void
-drop_told (struct fleet *f, struct node *n)
+drop_told (struct fleet *f, struct node *n, uint64_t now)
 {
   for (size_t i = 0; i < n->wish_count; i++)
     {
-      n->wishes[i].wish->waiting -= n->wishes[i].waiting;
-      n->wishes[i].wish->running -= n->wishes[i].running;
-    }
-  for (size_t i = 0; i < n->load_count; i++)
-    {
-      struct fleet_server *s = fleet_find_hash (f, n->loads[i].server);
+      struct wish *w = n->wishes[i].wish;
 
-      if (s)
-        s->running -= n->loads[i].running;
+      w->waiting -= n->wishes[i].waiting;
+      w->running -= n->wishes[i].running;
+      unref (w);
+      wish_changed (f, w, now);
     }
+  for (size_t i = 0; i < n->load_count; i++)
+    add_running (f, n->loads[i].server, 0, n->loads[i].running);
   n->wish_count = 0;
   n->load_count = 0;
 }
@@ -128,24 +175,38 @@
 {
   struct node *n = find_node (f, name);
 
-  if (!n)
+  if (n)
+    {
+      n->known = true;
+      HASH_DEL (f->nodes, n);
+    }
+  else
     {
       n = xcalloc (1, sizeof *n);
       n->name = str_dup (name);
-      HASH_ADD_KEYPTR (hh, f->nodes, n->name.data, n->name.len, n);
     }
-  else
-    n->known = true;
-  drop_told (f, n);
+  HASH_ADD_KEYPTR (hh, f->nodes, n->name.data, n->name.len, n);
+  drop_told (f, n, now);
   n->told_ms = now;
 }
 
+static void
+add_node_wish (struct node *n, const struct node_wish *told)
+{
+  if (n->wish_count == n->wish_room)
+    {
+      n->wish_room = n->wish_room ? 2 * n->wish_room : 16;
+      n->wishes = xrealloc (n->wishes, n->wish_room * sizeof *n->wishes);
+    }
+  n->wishes[n->wish_count++] = *told;
+}
+
 void
 fleet_node_wish (struct fleet *f, struct str name,
                  const struct fleet_wish *from, uint64_t now)
 {
   struct node *n = find_node (f, name);
-  struct wish *w = find_or_add (f, from, now);
+  struct wish *w = wish_of (f, from, now);
 
   w->waiting += from->waiting;
   w->running += from->running;
@@ -154,10 +215,9 @@
   count_arrivals (w, from->arrivals, now);
   if (!n->known)
     take_over_rate (w, from, now);
-  n->wishes = xrealloc (n->wishes, (n->wish_count + 1) * sizeof *n->wishes);
-  n->wishes[n->wish_count++] = (struct node_wish){ .wish = w,
-                                                   .waiting = from->waiting,
-                                                   .running = from->running };
+  ref (w);
+  add_node_wish (n, &(struct node_wish){ w, from->waiting, from->running });
+  wish_changed (f, w, now);
 }
 
 void
@@ -165,25 +225,23 @@
                  uint32_t running)
 {
   struct node *n = find_node (f, name);
-  struct fleet_server *s = fleet_find_hash (f, server);
 
-  if (!s)
+  if (!fleet_find_hash (f, server))
     return;
-  s->running += running;
-  n->loads = xrealloc (n->loads, (n->load_count + 1) * sizeof *n->loads);
+  add_running (f, server, running, 0);
+  if (n->load_count == n->load_room)
+    {
+      n->load_room = n->load_room ? 2 * n->load_room : 16;
+      n->loads = xrealloc (n->loads, n->load_room * sizeof *n->loads);
+    }
   n->loads[n->load_count++]
       = (struct node_load){ .server = server, .running = running };
 }
 
 uint32_t
-fleet_nodes (const struct fleet *f, uint64_t now)
+fleet_nodes (const struct fleet *f)
 {
-  uint32_t count = 0;
-
-  for (const struct node *n = f->nodes; n; n = n->hh.next)
-    if (now < n->told_ms + NODE_SILENT_MS)
-      count++;
-  return count;
+  return (uint32_t)HASH_COUNT (f->nodes);
 }
 
 static void
@@ -199,32 +257,40 @@
 void
 fleet_expire (struct fleet *f, uint64_t now)
 {
-  struct node *n;
-  struct node *next;
-  struct wish *w;
-  struct wish *next_wish;
-
-  HASH_ITER (hh, f->nodes, n, next)
-  if (now >= n->told_ms + NODE_SILENT_MS)
+  /* The node that told longest ago comes first. */
+  while (f->nodes && now >= f->nodes->told_ms + NODE_SILENT_MS)
     {
-      drop_told (f, n);
+      struct node *n = f->nodes;
+
+      drop_told (f, n, now);
       node_free (f, n);
     }
-  HASH_ITER (hh, f->wishes, w, next_wish)
-  if (w->waiting == 0 && w->running == 0 && now >= w->used_ms + WISH_KEPT_MS)
-    wish_free (f, w);
+  f->expired_ms = now;
+  fleet_forget_departed (f, now);
+  fleet_sweep (f, now);
+}
+
+static void
+forget_wish (struct wish *w)
+{
+  *w = (struct wish){ .model = w->model, .adapter = w->adapter };
 }
 
 void
 fleet_forget_demand (struct fleet *f)
 {
-  struct node *n;
-  struct node *next;
-  struct wish *w;
-  struct wish *next_wish;
-
-  HASH_ITER (hh, f->nodes, n, next)
-  node_free (f, n);
-  HASH_ITER (hh, f->wishes, w, next_wish)
-  wish_free (f, w);
+  while (f->nodes)
+    {
+      struct node *n = f->nodes;
+
+      drop_told (f, n, n->told_ms);
+      node_free (f, n);
+    }
+  for (struct fleet_model *m = f->models; m; m = m->next)
+    {
+      forget_wish (&m->wish);
+      fleet_stale (f, m);
+      for (struct fleet_adapter *a = m->adapters; a; a = a->hh.next)
+        forget_wish (&a->wish);
+    }
 }
--- a/src/edge/fleet_orders.c
+++ b/src/edge/fleet_orders.c
@@ -29,27 +29,29 @@
   if (!s)
     return;
   s->suspected_ms = now;
-  if (s->report_due_ms == 0 && now >= s->reported_ms + SUSPECT_AGAIN_MS)
-    s->report_due_ms = now;
+  if (s->report_due_ms > 0 || now < s->reported_ms + SUSPECT_AGAIN_MS)
+    return;
+  s->report_due_ms = now;
+  fleet_server_changed (f, s);
 }
 
 struct fleet_server *
 fleet_next_report (struct fleet *f, uint64_t now)
 {
-  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    if (s->listed && !s->leaving && fleet_engine (f, s) && !s->reporting
-        && s->report_due_ms > 0 && now >= s->report_due_ms)
-      {
-        s->reporting = true;
-        s->report_due_ms = 0;
-        return s;
-      }
-  return NULL;
+  const struct due *d = due_first (&f->reports, now);
+  struct fleet_server *s = d ? d->owner : NULL;
+
+  if (!s)
+    return NULL;
+  s->reporting = true;
+  s->report_due_ms = 0;
+  fleet_server_changed (f, s);
+  return s;
 }
 
 static void
-take_coming (struct fleet_server *s, const struct server_report *r,
-             uint64_t now)
+take_coming (struct fleet *f, struct fleet_server *s,
+             const struct server_report *r, uint64_t now)
 {
   for (size_t i = 0; i < r->coming.count; i++)
     {
@@ -61,7 +63,8 @@
       const struct str model = { item.data, (size_t)(slash - item.data) };
       struct str adapter = { slash + 1, item.len - model.len - 1 };
       const char *at = memchr (adapter.data, '@', adapter.len);
-      struct replica *replica = fleet_replica (s, model);
+      struct replica *replica
+          = fleet_replica (s, fleet_model_get (f, s->service, model));
 
       if (at)
         adapter.len = (size_t)(at - adapter.data);
@@ -73,7 +76,8 @@
 /* Takes the report over whole, unless it is older than what is known: within
    one start of a server the count of orders only grows. */
 static void
-adopt (struct fleet_server *s, const struct server_report *r, uint64_t now)
+adopt (struct fleet *f, struct fleet_server *s, const struct server_report *r,
+       uint64_t now)
 {
   if (r->order_count < s->order_count)
     {
@@ -82,20 +86,20 @@
     }
   s->known = true;
   s->order_count = r->order_count;
-  fleet_take_models (s, r->models, r->model_count);
-  take_coming (s, r, now);
-  fleet_take_at_hand (s, &r->in_memory, &r->on_disk);
+  fleet_take_models (f, s, r->models, r->model_count);
+  take_coming (f, s, r, now);
+  fleet_take_at_hand (f, s, &r->in_memory, &r->on_disk);
 }
 
 /* An order without an answer: was it carried out? */
 static void
-settle_unanswered (struct fleet_server *s, const struct server_report *r,
-                   uint64_t now)
+settle_unanswered (struct fleet *f, struct fleet_server *s,
+                   const struct server_report *r, uint64_t now)
 {
   if (r->order_count > s->order_count && !r->busy)
     {
       fleet_clear_pending (s);
-      adopt (s, r, now);
+      adopt (f, s, r, now);
     }
   else if (r->order_count > s->order_count)
     {
@@ -108,8 +112,8 @@
 }
 
 static void
-settle_accepted (struct fleet_server *s, const struct server_report *r,
-                 uint64_t now)
+settle_accepted (struct fleet *f, struct fleet_server *s,
+                 const struct server_report *r, uint64_t now)
 {
   if (r->order_count < s->order_count || r->busy)
     {
@@ -117,25 +121,13 @@
       return;
     }
   fleet_clear_pending (s);
-  adopt (s, r, now);
+  adopt (f, s, r, now);
 }
 
-void
-fleet_report (struct fleet *f, struct str id, const struct server_report *r,
-              uint64_t now)
+static void
+take_report (struct fleet *f, struct fleet_server *s,
+             const struct server_report *r, uint64_t now)
 {
-  struct fleet_server *s = fleet_find (f, id);
-
-  if (!s)
-    return;
-  s->reporting = false;
-  s->reported_ms = now;
-  if (!r)
-    {
-      s->report_due_ms = now + REPORT_RETRY_MS;
-      s->down = s->down || now < s->suspected_ms + SUSPECT_FRESH_MS;
-      return;
-    }
   s->down = false;
   if (r->started_ms > 0 && s->started_ms > 0 && r->started_ms != s->started_ms)
     return; /* its entry will tell of the restart */
@@ -145,20 +137,40 @@
       s->report_due_ms = now + REPORT_MS;
       break;
     case PENDING_UNANSWERED:
-      settle_unanswered (s, r, now);
+      settle_unanswered (f, s, r, now);
       break;
     case PENDING_ACCEPTED:
-      settle_accepted (s, r, now);
+      settle_accepted (f, s, r, now);
       break;
     case PENDING_NONE:
       if (r->busy)
         s->report_due_ms = now + REPORT_MS;
       else
-        adopt (s, r, now);
+        adopt (f, s, r, now);
       break;
     }
 }
 
+void
+fleet_report (struct fleet *f, struct str id, const struct server_report *r,
+              uint64_t now)
+{
+  struct fleet_server *s = fleet_find (f, id);
+
+  if (!s)
+    return;
+  s->reporting = false;
+  s->reported_ms = now;
+  if (r)
+    take_report (f, s, r, now);
+  else
+    {
+      s->report_due_ms = now + REPORT_RETRY_MS;
+      s->down = s->down || now < s->suspected_ms + SUSPECT_FRESH_MS;
+    }
+  fleet_server_changed (f, s);
+}
+
 /* ---- orders ---- */
 
 /* Time that an adapter takes from the order until it can be used. */
@@ -171,7 +183,8 @@
 #define AVOID_MS 500
 
 static void
-note_begin (struct fleet_server *s, const struct planned *p, uint64_t now)
+note_begin (struct fleet *f, struct fleet_server *s, const struct planned *p,
+            uint64_t now)
 {
   struct replica *r = fleet_replica (s, p->model);
 
@@ -183,7 +196,7 @@
     r->state = REPLICA_UNLOADING;
   else if (p->kind == ORDER_LOAD)
     {
-      r = fleet_add_replica (s, p->model);
+      r = fleet_add_replica (f, s, p->model);
       r->state = REPLICA_LOADING;
       r->ready_ms = now + p->takes_ms;
       r->since_ms = now;
@@ -195,7 +208,7 @@
 {
   *out = (struct order){
     .kind = s->pending.kind,
-    .model = s->pending.model,
+    .model = s->pending.model->name,
     .adapter = s->pending.adapter,
     .server_address = s->address,
     .server_id = s->id,
@@ -203,100 +216,125 @@
   };
 }
 
+/* ---- the course of time ---- */
+
 static bool
-has_running_calls (const struct fleet *f, const struct fleet_server *s,
-                   struct str model)
+loads_warm (const struct fleet_server *s)
 {
-  const struct wish *w
-      = fleet_wish_find (f, s->service, model, (struct str){ 0 });
+  const struct replica *r = fleet_replica (s, s->pending.model);
 
-  return w && w->running > 0;
+  return !s->pending.cold && r && r->state == REPLICA_LOADING;
+}
+
+void
+fleet_index_pending (struct fleet *f, struct fleet_server *s)
+{
+  const struct pending *p = &s->pending;
+
+  if (p->state == PENDING_ACCEPTED && p->adapter.len == 0
+      && (p->kind == ORDER_UNLOAD || loads_warm (s)))
+    due_set (&f->advances, &s->advance, p->expected_ms + ORDER_SLACK_MS);
+  else
+    due_clear (&f->advances, &s->advance);
+  if (p->state == PENDING_UNANSWERED && fleet_usable (s))
+    due_set (&f->resends, &s->resend,
+             p->since_ms + RESEND_MS > s->avoid_until_ms
+                 ? p->since_ms + RESEND_MS
+                 : s->avoid_until_ms);
+  else
+    due_clear (&f->resends, &s->resend);
 }
 
 /* An unload of a model without calls is done at once. Should it not be, the
    server refuses the next order, and its report is read. */
 static void
-advance_unload (const struct fleet *f, struct fleet_server *s, uint64_t now)
+advance_unload (struct fleet *f, struct fleet_server *s, uint64_t now)
 {
   struct replica *r = fleet_replica (s, s->pending.model);
 
-  if (has_running_calls (f, s, s->pending.model))
-    return;
+  if (s->pending.model->wish.running > 0)
+    {
+      due_set (&f->advances, &s->advance, now + 1);
+      return;
+    }
   if (r)
-    fleet_drop_replica (s, r);
+    fleet_drop_replica (f, s, r);
   fleet_clear_pending (s);
   s->report_due_ms = now + REPORT_LAG_MS;
+  fleet_server_changed (f, s);
 }
 
 /* A load from the server's own memory or disk takes a known time, so calls
    need not wait for the next report. */
 static void
-advance_load (struct fleet_server *s)
+advance_load (struct fleet *f, struct fleet_server *s)
 {
-  struct replica *r = fleet_replica (s, s->pending.model);
-
-  if (!s->pending.cold && r && r->state == REPLICA_LOADING)
-    r->state = REPLICA_READY;
+  fleet_replica (s, s->pending.model)->state = REPLICA_READY;
+  fleet_server_changed (f, s);
 }
 
 void
 fleet_advance (struct fleet *f, uint64_t now)
 {
-  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
+  struct due *d;
+
+  while ((d = due_first (&f->advances, now)))
     {
-      const struct pending *p = &s->pending;
+      struct fleet_server *s = d->owner;
 
-      if (p->state != PENDING_ACCEPTED || p->adapter.len > 0
-          || now < p->expected_ms + ORDER_SLACK_MS)
-        continue;
-      if (p->kind == ORDER_UNLOAD)
+      if (s->pending.kind == ORDER_UNLOAD)
         advance_unload (f, s, now);
       else
-        advance_load (s);
+        advance_load (f, s);
     }
 }
 
+/* ---- the next order ---- */
+
 static struct fleet_server *
-resend (struct fleet *f, uint64_t now)
+resend (struct fleet *f, uint64_t now, struct order *out,
+        struct order_reason *why)
 {
-  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    if (fleet_usable (s) && s->pending.state == PENDING_UNANSWERED
-        && now >= s->pending.since_ms + RESEND_MS && now >= s->avoid_until_ms)
-      return s;
-  return NULL;
+  const struct due *d = due_first (&f->resends, now);
+  struct fleet_server *s = d ? d->owner : NULL;
+
+  if (!s)
+    return NULL;
+  s->pending.state = PENDING_SENT;
+  s->pending.since_ms = now;
+  fleet_server_changed (f, s);
+  fill_order (s, out);
+  *why = (struct order_reason){ .need = "no-answer", .weights = "-" };
+  return s;
 }
 
 struct fleet_server *
 fleet_next_order (struct fleet *f, uint64_t now, struct order *out,
                   struct order_reason *why)
 {
-  struct fleet_server *s = resend (f, now);
+  struct fleet_server *s = resend (f, now, out, why);
   struct planned p;
 
   if (s)
-    {
-      s->pending.state = PENDING_SENT;
-      s->pending.since_ms = now;
-      fill_order (s, out);
-      *why = (struct order_reason){ .need = "no-answer", .weights = "-" };
-      return s;
-    }
+    return s;
   if (!plan_adapters (f, now, &p) && !plan_models (f, now, &p))
     return NULL;
   s = p.server;
   s->pending = (struct pending){
     .state = PENDING_SENT,
     .kind = p.kind,
-    .model = str_dup (p.model),
+    .model = p.model,
     .adapter = str_dup (p.adapter),
     .cold = p.cold,
     .spare = p.spare,
     .since_ms = now,
     .takes_ms = p.takes_ms,
   };
+  p.model->refs++;
   if (p.cold)
-    cold_begin (f, s, now);
-  note_begin (s, &p, now);
+    cold_begin (s, now);
+  note_begin (f, s, &p, now);
+  fleet_server_changed (f, s);
   fill_order (s, out);
   *why = p.reason;
   return s;
@@ -365,4 +403,5 @@
       read_again (s, now);
       break;
     }
+  fleet_server_changed (f, s);
 }
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -94,7 +94,7 @@
   h->fence = p->fence;
   h->active = placer_may_order (p);
   h->lease_revision = holderlease_revision (p->lease);
-  h->entries = fleet_nodes (p->fleet, clock_ms ());
+  h->entries = fleet_nodes (p->fleet);
   h->nodes.nodes_val = nodes;
   h->nodes.nodes_len = next_nodes (p, nodes);
   h->crashes.crashes_val = crashes;
@@ -186,6 +186,7 @@
     HASH_DEL (p->told, t);
     free (t);
   }
+  fleet_retell (p->fleet);
 }
 
 static void
@@ -245,7 +246,7 @@
     return false;
   p->changed = false;
   p->scanned_ms = now;
-  fleet_each (p->fleet, add_server, &b);
+  fleet_each_changed (p->fleet, now, REFRESH_MS, add_server, &b);
   if (b.count > 0 || now >= p->broadcast_ms + ALIVE_MS)
     flush (&b);
   return true;
--- a/src/edge/plan_impl.h
+++ b/src/edge/plan_impl.h
@@ -8,66 +8,63 @@
 #define UNLOAD_MS 50
 /* Time until the end of an order is known from a report. */
 #define ORDER_END_MS 150
-
-/* How much a model needs a replica that it lacks. */
-enum need
-{
-  NEED_NONE,
-  NEED_SPARE_ROOM, /* not in use: only where room is free */
-  NEED_MORE,       /* in use, with fewer replicas than it should have */
-  NEED_FIRST,      /* in use, with none */
-  NEED_CROWDED, /* likewise with fewer, and its calls slow each other down */
-  NEED_WAITED_FOR, /* calls wait, and there is none */
-};
-
-/* A model of a service with its replicas and demand. */
-struct want
-{
-  const struct model_spec *spec;
-  struct str service;
-  const struct wish *wish; /* NULL without demand */
-  double rate;
-  uint32_t target;
-  uint32_t have; /* ready, loading, or with room reserved */
-  uint32_t ready;
-  double busy; /* calls at once */
-  enum need need;
-};
-
-/* What all models of a service want, in the order of its configuration. */
-struct wants
-{
-  const struct engine_spec *engine;
-  struct want *items;
-};
+/* A load from the weight store takes seconds, so replicas that could go for it
+   are looked for on all servers at this interval at most. */
+#define PLAN_SEARCH_ROOM_MS 100
 
 /* ---- plan_wants.c ---- */
 
-/** plan_wants() - what all models of a service want; free @items. */
-struct wants plan_wants (const struct fleet *fleet, struct str service,
-                         const struct engine_spec *engine, uint64_t now_ms);
+/** plan_want() - what a model wants now.
+ * @without: a server whose reserved room does not count; may be NULL. */
+struct want plan_want (const struct fleet_model *model,
+                       const struct fleet_server *without, uint64_t now_ms);
+/** plan_refresh() - bring the wants of all models up to date. */
+void plan_refresh (struct fleet *fleet, uint64_t now_ms);
+/** plan_first() - the model of a service that needs a replica most, or NULL;
+ * plan_next() - the one after it. */
+struct fleet_model *plan_first (struct fleet_service *service);
+struct fleet_model *plan_next (struct fleet_model *model);
 /** plan_need_name() - for the log. */
 const char *plan_need_name (enum need need);
 
 /* ---- plan_room.c ---- */
 
-/** plan_free_mb() - memory for weights that is free on a server, all its
- * adapter places taken as full. */
-double plan_free_mb (const struct fleet_server *server,
-                     const struct engine_spec *engine);
 /** plan_weights_elsewhere() - could another server load the model without the
  * weight store. */
-bool plan_weights_elsewhere (const struct fleet *fleet,
-                             const struct fleet_server *server,
-                             const struct model_spec *model);
+bool plan_weights_elsewhere (const struct fleet_server *server,
+                             const struct fleet_model *model);
 /**
  * plan_make_room() - what to remove first for @missing_mb of room: one replica
  * that is large enough, or several.
+ * @want: of the model that the room is for.
  * @cost_ms: in time that calls wait for it.
  *
  * Returns NULL when the room cannot be made, so that nothing goes in vain.
  */
-const struct replica *
-plan_make_room (const struct fleet *fleet, const struct fleet_server *server,
-                const struct wants *all, const struct want *for_whom,
-                uint64_t now_ms, double missing_mb, double *cost_ms);
+const struct replica *plan_make_room (const struct fleet_server *server,
+                                      const struct fleet_model *for_whom,
+                                      const struct want *want, uint64_t now_ms,
+                                      double missing_mb, double *cost_ms);
+
+/* ---- plan_step.c ---- */
+
+/** struct step - a step towards a replica of a model on one server.
+ * @remove: the replica to unload first; NULL: load at once. */
+struct step
+{
+  struct fleet_server *server;
+  const struct replica *remove;
+  double cost_ms;
+  uint32_t takes_ms;
+  enum weights weights;
+};
+
+/** plan_step_on() - the step on one server, if there is one. */
+bool plan_step_on (struct fleet *fleet, struct fleet_server *server,
+                   const struct fleet_model *model, const struct want *want,
+                   const struct cold_gate *gate, uint64_t now_ms,
+                   struct step *out);
+/** plan_best_step() - the step that brings a replica soonest, if any. */
+bool plan_best_step (struct fleet *fleet, struct fleet_model *model,
+                     const struct cold_gate *gate, uint64_t now_ms,
+                     struct step *out);
--- a/src/edge/plan_room.c
+++ b/src/edge/plan_room.c
@@ -15,29 +15,6 @@
    unload waits for it, and the server takes no other order meanwhile. */
 #define UNLOAD_RUNNING_MS 100
 
-/* A model that the configuration does not name may be of any size. */
-static double
-replica_mb (const struct replica *r, const struct engine_spec *e)
-{
-  const struct model_spec *m = engine_model (e, r->model);
-
-  return m ? m->weights_mb : e->weights_mb;
-}
-
-double
-plan_free_mb (const struct fleet_server *s, const struct engine_spec *e)
-{
-  double adapter_mb = 0;
-  double used = 0;
-
-  for (size_t i = 0; i < e->model_count; i++)
-    if (e->models[i].adapter_mb > adapter_mb)
-      adapter_mb = e->models[i].adapter_mb;
-  for (size_t i = 0; i < s->replica_count; i++)
-    used += replica_mb (&s->replicas[i], e);
-  return e->weights_mb - used - adapter_mb * e->adapter_slots;
-}
-
 static bool
 is_unused (const struct wish *w, uint64_t now)
 {
@@ -46,25 +23,32 @@
 }
 
 bool
-plan_weights_elsewhere (const struct fleet *f, const struct fleet_server *s,
-                        const struct model_spec *m)
+plan_weights_elsewhere (const struct fleet_server *s,
+                        const struct fleet_model *m)
 {
-  for (const struct fleet_server *o = f->servers; o; o = o->hh.next)
-    if (o != s && fleet_usable (o) && str_eq (o->service, s->service)
-        && (name_list_has (&o->in_memory, m->name)
-            || name_list_has (&o->on_disk, m->name)))
+  for (size_t i = 0; i < m->copy_count; i++)
+    if (m->copies[i].server != s && fleet_usable (m->copies[i].server))
       return true;
   return false;
 }
 
+/* The models on one server, as seen by the one that room is for. */
+struct room
+{
+  const struct fleet_server *server;
+  const struct want *want;
+  double rate;
+  uint64_t now_ms;
+};
+
 /* May a replica that is in use, but has no call now, go for the other model? A
    model that nobody waits for can wait for its first call. */
 static bool
-may_displace (const struct want *for_whom, const struct want *w)
+may_displace (const struct room *room, double rate)
 {
-  if (for_whom->need == NEED_WAITED_FOR)
+  if (room->want->need == NEED_WAITED_FOR)
     return true;
-  return for_whom->need == NEED_CROWDED && w->rate * 2 < for_whom->rate;
+  return room->want->need == NEED_CROWDED && rate * 2 < room->rate;
 }
 
 /* With more models in use than fit, removing the newest replicas lets a few
@@ -80,27 +64,26 @@
 /* What it costs to remove a replica, in ms of somebody's wait; infinite when
    it must stay. */
 static double
-removal_cost (const struct fleet *f, const struct fleet_server *s,
-              const struct wants *all, const struct replica *r,
-              const struct want *for_whom, uint64_t now)
+removal_cost (const struct room *room, const struct replica *r)
 {
-  const struct model_spec *m = engine_model (all->engine, r->model);
+  const struct fleet_model *m = r->ref;
+  const uint64_t now = room->now_ms;
   uint32_t running_cost;
-  struct want w;
+  double rate;
 
-  if (!m)
+  if (!m->spec)
     return 10;
-  w = all->items[m - all->engine->models];
-  if (w.target == 0 && w.ready > 1)
+  if (m->want.target == 0 && m->want.ready > 1)
     return 20;
-  running_cost = w.wish && w.ready > 0
-                     ? UNLOAD_RUNNING_MS * w.wish->running / w.ready
+  running_cost = m->want.ready > 0
+                     ? UNLOAD_RUNNING_MS * m->wish.running / m->want.ready
                      : 0;
-  if (w.ready > w.target)
+  if (m->want.ready > m->want.target)
     return 100 + running_cost;
-  if (may_displace (for_whom, &w) && is_unused (w.wish, now))
-    return 400 + 1000 * w.rate + age_cost (r, now)
-           + (plan_weights_elsewhere (f, s, m) ? 0 : 500);
+  rate = fleet_rate (&m->wish, now);
+  if (may_displace (room, rate) && is_unused (&m->wish, now))
+    return 400 + 1000 * rate + age_cost (r, now)
+           + (plan_weights_elsewhere (room->server, m) ? 0 : 500);
   return INFINITY;
 }
 
@@ -111,10 +94,10 @@
 /* The cheapest replica to remove that is not in @gone and frees @least_mb, or
    NULL. */
 static const struct replica *
-cheapest (const struct fleet *f, const struct fleet_server *s,
-          const struct wants *all, const struct want *w, uint64_t now,
-          replica_set gone, double least_mb, double *cost)
+cheapest (const struct room *room, replica_set gone, double least_mb,
+          double *cost)
 {
+  const struct fleet_server *s = room->server;
   const struct replica *best = NULL;
 
   *cost = INFINITY;
@@ -123,9 +106,9 @@
       const struct replica *r = &s->replicas[i];
 
       if (r->state != REPLICA_READY || (gone & ((replica_set)1 << i))
-          || replica_mb (r, all->engine) < least_mb)
+          || fleet_replica_mb (r) < least_mb)
         continue;
-      const double c = removal_cost (f, s, all, r, w, now);
+      const double c = removal_cost (room, r);
       if (c < *cost)
         {
           *cost = c;
@@ -136,20 +119,23 @@
 }
 
 const struct replica *
-plan_make_room (const struct fleet *f, const struct fleet_server *s,
-                const struct wants *all, const struct want *w, uint64_t now,
-                double missing_mb, double *cost)
+plan_make_room (const struct fleet_server *s, const struct fleet_model *m,
+                const struct want *want, uint64_t now, double missing_mb,
+                double *cost)
 {
+  const struct room room = { .server = s,
+                             .want = want,
+                             .rate = fleet_rate (&m->wish, now),
+                             .now_ms = now };
   const struct replica *first = NULL;
   replica_set gone = 0;
   double several = 0;
   double c;
-  const struct replica *one
-      = cheapest (f, s, all, w, now, 0, missing_mb, cost);
+  const struct replica *one = cheapest (&room, 0, missing_mb, cost);
 
   while (missing_mb > 0)
     {
-      const struct replica *r = cheapest (f, s, all, w, now, gone, 0, &c);
+      const struct replica *r = cheapest (&room, gone, 0, &c);
 
       if (!r)
         return one;
@@ -157,7 +143,7 @@
       if (!first)
         first = r;
       gone |= (replica_set)1 << (r - s->replicas);
-      missing_mb -= replica_mb (r, all->engine);
+      missing_mb -= fleet_replica_mb (r);
     }
   if (one && *cost <= several)
     return one;
--- a/tests/fleetsim.c
+++ b/tests/fleetsim.c
@@ -256,10 +256,10 @@
       }
 }
 
-struct sim
-sim_create_with (uint64_t seed, unsigned faults, int model_count)
+struct routing *
+sim_routing (int model_count)
 {
-  struct sim m = { .now = 100000, .random = seed, .fence = 1 };
+  struct routing *routing;
   json_t *models = json_array ();
 
   for (int i = 0; i < model_count; i++)
@@ -279,9 +279,21 @@
                    "version", 1, "routes", "services", "name", "lm", "engine",
                    "slots", 8, "weights_mb", SERVER_MB, "adapter_slots",
                    ADAPTER_SLOTS, "loads_per_s", COLD_PER_S, "models", models);
-  m.routing = routing_decode (json);
+  routing = routing_decode (json);
   json_decref (json);
-  m.faults = faults;
+  return routing;
+}
+
+struct sim
+sim_create_with (uint64_t seed, unsigned faults, int model_count)
+{
+  struct sim m = { .now = 100000,
+                   .random = seed,
+                   .fence = 1,
+                   .faults = faults,
+                   .next_order = fleet_next_order };
+
+  m.routing = sim_routing (model_count);
   m.fleet = fleet_create ();
   fleet_routing (m.fleet, m.routing, 5000);
   fleet_term (m.fleet, m.now);
@@ -333,7 +345,7 @@
   fleet_advance (m->fleet, m->now);
   while ((s = fleet_next_report (m->fleet, m->now)))
     tell_report (m, server_index (m, fleet_server_id (s)));
-  while ((s = fleet_next_order (m->fleet, m->now, &order, &why)))
+  while ((s = m->next_order (m->fleet, m->now, &order, &why)))
     send_order (m, s, &order);
 }
 
--- a/tests/fleetsim.h
+++ b/tests/fleetsim.h
@@ -68,6 +68,10 @@
   uint64_t cold_starts[4096];
   size_t cold_count;
   unsigned faults; /* of 100 orders */
+  /* fleet_next_order(), or what checks it. */
+  struct fleet_server *(*next_order) (struct fleet *fleet, uint64_t now_ms,
+                                      struct order *out,
+                                      struct order_reason *why);
 };
 
 /** sim_create() - SERVERS empty servers and MODELS models, all of one size.
@@ -76,6 +80,8 @@
 struct sim sim_create (uint64_t seed, unsigned faults);
 struct sim sim_create_with (uint64_t seed, unsigned faults, int model_count);
 void sim_destroy (struct sim *m);
+/** sim_routing() - a configuration with the first models. */
+struct routing *sim_routing (int model_count);
 /** sim_draw() - a random number below @below. */
 uint32_t sim_draw (struct sim *m, uint32_t below);
 /** sim_restart() - a server starts again, empty but for its disk. */
--- /dev/null
+++ b/tests/test_planindex.c
@@ -0,0 +1,175 @@
+#include <stdio.h>
+
+#include "fleetsim.h"
+#include "plainplan.h"
+#include "suite.h"
+
+/* Guards against an index that was not brought up to date: over random
+   histories the plan must decide as the plain one does, which walks all models
+   and servers each time. */
+
+#define SEEDS 12
+#define TICKS 6000
+
+static struct
+{
+  unsigned models;   /* orders of models, over all seeds */
+  unsigned adapters; /* likewise of adapters */
+  unsigned differ;   /* of one seed */
+} seen;
+
+static bool
+agrees (const struct order *o, const struct fleet_server *s,
+        const struct planned *p, bool expected)
+{
+  if (!s || !expected)
+    return !s && !expected;
+  return s == p->server && o->kind == p->kind
+         && str_eq (o->model, p->model->name);
+}
+
+static void
+report (uint64_t now, bool adapter_waits, const struct fleet_server *s,
+        const struct order *o, const struct planned *plain)
+{
+  fprintf (stderr, "at %lu: an adapter waits: %d\n", now, adapter_waits);
+  if (plain)
+    fprintf (stderr,
+             "plain: kind=%d model=" STR_FMT " server=" STR_FMT " for=" STR_FMT
+             "\n",
+             plain->kind, STR_ARG (plain->model->name),
+             STR_ARG (plain->server->id), STR_ARG (plain->reason.for_model));
+  if (s)
+    fprintf (stderr, "plan: kind=%d model=" STR_FMT " server=" STR_FMT "\n",
+             o->kind, STR_ARG (o->model), STR_ARG (s->id));
+}
+
+static struct fleet_server *
+checked_next_order (struct fleet *f, uint64_t now, struct order *out,
+                    struct order_reason *why)
+{
+  const bool resend = due_first (&f->resends, now) != NULL;
+  const bool adapter_waits = plain_adapter_waits (f, now);
+  struct planned plain = { 0 };
+  const bool expected = plain_models (f, now, &plain);
+  struct fleet_server *s = fleet_next_order (f, now, out, why);
+
+  if (resend)
+    return s;
+  if (s && out->adapter.len > 0)
+    {
+      seen.adapters++;
+      return s;
+    }
+  seen.models += s != NULL;
+  if (!adapter_waits && agrees (out, s, &plain, expected))
+    return s;
+  if (seen.differ++ == 0)
+    report (now, adapter_waits, s, out, expected ? &plain : NULL);
+  return s;
+}
+
+static void
+tell_random (struct sim *m, const char *node, int model_count)
+{
+  fleet_node_begin (m->fleet, str_from (node), m->now);
+  for (int j = 0; j < 8; j++)
+    {
+      char model[16];
+      char adapter[16];
+      const uint32_t rare = sim_draw (m, 3);
+
+      snprintf (model, sizeof model, "m%u",
+                sim_draw (m, rare ? 6 : (uint32_t)model_count));
+      snprintf (adapter, sizeof adapter, "a%u", sim_draw (m, 4));
+      const struct fleet_wish w = {
+        .service = STR ("lm"),
+        .model = str_from (model),
+        .adapter = sim_draw (m, 3) ? STR ("") : str_from (adapter),
+        .waiting = sim_draw (m, 3),
+        .running = sim_draw (m, 5),
+        .arrivals = sim_draw (m, 3),
+        .rate = sim_draw (m, 4),
+        .idle_ms = sim_draw (m, 3000),
+      };
+      fleet_node_wish (m->fleet, str_from (node), &w, m->now);
+      fleet_node_load (m->fleet, str_from (node),
+                       str_hash (str_from (m->servers[j % SERVERS].id), 0),
+                       sim_draw (m, 4));
+    }
+}
+
+/* One of the things that happen to a fleet from time to time. */
+static void
+disturb (struct sim *m, const struct routing *fewer)
+{
+  const int i = (int)sim_draw (m, SERVERS);
+
+  switch (sim_draw (m, 7))
+    {
+    case 0:
+      sim_restart (m, i);
+      break;
+    case 1:
+      m->fence++;
+      fleet_term (m->fleet, m->now);
+      break;
+    case 2:
+      m->servers[i].dark = !m->servers[i].dark;
+      break;
+    case 3:
+      fleet_suspect (m->fleet, str_hash (str_from (m->servers[i].id), 0),
+                     m->now);
+      break;
+    case 4:
+      fleet_removed (m->fleet, str_from (m->servers[i].id));
+      break;
+    case 5:
+      sim_restart (m, i);
+      m->servers[i].dark = false;
+      break;
+    default:
+      fleet_routing (m->fleet, sim_draw (m, 2) ? fewer : m->routing, 5000);
+      break;
+    }
+}
+
+static void
+test_same_decisions (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      const int model_count = seed % 3 ? MODELS : MODELS_MAX;
+      struct sim m = sim_create_with (seed, seed % 2 ? 20 : 0, model_count);
+      struct routing *fewer = sim_routing (model_count - 3);
+
+      m.next_order = checked_next_order;
+      seen.differ = 0;
+      if (seed % 4 == 0)
+        sim_fill_disks (&m, model_count);
+      for (int i = 0; i < TICKS; i++)
+        {
+          if (i % 25 == 0 && sim_draw (&m, 400) > 0)
+            tell_random (&m, "a", model_count);
+          if (i % 40 == 0)
+            tell_random (&m, sim_draw (&m, 2) ? "b" : "c", model_count);
+          if (sim_draw (&m, 400) == 0)
+            disturb (&m, fewer);
+          if (i % 5 == 0)
+            fleet_expire (m.fleet, m.now);
+          sim_tick (&m);
+        }
+      CU_ASSERT_EQUAL (seen.differ, 0);
+      if (seen.differ > 0)
+        fprintf (stderr, "seed %lu: %u decisions differ\n", seed, seen.differ);
+      sim_destroy (&m);
+      routing_destroy (fewer);
+    }
+  /* The histories must bring the plan to decide something. */
+  CU_ASSERT_TRUE (seen.models > 100 * SEEDS / 2);
+  CU_ASSERT_TRUE (seen.adapters > 10 * SEEDS);
+}
+
+static const struct suite_case cases[]
+    = { { "same decisions as the plain plan", test_same_decisions } };
+TEST_SUITE ("planindex", cases)
