Let a node that takes the placement lease back wait before it gives orders

Cause: a holder that lost the lease and got it back within lease_ms gave orders at once.

The lease's object now names the nodes that held the lease within the last lease_ms, so that a process that started anew knows of the turns of the one before. A node that finds another one after itself there gives no order until lease_ms after it took the lease; all other changes of holder stay as quick as they were. The node still counts as the holder meanwhile: all tell it their demand.

Ruled out: a wait after each start of a process.

--- a/src/edge/holderlease.c
+++ b/src/edge/holderlease.c
@@ -38,6 +38,7 @@
   l->objects = objects;
   l->state = leasestate_create (self, instance, lease_ms / TTL_DIVISOR,
                                 lease_ms / MARGIN_DIVISOR);
+  leasestate_space_turns (l->state, lease_ms);
   l->changed = changed;
   l->ctx = ctx;
   return l;
@@ -169,6 +170,12 @@
   return leasestate_valid (l->state, clock_ms ());
 }
 
+bool
+holderlease_in_turn (const struct holderlease *l)
+{
+  return leasestate_in_turn (l->state, clock_ms ());
+}
+
 uint64_t
 holderlease_fence (const struct holderlease *l)
 {
--- a/src/edge/holderlease.h
+++ b/src/edge/holderlease.h
@@ -38,6 +38,9 @@
 bool holderlease_released (const struct holderlease *lease);
 /** holderlease_valid() - this node holds it at this moment. */
 bool holderlease_valid (const struct holderlease *lease);
+/** holderlease_in_turn() - may the holder give orders; false for a while after
+ * it took the lease back from another node. */
+bool holderlease_in_turn (const struct holderlease *lease);
 /** holderlease_fence() - fencing token of this node's lease, or 0. */
 uint64_t holderlease_fence (const struct holderlease *lease);
 /** holderlease_holder() - address of the holder as last read; may be empty. */
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -55,11 +55,17 @@
 }
 
 bool
-placer_may_order (const struct placer *p)
+placer_leads (const struct placer *p)
 {
   return p->holding && (holderlease_valid (p->lease) || all_without_store (p));
 }
 
+static bool
+may_order (const struct placer *p)
+{
+  return placer_leads (p) && holderlease_in_turn (p->lease);
+}
+
 /* ---- orders ---- */
 
 struct order_ctx
@@ -182,7 +188,7 @@
   fleet_advance (p->fleet, clock_ms ());
   while ((s = fleet_next_report (p->fleet, clock_ms ())))
     ask_report (p, s);
-  while (placer_may_order (p)
+  while (may_order (p)
          && (s = fleet_next_order (p->fleet, clock_ms (), &order, &why)))
     give_order (p, s, &order, &why);
   if (!placer_broadcast (p) && p->changed)
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -103,5 +103,5 @@
 
 /* ---- placer.c ---- */
 
-/** placer_may_order() - may this node give orders now. */
-bool placer_may_order (const struct placer *p);
+/** placer_leads() - is this node the one that gives orders. */
+bool placer_leads (const struct placer *p);
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -92,7 +92,7 @@
   p->broadcast_ms = clock_ms ();
   h->node = str_label (edge_settings ()->node_name);
   h->fence = p->fence;
-  h->active = placer_may_order (p);
+  h->active = placer_leads (p);
   h->lease_revision = holderlease_revision (p->lease);
   h->entries = fleet_nodes (p->fleet);
   h->nodes.nodes_val = nodes;
--- a/src/leasestate.c
+++ b/src/leasestate.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <jansson.h>
 
@@ -11,6 +12,8 @@
 #define READ_MS 1000
 /* Interval of steps that follow a failed or lost one. */
 #define RETRY_MS 250
+/* JSON integers have a sign. */
+#define NODE_HASH_MASK (UINT64_MAX >> 1)
 
 struct leasestate
 {
@@ -18,6 +21,7 @@
   uint64_t instance;
   uint32_t ttl_ms;
   uint32_t margin_ms;
+  uint32_t turn_ms;
   bool candidate;
   bool releasing;
   bool mine;  /* the object as last known names this node and instance */
@@ -33,9 +37,13 @@
   struct lease_record written; /* last record that was sent */
   uint64_t sent_ms;            /* when it was sent */
   uint64_t valid_until_ms;
-  uint64_t due_ms; /* no step before */
+  uint64_t taken_ms; /* begin of the term */
+  bool took_back;    /* from a node that had it after this one */
+  uint64_t due_ms;   /* no step before */
 };
 
+/* ---- records ---- */
+
 struct str
 lease_record_encode (const struct lease_record *r)
 {
@@ -44,14 +52,33 @@
       r->holder.len > 0 ? r->holder.data : "", r->holder.len, "instance",
       (json_int_t)r->instance, "fence", (json_int_t)r->fence, "renewals",
       (json_int_t)r->renewals, "ttl_ms", (json_int_t)r->ttl_ms);
-  char *text = json_dumps (o, JSON_COMPACT);
-  const struct str s = str_dup (str_from (text));
-
+  json_t *earlier = json_array ();
+  char *text;
+  struct str s;
+
+  for (uint32_t i = 0; i < r->earlier_count; i++)
+    json_array_append_new (earlier, json_integer ((json_int_t)r->earlier[i]));
+  if (r->earlier_count > 0)
+    json_object_set (o, "earlier", earlier);
+  json_decref (earlier);
+  text = json_dumps (o, JSON_COMPACT);
+  s = str_dup (str_from (text));
   free (text);
   json_decref (o);
   return s;
 }
 
+static void
+decode_earlier (const json_t *o, struct lease_record *out)
+{
+  const json_t *earlier = json_object_get (o, "earlier");
+
+  for (size_t i = 0; i < json_array_size (earlier) && i < LEASE_EARLIER_MAX;
+       i++)
+    out->earlier[out->earlier_count++]
+        = (uint64_t)json_integer_value (json_array_get (earlier, i));
+}
+
 int
 lease_record_decode (struct str json, struct lease_record *out)
 {
@@ -79,6 +106,7 @@
     .renewals = (uint64_t)renewals,
     .ttl_ms = (uint32_t)ttl,
   };
+  decode_earlier (o, out);
   rc = 0;
 
 out:
@@ -99,6 +127,12 @@
   return s;
 }
 
+void
+leasestate_space_turns (struct leasestate *s, uint32_t turn_ms)
+{
+  s->turn_ms = turn_ms;
+}
+
 void
 leasestate_destroy (struct leasestate *s)
 {
@@ -175,6 +209,70 @@
   return LEASE_STEP_READ;
 }
 
+/* ---- turns ---- */
+
+static uint64_t
+node_hash (struct str addr)
+{
+  return str_hash (addr, 0) & NODE_HASH_MASK;
+}
+
+static void
+add_earlier (struct lease_record *r, uint64_t node)
+{
+  if (r->earlier_count > 0 && r->earlier[r->earlier_count - 1] == node)
+    return;
+  if (r->earlier_count == LEASE_EARLIER_MAX)
+    memmove (r->earlier, r->earlier + 1,
+             --r->earlier_count * sizeof *r->earlier);
+  r->earlier[r->earlier_count++] = node;
+}
+
+/* The holders before this write, as far as they still matter. */
+static void
+fill_earlier (struct leasestate *s, uint64_t now)
+{
+  struct lease_record *w = &s->written;
+
+  w->earlier_count = 0;
+  if (s->turn_ms == 0)
+    return;
+  if (!s->mine || now < s->taken_ms + s->turn_ms)
+    {
+      memcpy (w->earlier, s->seen.earlier, sizeof w->earlier);
+      w->earlier_count = s->seen.earlier_count;
+    }
+  if (!s->mine && s->seen.holder.len > 0)
+    add_earlier (w, node_hash (s->seen.holder));
+  if (s->releasing)
+    add_earlier (w, node_hash (s->self));
+}
+
+/* Does another node follow this one among the earlier holders? */
+static bool
+had_turn_before_other (const struct leasestate *s,
+                       const struct lease_record *r)
+{
+  const uint64_t self = node_hash (s->self);
+  bool seen_self = false;
+
+  for (uint32_t i = 0; i < r->earlier_count; i++)
+    {
+      if (seen_self && r->earlier[i] != self)
+        return true;
+      seen_self = seen_self || r->earlier[i] == self;
+    }
+  return false;
+}
+
+bool
+leasestate_in_turn (const struct leasestate *s, uint64_t now)
+{
+  return !s->took_back || now >= s->taken_ms + s->turn_ms;
+}
+
+/* ---- steps ---- */
+
 static enum lease_step
 begin_write (struct leasestate *s, uint64_t now, uint64_t fence,
              struct lease_record *out)
@@ -186,6 +284,7 @@
      several attempts took effect. */
   s->written.renewals++;
   s->written.ttl_ms = s->ttl_ms;
+  fill_earlier (s, now);
   s->sent_ms = now;
   s->busy = true;
   *out = s->written;
@@ -215,6 +314,8 @@
 adopt (struct leasestate *s, uint64_t now, uint64_t version,
        const struct lease_record *r)
 {
+  const bool was_mine = s->mine;
+
   if (!s->known || version != s->version)
     {
       const struct str old = s->seen.holder;
@@ -230,6 +331,10 @@
   s->mine = str_eq (r->holder, s->self) && r->instance == s->instance;
   if (!s->mine)
     s->valid_until_ms = 0;
+  if (!s->mine || was_mine)
+    return;
+  s->taken_ms = now;
+  s->took_back = had_turn_before_other (s, r);
 }
 
 static void
--- a/src/leasestate.h
+++ b/src/leasestate.h
@@ -8,7 +8,14 @@
 /* One node's view of one lease. Pure: the caller does the reads and writes and
    passes the clock (CLOCK_BOOTTIME in ms). */
 
-/** struct lease_record - value of a lease object. */
+/* Earlier holders that a record names at most. */
+#define LEASE_EARLIER_MAX 8
+
+/**
+ * struct lease_record - value of a lease object.
+ * @earlier: hashes of the nodes that held the lease shortly before, in order;
+ *   empty unless leasestate_space_turns() was called.
+ */
 struct lease_record
 {
   struct str holder; /* bus address; empty after a release */
@@ -16,6 +23,8 @@
   uint64_t fence;
   uint64_t renewals; /* differs in each write of one holder */
   uint32_t ttl_ms;
+  uint64_t earlier[LEASE_EARLIER_MAX];
+  uint32_t earlier_count;
 };
 
 /** lease_record_encode() - JSON text; free with str_free(). */
@@ -44,6 +53,9 @@
 struct leasestate *leasestate_create (struct str self, uint64_t instance,
                                       uint32_t ttl_ms, uint32_t margin_ms);
 void leasestate_destroy (struct leasestate *s);
+/** leasestate_space_turns() - two nodes may not take turns within this time;
+ * see leasestate_in_turn(). */
+void leasestate_space_turns (struct leasestate *s, uint32_t turn_ms);
 
 /** leasestate_candidate() - may this node take the lease when it is free. */
 void leasestate_candidate (struct leasestate *s, bool candidate);
@@ -82,6 +94,13 @@
                             uint64_t version);
 
 bool leasestate_valid (const struct leasestate *s, uint64_t now);
+/**
+ * leasestate_in_turn() - may the holder act.
+ *
+ * A node that held the lease shortly before another one did must wait after it
+ * took the lease back, also when its process started anew meanwhile.
+ */
+bool leasestate_in_turn (const struct leasestate *s, uint64_t now);
 uint64_t leasestate_fence (const struct leasestate *s);
 uint64_t leasestate_version (const struct leasestate *s);
 /** leasestate_holder() - holder as last read, else empty. */
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -382,6 +382,74 @@
   CU_ASSERT (changes > 100);
 }
 
+#define TURN_MS 3000
+
+/* The node takes the lease, which its holder releases. */
+static void
+take_turn (struct world *w, size_t node, bool new_process)
+{
+  static uint64_t instance = 100;
+
+  for (size_t i = 0; i < NODES; i++)
+    if (leasestate_fence (w->nodes[i]) > 0)
+      leasestate_release (w->nodes[i]);
+  pass (w, 300, (1u << NODES) - 1);
+  if (new_process)
+    {
+      leasestate_destroy (w->nodes[node]);
+      w->nodes[node] = leasestate_create (str_from (names[node]), ++instance,
+                                          TTL_MS, MARGIN_MS);
+      leasestate_space_turns (w->nodes[node], TURN_MS);
+    }
+  leasestate_candidate (w->nodes[node], true);
+  pass (w, 300, 1u << node);
+  CU_ASSERT (valid (w, node));
+  leasestate_candidate (w->nodes[node], false);
+}
+
+/* Guards against two nodes that give orders in turns within the time in which
+   servers without fencing cannot tell them apart: a node that loses the lease
+   and takes it back soon, also as a new process. */
+static void
+test_turns (void)
+{
+  /* Nodes in the order in which they take the lease; a capital is a new
+     process of the node, a dot a pause of TURN_MS. */
+  static const struct
+  {
+    const char *turns;
+    bool in_turn; /* the last one */
+  } cases[] = { { "a", true },     { "aa", true },    { "aA", true },
+                { "ab", true },    { "aba", false },  { "abA", false },
+                { "abca", false }, { "abaA", false }, { "aba.", true },
+                { "ab.a", true },  { "aba.A", true }, { "ab.ab", false },
+                { "abc", true },   { "aAb", true },   { "abc.ab", true } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct world w = world_create ();
+      size_t node = 0;
+
+      for (size_t j = 0; j < NODES; j++)
+        leasestate_space_turns (w.nodes[j], TURN_MS);
+      for (const char *c = cases[i].turns; *c; c++)
+        {
+          if (*c == '.')
+            {
+              pass (&w, TURN_MS, (1u << NODES) - 1);
+              continue;
+            }
+          node = (size_t)((*c | 0x20) - 'a');
+          take_turn (&w, node, *c < 'a');
+        }
+      CU_ASSERT_EQUAL (leasestate_in_turn (w.nodes[node], w.now),
+                       cases[i].in_turn);
+      pass (&w, TURN_MS, 1u << node);
+      CU_ASSERT (leasestate_in_turn (w.nodes[node], w.now));
+      world_destroy (&w);
+    }
+}
+
 /* Guards against a damaged or foreign value that counts as a free lease. */
 static void
 test_decode (void)
@@ -398,11 +466,15 @@
                                    .instance = 5,
                                    .fence = 6,
                                    .renewals = 7,
-                                   .ttl_ms = 8 };
+                                   .ttl_ms = 8,
+                                   .earlier = { 9, UINT64_MAX >> 1 },
+                                   .earlier_count = 2 };
   struct str json = lease_record_encode (&in);
   CU_ASSERT_EQUAL (lease_record_decode (json, &r), 0);
   CU_ASSERT (str_eq (r.holder, in.holder) && r.instance == 5 && r.fence == 6
              && r.renewals == 7 && r.ttl_ms == 8);
+  CU_ASSERT (r.earlier_count == 2 && r.earlier[0] == in.earlier[0]
+             && r.earlier[1] == in.earlier[1]);
   str_free (&json);
   str_free (&r.holder);
 }
@@ -416,6 +488,7 @@
   { "graceful release", test_release },
   { "store outage", test_outage },
   { "two candidates race", test_race },
+  { "turns of two nodes", test_turns },
   { "random faults", test_random },
   { "decoding", test_decode },
 };
