Count all nodes that may share the retry budget; call the store less often

The retry budget's fixed slack was divided by 8 while no holder was heard, and by the count that a new holder tells before it has heard of all nodes. With 79 nodes either lets the sum exceed the limit several times over. The largest count of the last 12 s is used now, and a new holder's only after 2 s; before any count is known a node has no part of the slack. Test: nodecount "mass restart" (79 nodes, unequal traffic).

Watches wait for 0.73 of contact-ms instead of 2.2 s, and changes of servers are told in batches of 0.4 of drain-ms, to the holder of 0.8 s as before. The times stay as they were where these bounds are 3,000 and 2,000 ms.

Docs: how the holder's work follows what changes, and its benchmark.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -19,6 +19,8 @@
   enum log_level log_level;
   double grace_s; /* from SIGTERM to SIGKILL */
   double lease_ms;
+  double contact_ms;  /* a lost connection is replaced within this time */
+  double drain_ms;    /* a leaving server serves at least that long */
   double retry_ratio; /* repeated calls to a service for each first one */
   double retry_window_s;
   double retry_slack; /* repeated calls that are allowed besides */
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -32,7 +32,7 @@
 uint32_t
 placer_nodes (const struct placer *p)
 {
-  return clock_ms () < p->holder_heard_ms + NODE_SILENT_MS ? p->entries : 0;
+  return nodecount_most (&p->nodes);
 }
 
 /* ---- may this node give orders ---- */
@@ -77,6 +77,15 @@
 
 static void act (struct placer *p);
 
+static void
+set_holding (struct placer *p, bool holding)
+{
+  if (holding == p->holding)
+    return;
+  p->holding = holding;
+  platform_follow_closely (platform_get (p->kernel), holding);
+}
+
 /* Another node holds a later lease, whatever the store last told this one. */
 static void
 step_down (struct placer *p, uint64_t fence, const char *reason)
@@ -86,7 +95,7 @@
   LOG_INFO ("step-down", "fence=%lu reason=%s", fence, reason);
   p->lost_fence = fence;
   if (p->fence == fence)
-    p->holding = false;
+    set_holding (p, false);
 }
 
 static void
@@ -306,7 +315,7 @@
 
   /* Without a valid lease no orders are given, but the node goes on to be
      the one that all tell their demand while nobody else holds it. */
-  p->holding = fence > p->lost_fence && fence >= p->holder_fence;
+  set_holding (p, fence > p->lost_fence && fence >= p->holder_fence);
   if (!p->holding || fence == p->fence)
     return;
   p->fence = fence;
--- a/src/edge/placer.h
+++ b/src/edge/placer.h
@@ -9,6 +9,6 @@
 struct placer;
 
 struct placer *placer_get (struct kernel *kernel);
-/** placer_nodes() - nodes of the installation that are alive, as the placement
- * holder tells; 0 when it told nothing lately. */
+/** placer_nodes() - nodes that may be there, as placement holders told lately;
+ * 0 when none was heard long enough. */
 uint32_t placer_nodes (const struct placer *placer);
--- a/src/edge/placer_hear.c
+++ b/src/edge/placer_hear.c
@@ -94,7 +94,7 @@
   if (d->active)
     p->holder_heard_ms = clock_ms ();
   holderlease_hint (p->lease, d->lease_revision);
-  p->entries = d->entries;
+  nodecount_told (&p->nodes, d->fence, d->entries, clock_ms ());
   str_assign (&p->holder_addr, from);
   hear_nodes (p, from, d);
   hear_crashes (p, d->crashes.crashes_val, d->crashes.crashes_len);
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -7,6 +7,7 @@
 #include "edge/edge.h"
 #include "edge/fleet.h"
 #include "edge/holderlease.h"
+#include "edge/nodecount.h"
 #include "edge/peers.h"
 #include "edge/placer.h"
 #include "edge/site.h"
@@ -74,7 +75,7 @@
   uint64_t holder_heard_ms;
   uint64_t holder_fence; /* highest one heard */
   struct str holder_addr;
-  uint32_t entries; /* nodes that share the load, as the holder tells */
+  struct nodecount nodes; /* that share the load */
   uint64_t sequence;
   struct listener *listeners;
   struct known_node *known_nodes; /* to whom a new holder tells of itself */
