--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -19,9 +19,8 @@
 /* A call is ended this long before the client stops waiting, so that the
    answer still arrives. */
 #define DEADLINE_RESERVE_MS 30
-/* Nodes that may share a retry budget before any holder told; each of them has
-   no part of the fixed slack then. */
-#define NODES_UNKNOWN 512
+/* Nodes that may share a retry budget before there was any placement holder. */
+#define NODES_UNKNOWN 8
 /* Clients leave a stream after a pause of the longest of these: a time, some
    latency objectives, some pauses that are still on time. */
 #define PATIENCE_MIN_MS 2000
--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -49,6 +49,7 @@
 	u_quad_t instance;
 	u_quad_t sequence;
 	bool_t store_reachable;
+	bool_t missed;
 	struct {
 		u_int demand_len;
 		demand_digest *demand_val;
@@ -94,9 +95,17 @@
 };
 typedef struct server_digest server_digest;
 
+struct running_digest {
+	u_quad_t server;
+	u_int running;
+};
+typedef struct running_digest running_digest;
+
 struct holder_digest {
 	label node;
 	u_quad_t fence;
+	u_quad_t sequence;
+	bool_t whole;
 	bool_t active;
 	u_quad_t lease_revision;
 	u_int entries;
@@ -108,6 +117,10 @@
 		u_int crashes_len;
 		crash_digest *crashes_val;
 	} crashes;
+	struct {
+		u_int running_len;
+		running_digest *running_val;
+	} running;
 	struct {
 		u_int servers_len;
 		server_digest *servers_val;
@@ -116,8 +129,8 @@
 typedef struct holder_digest holder_digest;
 
 enum datagram_kind {
-	DATAGRAM_ENTRY = 1,
-	DATAGRAM_HOLDER = 2,
+	DATAGRAM_ENTRY = 3,
+	DATAGRAM_HOLDER = 4,
 };
 typedef enum datagram_kind datagram_kind;
 
@@ -141,6 +154,7 @@
 extern  bool_t xdr_held_state_digest (XDR *, held_state_digest*);
 extern  bool_t xdr_held_digest (XDR *, held_digest*);
 extern  bool_t xdr_server_digest (XDR *, server_digest*);
+extern  bool_t xdr_running_digest (XDR *, running_digest*);
 extern  bool_t xdr_holder_digest (XDR *, holder_digest*);
 extern  bool_t xdr_datagram_kind (XDR *, datagram_kind*);
 extern  bool_t xdr_datagram (XDR *, datagram*);
@@ -154,6 +168,7 @@
 extern bool_t xdr_held_state_digest ();
 extern bool_t xdr_held_digest ();
 extern bool_t xdr_server_digest ();
+extern bool_t xdr_running_digest ();
 extern bool_t xdr_holder_digest ();
 extern bool_t xdr_datagram_kind ();
 extern bool_t xdr_datagram ();
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -38,6 +38,7 @@
   unsigned hyper instance; /* start of the node's process */
   unsigned hyper sequence; /* rises with each digest of the process */
   bool store_reachable;
+  bool missed; /* digests of the holder were lost: tell all servers again */
   demand_digest demand<>;
   load_digest loads<>;
   crash_digest crashes<>;
@@ -67,22 +68,34 @@
   held_digest held<>;
 };
 
+/* Calls of all nodes at a server. */
+struct running_digest
+{
+  unsigned hyper server;
+  unsigned int running;
+};
+
 struct holder_digest
 {
   label node;
   unsigned hyper fence;
+  unsigned hyper sequence; /* rises by one; 0 when not sent to all nodes */
+  bool whole; /* begin of all servers, for a node that missed some */
   bool active; /* the holder gives orders */
   unsigned hyper lease_revision; /* of the lease's object */
   unsigned int entries; /* nodes that tell their demand */
   label nodes<>;        /* addresses of some of them, others the next time */
   crash_digest crashes<>; /* of requests with several */
-  server_digest servers<>;
+  running_digest running<>; /* servers whose calls changed */
+  server_digest servers<>;  /* servers that hold other models than before */
 };
 
+/* A change of a digest takes new numbers; nodes that do not know them ignore
+   the datagram. */
 enum datagram_kind
 {
-  DATAGRAM_ENTRY = 1,
-  DATAGRAM_HOLDER = 2
+  DATAGRAM_ENTRY = 3,
+  DATAGRAM_HOLDER = 4
 };
 
 union datagram switch (datagram_kind kind)
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -135,6 +135,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->store_reachable))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->missed))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, ~0,
 		sizeof (demand_digest), (xdrproc_t) xdr_demand_digest))
 		 return FALSE;
@@ -193,6 +195,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_running_digest (XDR *xdrs, running_digest *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_holder_digest (XDR *xdrs, holder_digest *objp)
 {
@@ -202,6 +216,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->fence))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->active))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->lease_revision))
@@ -214,6 +232,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, ~0,
 		sizeof (crash_digest), (xdrproc_t) xdr_crash_digest))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->running.running_val, (u_int *) &objp->running.running_len, ~0,
+		sizeof (running_digest), (xdrproc_t) xdr_running_digest))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, ~0,
 		sizeof (server_digest), (xdrproc_t) xdr_server_digest))
 		 return FALSE;
--- a/src/edge/fleet.c
+++ b/src/edge/fleet.c
@@ -306,7 +306,7 @@
   due_clear (&f->reports, &s->report);
   due_clear (&f->advances, &s->advance);
   due_clear (&f->resends, &s->resend);
-  due_clear (&f->tells, &s->tell);
+  fleet_views_forget (f, s);
   due_clear (&f->departures, &s->departed);
   str_free (&s->id);
   str_free (&s->address);
@@ -472,6 +472,7 @@
   s->advance = s->report;
   s->resend = s->report;
   s->tell = s->report;
+  s->news = s->report;
   s->departed = s->report;
   HASH_ADD_KEYPTR (hh, f->servers, s->id.data, s->id.len, s);
   HASH_ADD (hh_hash, f->servers_by_hash, hash, sizeof s->hash, s);
@@ -511,6 +512,8 @@
       forget (f, s);
     }
   join_service (f, s, e->service);
+  if (!s->listed)
+    s->listed_ms = f->expired_ms;
   s->listed = true;
   due_clear (&f->departures, &s->departed);
   s->leaving = s->leaving || e->state == SERVER_LEAVING;
@@ -533,14 +536,15 @@
     return;
   s->listed = false;
   forget (f, s);
-  due_clear (&f->tells, &s->tell);
+  fleet_views_forget (f, s);
   due_set (&f->departures, &s->departed, f->expired_ms + DEPARTED_KEPT_MS);
   fleet_server_changed (f, s);
 }
 
 void
-fleet_term (struct fleet *f, uint64_t now_ms)
+fleet_term (struct fleet *f, uint32_t nodes, uint64_t now_ms)
 {
+  f->nodes_before = nodes;
   f->term_ms = now_ms;
   fleet_forget_demand (f);
   for (struct fleet_server *s = f->servers; s; s = s->hh.next)
@@ -562,54 +566,3 @@
 {
   return s->address;
 }
-
-/* ---- views ---- */
-
-void
-fleet_retell (struct fleet *f)
-{
-  for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    if (s->listed)
-      due_set (&f->tells, &s->tell, 0);
-}
-
-/* Adapters on their way can be used without a further event. */
-static uint64_t
-next_tell_ms (const struct fleet_server *s, uint64_t now, uint32_t refresh_ms)
-{
-  uint64_t at_ms = now + refresh_ms;
-
-  for (size_t i = 0; i < s->replica_count; i++)
-    for (size_t j = 0; j < s->replicas[i].adapter_count; j++)
-      {
-        const uint64_t ready_ms = s->replicas[i].adapters[j].ready_ms;
-
-        if (ready_ms > now && ready_ms < at_ms)
-          at_ms = ready_ms;
-      }
-  return at_ms;
-}
-
-void
-fleet_each_changed (struct fleet *f, uint64_t now, uint32_t refresh_ms,
-                    void (*fn) (void *ctx, const struct fleet_view *view),
-                    void *ctx)
-{
-  struct due *d;
-
-  while ((d = due_first (&f->tells, now)))
-    {
-      struct fleet_server *s = d->owner;
-      const struct fleet_view view = {
-        .hash = s->hash,
-        .order_count = s->order_count,
-        .running = s->running,
-        .known = s->known,
-        .replicas = s->replicas,
-        .replica_count = s->replica_count,
-      };
-
-      due_set (&f->tells, &s->tell, next_tell_ms (s, now, refresh_ms));
-      fn (ctx, &view);
-    }
-}
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -31,8 +31,8 @@
 void fleet_removed (struct fleet *fleet, struct str id);
 /** fleet_term() - this node became the holder: what servers hold must be read
  * from them before they get orders, and what nodes ask for before replicas are
- * removed. */
-void fleet_term (struct fleet *fleet, uint64_t now_ms);
+ * removed. @nodes: how many the holder before knew of. */
+void fleet_term (struct fleet *fleet, uint32_t nodes, uint64_t now_ms);
 
 /* ---- demand ---- */
 
@@ -55,7 +55,8 @@
 };
 
 /** fleet_node_begin() - a node tells its demand and loads anew; what it told
- * before is dropped. */
+ * before is dropped. @node: any name of it, which fleet_each_awaited() gives
+ * back. */
 void fleet_node_begin (struct fleet *fleet, struct str node, uint64_t now_ms);
 /** fleet_node_wish() - part of what the node tells. */
 void fleet_node_wish (struct fleet *fleet, struct str node,
@@ -66,9 +67,9 @@
 /** fleet_suspect() - a node cannot reach a server. The server is asked for a
  * report; without one, it counts as down until it gives one. */
 void fleet_suspect (struct fleet *fleet, uint64_t server, uint64_t now_ms);
-/** fleet_nodes() - nodes that told something before the last
- * fleet_expire(). */
-uint32_t fleet_nodes (const struct fleet *fleet);
+/** fleet_nodes() - nodes that tell their demand. Until all had time to hear of
+ * this holder, at least as many as the holder before knew of. */
+uint32_t fleet_nodes (const struct fleet *fleet, uint64_t now_ms);
 /** fleet_expire() - drop what nodes told that are silent. */
 void fleet_expire (struct fleet *fleet, uint64_t now_ms);
 
@@ -164,13 +165,29 @@
   size_t replica_count;
 };
 
+/** fleet_view_fn - sees a server. */
+typedef void (*fleet_view_fn) (void *ctx, const struct fleet_view *view);
+
 /**
- * fleet_each_changed() - call @fn for each listed server that may differ from
- * what @fn last saw, or was last seen @refresh_ms ago.
+ * fleet_each_changed() - call @fn for each listed server that may hold other
+ * models than @fn last saw, or was last seen @refresh_ms ago.
  */
 void fleet_each_changed (struct fleet *fleet, uint64_t now_ms,
-                         uint32_t refresh_ms,
-                         void (*fn) (void *ctx, const struct fleet_view *view),
-                         void *ctx);
+                         uint32_t refresh_ms, fleet_view_fn fn, void *ctx);
+/** fleet_each_listed() - call @fn for all listed servers. */
+void fleet_each_listed (const struct fleet *fleet, fleet_view_fn fn,
+                        void *ctx);
 /** fleet_retell() - the next fleet_each_changed() sees all servers. */
 void fleet_retell (struct fleet *fleet);
+/** fleet_each_running() - call @fn for servers whose calls changed so much
+ * that other nodes should hear of it. */
+void fleet_each_running (struct fleet *fleet,
+                         void (*fn) (void *ctx, uint64_t server,
+                                     uint32_t running),
+                         void *ctx);
+/** fleet_each_awaited() - call @fn for nodes with calls that wait for a model
+ * on a server where something became ready since the last call. */
+void fleet_each_awaited (struct fleet *fleet, uint64_t now_ms,
+                         void (*fn) (void *ctx, struct str node,
+                                     const struct fleet_view *view),
+                         void *ctx);
--- a/src/edge/fleet_demand.c
+++ b/src/edge/fleet_demand.c
@@ -12,6 +12,8 @@
 #define BUSY_MS 5000.0
 /* A node that told nothing for this long is not counted. */
 #define NODE_SILENT_MS 1500
+/* Nodes learn of a new holder and tell it of themselves within this time. */
+#define NODES_SETTLE_MS 2000
 
 /* ---- models and adapters ---- */
 
@@ -138,8 +140,6 @@
   return n;
 }
 
-/* Notes whether the calls at a server changed so much that other nodes should
-   hear of it. */
 static void
 add_running (struct fleet *f, uint64_t server, uint32_t added, uint32_t gone)
 {
@@ -148,8 +148,29 @@
   if (!s)
     return;
   s->running += added - gone;
-  if (s->listed && s->tell.at_ms > 0)
-    due_set (&f->tells, &s->tell, 0);
+  fleet_running_changed (f, s);
+}
+
+static void
+add_waiter (struct fleet_model *m, struct node *n)
+{
+  if (m->waiter_count == m->waiter_room)
+    {
+      m->waiter_room = m->waiter_room ? 2 * m->waiter_room : 4;
+      m->waiters = xrealloc (m->waiters, m->waiter_room * sizeof *m->waiters);
+    }
+  m->waiters[m->waiter_count++] = n;
+}
+
+static void
+remove_waiter (struct fleet_model *m, const struct node *n)
+{
+  for (size_t i = 0; i < m->waiter_count; i++)
+    if (m->waiters[i] == n)
+      {
+        m->waiters[i] = m->waiters[--m->waiter_count];
+        return;
+      }
 }
 
 static void
@@ -161,6 +182,8 @@
 
       w->waiting -= n->wishes[i].waiting;
       w->running -= n->wishes[i].running;
+      if (!w->adapter && n->wishes[i].waiting > 0)
+        remove_waiter (w->model, n);
       unref (w);
       wish_changed (f, w, now);
     }
@@ -216,6 +239,8 @@
   if (!n->known)
     take_over_rate (w, from, now);
   ref (w);
+  if (!w->adapter && from->waiting > 0)
+    add_waiter (w->model, n);
   add_node_wish (n, &(struct node_wish){ w, from->waiting, from->running });
   wish_changed (f, w, now);
 }
@@ -239,9 +264,13 @@
 }
 
 uint32_t
-fleet_nodes (const struct fleet *f)
+fleet_nodes (const struct fleet *f, uint64_t now)
 {
-  return (uint32_t)HASH_COUNT (f->nodes);
+  const uint32_t heard = (uint32_t)HASH_COUNT (f->nodes);
+
+  if (now < f->term_ms + NODES_SETTLE_MS && heard < f->nodes_before)
+    return f->nodes_before;
+  return heard;
 }
 
 static void
--- a/src/edge/fleet_impl.h
+++ b/src/edge/fleet_impl.h
@@ -57,7 +57,9 @@
   uint32_t running;
 };
 
-/** struct node - what one node told last. */
+/** struct node - what one node told last.
+ * @news_round: of the server that it was last told of by
+ *   fleet_each_awaited(). */
 struct node
 {
   struct str name;
@@ -69,6 +71,7 @@
   struct node_load *loads;
   size_t load_count;
   size_t load_room;
+  uint64_t news_round;
   UT_hash_handle hh; /* in the order of @told_ms */
 };
 
@@ -137,6 +140,7 @@
  * @want: as of the last plan_refresh().
  * @is_stale: @want must be worked out anew.
  * @due: when @want changes without an event.
+ * @waiters: nodes with calls that wait for it.
  */
 struct fleet_model
 {
@@ -149,6 +153,9 @@
   struct fleet_adapter *adapters;
   struct server_set replicas; /* in any state */
   struct server_set reserved; /* servers with room for it */
+  struct node **waiters;
+  size_t waiter_count;
+  size_t waiter_room;
   struct weights_copy *copies;
   size_t copy_count;
   struct want want;
@@ -254,6 +261,7 @@
   const struct fleet_domain *domain;
   uint64_t started_ms;
   bool listed;
+  uint64_t listed_ms;
   bool leaving;
   bool known;
   bool reporting;
@@ -276,7 +284,11 @@
   struct due report;
   struct due advance;
   struct due resend;
-  struct due tell;     /* to the other nodes */
+  struct due tell; /* to all nodes */
+  struct due news; /* to nodes that wait */
+  uint32_t running_told;
+  bool running_changed;
+  struct fleet_server *running_prev, *running_next;
   struct due departed; /* when a server that is not listed is forgotten */
   bool in_room;
   RB_ENTRY (fleet_server) room;
@@ -288,7 +300,8 @@
 {
   const struct routing *routing;
   uint32_t load_window_ms;
-  uint64_t term_ms; /* begin of this node's term as holder */
+  uint64_t term_ms;      /* begin of this node's term as holder */
+  uint32_t nodes_before; /* nodes that the holder before knew of */
   uint64_t ordinals;
   struct fleet_service *services;
   struct fleet_domain *domains;
@@ -301,6 +314,9 @@
   struct due_queue advances;
   struct due_queue resends;
   struct due_queue tells;
+  struct due_queue news;
+  uint64_t news_round;
+  struct fleet_server *running_changed;
   struct due_queue departures;
   uint64_t expired_ms; /* last fleet_expire() */
   struct server_set reserved;
@@ -396,6 +412,17 @@
 struct replica *fleet_ready_replica (const struct fleet_server *server,
                                      const struct fleet_model *model);
 
+/* ---- fleet_views.c ---- */
+
+/** fleet_running_changed() - note that calls at the server began or ended. */
+void fleet_running_changed (struct fleet *fleet, struct fleet_server *server);
+/** fleet_became_ready() - a model or adapter on the server became ready, or
+ * will be at @at_ms. */
+void fleet_became_ready (struct fleet *fleet, struct fleet_server *server,
+                         uint64_t at_ms);
+/** fleet_views_forget() - the server is told of no longer. */
+void fleet_views_forget (struct fleet *fleet, struct fleet_server *server);
+
 /* ---- fleet_orders.c ---- */
 
 /** fleet_index_pending() - note when the order to a server needs a step. */
--- a/src/edge/fleet_index.c
+++ b/src/edge/fleet_index.c
@@ -209,6 +209,7 @@
   HASH_DEL (m->service->models, m);
   free (m->replicas.items);
   free (m->reserved.items);
+  free (m->waiters);
   free (m->copies);
   str_free (&m->name);
   free (m);
--- a/src/edge/fleet_orders.c
+++ b/src/edge/fleet_orders.c
@@ -89,6 +89,7 @@
   fleet_take_models (f, s, r->models, r->model_count);
   take_coming (f, s, r, now);
   fleet_take_at_hand (f, s, &r->in_memory, &r->on_disk);
+  fleet_became_ready (f, s, now);
 }
 
 /* An order without an answer: was it carried out? */
@@ -189,7 +190,10 @@
   struct replica *r = fleet_replica (s, p->model);
 
   if (p->adapter.len > 0 && r && p->kind == ORDER_LOAD)
-    fleet_add_adapter (r, p->adapter, now + ADAPTER_MS + p->takes_ms);
+    {
+      fleet_add_adapter (r, p->adapter, now + ADAPTER_MS + p->takes_ms);
+      fleet_became_ready (f, s, now + ADAPTER_MS + p->takes_ms);
+    }
   else if (p->adapter.len > 0 && r)
     fleet_drop_adapter (r, p->adapter);
   else if (p->kind == ORDER_UNLOAD && r)
@@ -267,10 +271,11 @@
 /* A load from the server's own memory or disk takes a known time, so calls
    need not wait for the next report. */
 static void
-advance_load (struct fleet *f, struct fleet_server *s)
+advance_load (struct fleet *f, struct fleet_server *s, uint64_t now)
 {
   fleet_replica (s, s->pending.model)->state = REPLICA_READY;
   fleet_server_changed (f, s);
+  fleet_became_ready (f, s, now);
 }
 
 void
@@ -285,7 +290,7 @@
       if (s->pending.kind == ORDER_UNLOAD)
         advance_unload (f, s, now);
       else
-        advance_load (f, s);
+        advance_load (f, s, now);
     }
 }
 
--- a/src/edge/holderlease.c
+++ b/src/edge/holderlease.c
@@ -176,6 +176,18 @@
   return leasestate_in_turn (l->state, clock_ms ());
 }
 
+void
+holderlease_note_nodes (struct holderlease *l, uint32_t nodes)
+{
+  leasestate_note_nodes (l->state, nodes);
+}
+
+uint32_t
+holderlease_nodes (const struct holderlease *l)
+{
+  return leasestate_nodes (l->state);
+}
+
 uint64_t
 holderlease_fence (const struct holderlease *l)
 {
--- a/src/edge/holderlease.h
+++ b/src/edge/holderlease.h
@@ -41,6 +41,10 @@
 /** holderlease_in_turn() - may the holder give orders; false for a while after
  * it took the lease back from another node. */
 bool holderlease_in_turn (const struct holderlease *lease);
+/** holderlease_note_nodes() - number of nodes, for the next holder;
+ * holderlease_nodes() - as a holder last noted it; 0 when unknown. */
+void holderlease_note_nodes (struct holderlease *lease, uint32_t nodes);
+uint32_t holderlease_nodes (const struct holderlease *lease);
 /** holderlease_fence() - fencing token of this node's lease, or 0. */
 uint64_t holderlease_fence (const struct holderlease *lease);
 /** holderlease_holder() - address of the holder as last read; may be empty. */
--- a/src/edge/nodecount.c
+++ b/src/edge/nodecount.c
@@ -2,9 +2,6 @@
 
 /* All buckets together last longer than the window of the retry budget. */
 #define BUCKET_MS 1000
-/* Nodes learn of a new holder and tell it of themselves within this time. */
-#define SETTLE_MS 2000
-
 /* Counts older than all buckets are dropped, except while no holder tells. */
 static void
 advance (struct nodecount *c, uint64_t now)
@@ -21,17 +18,11 @@
 }
 
 void
-nodecount_told (struct nodecount *c, uint64_t fence, uint32_t nodes,
-                uint64_t now)
+nodecount_told (struct nodecount *c, uint32_t nodes, uint64_t now)
 {
   uint32_t *most;
 
-  if (fence != c->fence)
-    {
-      c->fence = fence;
-      c->fence_ms = now;
-    }
-  if (now < c->fence_ms + SETTLE_MS)
+  if (nodes == 0)
     return;
   c->known = true;
   advance (c, now);
--- a/src/edge/nodecount.h
+++ b/src/edge/nodecount.h
@@ -5,8 +5,7 @@
 
 /* How many nodes share what all of them may use together, by what placement
    holders tell. Pure. Too small a count lets the sum exceed the limit, so the
-   largest of the last while counts, and a new holder is believed only after
-   all nodes had time to tell it of themselves. */
+   largest of the last while counts. */
 
 /* Counts told in one bucket are kept as their maximum. */
 #define NODECOUNT_BUCKETS 12
@@ -16,14 +15,11 @@
 {
   uint32_t most[NODECOUNT_BUCKETS];
   uint64_t bucket; /* number of the newest one */
-  uint64_t fence;  /* of the holder that told last */
-  uint64_t fence_ms;
   bool known;
 };
 
-/** nodecount_told() - a holder told how many nodes it hears. */
-void nodecount_told (struct nodecount *count, uint64_t fence, uint32_t nodes,
-                     uint64_t now_ms);
-/** nodecount_most() - nodes that may be there, or 0 when no holder was heard
- * long enough. */
+/** nodecount_told() - a holder told how many nodes it hears; 0 when it does
+ * not know yet. */
+void nodecount_told (struct nodecount *count, uint32_t nodes, uint64_t now_ms);
+/** nodecount_most() - nodes that may be there, or 0 when no holder told. */
 uint32_t nodecount_most (const struct nodecount *count);
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -15,6 +15,8 @@
 #define DIGEST_MS 250
 /* Shortest pause between two digests, or two plans. */
 #define DIGEST_GAP_MS 10
+/* So many nodes add a ms to the pause of each one's digests. */
+#define NODES_PER_GAP_MS 2
 /* A holder that is silent for this long may be gone. */
 #define HOLDER_SILENT_MS 700
 /* What a node told of the store is believed for this long. */
@@ -32,7 +34,9 @@
 uint32_t
 placer_nodes (const struct placer *p)
 {
-  return nodecount_most (&p->nodes);
+  const uint32_t told = nodecount_most (&p->nodes);
+
+  return told > 0 ? told : holderlease_nodes (p->lease);
 }
 
 /* ---- may this node give orders ---- */
@@ -98,12 +102,19 @@
     set_holding (p, false);
 }
 
+/* The more nodes tell the holder, the rarer each does. */
+static uint64_t
+demand_gap_ms (const struct placer *p)
+{
+  return DIGEST_GAP_MS + placer_nodes (p) / NODES_PER_GAP_MS;
+}
+
 static void
 on_soon (uv_timer_t *timer)
 {
   struct placer *p = timer->data;
 
-  if (clock_ms () >= p->told_ms + DIGEST_GAP_MS)
+  if (clock_ms () >= p->told_ms + demand_gap_ms (p))
     placer_tell_demand (p);
   act (p);
 }
@@ -216,7 +227,6 @@
     return l;
   l = xcalloc (1, sizeof *l);
   l->addr = str_dup (addr);
-  placer_forget_told (p);
   HASH_ADD_KEYPTR (hh, p->listeners, l->addr.data, l->addr.len, l);
   return l;
 }
@@ -257,6 +267,8 @@
   l->sequence = d->sequence;
   l->heard_ms = clock_ms ();
   l->store_reachable = d->store_reachable;
+  if (d->missed || l->whole_ms == 0)
+    placer_tell_whole (p, l);
   return true;
 }
 
@@ -295,7 +307,7 @@
     return;
   if (!note_listener (p, from, &d->datagram_u.entry))
     return;
-  placer_hear_entry (p, &d->datagram_u.entry);
+  placer_hear_entry (p, from, &d->datagram_u.entry);
   act_soon (p);
 }
 
@@ -320,7 +332,7 @@
     return;
   p->fence = fence;
   LOG_INFO ("term", "fence=%lu", fence);
-  fleet_term (p->fleet, clock_ms ());
+  fleet_term (p->fleet, holderlease_nodes (p->lease), clock_ms ());
   placer_forget_told (p);
   announce (p);
 }
@@ -350,10 +362,11 @@
   update_holding (p);
   if (now >= p->told_ms + DIGEST_MS)
     placer_tell_demand (p);
+  fleet_expire (p->fleet, now);
   if (!p->holding)
     return;
-  fleet_expire (p->fleet, now);
   drop_silent (p);
+  holderlease_note_nodes (p->lease, nodecount_most (&p->nodes));
   act (p);
 }
 
@@ -501,7 +514,6 @@
     str_free (&k->addr);
     free (k);
   }
-  placer_forget_told (p);
   fleet_destroy (p->fleet);
   holderlease_destroy (p->lease);
   peers_destroy (p->peers);
--- a/src/edge/placer.h
+++ b/src/edge/placer.h
@@ -10,5 +10,5 @@
 
 struct placer *placer_get (struct kernel *kernel);
 /** placer_nodes() - nodes that may be there, as placement holders told lately;
- * 0 when none was heard long enough. */
+ * or as the lease says; 0 when neither is known. */
 uint32_t placer_nodes (const struct placer *placer);
--- a/src/edge/placer_hear.c
+++ b/src/edge/placer_hear.c
@@ -5,6 +5,7 @@
 #include "clock.h"
 #include "err.h"
 #include "log.h"
+#include "metrics.h"
 
 #define LOG_MODULE "placer"
 
@@ -80,37 +81,59 @@
     know_node (p, label_str (d->nodes.nodes_val[i]));
 }
 
+/* Notes whether digests for all nodes were lost. */
+static void
+note_sequence (struct placer *p, const holder_digest *d)
+{
+  if (d->whole)
+    p->missed = false;
+  if (d->sequence == 0)
+    return;
+  if (d->sequence > p->heard_sequence + 1)
+    p->missed = true;
+  if (d->sequence > p->heard_sequence)
+    p->heard_sequence = d->sequence;
+}
+
 void
 placer_hear_holder (struct placer *p, struct str from, const holder_digest *d)
 {
   if (d->fence < p->holder_fence)
     return;
   if (d->fence > p->holder_fence)
-    LOG_INFO ("holder", "holder=" STR_FMT " node=" STR_FMT " fence=%lu",
-              STR_ARG (from), STR_ARG (label_str (d->node)), d->fence);
+    {
+      LOG_INFO ("holder", "holder=" STR_FMT " node=" STR_FMT " fence=%lu",
+                STR_ARG (from), STR_ARG (label_str (d->node)), d->fence);
+      p->heard_sequence = 0;
+    }
   p->holder_fence = d->fence;
+  note_sequence (p, d);
   /* A holder whose lease ran out is taken for silent, so that another node
      campaigns. */
   if (d->active)
     p->holder_heard_ms = clock_ms ();
   holderlease_hint (p->lease, d->lease_revision);
-  nodecount_told (&p->nodes, d->fence, d->entries, clock_ms ());
+  nodecount_told (&p->nodes, d->entries, clock_ms ());
+  metrics_set ("galenagate_nodes", STR (""), nodecount_most (&p->nodes));
   str_assign (&p->holder_addr, from);
   hear_nodes (p, from, d);
   hear_crashes (p, d->crashes.crashes_val, d->crashes.crashes_len);
+  pool_heard (site_pool (p->site), clock_ms ());
+  for (u_int i = 0; i < d->running.running_len; i++)
+    pool_apply_running (site_pool (p->site), d->running.running_val[i].server,
+                        d->running.running_val[i].running);
   for (u_int i = 0; i < d->servers.servers_len; i++)
     apply_server (p, &d->servers.servers_val[i]);
   kernel_publish (p->kernel, TOPIC_POOL, NULL, NULL);
 }
 
 void
-placer_hear_entry (struct placer *p, const entry_digest *d)
+placer_hear_entry (struct placer *p, struct str from, const entry_digest *d)
 {
   const uint64_t now = clock_ms ();
-  const struct str node = label_str (d->node);
 
   hear_crashes (p, d->crashes.crashes_val, d->crashes.crashes_len);
-  fleet_node_begin (p->fleet, node, now);
+  fleet_node_begin (p->fleet, from, now);
   for (u_int i = 0; i < d->demand.demand_len; i++)
     {
       const demand_digest *w = &d->demand.demand_val[i];
@@ -125,13 +148,13 @@
         .idle_ms = w->idle_ms,
       };
 
-      fleet_node_wish (p->fleet, node, &wish, now);
+      fleet_node_wish (p->fleet, from, &wish, now);
     }
   for (u_int i = 0; i < d->loads.loads_len; i++)
     {
       const load_digest *l = &d->loads.loads_val[i];
 
-      fleet_node_load (p->fleet, node, l->server, l->running);
+      fleet_node_load (p->fleet, from, l->server, l->running);
       if (l->unreached)
         fleet_suspect (p->fleet, l->server, now);
     }
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -28,6 +28,7 @@
   uint64_t sequence; /* of its newest digest */
   uint64_t heard_ms;
   bool store_reachable;
+  uint64_t whole_ms; /* when it was last told all servers; 0 for never */
   UT_hash_handle hh;
 };
 
@@ -39,15 +40,6 @@
   UT_hash_handle hh;
 };
 
-/* What was last told of a server. */
-struct told
-{
-  uint64_t server;
-  uint64_t hash;
-  uint64_t at_ms;
-  UT_hash_handle hh;
-};
-
 /* The placement of models: one node holds the lease, hears the demand of all
    and gives the orders; all others tell it their demand. */
 struct placer
@@ -66,31 +58,35 @@
   bool store_reachable;
   bool changed; /* servers hold other than was told */
   uint64_t fence;
-  uint64_t lost_fence; /* of this node's last lease that is over */
-  uint64_t told_ms;    /* last digest of this node's demand */
-  uint64_t told_fence; /* of the holder that was last told */
-  unsigned whole_left; /* digests to it that still tell all demand */
-  uint64_t scanned_ms; /* when servers were last compared with what was told */
-  uint64_t broadcast_ms; /* last digest of servers */
+  uint64_t lost_fence;    /* of this node's last lease that is over */
+  uint64_t told_ms;       /* last digest of this node's demand */
+  uint64_t told_fence;    /* of the holder that was last told */
+  unsigned whole_left;    /* digests to it that still tell all demand */
+  uint64_t scanned_ms;    /* when changes for all nodes were last looked for */
+  uint64_t broadcast_ms;  /* last digest for all nodes */
+  uint64_t told_sequence; /* its number */
   uint64_t holder_heard_ms;
-  uint64_t holder_fence; /* highest one heard */
+  uint64_t holder_fence;   /* highest one heard */
+  uint64_t heard_sequence; /* of that holder's newest digest for all nodes */
+  bool missed;             /* digests before it are lacking */
   struct str holder_addr;
   struct nodecount nodes; /* that share the load */
   uint64_t sequence;
   struct listener *listeners;
   struct known_node *known_nodes; /* to whom a new holder tells of itself */
   size_t nodes_told; /* place in the listeners from which the next are told */
-  struct told *told;
 };
 
 /* ---- placer_tell.c ---- */
 
-/** placer_broadcast() - tell all nodes of the servers that changed, or only
- * that the holder is alive; at most once in a while. Returns false when it is
- * too early. */
+/** placer_broadcast() - tell nodes of what their calls wait for, and all nodes
+ * of the servers that changed, or only that the holder is alive; the latter at
+ * most once in a while. Returns false when it is too early for that. */
 bool placer_broadcast (struct placer *p);
 /** placer_forget_told() - tell all servers anew at the next broadcast. */
 void placer_forget_told (struct placer *p);
+/** placer_tell_whole() - tell one node all servers. */
+void placer_tell_whole (struct placer *p, struct listener *listener);
 /** placer_tell_demand() - tell the holder what this node's calls ask for. */
 void placer_tell_demand (struct placer *p);
 
@@ -100,7 +96,8 @@
 void placer_hear_holder (struct placer *p, struct str from,
                          const holder_digest *digest);
 /** placer_hear_entry() - take over a node's demand. */
-void placer_hear_entry (struct placer *p, const entry_digest *digest);
+void placer_hear_entry (struct placer *p, struct str from,
+                        const entry_digest *digest);
 
 /* ---- placer.c ---- */
 
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -11,15 +11,17 @@
 
 /* The holder tells at this interval that it is alive. */
 #define ALIVE_MS 250
-/* A server is told again after this time, also without a change. */
-#define REFRESH_MS 1000
-/* Changes of a server's calls below this number are not told at once. */
-#define RUNNING_STEP 4
-/* Shortest pause between two comparisons with what was told. */
-#define SCAN_GAP_MS 10
-/* Servers that are compared with what was told, for each ms of the pause. */
-#define SERVERS_PER_MS 3
+/* A server is told again after this time, also without a change. Nodes that
+   notice a lost digest ask at once. */
+#define REFRESH_MS 10000
+/* Shortest pause between two digests for all nodes, and what each node that
+   hears them adds to it: the holder's link is no wider than theirs. */
+#define BROADCAST_GAP_MS 10
+#define BROADCAST_GAP_NODE_MS 2
+/* A node is told all servers again at most at this interval. */
+#define WHOLE_MS 500
 #define SERVERS_PER_DATAGRAM 4
+#define RUNNING_PER_DATAGRAM 80
 #define NODES_PER_DATAGRAM 8
 #define LOADS_MAX 2048
 /* A node tells the holder of deaths for this long; the holder tells all nodes
@@ -32,11 +34,16 @@
 
 /* ---- servers ---- */
 
-struct broadcast
+/* A digest of the holder that is being filled. */
+struct news
 {
   struct placer *placer;
+  struct str to; /* empty: all nodes */
+  bool whole;    /* the first of all servers */
   server_digest servers[SERVERS_PER_DATAGRAM];
-  u_int count;
+  u_int server_count;
+  running_digest running[RUNNING_PER_DATAGRAM];
+  u_int running_count;
 };
 
 static void
@@ -80,36 +87,68 @@
 }
 
 static void
-flush (struct broadcast *b)
+send_to (struct placer *p, struct str addr, const struct datagram *d)
+{
+  struct str bytes;
+
+  if (str_eq (addr, edge_settings ()->peer_addr))
+    {
+      placer_hear_holder (p, addr, &d->datagram_u.holder);
+      return;
+    }
+  bytes = peers_encode (d);
+  peers_send (p->peers, addr, bytes);
+  str_free (&bytes);
+}
+
+static void
+send_to_all (struct placer *p, const struct datagram *d)
+{
+  struct str bytes = peers_encode (d);
+
+  for (struct listener *l = p->listeners; l; l = l->hh.next)
+    peers_send (p->peers, l->addr, bytes);
+  str_free (&bytes);
+  placer_hear_holder (p, edge_settings ()->peer_addr, &d->datagram_u.holder);
+}
+
+static void
+flush (struct news *n)
 {
   crash_digest crashes[CRASHES_PER_DATAGRAM];
   label nodes[NODES_PER_DATAGRAM];
-  struct placer *p = b->placer;
+  struct placer *p = n->placer;
   struct datagram d = { .kind = DATAGRAM_HOLDER };
   holder_digest *h = &d.datagram_u.holder;
-  struct str bytes;
+  const bool to_all = n->to.len == 0;
 
-  p->broadcast_ms = clock_ms ();
   h->node = str_label (edge_settings ()->node_name);
   h->fence = p->fence;
+  h->sequence = to_all ? ++p->told_sequence : 0;
+  h->whole = n->whole;
   h->active = placer_leads (p);
   h->lease_revision = holderlease_revision (p->lease);
-  h->entries = fleet_nodes (p->fleet);
+  h->entries = fleet_nodes (p->fleet, clock_ms ());
   h->nodes.nodes_val = nodes;
-  h->nodes.nodes_len = next_nodes (p, nodes);
+  h->nodes.nodes_len = to_all ? next_nodes (p, nodes) : 0;
   h->crashes.crashes_val = crashes;
   h->crashes.crashes_len
-      = next_crashes (p, CRASHES_TOLD, CRASHERS_REMEMBERED_MS, crashes);
-  h->servers.servers_val = b->servers;
-  h->servers.servers_len = b->count;
-  bytes = peers_encode (&d);
-  for (struct listener *l = p->listeners; l; l = l->hh.next)
-    peers_send (p->peers, l->addr, bytes);
-  str_free (&bytes);
-  placer_hear_holder (p, edge_settings ()->peer_addr, h);
-  for (u_int i = 0; i < b->count; i++)
-    free_server_digest (&b->servers[i]);
-  b->count = 0;
+      = to_all
+            ? next_crashes (p, CRASHES_TOLD, CRASHERS_REMEMBERED_MS, crashes)
+            : 0;
+  h->running.running_val = n->running;
+  h->running.running_len = n->running_count;
+  h->servers.servers_val = n->servers;
+  h->servers.servers_len = n->server_count;
+  if (to_all)
+    send_to_all (p, &d);
+  else
+    send_to (p, n->to, &d);
+  for (u_int i = 0; i < n->server_count; i++)
+    free_server_digest (&n->servers[i]);
+  n->server_count = 0;
+  n->running_count = 0;
+  n->whole = false;
 }
 
 static void
@@ -138,57 +177,6 @@
   return HELD_DIGEST_READY;
 }
 
-/* Hash of what makes a difference for the nodes. Taken before fill_times(),
-   since loads end at the time told before. */
-static uint64_t
-digest_hash (const server_digest *d)
-{
-  server_digest rough = *d;
-  struct str bytes;
-  uint64_t hash;
-
-  rough.running = (d->running + RUNNING_STEP - 1) / RUNNING_STEP;
-  bytes = xdrcodec_encode ((xdrproc_t)xdr_server_digest, &rough);
-  hash = str_hash (bytes, 0);
-  str_free (&bytes);
-  return hash;
-}
-
-/* Is the server to be told now? Notes it as told if so. */
-static bool
-worth_telling (struct placer *p, const server_digest *d, uint64_t now)
-{
-  const uint64_t hash = digest_hash (d);
-  struct told *t;
-
-  HASH_FIND (hh, p->told, &d->server, sizeof d->server, t);
-  if (t && t->hash == hash && now < t->at_ms + REFRESH_MS)
-    return false;
-  if (!t)
-    {
-      t = xcalloc (1, sizeof *t);
-      t->server = d->server;
-      HASH_ADD (hh, p->told, server, sizeof t->server, t);
-    }
-  t->hash = hash;
-  t->at_ms = now;
-  return true;
-}
-
-void
-placer_forget_told (struct placer *p)
-{
-  struct told *t;
-  struct told *next;
-
-  HASH_ITER (hh, p->told, t, next)
-  {
-    HASH_DEL (p->told, t);
-    free (t);
-  }
-  fleet_retell (p->fleet);
-}
-
 static void
 fill_server (const struct fleet_view *v, uint64_t now, server_digest *d)
 {
@@ -204,51 +192,82 @@
 
       h->model = str_label (r->model);
       h->state = state_digest (r->state);
+      h->ready_in_ms = r->ready_ms > now ? (u_int)(r->ready_ms - now) : 0;
       fill_adapters (r, now, h);
     }
 }
 
 static void
-fill_times (const struct fleet_view *v, uint64_t now, server_digest *d)
+add_server (void *ctx, const struct fleet_view *v)
 {
-  for (size_t i = 0; i < v->replica_count; i++)
-    if (v->replicas[i].ready_ms > now)
-      d->held.held_val[i].ready_in_ms = (u_int)(v->replicas[i].ready_ms - now);
+  struct news *n = ctx;
+
+  fill_server (v, clock_ms (), &n->servers[n->server_count]);
+  if (++n->server_count == SERVERS_PER_DATAGRAM)
+    flush (n);
 }
 
 static void
-add_server (void *ctx, const struct fleet_view *v)
+add_running (void *ctx, uint64_t server, uint32_t running)
 {
-  struct broadcast *b = ctx;
-  server_digest *d = &b->servers[b->count];
+  struct news *n = ctx;
+
+  n->running[n->running_count++] = (running_digest){ server, running };
+  if (n->running_count == RUNNING_PER_DATAGRAM)
+    flush (n);
+}
+
+/* Nodes whose calls wait for something that became ready. */
+static void
+tell_waiter (void *ctx, struct str node, const struct fleet_view *v)
+{
+  struct news n = { .placer = ctx, .to = node };
+
+  add_server (&n, v);
+  if (n.server_count > 0)
+    flush (&n);
+}
+
+void
+placer_tell_whole (struct placer *p, struct listener *l)
+{
+  struct news n = { .placer = p, .to = l->addr, .whole = true };
   const uint64_t now = clock_ms ();
 
-  fill_server (v, now, d);
-  if (!worth_telling (b->placer, d, now))
-    {
-      free_server_digest (d);
-      return;
-    }
-  fill_times (v, now, d);
-  if (++b->count == SERVERS_PER_DATAGRAM)
-    flush (b);
+  if (l->whole_ms > 0 && now < l->whole_ms + WHOLE_MS)
+    return;
+  l->whole_ms = now;
+  fleet_each_listed (p->fleet, add_server, &n);
+  if (n.whole || n.server_count > 0)
+    flush (&n);
+}
+
+void
+placer_forget_told (struct placer *p)
+{
+  fleet_retell (p->fleet);
 }
 
 bool
 placer_broadcast (struct placer *p)
 {
-  struct broadcast b = { .placer = p };
+  struct news n = { .placer = p };
   const uint64_t now = clock_ms ();
+  const uint64_t sequence = p->told_sequence;
 
-  /* The more servers there are, the rarer they are compared. */
-  if (now
-      < p->scanned_ms + SCAN_GAP_MS + HASH_COUNT (p->told) / SERVERS_PER_MS)
+  fleet_each_awaited (p->fleet, now, tell_waiter, p);
+  if (now < p->scanned_ms + BROADCAST_GAP_MS
+                + BROADCAST_GAP_NODE_MS * HASH_COUNT (p->listeners))
     return false;
   p->changed = false;
   p->scanned_ms = now;
-  fleet_each_changed (p->fleet, now, REFRESH_MS, add_server, &b);
-  if (b.count > 0 || now >= p->broadcast_ms + ALIVE_MS)
-    flush (&b);
+  fleet_each_running (p->fleet, add_running, &n);
+  fleet_each_changed (p->fleet, now, REFRESH_MS, add_server, &n);
+  if (n.server_count > 0 || n.running_count > 0
+      || now >= p->broadcast_ms + ALIVE_MS)
+    flush (&n);
+  if (p->told_sequence != sequence)
+    p->broadcast_ms = now;
   return true;
 }
 
@@ -316,6 +335,7 @@
   e->instance = kernel_instance (p->kernel);
   e->sequence = ++p->sequence;
   e->store_reachable = p->store_reachable;
+  e->missed = p->missed;
   e->demand.demand_val = t.items;
   e->demand.demand_len = t.count;
   e->loads.loads_val = told;
@@ -323,7 +343,7 @@
   e->crashes.crashes_val = crashes;
   e->crashes.crashes_len = next_crashes (p, 1, CRASHES_NEW_MS, crashes);
   if (p->holding)
-    placer_hear_entry (p, e);
+    placer_hear_entry (p, edge_settings ()->peer_addr, e);
   else if (p->holder_addr.len > 0)
     {
       struct str bytes = peers_encode (&d);
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -58,6 +58,7 @@
   struct placed_model *models;
   size_t model_count;
   uint64_t view_ms; /* when the holder's view was taken over; 0 for none */
+  bool placed;      /* the holder knew then what the server holds */
   uint32_t others;  /* calls of other nodes */
   uint32_t running; /* calls of this node */
   uint32_t told;    /* of these, as last told to the holder */
@@ -65,11 +66,14 @@
   uint64_t avoid_until_ms;
   bool unreached; /* it took no connection the last time */
   UT_hash_handle hh;
+  UT_hash_handle hh_hash;
 };
 
 struct pool
 {
-  struct pool_server *servers;
+  struct pool_server *servers;         /* by id */
+  struct pool_server *servers_by_hash; /* by hash of the id */
+  uint64_t heard_ms; /* when the holder last told something */
   bool reachable;
   uint64_t regained_ms;
 };
@@ -150,6 +154,14 @@
   free (s);
 }
 
+static void
+remove_server (struct pool *p, struct pool_server *s)
+{
+  HASH_DEL (p->servers, s);
+  HASH_DELETE (hh_hash, p->servers_by_hash, s);
+  server_free (s);
+}
+
 static void
 sweep (struct pool *p, uint64_t now_ms)
 {
@@ -160,8 +172,7 @@
   if (!s->listed && s->running == 0
       && now_ms > s->removed_ms + DEPARTED_KEPT_MS)
     {
-      HASH_DEL (p->servers, s);
-      server_free (s);
+      remove_server (p, s);
     }
 }
 
@@ -173,6 +184,7 @@
   s->id = str_dup (id);
   s->hash = str_hash (id, 0);
   HASH_ADD_KEYPTR (hh, p->servers, s->id.data, s->id.len, s);
+  HASH_ADD (hh_hash, p->servers_by_hash, hash, sizeof s->hash, s);
   return s;
 }
 
@@ -186,6 +198,7 @@
   s->sequence = 0;
   s->order_count = 0;
   s->view_ms = 0;
+  s->placed = false;
   s->others = 0;
   s->failures = 0;
   s->avoid_until_ms = 0;
@@ -205,13 +218,22 @@
   struct pool_server *next;
 
   HASH_ITER (hh, p->servers, s, next)
-  {
-    HASH_DEL (p->servers, s);
-    server_free (s);
-  }
+  remove_server (p, s);
   free (p);
 }
 
+/* The placement holder knows earlier what a server holds, and tells what
+   changes. */
+static bool
+has_fresh_view (const struct pool *p, const struct pool_server *s,
+                uint64_t now_ms)
+{
+  const uint64_t heard_ms
+      = s->placed && p->heard_ms > s->view_ms ? p->heard_ms : s->view_ms;
+
+  return s->view_ms > 0 && now_ms < heard_ms + VIEW_FRESH_MS;
+}
+
 void
 pool_update (struct pool *p, const struct server_entry *e, uint64_t now_ms)
 {
@@ -234,8 +256,7 @@
   s->sequence = e->sequence;
   if (e->state == SERVER_LEAVING)
     s->leaving = true;
-  /* The placement holder knows earlier what the server holds. */
-  if (s->view_ms == 0 || now_ms >= s->view_ms + VIEW_FRESH_MS)
+  if (!has_fresh_view (p, s, now_ms))
     models_from_entry (s, e);
 }
 
@@ -270,21 +291,46 @@
   p->reachable = reachable;
 }
 
+static struct pool_server *
+find_hash (const struct pool *p, uint64_t hash)
+{
+  struct pool_server *s;
+
+  HASH_FIND (hh_hash, p->servers_by_hash, &hash, sizeof hash, s);
+  return s;
+}
+
+void
+pool_heard (struct pool *p, uint64_t now_ms)
+{
+  p->heard_ms = now_ms;
+}
+
+void
+pool_apply_running (struct pool *p, uint64_t server, uint32_t running)
+{
+  struct pool_server *s = find_hash (p, server);
+
+  if (s)
+    s->others = running > s->told ? running - s->told : 0;
+}
+
 void
 pool_apply_view (struct pool *p, const struct pool_view *v, uint64_t now_ms)
 {
-  for (struct pool_server *s = p->servers; s; s = s->hh.next)
-    {
-      if (s->hash != v->server)
-        continue;
-      s->others = v->running > s->told ? v->running - s->told : 0;
-      if (!v->placed || v->order_count < s->order_count)
-        return;
-      s->order_count = v->order_count;
-      s->view_ms = now_ms;
-      models_from_view (s, v, now_ms);
-      return;
-    }
+  struct pool_server *s = find_hash (p, v->server);
+
+  if (!s)
+    return;
+  pool_apply_running (p, v->server, v->running);
+  if (!v->placed)
+    s->placed = false;
+  if (!v->placed || v->order_count < s->order_count)
+    return;
+  s->placed = true;
+  s->order_count = v->order_count;
+  s->view_ms = now_ms;
+  models_from_view (s, v, now_ms);
 }
 
 /* ---- choice ---- */
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -97,6 +97,13 @@
 void pool_apply_view (struct pool *pool, const struct pool_view *view,
                       uint64_t now_ms);
 
+/** pool_heard() - the placement holder is alive: what it told of servers
+ * still holds. */
+void pool_heard (struct pool *pool, uint64_t now_ms);
+/** pool_apply_running() - calls of all nodes at a server, as the placement
+ * holder tells. */
+void pool_apply_running (struct pool *pool, uint64_t server, uint32_t running);
+
 enum pool_verdict pool_choose (struct pool *pool, const struct pool_need *need,
                                uint64_t now_ms, struct pool_server **out);
 
--- a/src/leasestate.c
+++ b/src/leasestate.c
@@ -38,6 +38,7 @@
   uint64_t sent_ms;            /* when it was sent */
   uint64_t valid_until_ms;
   uint64_t taken_ms; /* begin of the term */
+  uint32_t nodes;    /* to be written */
   bool took_back;    /* from a node that had it after this one */
   uint64_t due_ms;   /* no step before */
 };
@@ -60,6 +61,8 @@
     json_array_append_new (earlier, json_integer ((json_int_t)r->earlier[i]));
   if (r->earlier_count > 0)
     json_object_set (o, "earlier", earlier);
+  if (r->nodes > 0)
+    json_object_set_new (o, "nodes", json_integer (r->nodes));
   json_decref (earlier);
   text = json_dumps (o, JSON_COMPACT);
   s = str_dup (str_from (text));
@@ -107,6 +110,7 @@
     .ttl_ms = (uint32_t)ttl,
   };
   decode_earlier (o, out);
+  out->nodes = (uint32_t)json_integer_value (json_object_get (o, "nodes"));
   rc = 0;
 
 out:
@@ -265,6 +269,18 @@
   return false;
 }
 
+void
+leasestate_note_nodes (struct leasestate *s, uint32_t nodes)
+{
+  s->nodes = nodes;
+}
+
+uint32_t
+leasestate_nodes (const struct leasestate *s)
+{
+  return s->seen.nodes;
+}
+
 bool
 leasestate_in_turn (const struct leasestate *s, uint64_t now)
 {
@@ -285,6 +301,7 @@
   s->written.renewals++;
   s->written.ttl_ms = s->ttl_ms;
   fill_earlier (s, now);
+  s->written.nodes = s->nodes > 0 ? s->nodes : s->seen.nodes;
   s->sent_ms = now;
   s->busy = true;
   *out = s->written;
--- a/src/leasestate.h
+++ b/src/leasestate.h
@@ -13,6 +13,7 @@
 
 /**
  * struct lease_record - value of a lease object.
+ * @nodes: how many the holder knew of, for its successor; 0 when unknown.
  * @earlier: hashes of the nodes that held the lease shortly before, in order;
  *   empty unless leasestate_space_turns() was called.
  */
@@ -23,6 +24,7 @@
   uint64_t fence;
   uint64_t renewals; /* differs in each write of one holder */
   uint32_t ttl_ms;
+  uint32_t nodes;
   uint64_t earlier[LEASE_EARLIER_MAX];
   uint32_t earlier_count;
 };
@@ -93,6 +95,11 @@
 void leasestate_write_done (struct leasestate *s, uint64_t now, int err,
                             uint64_t version);
 
+/** leasestate_note_nodes() - number of nodes to write with each renewal. */
+void leasestate_note_nodes (struct leasestate *s, uint32_t nodes);
+/** leasestate_nodes() - as last read or written; 0 when unknown. */
+uint32_t leasestate_nodes (const struct leasestate *s);
+
 bool leasestate_valid (const struct leasestate *s, uint64_t now);
 /**
  * leasestate_in_turn() - may the holder act.
--- a/tests/bench_plan.c
+++ b/tests/bench_plan.c
@@ -240,7 +240,7 @@
 static void
 take_over (struct run *r)
 {
-  fleet_term (r->fleet, r->now);
+  fleet_term (r->fleet, 0, r->now);
   answer_reports (r);
   for (unsigned i = 0; i < r->size->nodes; i++)
     tell_demand (r, i);
--- a/tests/fleetsim.c
+++ b/tests/fleetsim.c
@@ -296,7 +296,7 @@
   m.routing = sim_routing (model_count);
   m.fleet = fleet_create ();
   fleet_routing (m.fleet, m.routing, 5000);
-  fleet_term (m.fleet, m.now);
+  fleet_term (m.fleet, 0, m.now);
   for (int i = 0; i < SERVERS; i++)
     {
       snprintf (m.servers[i].id, sizeof m.servers[i].id, "i-%d", i);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -34,7 +34,7 @@
           if (m.faults > 0 && sim_draw (&m, 1500) == 0)
             {
               m.fence++;
-              fleet_term (m.fleet, m.now);
+              fleet_term (m.fleet, 0, m.now);
             }
           sim_tick (&m);
         }
@@ -371,7 +371,7 @@
   play_calls (&m, 5000);
   time_to_replica (&m, false, 5000);
   m.fence++;
-  fleet_term (m.fleet, m.now);
+  fleet_term (m.fleet, 0, m.now);
   for (int i = 0; i < 200; i++)
     {
       const struct fleet_wish busy = { .service = STR ("lm"),
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -217,18 +217,22 @@
 }
 
 /* Guards against a wait for the end of a lease whose holder was an earlier
-   process of the same node, and against keeping its fencing token. */
+   process of the same node, against keeping its fencing token, and against
+   forgetting how many nodes there were. */
 static void
 test_restart (void)
 {
   struct world w = world_held_by_a ();
   const uint64_t fence = leasestate_fence (w.nodes[0]);
 
+  leasestate_note_nodes (w.nodes[0], 79);
+  pass (&w, TTL_MS / 2, 1);
   leasestate_destroy (w.nodes[0]);
   w.nodes[0] = leasestate_create (str_from (names[0]), 8, TTL_MS, MARGIN_MS);
   leasestate_candidate (w.nodes[0], true);
   pass (&w, 200, 1);
   CU_ASSERT (valid (&w, 0));
+  CU_ASSERT_EQUAL (leasestate_nodes (w.nodes[0]), 79);
   CU_ASSERT (leasestate_fence (w.nodes[0]) > fence);
   world_destroy (&w);
 }
@@ -467,6 +471,7 @@
                                    .fence = 6,
                                    .renewals = 7,
                                    .ttl_ms = 8,
+                                   .nodes = 10,
                                    .earlier = { 9, UINT64_MAX >> 1 },
                                    .earlier_count = 2 };
   struct str json = lease_record_encode (&in);
@@ -474,7 +479,7 @@
   CU_ASSERT (str_eq (r.holder, in.holder) && r.instance == 5 && r.fence == 6
              && r.renewals == 7 && r.ttl_ms == 8);
   CU_ASSERT (r.earlier_count == 2 && r.earlier[0] == in.earlier[0]
-             && r.earlier[1] == in.earlier[1]);
+             && r.earlier[1] == in.earlier[1] && r.nodes == 10);
   str_free (&json);
   str_free (&r.holder);
 }
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -56,7 +56,7 @@
   struct fleet *f = fleet_create ();
 
   fleet_routing (f, routing, 5000);
-  fleet_term (f, 1);
+  fleet_term (f, 0, 1);
   fleet_entry (f, &entry);
   CU_ASSERT_PTR_NOT_NULL (fleet_next_report (f, NOW));
   fleet_report (f, STR ("i-1"), &report, NOW);
--- a/tests/test_planindex.c
+++ b/tests/test_planindex.c
@@ -112,7 +112,7 @@
       break;
     case 1:
       m->fence++;
-      fleet_term (m->fleet, m->now);
+      fleet_term (m->fleet, 0, m->now);
       break;
     case 2:
       m->servers[i].dark = !m->servers[i].dark;
