Leave a server alone that turned a call away as full

Cause: 79 nodes that ask for one crowded model learn of each other's calls late, so its servers turn calls away. A call went on to the next full server at once and avoided only the last one, for 60 ms: up to six sends in a few milliseconds, all from the retry budget that all calls share.

A server that turns a call away now counts as full for this node for 50 ms, doubled up to 800 ms for each further one, until it serves a call.

A model or adapter that a server lacked against expectation is asked for again after 1 s.

Test: pool "turned away", which names the pattern; "models" asks again later.

--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -163,7 +163,10 @@
   switch (r->outcome)
     {
     case FORWARD_MISPLACED:
-      pool_misplaced (c->server, c->meta.model, c->meta.adapter);
+      pool_misplaced (c->server, c->meta.model, c->meta.adapter, clock_ms ());
+      break;
+    case FORWARD_NOT_EXECUTED:
+      pool_turned_away (c->server, clock_ms ());
       break;
     case FORWARD_REPLACED:
       pool_replaced (c->server);
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -21,6 +21,14 @@
 /* The placement holder is told of it for this much longer: it asks the server
    itself. */
 #define UNREACHED_TOLD_MS 1000
+/* A server that turned a call away as full gets none from this node for this
+   time, doubled for each further one: its calls take longer than that, and
+   many nodes ask it. */
+#define FULL_MIN_MS 50
+#define FULL_MAX_MS 800
+/* A server that lacks a model or adapter which it should have is asked for it
+   again after this time. */
+#define MISPLACED_MS 1000
 /* Load at which a plain service's server is taken as full: calls for each of
    its places, since it keeps a short queue. */
 #define PLAIN_QUEUE 3
@@ -36,6 +44,8 @@
   enum held_state state;
   uint64_t ready_ms;
   struct name_list adapters;
+  uint64_t lacking_until_ms;
+  struct str lacking; /* an adapter; empty for the model itself */
 };
 
 struct pool_server
@@ -63,6 +73,8 @@
   uint32_t running; /* calls of this node */
   uint32_t told;    /* of these, as last told to the holder */
   uint32_t failures;
+  uint32_t rejections; /* since it served a call */
+  uint64_t full_until_ms;
   uint64_t avoid_until_ms;
   bool unreached; /* it took no connection the last time */
   UT_hash_handle hh;
@@ -86,6 +98,7 @@
   for (size_t i = 0; i < s->model_count; i++)
     {
       str_free (&s->models[i].model);
+      str_free (&s->models[i].lacking);
       name_list_free (&s->models[i].adapters);
     }
   free (s->models);
@@ -201,6 +214,8 @@
   s->placed = false;
   s->others = 0;
   s->failures = 0;
+  s->rejections = 0;
+  s->full_until_ms = 0;
   s->avoid_until_ms = 0;
   s->unreached = false;
 }
@@ -354,11 +369,18 @@
 }
 
 static bool
-is_full (const struct pool_server *s, const struct pool_need *need)
+is_full (const struct pool_server *s, const struct pool_need *need,
+         uint64_t now_ms)
 {
   const uint32_t places = need->engine ? s->slots : s->slots * PLAIN_QUEUE;
 
-  return s->running + s->others >= places;
+  return s->running + s->others >= places || now_ms < s->full_until_ms;
+}
+
+static bool
+is_lacking (const struct placed_model *m, struct str adapter, uint64_t now_ms)
+{
+  return now_ms < m->lacking_until_ms && str_eq (m->lacking, adapter);
 }
 
 /* Can the server run the call, full or not? */
@@ -373,12 +395,14 @@
   m = find_model (s, need->model);
   /* A server that is down holds nothing when it is back. Calls that wait tell
      the placement holder to load the model elsewhere. */
-  if (!m || m->state != HELD_READY
+  if (!m || m->state != HELD_READY || is_lacking (m, STR (""), now_ms)
       || (s->unreached && now_ms < s->avoid_until_ms))
     return POOL_NO_MODEL;
-  if (need->adapter.len > 0 && !name_list_has (&m->adapters, need->adapter))
+  if (need->adapter.len > 0
+      && (!name_list_has (&m->adapters, need->adapter)
+          || is_lacking (m, need->adapter, now_ms)))
     return POOL_NO_ADAPTER;
-  return is_full (s, need) ? POOL_FULL : POOL_CHOSEN;
+  return is_full (s, need, now_ms) ? POOL_FULL : POOL_CHOSEN;
 }
 
 /* Prefers a server that did not fail lately, then the least loaded one. */
@@ -414,7 +438,7 @@
           || !pool_server_usable (s, now_ms))
         continue;
       enum pool_verdict v = suits (s, need, now_ms);
-      if (v == POOL_CHOSEN && is_full (s, need))
+      if (v == POOL_CHOSEN && is_full (s, need, now_ms))
         v = POOL_FULL;
       if (v != POOL_CHOSEN)
         verdict = nearer (verdict, v);
@@ -481,33 +505,38 @@
   s->avoid_until_ms = now_ms + UNREACHED_MS;
 }
 
+void
+pool_turned_away (struct pool_server *s, uint64_t now_ms)
+{
+  uint64_t wait_ms = FULL_MIN_MS;
+
+  for (uint32_t i = 0; i < s->rejections && wait_ms < FULL_MAX_MS; i++)
+    wait_ms *= 2;
+  s->rejections++;
+  s->full_until_ms = now_ms + wait_ms;
+}
+
 void
 pool_served (struct pool_server *s)
 {
+  s->rejections = 0;
+  s->full_until_ms = 0;
   s->unreached = false;
   s->failures = 0;
   s->avoid_until_ms = 0;
 }
 
 void
-pool_misplaced (struct pool_server *s, struct str model, struct str adapter)
+pool_misplaced (struct pool_server *s, struct str model, struct str adapter,
+                uint64_t now_ms)
 {
   struct placed_model *m = find_model (s, model);
 
   if (!m)
     return;
-  if (adapter.len == 0 || !name_list_has (&m->adapters, adapter))
-    {
-      m->state = HELD_UNLOADING;
-      return;
-    }
-  for (size_t i = 0; i < m->adapters.count; i++)
-    if (str_eq (m->adapters.names[i], adapter))
-      {
-        str_free (&m->adapters.names[i]);
-        m->adapters.names[i] = m->adapters.names[--m->adapters.count];
-        return;
-      }
+  m->lacking_until_ms = now_ms + MISPLACED_MS;
+  str_assign (&m->lacking,
+              name_list_has (&m->adapters, adapter) ? adapter : STR (""));
 }
 
 void
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -117,9 +117,11 @@
 void pool_unreached (struct pool_server *server, uint64_t now_ms);
 /** pool_served() - a call was answered as it should be. */
 void pool_served (struct pool_server *server);
+/** pool_turned_away() - the server had no place for a call. */
+void pool_turned_away (struct pool_server *server, uint64_t now_ms);
 /** pool_misplaced() - the server does not hold the model or adapter. */
 void pool_misplaced (struct pool_server *server, struct str model,
-                     struct str adapter);
+                     struct str adapter, uint64_t now_ms);
 /** pool_replaced() - another server has the address now. */
 void pool_replaced (struct pool_server *server);
 
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -178,8 +178,9 @@
   choose (p, &need, 30, POOL_NO_ADAPTER);
   need.adapter = STR ("a1");
   choose (p, &need, 30, POOL_CHOSEN);
-  pool_misplaced (s, STR ("m"), STR ("a1"));
+  pool_misplaced (s, STR ("m"), STR ("a1"), 30);
   choose (p, &need, 30, POOL_NO_ADAPTER);
+  choose (p, &need, 2000, POOL_CHOSEN);
   need.adapter = (struct str){ 0 };
   for (int i = 0; i < 4; i++)
     pool_begin (s);
@@ -224,9 +225,50 @@
   pool_destroy (p);
 }
 
+/* Guards against calls that are sent again and again to servers that turn them
+   away, which uses up the retry budget of all calls: the pattern of one model
+   that many nodes ask for at once, whose counts of each other's calls are
+   late. */
+static void
+test_turned_away (void)
+{
+  struct pool *p = pool_create ();
+  const struct pool_need need = { .service = STR ("s"),
+                                  .engine = &engine,
+                                  .model = STR ("m"),
+                                  .domain = STR ("a") };
+  unsigned sends = 0;
+
+  add (p, "i-1", "a", 10);
+  add (p, "i-2", "a", 10);
+  hold (p, "i-1", "m", HELD_READY, NULL, 1, 10);
+  hold (p, "i-2", "m", HELD_READY, NULL, 1, 10);
+  for (uint64_t now = 1000; now < 4000; now += 5)
+    {
+      struct pool_server *s;
+
+      if (pool_choose (p, &need, now, &s) != POOL_CHOSEN)
+        continue;
+      sends++;
+      pool_turned_away (s, now);
+    }
+  /* About one a second for each server, and the first ones. */
+  CU_ASSERT_TRUE (sends <= 2 * (3 + 5));
+  CU_ASSERT_TRUE (sends >= 2 * 3);
+  struct pool_server *s = choose (p, &need, 9000, POOL_CHOSEN);
+  pool_turned_away (s, 9000);
+  pool_served (s);
+  choose (p, &need, 9001, POOL_CHOSEN);
+  pool_destroy (p);
+}
+
 static const struct suite_case cases[] = {
-  { "leaving", test_leaving },       { "lapse", test_lapse },
-  { "unreadable", test_unreadable }, { "preference", test_preference },
-  { "models", test_models },         { "unreached", test_unreached },
+  { "turned away", test_turned_away },
+  { "leaving", test_leaving },
+  { "lapse", test_lapse },
+  { "unreadable", test_unreadable },
+  { "preference", test_preference },
+  { "models", test_models },
+  { "unreached", test_unreached },
 };
 TEST_SUITE ("pool", cases)
