End calls whose answer goes on without end

A server in trouble may send bytes that are no answer until the caller closes. The head of an answer is bounded by 128 KiB, a collected body by 32 MiB, and an event of a stream by 1 MiB; bytes that cannot be the call's answer end the attempt at once, not at the end of the call's time.

Test: e2e edge "endless bytes": status line, header lines, one header, body, chunk size and event, for calls that may be repeated or not; the node's memory stays below 64 MB and the connection is closed.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -276,8 +276,8 @@
 
   if (!a->mismatch && !names_attempt (a, call))
     a->mismatch = true;
-  if (!a->mismatch && !a->given_up)
-    sse_feed (&a->sse, part, on_event, a);
+  if (!a->mismatch && !a->given_up && !sse_feed (&a->sse, part, on_event, a))
+    a->given_up = true;
 }
 
 static void
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -190,17 +190,12 @@
 }
 
 static void
-on_data (void *ctx, struct http_call *call, struct str part)
+take_data (struct forward *f, struct str part)
 {
-  struct forward *f = ctx;
-
-  (void)call;
-  if (f->over || f->bad)
-    return;
   if (f->stream && f->status == STATUS_OK)
     {
-      if (may_pass_on (f))
-        sse_feed (&f->sse, part, on_event, f);
+      if (may_pass_on (f) && !sse_feed (&f->sse, part, on_event, f))
+        f->bad = true;
       return;
     }
   if (!f->begun && f->held.len + part.len <= HELD_BYTES)
@@ -219,6 +214,21 @@
   f->events->part (f->ctx, part, 0);
 }
 
+/* Bytes that are no answer may go on without end, so they end the attempt. */
+static void
+on_data (void *ctx, struct http_call *call, struct str part)
+{
+  struct forward *f = ctx;
+
+  if (f->over)
+    return;
+  take_data (f, part);
+  if (f->over || !f->bad)
+    return;
+  finish (f, call, err_make (-EBADMSG, "answer", f->server_id), true);
+  http_cancel (call);
+}
+
 static void
 on_done (void *ctx, struct http_call *call, struct err err, int status,
          bool sent, struct str body)
--- a/src/http.c
+++ b/src/http.c
@@ -22,6 +22,10 @@
    went silent does not take new calls. */
 #define USER_TIMEOUT_MS 5000
 #define CONNECTIONS_KEPT 512
+/* An answer whose head is larger is none. */
+#define HEAD_MAX_BYTES (128 * 1024)
+/* A collected body that is larger ends the call. */
+#define COLLECTED_MAX_BYTES (32 * 1024 * 1024)
 
 struct http_call
 {
@@ -34,6 +38,7 @@
   struct str peer;
   struct str body; /* of the request */
   struct buf collected;
+  size_t head_bytes;
   char error_text[CURL_ERROR_SIZE];
   uint64_t begun_ms;
   uint64_t received_ms;
@@ -78,6 +83,7 @@
   { CURLE_RECV_ERROR, -EPIPE },
   { CURLE_SEND_ERROR, -EPIPE },
   { CURLE_GOT_NOTHING, -EPIPE },
+  { CURLE_WRITE_ERROR, -EMSGSIZE }, /* a callback refused the bytes */
 };
 
 static int
@@ -206,7 +212,8 @@
   const size_t len = size * n;
 
   c->received_ms = clock_ms ();
-  if (c->cancelled)
+  c->head_bytes += len;
+  if (c->cancelled || c->head_bytes > HEAD_MAX_BYTES)
     return 0;
   /* An empty line ends the head; interim 1xx heads are skipped. */
   if (len <= 2 && (data[0] == '\r' || data[0] == '\n') && status_of (c) >= 200)
@@ -229,6 +236,8 @@
     return 0;
   if (c->events->data)
     c->events->data (c->ctx, c, part);
+  else if (c->collected.len + part.len > COLLECTED_MAX_BYTES)
+    return 0;
   else
     buf_append (&c->collected, part);
   return c->cancelled ? 0 : part.len;
--- a/src/sse.c
+++ b/src/sse.c
@@ -50,7 +50,7 @@
   return 0;
 }
 
-void
+bool
 sse_feed (struct sse *s, struct str part,
           bool (*on_event) (void *ctx, const struct sse_event *event),
           void *ctx)
@@ -71,4 +71,5 @@
     }
   memmove (s->in.data, s->in.data + pos, s->in.len - pos);
   s->in.len -= pos;
+  return s->in.len <= SSE_EVENT_MAX_BYTES;
 }
--- a/src/sse.h
+++ b/src/sse.h
@@ -21,6 +21,9 @@
   bool has_id;
 };
 
+/* A longer event is none: its bytes may go on without end. */
+#define SSE_EVENT_MAX_BYTES (1024 * 1024)
+
 /** struct sse - parser state; zero-initialise, free with buf_free (&s->in). */
 struct sse
 {
@@ -30,7 +33,9 @@
 /**
  * sse_feed() - add bytes and report each complete event.
  * @event: returns false to stop; remaining events are then dropped.
+ *
+ * Returns false when an event is too long.
  */
-void sse_feed (struct sse *sse, struct str part,
+bool sse_feed (struct sse *sse, struct str part,
                bool (*event) (void *ctx, const struct sse_event *event),
                void *ctx);
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -1,6 +1,8 @@
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "edgecluster.h"
@@ -159,6 +161,90 @@
     }
 }
 
+/* Largest memory of a node beside one call, whatever its server sends. */
+#define NODE_MEMORY_KB (64 * 1024)
+#define CLOSED_TRIES 100
+#define CLOSED_PAUSE_MS 50
+
+static long
+peak_memory_kb (const struct cluster_proc *p)
+{
+  char path[64];
+  char line[128];
+  long kb = -1;
+  FILE *f;
+
+  snprintf (path, sizeof path, "/proc/%d/status", (int)p->pid);
+  f = fopen (path, "r");
+  while (f && fgets (line, sizeof line, f))
+    if (strncmp (line, "VmHWM:", 6) == 0)
+      kb = strtol (line + 6, NULL, 10);
+  if (f)
+    fclose (f);
+  return kb;
+}
+
+static bool
+all_closed (const struct cluster_proc *server)
+{
+  for (int i = 0; i < CLOSED_TRIES; i++)
+    {
+      if (cluster_count (server, "/counts", "endless") == 0)
+        return true;
+      usleep (CLOSED_PAUSE_MS * 1000);
+    }
+  return false;
+}
+
+/* Guards against a server in trouble whose bytes go on without end, in a head
+   or a body: the call is repeated or fails truthfully, the connection is
+   closed, and the node's memory stays bounded. */
+static void
+test_endless_bytes (void)
+{
+  static const struct
+  {
+    const char *fault;
+    const char *service;
+    const char *path;
+    int status;
+    int second_runs;
+  } cases[] = {
+    { "endless-status", "plain", "/plain/x", 200, 1 },
+    { "endless-status", "plain", "/once/x", 502, 0 },
+    { "endless-head", "plain", "/plain/x", 200, 1 },
+    { "endless-head", "plain", "/once/x", 502, 0 },
+    { "endless-field", "plain", "/plain/x", 200, 1 },
+    { "endless-body", "plain", "/plain/x", 200, 1 },
+    { "endless-body", "plain", "/once/x", 502, 0 },
+    { "endless-chunk", "plain", "/plain/x", 200, 1 },
+    { "endless-event", "lm", "/stream/x", 200, 1 },
+    { "endless-event", "lm", "/whole/x", 502, 0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      const bool engine = cases[i].service[0] == 'l';
+      struct cluster_proc *servers[2];
+      struct cluster_proc *edge
+          = start_pair (cases[i].service, cases[i].fault, servers);
+      struct cluster_reply r = edges_call (edge, "POST", cases[i].path, "id-5",
+                                           engine ? "m1" : NULL, "b");
+      const bool ok
+          = r.status == cases[i].status && edges_runs (servers[0], "id-5") == 1
+            && edges_runs (servers[1], "id-5") == cases[i].second_runs
+            && all_closed (servers[0])
+            && peak_memory_kb (edge) < NODE_MEMORY_KB;
+
+      CU_ASSERT_TRUE (ok);
+      if (!ok)
+        fprintf (stderr, "%s %s: status %ld, %ld kB\n", cases[i].fault,
+                 cases[i].path, r.status, peak_memory_kb (edge));
+      cluster_reply_free (&r);
+      edges_destroy (&edges);
+    }
+}
+
 static struct str
 whole_stream (void)
 {
@@ -762,6 +848,7 @@
   { "refusals logged", test_refusals_logged },
   { "bytes", test_bytes },
   { "bad answers", test_bad_answers },
+  { "endless bytes", test_endless_bytes },
   { "streams", test_streams },
   { "pause", test_pause },
   { "connections", test_connections },
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -42,7 +42,7 @@
     FIELD (models), "", 0, 0 },
   { "fault", "WORD",
     "shed, close, cut, unsealed, crossed, unframed, error, cut-event, "
-    "silent or pause",
+    "silent, pause, or a kind of bytes without end",
     SETTING_STRING, FIELD (fault), "", 0, 0 },
   { "most-models", "N", "models that fit", SETTING_U32, FIELD (most_models),
     "2", 1, MODELS_MAX },
@@ -410,6 +410,81 @@
     }
 }
 
+/* ---- bytes without end ---- */
+
+/* @begin is followed by @more again and again until the caller closes. */
+static const struct endless
+{
+  const char *fault;
+  const char *begin;
+  const char *more;
+} endless[] = {
+  { "endless-status", "", "HHHHHHHHHHHHHHHH" },
+  { "endless-head", "HTTP/1.1 200 OK\r\n", "X-Fill: aaaaaaa\r\n" },
+  { "endless-field", "HTTP/1.1 200 OK\r\nX-Fill: ", "aaaaaaaaaaaaaaaa" },
+  { "endless-body", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaaaaaaaaaa" },
+  { "endless-chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "0000000000000000" },
+  { "endless-event",
+    "HTTP/1.1 200 OK\r\nX-Galenagate-Server-Seal: " SEAL "\r\n"
+    "Content-Type: text/event-stream\r\n\r\ndata: ",
+    "aaaaaaaaaaaaaaaa" },
+};
+#define ENDLESS_COUNT (sizeof endless / sizeof *endless)
+#define ENDLESS_REPEAT 4096
+#define ENDLESS_GAP_MS 5
+
+static json_int_t endless_open; /* connections with such bytes */
+
+struct endless_answer
+{
+  h2o_req_t *req;
+  const struct endless *kind;
+};
+
+static const struct endless *
+endless_fault (void)
+{
+  for (size_t i = 0; i < ENDLESS_COUNT; i++)
+    if (fault (endless[i].fault))
+      return &endless[i];
+  return NULL;
+}
+
+static void
+more_bytes (void *ctx)
+{
+  struct endless_answer *a = ctx;
+  struct buf b = { 0 };
+
+  if (standin_gone (a->req))
+    {
+      endless_open--;
+      standin_close (a->req);
+      free (a);
+      return;
+    }
+  for (int i = 0; i < ENDLESS_REPEAT; i++)
+    buf_append (&b, str_from (a->kind->more));
+  standin_send_raw (a->req, buf_str (&b));
+  buf_free (&b);
+  standin_after (ENDLESS_GAP_MS, more_bytes, a);
+}
+
+static void
+answer_endless (h2o_req_t *req, const struct endless *kind)
+{
+  struct endless_answer *a = xcalloc (1, sizeof *a);
+
+  a->req = req;
+  a->kind = kind;
+  endless_open++;
+  raw (req, kind->begin);
+  standin_after (ENDLESS_GAP_MS, more_bytes, a);
+}
+
+/* ---- calls ---- */
+
 static void
 serve_call (h2o_req_t *req)
 {
@@ -431,6 +506,8 @@
         _exit (1);
       if (fault ("close"))
         standin_close (req);
+      else if (endless_fault ())
+        answer_endless (req, endless_fault ());
       else if (is_engine ())
         answer_stream (req);
       else
@@ -445,11 +522,11 @@
 
   if (str_eq (path, STR ("/counts")))
     standin_json (req, 200,
-                  json_pack ("{s:O, s:I, s:I, s:I, s:O, s:O, s:O, s:O}",
+                  json_pack ("{s:O, s:I, s:I, s:I, s:I, s:O, s:O, s:O, s:O}",
                              "runs", runs, "arrivals", arrivals, "violations",
-                             violations, "ended_early", ended_early, "orders",
-                             orders, "models", models, "headers", headers,
-                             "ports", ports));
+                             violations, "ended_early", ended_early, "endless",
+                             endless_open, "orders", orders, "models", models,
+                             "headers", headers, "ports", ports));
   else if (str_eq (path, STR ("/report")))
     report (req);
   else if (str_eq (path, STR ("/order")))
