Keep the holder's digests within a third of its link

A node with 24 Mbit/s that took over told all servers to all nodes twice; the link dropped what it could not take, nodes that missed digests asked for all servers each 500 ms, and the holder could no longer renew its lease (lost eight times in 6 s).

The holder counts what it sends and begins nothing for all nodes, and no list of all servers, while its third of the link is full (--link-mbps, from the platform's settings). Nodes that want all servers are served one at a time, or all together where a quarter of them wants to. A server whose view did not change is not told again, and addresses of nodes go once with each series.

--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -19,7 +19,8 @@
 /* A call is ended this long before the client stops waiting, so that the
    answer still arrives. */
 #define DEADLINE_RESERVE_MS 30
-/* Nodes that may share a retry budget before there was any placement holder. */
+/* Nodes that may share a retry budget before there was any placement holder.
+ */
 #define NODES_UNKNOWN 8
 /* Clients leave a stream after a pause of the longest of these: a time, some
    latency objectives, some pauses that are still on time. */
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -37,6 +37,8 @@
     SETTING_NUMBER, FIELD (contact_ms), "3000", 500, 60000 },
   { "drain-ms", "MS", "time for which a leaving server still serves",
     SETTING_NUMBER, FIELD (drain_ms), "2000", 200, 60000 },
+  { "link-mbps", "MBPS", "bandwidth of this host's link", SETTING_NUMBER,
+    FIELD (link_mbps), "1000", 1, 400000 },
   { "retry-ratio", "X", "repeated calls to a service for each first one",
     SETTING_NUMBER, FIELD (retry_ratio), "0.1", 0, 1 },
   { "retry-window-s", "S", "time over which repeated calls are counted",
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -21,6 +21,7 @@
   double lease_ms;
   double contact_ms;  /* a lost connection is replaced within this time */
   double drain_ms;    /* a leaving server serves at least that long */
+  double link_mbps;   /* of this host */
   double retry_ratio; /* repeated calls to a service for each first one */
   double retry_window_s;
   double retry_slack; /* repeated calls that are allowed besides */
--- a/src/edge/fleet_impl.h
+++ b/src/edge/fleet_impl.h
@@ -284,8 +284,10 @@
   struct due report;
   struct due advance;
   struct due resend;
-  struct due tell; /* to all nodes */
-  struct due news; /* to nodes that wait */
+  struct due tell;    /* to all nodes */
+  uint64_t told_hash; /* of what they were told */
+  uint64_t retell_ms; /* when they are told again without a change */
+  struct due news;    /* to nodes that wait */
   uint32_t running_told;
   bool running_changed;
   struct fleet_server *running_prev, *running_next;
--- a/src/edge/fleet_views.c
+++ b/src/edge/fleet_views.c
@@ -35,12 +35,33 @@
 
 /* ---- to all nodes ---- */
 
+/* Changes with all that a view shows but the calls. */
+static uint64_t
+view_hash (const struct fleet_server *s, uint64_t now)
+{
+  uint64_t hash = s->order_count * 2 + s->known;
+
+  for (size_t i = 0; i < s->replica_count; i++)
+    {
+      const struct replica *r = &s->replicas[i];
+
+      hash = str_hash (r->model, hash + (uint64_t)r->state);
+      for (size_t j = 0; j < r->adapter_count; j++)
+        if (r->adapters[j].ready_ms <= now)
+          hash = str_hash (r->adapters[j].name, hash);
+    }
+  return hash;
+}
+
 void
 fleet_retell (struct fleet *f)
 {
   for (struct fleet_server *s = f->servers; s; s = s->hh.next)
-    if (s->listed)
-      due_set (&f->tells, &s->tell, 0);
+    {
+      s->retell_ms = 0;
+      if (s->listed)
+        due_set (&f->tells, &s->tell, 0);
+    }
 }
 
 void
@@ -72,14 +93,18 @@
   return at_ms;
 }
 
+static uint32_t
+refresh_of (const struct fleet_server *s, uint64_t now, uint32_t refresh_ms)
+{
+  return now < s->listed_ms + NEW_MS ? NEW_REFRESH_MS : refresh_ms;
+}
+
 static uint64_t
-next_tell_ms (const struct fleet_server *s, uint64_t now, uint32_t refresh_ms)
+next_tell_ms (const struct fleet_server *s, uint64_t now)
 {
   const uint64_t adapter_ms = next_adapter_ms (s, now);
-  const uint64_t refresh_at_ms
-      = now + (now < s->listed_ms + NEW_MS ? NEW_REFRESH_MS : refresh_ms);
 
-  return adapter_ms < refresh_at_ms ? adapter_ms : refresh_at_ms;
+  return adapter_ms < s->retell_ms ? adapter_ms : s->retell_ms;
 }
 
 void
@@ -92,8 +117,15 @@
     {
       struct fleet_server *s = d->owner;
       const struct fleet_view view = view_of (s);
-
-      due_set (&f->tells, &s->tell, next_tell_ms (s, now, refresh_ms));
+      const uint64_t hash = view_hash (s, now);
+      const bool is_news = hash != s->told_hash || now >= s->retell_ms;
+
+      if (is_news)
+        s->retell_ms = now + refresh_of (s, now, refresh_ms);
+      due_set (&f->tells, &s->tell, next_tell_ms (s, now));
+      if (!is_news)
+        continue;
+      s->told_hash = hash;
       s->running_told = s->running;
       fn (ctx, &view);
     }
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -227,6 +227,7 @@
     return l;
   l = xcalloc (1, sizeof *l);
   l->addr = str_dup (addr);
+  l->wants_whole = true;
   HASH_ADD_KEYPTR (hh, p->listeners, l->addr.data, l->addr.len, l);
   return l;
 }
@@ -248,7 +249,10 @@
         && !str_eq (k->addr, edge_settings ()->peer_addr))
       l = add_listener (p, k->addr);
     if (l)
-      l->heard_ms = now;
+      {
+        l->heard_ms = now;
+        l->wants_whole = false; /* the next digest tells all nodes */
+      }
   }
 }
 
@@ -267,8 +271,7 @@
   l->sequence = d->sequence;
   l->heard_ms = clock_ms ();
   l->store_reachable = d->store_reachable;
-  if (d->missed || l->whole_ms == 0)
-    placer_tell_whole (p, l);
+  l->wants_whole = l->wants_whole || d->missed;
   return true;
 }
 
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -28,7 +28,7 @@
   uint64_t sequence; /* of its newest digest */
   uint64_t heard_ms;
   bool store_reachable;
-  uint64_t whole_ms; /* when it was last told all servers; 0 for never */
+  bool wants_whole; /* to be told all servers */
   UT_hash_handle hh;
 };
 
@@ -65,6 +65,7 @@
   uint64_t scanned_ms;    /* when changes for all nodes were last looked for */
   uint64_t broadcast_ms;  /* last digest for all nodes */
   uint64_t told_sequence; /* its number */
+  uint64_t link_free_us;  /* until then digests fill their part of the link */
   uint64_t holder_heard_ms;
   uint64_t holder_fence;   /* highest one heard */
   uint64_t heard_sequence; /* of that holder's newest digest for all nodes */
@@ -85,8 +86,6 @@
 bool placer_broadcast (struct placer *p);
 /** placer_forget_told() - tell all servers anew at the next broadcast. */
 void placer_forget_told (struct placer *p);
-/** placer_tell_whole() - tell one node all servers. */
-void placer_tell_whole (struct placer *p, struct listener *listener);
 /** placer_tell_demand() - tell the holder what this node's calls ask for. */
 void placer_tell_demand (struct placer *p);
 
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -15,11 +15,18 @@
    notice a lost digest ask at once. */
 #define REFRESH_MS 10000
 /* Shortest pause between two digests for all nodes, and what each node that
-   hears them adds to it: the holder's link is no wider than theirs. */
+   hears them adds to it. */
 #define BROADCAST_GAP_MS 10
 #define BROADCAST_GAP_NODE_MS 2
-/* A node is told all servers again at most at this interval. */
-#define WHOLE_MS 500
+/* Part of the holder's link that digests may take; those for nodes that wait
+   are sent beyond it and counted. */
+#define LINK_SHARE 0.33
+/* Bytes beside each datagram on the wire. */
+#define DATAGRAM_HEADER_BYTES 42
+#define BYTES_PER_MS_AND_MBPS 125.0
+/* From this part of the nodes on that want to hear of all servers, all nodes
+   are told. */
+#define WHOLE_TO_ALL_DIVISOR 4
 #define SERVERS_PER_DATAGRAM 4
 #define RUNNING_PER_DATAGRAM 80
 #define NODES_PER_DATAGRAM 8
@@ -86,6 +93,25 @@
   return (u_int)n;
 }
 
+/* Notes until when the bytes fill this node's part of its link. */
+static void
+count_bytes (struct placer *p, size_t bytes)
+{
+  const double bytes_per_ms
+      = edge_settings ()->link_mbps * BYTES_PER_MS_AND_MBPS * LINK_SHARE;
+  const uint64_t now_us = clock_ms () * 1000;
+
+  if (p->link_free_us < now_us)
+    p->link_free_us = now_us;
+  p->link_free_us += (uint64_t)((double)bytes * 1000 / bytes_per_ms);
+}
+
+static bool
+link_is_free (const struct placer *p)
+{
+  return clock_ms () * 1000 >= p->link_free_us;
+}
+
 static void
 send_to (struct placer *p, struct str addr, const struct datagram *d)
 {
@@ -98,6 +124,7 @@
     }
   bytes = peers_encode (d);
   peers_send (p->peers, addr, bytes);
+  count_bytes (p, bytes.len + DATAGRAM_HEADER_BYTES);
   str_free (&bytes);
 }
 
@@ -108,6 +135,8 @@
 
   for (struct listener *l = p->listeners; l; l = l->hh.next)
     peers_send (p->peers, l->addr, bytes);
+  count_bytes (p, HASH_COUNT (p->listeners)
+                      * (bytes.len + DATAGRAM_HEADER_BYTES));
   str_free (&bytes);
   placer_hear_holder (p, edge_settings ()->peer_addr, &d->datagram_u.holder);
 }
@@ -121,6 +150,8 @@
   struct datagram d = { .kind = DATAGRAM_HOLDER };
   holder_digest *h = &d.datagram_u.holder;
   const bool to_all = n->to.len == 0;
+  /* Once in each series of digests for all nodes. */
+  const bool tells_nodes = to_all && n->server_count < SERVERS_PER_DATAGRAM;
 
   h->node = str_label (edge_settings ()->node_name);
   h->fence = p->fence;
@@ -130,10 +161,10 @@
   h->lease_revision = holderlease_revision (p->lease);
   h->entries = fleet_nodes (p->fleet, clock_ms ());
   h->nodes.nodes_val = nodes;
-  h->nodes.nodes_len = to_all ? next_nodes (p, nodes) : 0;
+  h->nodes.nodes_len = tells_nodes ? next_nodes (p, nodes) : 0;
   h->crashes.crashes_val = crashes;
   h->crashes.crashes_len
-      = to_all
+      = tells_nodes
             ? next_crashes (p, CRASHES_TOLD, CRASHERS_REMEMBERED_MS, crashes)
             : 0;
   h->running.running_val = n->running;
@@ -228,15 +259,31 @@
     flush (&n);
 }
 
-void
-placer_tell_whole (struct placer *p, struct listener *l)
+/* Nodes that want to hear of all servers, one at a time, or all nodes where
+   many want to. */
+static void
+tell_all_servers (struct placer *p)
 {
-  struct news n = { .placer = p, .to = l->addr, .whole = true };
-  const uint64_t now = clock_ms ();
+  struct news n = { .placer = p, .whole = true };
+  struct listener *wants = NULL;
+  size_t count = 0;
 
-  if (l->whole_ms > 0 && now < l->whole_ms + WHOLE_MS)
+  for (struct listener *l = p->listeners; l; l = l->hh.next)
+    if (l->wants_whole)
+      {
+        wants = l;
+        count++;
+      }
+  if (count == 0 || !link_is_free (p))
     return;
-  l->whole_ms = now;
+  if (count > 1 && count * WHOLE_TO_ALL_DIVISOR > HASH_COUNT (p->listeners))
+    for (struct listener *l = p->listeners; l; l = l->hh.next)
+      l->wants_whole = false;
+  else
+    {
+      wants->wants_whole = false;
+      n.to = wants->addr;
+    }
   fleet_each_listed (p->fleet, add_server, &n);
   if (n.whole || n.server_count > 0)
     flush (&n);
@@ -256,8 +303,10 @@
   const uint64_t sequence = p->told_sequence;
 
   fleet_each_awaited (p->fleet, now, tell_waiter, p);
-  if (now < p->scanned_ms + BROADCAST_GAP_MS
-                + BROADCAST_GAP_NODE_MS * HASH_COUNT (p->listeners))
+  tell_all_servers (p);
+  if (!link_is_free (p)
+      || now < p->scanned_ms + BROADCAST_GAP_MS
+                   + BROADCAST_GAP_NODE_MS * HASH_COUNT (p->listeners))
     return false;
   p->changed = false;
   p->scanned_ms = now;
@@ -299,7 +348,7 @@
 
 /* A new holder knows nothing of the demand so far. */
 static bool
-tell_whole (struct placer *p)
+tell_all_demand (struct placer *p)
 {
   const uint64_t fence = p->holding ? p->fence : p->holder_fence;
 
@@ -329,8 +378,8 @@
     told[i] = (load_digest){ .server = loads[i].server,
                              .running = loads[i].running,
                              .unreached = loads[i].unreached };
-  demand_take (site_demand (p->site), tell_whole (p), p->told_ms, add_demand,
-               &t);
+  demand_take (site_demand (p->site), tell_all_demand (p), p->told_ms,
+               add_demand, &t);
   e->node = str_label (edge_settings ()->node_name);
   e->instance = kernel_instance (p->kernel);
   e->sequence = ++p->sequence;
