Keep a quarter of the retry budget for calls that have run

A stream broke off midway, the server that it went on at turned it away, and the budget had been used up by calls that could have been refused, so the stream was cut.

Calls that have not run use three quarters of a node's budget at most: they can be refused truthfully, and their clients come back. Test: retries "begun calls", which names the pattern.

--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -176,18 +176,26 @@
   return nodes > 0 ? nodes : NODES_UNKNOWN;
 }
 
+static enum retry_cause
+retry_cause (const struct call *c)
+{
+  return c->runs > 0 ? RETRY_BEGUN : RETRY_REFUSABLE;
+}
+
 bool
 call_retry_take (struct call *c)
 {
   return retries_take (retries_of (c->calls, c->service),
-                       &c->calls->retry_limits, budget_nodes (c), clock_ms ());
+                       &c->calls->retry_limits, retry_cause (c),
+                       budget_nodes (c), clock_ms ());
 }
 
 bool
 call_retry_left (struct call *c)
 {
   return retries_left (retries_of (c->calls, c->service),
-                       &c->calls->retry_limits, budget_nodes (c), clock_ms ());
+                       &c->calls->retry_limits, retry_cause (c),
+                       budget_nodes (c), clock_ms ());
 }
 
 void
--- a/src/edge/retries.c
+++ b/src/edge/retries.c
@@ -5,6 +5,8 @@
 /* Part of the budget that is used. The rest covers what other nodes count
    otherwise, for example while their number is not known exactly. */
 #define USED_SHARE 0.7
+/* Part of that which calls may use that can still be refused. */
+#define REFUSABLE_SHARE 0.75
 
 static void
 advance (struct retries *r, const struct retries_limits *l, uint64_t now_ms)
@@ -43,13 +45,16 @@
 
 bool
 retries_left (struct retries *r, const struct retries_limits *l,
-              uint32_t nodes, uint64_t now_ms)
+              enum retry_cause cause, uint32_t nodes, uint64_t now_ms)
 {
+  const double share
+      = cause == RETRY_REFUSABLE ? USED_SHARE * REFUSABLE_SHARE : USED_SHARE;
+
   advance (r, l, now_ms);
   const double allowed
       = l->ratio * sum (r->first) + l->slack / (nodes > 0 ? nodes : 1);
 
-  return sum (r->repeated) + 1 <= allowed * USED_SHARE;
+  return sum (r->repeated) + 1 <= allowed * share;
 }
 
 void
@@ -67,9 +72,9 @@
 
 bool
 retries_take (struct retries *r, const struct retries_limits *l,
-              uint32_t nodes, uint64_t now_ms)
+              enum retry_cause cause, uint32_t nodes, uint64_t now_ms)
 {
-  if (!retries_left (r, l, nodes, now_ms))
+  if (!retries_left (r, l, cause, nodes, now_ms))
     return false;
   r->repeated[r->bucket % RETRIES_BUCKETS]++;
   return true;
--- a/src/edge/retries.h
+++ b/src/edge/retries.h
@@ -31,6 +31,17 @@
   uint64_t bucket; /* number of the newest one */
 };
 
+/**
+ * enum retry_cause - what becomes of the call if it is not sent once more.
+ * @RETRY_REFUSABLE: it has not run, and its client may come back.
+ * @RETRY_BEGUN: it has run, and is lost; part of the budget is kept for such.
+ */
+enum retry_cause
+{
+  RETRY_REFUSABLE,
+  RETRY_BEGUN,
+};
+
 /** retries_first() - a call was sent to a server for the first time. */
 void retries_first (struct retries *r, const struct retries_limits *limits,
                     uint64_t now_ms);
@@ -39,10 +50,10 @@
  * @nodes: that share the slack.
  */
 bool retries_take (struct retries *r, const struct retries_limits *limits,
-                   uint32_t nodes, uint64_t now_ms);
+                   enum retry_cause cause, uint32_t nodes, uint64_t now_ms);
 /** retries_left() - would retries_take() allow it. */
 bool retries_left (struct retries *r, const struct retries_limits *limits,
-                   uint32_t nodes, uint64_t now_ms);
+                   enum retry_cause cause, uint32_t nodes, uint64_t now_ms);
 /** retries_give_back() - the call that retries_take() allowed reached no
  * server. */
 void retries_give_back (struct retries *r, const struct retries_limits *limits,
--- a/tests/test_nodecount.c
+++ b/tests/test_nodecount.c
@@ -98,7 +98,7 @@
         const uint32_t told = nodecount_most (&counts[i]);
         /* A node that heard no holder goes by the lease. */
         const uint32_t nodes = told > 0 ? told : NODES;
-        while (retries_take (&retries[i], &limits, nodes, now))
+        while (retries_take (&retries[i], &limits, RETRY_BEGUN, nodes, now))
           repeated++;
       }
   CU_ASSERT_TRUE (repeated <= limits.ratio * first + limits.slack);
--- a/tests/test_retries.c
+++ b/tests/test_retries.c
@@ -11,7 +11,7 @@
 {
   uint32_t n = 0;
 
-  while (n < 10000 && retries_take (r, &limits, nodes, now))
+  while (n < 10000 && retries_take (r, &limits, RETRY_BEGUN, nodes, now))
     n++;
   return n;
 }
@@ -68,15 +68,33 @@
   struct retries r = { 0 };
   const uint32_t most = take_all (&r, 1, 100000);
 
-  CU_ASSERT_FALSE (retries_left (&r, &limits, 1, 104000));
+  CU_ASSERT_FALSE (retries_left (&r, &limits, RETRY_BEGUN, 1, 104000));
   retries_give_back (&r, &limits, 104000);
-  CU_ASSERT_TRUE (retries_left (&r, &limits, 1, 104000));
+  CU_ASSERT_TRUE (retries_left (&r, &limits, RETRY_BEGUN, 1, 104000));
   CU_ASSERT_EQUAL (take_all (&r, 1, 104000), 1);
   retries_give_back (&r, &limits, 900000);
   CU_ASSERT_EQUAL (take_all (&r, 1, 900000), most);
 }
 
+/* Guards against streams that are cut because calls that could be refused used
+   up the budget: the pattern of one crowded model whose servers turn many
+   calls away, while servers of other models break off. */
+static void
+test_begun_calls (void)
+{
+  struct retries r = { 0 };
+  uint32_t refusable = 0;
+
+  for (uint64_t now = 100000; now < 104000; now += 10)
+    if (retries_take (&r, &limits, RETRY_REFUSABLE, 1, now))
+      refusable++;
+  CU_ASSERT_TRUE (refusable > 0);
+  CU_ASSERT_FALSE (retries_left (&r, &limits, RETRY_REFUSABLE, 1, 104000));
+  CU_ASSERT_TRUE (take_all (&r, 1, 104000) >= refusable / 4);
+}
+
 static const struct suite_case cases[] = { { "budget", test_budget },
+                                           { "begun calls", test_begun_calls },
                                            { "window", test_window },
                                            { "give back", test_give_back } };
 TEST_SUITE ("retries", cases)
