--- a/tests/test_sse.c
+++ b/tests/test_sse.c
@@ -1,5 +1,7 @@
 #include "sse.h"
 
+#include <string.h>
+
 #include "suite.h"
 
 struct seen
@@ -51,7 +53,28 @@
     }
 }
 
+/* Guards against memory that grows with an event whose bytes go on without
+   end. */
+static void
+test_endless_event (void)
+{
+  static char bytes[64 * 1024];
+  struct sse sse = { 0 };
+  struct seen seen = { 0 };
+  size_t fed = 0;
+
+  memset (bytes, 'a', sizeof bytes);
+  while (
+      fed < 4 * SSE_EVENT_MAX_BYTES
+      && sse_feed (&sse, (struct str){ bytes, sizeof bytes }, on_event, &seen))
+    fed += sizeof bytes;
+  CU_ASSERT_EQUAL (fed, SSE_EVENT_MAX_BYTES);
+  CU_ASSERT_EQUAL (seen.events, 0);
+  buf_free (&sse.in);
+}
+
 static const struct suite_case cases[] = {
   { "events in any pieces", test_pieces },
+  { "event without end", test_endless_event },
 };
 TEST_SUITE ("sse", cases)
