Let the node with the widest link take a free placement lease first

A node now takes a free lease after 10,000 ms divided by its bandwidth in Mbit/s, 400 ms at most.

Test: lease "node with the shorter delay"; without the delay its first case fails.

--- a/src/edge/holderlease.c
+++ b/src/edge/holderlease.c
@@ -176,6 +176,12 @@
   return leasestate_in_turn (l->state, clock_ms ());
 }
 
+void
+holderlease_set_delay (struct holderlease *l, uint32_t delay_ms)
+{
+  leasestate_set_delay (l->state, delay_ms);
+}
+
 void
 holderlease_note_nodes (struct holderlease *l, uint32_t nodes)
 {
--- a/src/edge/holderlease.h
+++ b/src/edge/holderlease.h
@@ -41,6 +41,9 @@
 /** holderlease_in_turn() - may the holder give orders; false for a while after
  * it took the lease back from another node. */
 bool holderlease_in_turn (const struct holderlease *lease);
+/** holderlease_set_delay() - nodes with a shorter delay take the lease first.
+ */
+void holderlease_set_delay (struct holderlease *lease, uint32_t delay_ms);
 /** holderlease_note_nodes() - number of nodes, for the next holder;
  * holderlease_nodes() - as a holder last noted it; 0 when unknown. */
 void holderlease_note_nodes (struct holderlease *lease, uint32_t nodes);
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -22,6 +22,10 @@
 /* What a node told of the store is believed for this long. */
 #define AGREED_MS 600
 #define DRAIN_CHECK_MS 20
+/* A node takes a free lease after this time divided by the bandwidth of its
+   link: the holder's digests go to all nodes, so a wide link goes first. */
+#define LINK_DELAY_MS_MBPS 10000.0
+#define LINK_DELAY_MAX_MS 400
 
 static const struct plugin_ops ops;
 
@@ -426,6 +430,14 @@
   holderlease_release (p->lease);
 }
 
+static uint32_t
+link_delay_ms (const struct edge_settings *s)
+{
+  const double delay_ms = LINK_DELAY_MS_MBPS / s->link_mbps;
+
+  return delay_ms < LINK_DELAY_MAX_MS ? (uint32_t)delay_ms : LINK_DELAY_MAX_MS;
+}
+
 static struct plugin *
 create (struct kernel *kernel)
 {
@@ -441,6 +453,7 @@
   p->lease = holderlease_create (platform_objects (platform_get (kernel)),
                                  s->peer_addr, kernel_instance (kernel),
                                  (uint32_t)s->lease_ms, on_lease_changed, p);
+  holderlease_set_delay (p->lease, link_delay_ms (s));
   p->peers = peers_create (loop, on_datagram, p);
   uv_timer_init (loop, &p->tick);
   uv_timer_init (loop, &p->soon);
--- a/src/leasestate.c
+++ b/src/leasestate.c
@@ -22,6 +22,7 @@
   uint32_t ttl_ms;
   uint32_t margin_ms;
   uint32_t turn_ms;
+  uint32_t delay_ms;
   bool candidate;
   bool releasing;
   bool mine;  /* the object as last known names this node and instance */
@@ -137,6 +138,12 @@
   s->turn_ms = turn_ms;
 }
 
+void
+leasestate_set_delay (struct leasestate *s, uint32_t delay_ms)
+{
+  s->delay_ms = delay_ms;
+}
+
 void
 leasestate_destroy (struct leasestate *s)
 {
@@ -189,14 +196,14 @@
   uint32_t ttl = s->seen.ttl_ms;
 
   if (s->seen.holder.len == 0)
-    return 0;
+    return s->first_seen_ms + s->delay_ms;
   /* An earlier process of this node held it. It is gone, because this one has
      its address. */
   if (str_eq (s->seen.holder, s->self) && s->seen.instance != s->instance)
     return 0;
   if (ttl < s->ttl_ms)
     ttl = s->ttl_ms;
-  return s->first_seen_ms + ttl + s->margin_ms;
+  return s->first_seen_ms + ttl + s->margin_ms + s->delay_ms;
 }
 
 static bool
--- a/src/leasestate.h
+++ b/src/leasestate.h
@@ -95,6 +95,9 @@
 void leasestate_write_done (struct leasestate *s, uint64_t now, int err,
                             uint64_t version);
 
+/** leasestate_set_delay() - take a free lease only after this time, so that a
+ * node with a shorter one goes first. */
+void leasestate_set_delay (struct leasestate *s, uint32_t delay_ms);
 /** leasestate_note_nodes() - number of nodes to write with each renewal. */
 void leasestate_note_nodes (struct leasestate *s, uint32_t nodes);
 /** leasestate_nodes() - as last read or written; 0 when unknown. */
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -386,6 +386,36 @@
   CU_ASSERT (changes > 100);
 }
 
+/* Guards against a holder whose link is too narrow for its digests while a
+   node with a wider one is there, and against no holder when it is not. */
+static void
+test_delay (void)
+{
+  static const struct
+  {
+    uint32_t delay_ms[2]; /* of b and c */
+    unsigned alive;       /* nodes that follow a */
+    size_t holder;
+  } cases[] = { { { 400, 50 }, 6, 2 },
+                { { 50, 400 }, 6, 1 },
+                { { 400, 50 }, 2, 1 } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct world w = world_held_by_a ();
+
+      for (size_t j = 0; j < 2; j++)
+        {
+          leasestate_set_delay (w.nodes[j + 1], cases[i].delay_ms[j]);
+          leasestate_candidate (w.nodes[j + 1], true);
+        }
+      pass (&w, TTL_MS, 7);
+      pass (&w, TTL_MS + MARGIN_MS + 3000, cases[i].alive);
+      CU_ASSERT (valid (&w, cases[i].holder));
+      world_destroy (&w);
+    }
+}
+
 #define TURN_MS 3000
 
 /* The node takes the lease, which its holder releases. */
@@ -494,6 +524,7 @@
   { "store outage", test_outage },
   { "two candidates race", test_race },
   { "turns of two nodes", test_turns },
+  { "node with the shorter delay", test_delay },
   { "random faults", test_random },
   { "decoding", test_decode },
 };
