--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -171,7 +171,8 @@
 remove_server (struct pool *p, struct pool_server *s)
 {
   HASH_DEL (p->servers, s);
-  HASH_DELETE (hh_hash, p->servers_by_hash, s);
+  if (p->servers_by_hash)
+    HASH_DELETE (hh_hash, p->servers_by_hash, s);
   server_free (s);
 }
 
