--- a/src/edge/fleet.c
+++ b/src/edge/fleet.c
@@ -261,7 +261,7 @@
   s->advance = s->report;
   s->resend = s->report;
   s->tell = s->report;
-  s->news = s->report;
+  s->awaited = s->report;
   s->departed = s->report;
   HASH_ADD_KEYPTR (hh, f->servers, s->id.data, s->id.len, s);
   HASH_ADD (hh_hash, f->servers_by_hash, hash, sizeof s->hash, s);
--- a/src/edge/fleet_impl.h
+++ b/src/edge/fleet_impl.h
@@ -58,7 +58,7 @@
 };
 
 /** struct node - what one node told last.
- * @news_round: of the server that it was last told of by
+ * @awaited_round: of the server that it was last told of by
  *   fleet_each_awaited(). */
 struct node
 {
@@ -71,7 +71,7 @@
   struct node_load *loads;
   size_t load_count;
   size_t load_room;
-  uint64_t news_round;
+  uint64_t awaited_round;
   UT_hash_handle hh; /* in the order of @told_ms */
 };
 
@@ -287,7 +287,7 @@
   struct due tell;    /* to all nodes */
   uint64_t told_hash; /* of what they were told */
   uint64_t retell_ms; /* when they are told again without a change */
-  struct due news;    /* to nodes that wait */
+  struct due awaited; /* to nodes that wait */
   uint32_t running_told;
   bool running_changed;
   struct fleet_server *running_prev, *running_next;
@@ -316,8 +316,8 @@
   struct due_queue advances;
   struct due_queue resends;
   struct due_queue tells;
-  struct due_queue news;
-  uint64_t news_round;
+  struct due_queue awaited;
+  uint64_t awaited_round;
   struct fleet_server *running_changed;
   struct due_queue departures;
   uint64_t expired_ms; /* last fleet_expire() */
--- a/src/edge/fleet_views.c
+++ b/src/edge/fleet_views.c
@@ -27,7 +27,7 @@
 fleet_views_forget (struct fleet *f, struct fleet_server *s)
 {
   due_clear (&f->tells, &s->tell);
-  due_clear (&f->news, &s->news);
+  due_clear (&f->awaited, &s->awaited);
   if (s->running_changed)
     DL_DELETE2 (f->running_changed, s, running_prev, running_next);
   s->running_changed = false;
@@ -165,8 +165,8 @@
 void
 fleet_became_ready (struct fleet *f, struct fleet_server *s, uint64_t at_ms)
 {
-  if (s->listed && (!s->news.queued || at_ms < s->news.at_ms))
-    due_set (&f->news, &s->news, at_ms);
+  if (s->listed && (!s->awaited.queued || at_ms < s->awaited.at_ms))
+    due_set (&f->awaited, &s->awaited, at_ms);
 }
 
 void
@@ -177,24 +177,24 @@
 {
   struct due *d;
 
-  while ((d = due_first (&f->news, now)))
+  while ((d = due_first (&f->awaited, now)))
     {
       struct fleet_server *s = d->owner;
       const struct fleet_view view = view_of (s);
       const uint64_t adapter_ms = next_adapter_ms (s, now);
 
-      due_clear (&f->news, d);
+      due_clear (&f->awaited, d);
       if (adapter_ms < UINT64_MAX)
-        due_set (&f->news, d, adapter_ms);
-      f->news_round++;
+        due_set (&f->awaited, d, adapter_ms);
+      f->awaited_round++;
       for (size_t i = 0; i < s->replica_count; i++)
         for (size_t j = 0; j < s->replicas[i].ref->waiter_count; j++)
           {
             struct node *n = s->replicas[i].ref->waiters[j];
 
-            if (n->news_round == f->news_round)
+            if (n->awaited_round == f->awaited_round)
               continue;
-            n->news_round = f->news_round;
+            n->awaited_round = f->awaited_round;
             fn (ctx, n->name, &view);
           }
     }
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -42,7 +42,7 @@
 /* ---- servers ---- */
 
 /* A digest of the holder that is being filled. */
-struct news
+struct outgoing
 {
   struct placer *placer;
   struct str to; /* empty: all nodes */
@@ -142,7 +142,7 @@
 }
 
 static void
-flush (struct news *n)
+flush (struct outgoing *n)
 {
   crash_digest crashes[CRASHES_PER_DATAGRAM];
   label nodes[NODES_PER_DATAGRAM];
@@ -231,7 +231,7 @@
 static void
 add_server (void *ctx, const struct fleet_view *v)
 {
-  struct news *n = ctx;
+  struct outgoing *n = ctx;
 
   fill_server (v, clock_ms (), &n->servers[n->server_count]);
   if (++n->server_count == SERVERS_PER_DATAGRAM)
@@ -241,7 +241,7 @@
 static void
 add_running (void *ctx, uint64_t server, uint32_t running)
 {
-  struct news *n = ctx;
+  struct outgoing *n = ctx;
 
   n->running[n->running_count++] = (running_digest){ server, running };
   if (n->running_count == RUNNING_PER_DATAGRAM)
@@ -252,7 +252,7 @@
 static void
 tell_waiter (void *ctx, struct str node, const struct fleet_view *v)
 {
-  struct news n = { .placer = ctx, .to = node };
+  struct outgoing n = { .placer = ctx, .to = node };
 
   add_server (&n, v);
   if (n.server_count > 0)
@@ -264,7 +264,7 @@
 static void
 tell_all_servers (struct placer *p)
 {
-  struct news n = { .placer = p, .whole = true };
+  struct outgoing n = { .placer = p, .whole = true };
   struct listener *wants = NULL;
   size_t count = 0;
 
@@ -297,7 +297,7 @@
 
 /* Without a digest for long, the nodes would take the holder for gone. */
 static void
-tell_alive (struct news *n, uint64_t now)
+tell_alive (struct outgoing *n, uint64_t now)
 {
   if (now < n->placer->broadcast_ms + ALIVE_MS)
     return;
@@ -308,7 +308,7 @@
 bool
 placer_broadcast (struct placer *p)
 {
-  struct news n = { .placer = p };
+  struct outgoing n = { .placer = p };
   const uint64_t now = clock_ms ();
   const uint64_t sequence = p->told_sequence;
 
