--- a/src/edge/fleet.c
+++ b/src/edge/fleet.c
@@ -135,11 +135,16 @@
   server_set_add (&f->reserved, s);
 }
 
+/* What the server holds, is ordered or reserves goes with its service. */
 static void
-leave_service (struct fleet_server *s)
+leave_service (struct fleet *f, struct fleet_server *s)
 {
   if (!s->service)
     return;
+  fleet_clear_replicas (f, s);
+  fleet_clear_at_hand (s);
+  fleet_clear_pending (s);
+  fleet_unreserve (f, s);
   if (s->in_room)
     RB_REMOVE (room_tree, &s->service->room, s);
   s->in_room = false;
@@ -153,12 +158,8 @@
 {
   HASH_DEL (f->servers, s);
   HASH_DELETE (hh_hash, f->servers_by_hash, s);
-  fleet_clear_replicas (f, s);
-  fleet_clear_at_hand (s);
+  leave_service (f, s);
   free (s->at_hand);
-  fleet_clear_pending (s);
-  fleet_unreserve (f, s);
-  leave_service (s);
   due_clear (&f->reports, &s->report);
   due_clear (&f->advances, &s->advance);
   due_clear (&f->resends, &s->resend);
@@ -275,11 +276,7 @@
 {
   if (s->service && str_eq (s->service->name, name))
     return;
-  fleet_clear_replicas (f, s);
-  fleet_clear_at_hand (s);
-  fleet_clear_pending (s);
-  fleet_unreserve (f, s);
-  leave_service (s);
+  leave_service (f, s);
   s->service = fleet_service_get (f, name);
   server_set_add (&s->service->servers, s);
 }
--- a/src/edge/fleet_impl.h
+++ b/src/edge/fleet_impl.h
@@ -387,6 +387,7 @@
 bool fleet_may_order (const struct fleet_server *server, uint64_t now_ms);
 /** fleet_is_idle() - likewise, and without an order under way. */
 bool fleet_is_idle (const struct fleet_server *server, uint64_t now_ms);
+
 /* ---- fleet_replicas.c ---- */
 
 struct replica *fleet_replica (const struct fleet_server *server,
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -340,7 +340,7 @@
   p->fence = fence;
   LOG_INFO ("term", "fence=%lu", fence);
   fleet_term (p->fleet, holderlease_nodes (p->lease), clock_ms ());
-  placer_forget_told (p);
+  fleet_retell (p->fleet);
   announce (p);
 }
 
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -84,8 +84,6 @@
  * of the servers that changed, or only that the holder is alive; the latter at
  * most once in a while. Returns false when it is too early for that. */
 bool placer_broadcast (struct placer *p);
-/** placer_forget_told() - tell all servers anew at the next broadcast. */
-void placer_forget_told (struct placer *p);
 /** placer_tell_demand() - tell the holder what this node's calls ask for. */
 void placer_tell_demand (struct placer *p);
 
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -4,7 +4,6 @@
 
 #include "clock.h"
 #include "err.h"
-#include "xdrcodec.h"
 
 /* What this node tells the others: as holder of all servers, and to the holder
    of its own demand. */
@@ -289,12 +288,6 @@
     flush (&n);
 }
 
-void
-placer_forget_told (struct placer *p)
-{
-  fleet_retell (p->fleet);
-}
-
 /* Without a digest for long, the nodes would take the holder for gone. */
 static void
 tell_alive (struct outgoing *n, uint64_t now)
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -486,17 +486,23 @@
   s->running--;
 }
 
+static uint64_t
+doubled_ms (uint64_t min_ms, uint64_t max_ms, uint32_t times)
+{
+  uint64_t ms = min_ms;
+
+  for (uint32_t i = 0; i < times && ms < max_ms; i++)
+    ms *= 2;
+  return ms < max_ms ? ms : max_ms;
+}
+
 void
 pool_failed (struct pool_server *s, uint64_t now_ms)
 {
-  uint64_t wait_ms = AVOID_MIN_MS;
-
-  for (uint32_t i = 0; i < s->failures && wait_ms < AVOID_MAX_MS; i++)
-    wait_ms *= 2;
+  s->avoid_until_ms
+      = now_ms + doubled_ms (AVOID_MIN_MS, AVOID_MAX_MS, s->failures);
   s->failures++;
   s->unreached = false;
-  s->avoid_until_ms
-      = now_ms + (wait_ms < AVOID_MAX_MS ? wait_ms : AVOID_MAX_MS);
 }
 
 void
@@ -509,12 +515,9 @@
 void
 pool_turned_away (struct pool_server *s, uint64_t now_ms)
 {
-  uint64_t wait_ms = FULL_MIN_MS;
-
-  for (uint32_t i = 0; i < s->rejections && wait_ms < FULL_MAX_MS; i++)
-    wait_ms *= 2;
+  s->full_until_ms
+      = now_ms + doubled_ms (FULL_MIN_MS, FULL_MAX_MS, s->rejections);
   s->rejections++;
-  s->full_until_ms = now_ms + wait_ms;
 }
 
 void
