Log how late the event loop runs and where a client's leaving is noticed

The reason now says which, galenagate_left_total counts it, galenagate_loop_late_ms is a histogram of the timer's lateness, and event=loop-late tells 250 ms and more. Behaviour is unchanged.

--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -2,6 +2,8 @@
 
 #include <stdio.h>
 
+#include "metrics.h"
+
 #define ANSWER_FIELDS_MAX 64
 /* When to come back if nothing better is known: servers and routes come back
    after about this time. */
@@ -105,8 +107,17 @@
   call_close (c, CALL_SERVED, 200, "-");
 }
 
+static void
+count_left (const char *reason)
+{
+  struct str labels = str_printf ("reason=\"%s\"", reason);
+
+  metrics_add ("galenagate_left_total", labels, 1);
+  str_free (&labels);
+}
+
 void
-call_drop (struct call *c)
+call_drop (struct call *c, const char *reason)
 {
   /* Without an answer h2o would keep the connection of a client that left. */
   if (c->answer_begun)
@@ -114,5 +125,6 @@
   else
     send_reason (c, c->counted ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
                  "client-left");
-  call_close (c, CALL_LEFT, 0, "client-left");
+  count_left (reason);
+  call_close (c, CALL_LEFT, 0, reason);
 }
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -48,6 +48,7 @@
   struct retries_limits retry_limits;
   struct service_retries *retries;
   uint64_t random;
+  uint64_t left_due_ms;  /* next tick of left_timer */
   uint64_t last_wait_ms; /* no call waits beyond; UINT64_MAX until a drain */
 };
 
@@ -159,8 +160,10 @@
 /** call_end_answer() - end an answer in parts. */
 void call_end_answer (struct call *call);
 
-/** call_drop() - the client has left; h2o is made to close its connection. */
-void call_drop (struct call *call);
+/** call_drop() - the client has left; h2o is made to close its connection.
+ * @reason: where this was noticed, for logs and counters.
+ */
+void call_drop (struct call *call, const char *reason);
 
 /* ---- call_death.c ---- */
 
--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -16,6 +16,8 @@
 /* h2o does not tell when a client on HTTP/1.1 leaves before its answer ends.
    Servers must stop within half a second. */
 #define LEFT_TICK_MS 150
+/* An event loop that is this late is told in the log. */
+#define LOOP_LATE_MS 250
 /* A call is ended this long before the client stops waiting, so that the
    answer still arrives. */
 #define DEADLINE_RESERVE_MS 30
@@ -218,9 +220,10 @@
 on_client_gone (void *ctx)
 {
   struct call *c = ctx;
+  const char *reason = c->waiting ? "left-waiting" : "left-running";
 
   call_abandon (c);
-  call_drop (c);
+  call_drop (c, reason);
 }
 
 static void
@@ -379,12 +382,26 @@
 
 /* ---- timers ---- */
 
+/* Clients that left are noticed late by so much. */
+static void
+note_lateness (struct calls *all)
+{
+  const uint64_t now = clock_ms ();
+  const uint64_t late_ms = now > all->left_due_ms ? now - all->left_due_ms : 0;
+
+  all->left_due_ms = now + LEFT_TICK_MS;
+  metrics_observe ("galenagate_loop_late_ms", STR (""), (double)late_ms);
+  if (late_ms >= LOOP_LATE_MS)
+    LOG_INFO ("loop-late", "late_ms=%lu calls=%zu", late_ms, all->open);
+}
+
 static void
 on_left_tick (uv_timer_t *timer)
 {
   struct calls *all = timer->data;
   struct call *next;
 
+  note_lateness (all);
   for (struct call *c = all->first; c; c = next)
     {
       next = c->next;
@@ -490,6 +507,7 @@
 calls_start (struct calls *all)
 {
   uv_timer_start (&all->wait_timer, on_wait_tick, WAIT_TICK_MS, WAIT_TICK_MS);
+  all->left_due_ms = clock_ms () + LEFT_TICK_MS;
   uv_timer_start (&all->left_timer, on_left_tick, LEFT_TICK_MS, LEFT_TICK_MS);
 }
 
