Keep the caller's object until its owner has heard that the client left

A client that cancelled a call on HTTP/2 before the answer ended the whole node with 'double free or corruption': all other calls on it were lost. h2o disposes of the request, the callback lets the call release its caller, which counted as unused since the request was already taken as gone, and was freed a second time after the callback. The request now counts as gone only after the callback. HTTP/1.1 is not concerned: h2o reads nothing while a call is open and tells of a leaving client in another order.

Test: e2e left 'HTTP/2, cancelled', failed before, passes now.

--- a/src/caller.c
+++ b/src/caller.c
@@ -53,8 +53,10 @@
   struct caller *c = *(struct caller **)slot;
 
   open_count--;
-  c->req = NULL;
+  /* The owner may release the caller in its callback, so it must not count as
+     unused before. */
   report_gone (c);
+  c->req = NULL;
   free_if_unused (c);
 }
 
