Look at the client's connection again before the first byte of a call is sent

What callers saw: work went on for clients that had left. A node that was stopped, or that falls behind, reads calls and goes on with waiting ones long after their clients left, and sent them all: 15 to 20 of 20 calls in the tests, on new and kept connections, with bodies, as streams, on HTTP/2.

Cause: whether the client is still there was asked by a timer each 150 ms only; the sends rested on what was known when the call arrived. Besides, the look peeked at one byte, so that bytes of a second request hid the end of the connection, and it left HTTP/2 out.

Now a call's client is looked at before the call is given to a server or begins to wait, and once more by libcurl's pre-request callback, when the connection to the server stands and before the first byte: between the two, the loop may be late again. The look asks poll() for POLLRDHUP, which shows the end of a connection also behind unread bytes.

Ruled out: attempts that run on for clients that left. They end with the next timer, and their connections close (left-running in the log).

Evidence: e2e left, four tests, all cases failed before and pass now; unit http.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -132,7 +132,8 @@
     report_failure (a, a->given_up ? ATTEMPT_CANCELLED : ATTEMPT_BROKEN,
                     a->first_err);
   else if (!a->sent)
-    report_failure (a, ATTEMPT_NOT_RUN, err);
+    report_failure (
+        a, err.code == -ECANCELED ? ATTEMPT_UNUSED : ATTEMPT_NOT_RUN, err);
   else if (resume (a))
     return;
   else if (err.code == -ETIMEDOUT && !a->resuming)
@@ -330,6 +331,14 @@
     buf_append (&a->sse.in, part);
 }
 
+static bool
+on_due (void *ctx)
+{
+  const struct attempt *a = ctx;
+
+  return a->events->wanted (a->ctx);
+}
+
 static void
 on_head (void *ctx, struct http_call *call, int status)
 {
@@ -340,8 +349,12 @@
 }
 
 static const struct http_events stream_events
-    = { .head = on_head, .data = on_any_data, .done = on_stream_call_done };
-static const struct http_events whole_events = { .done = on_whole_done };
+    = { .wanted = on_due,
+        .head = on_head,
+        .data = on_any_data,
+        .done = on_stream_call_done };
+static const struct http_events whole_events
+    = { .wanted = on_due, .done = on_whole_done };
 
 /* ---- resume ---- */
 
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -66,12 +66,15 @@
 
 /**
  * struct attempt_events - callbacks.
+ * @wanted: asked before the first byte is sent; false ends the attempt with
+ *   ATTEMPT_UNUSED. Must not start or cancel attempts.
  * @part: events of a stream, checked to belong to this attempt. Returns false
  *   to give up. May be NULL for kinds other than ATTEMPT_STREAM.
  * @done: end, exactly once unless cancelled; the attempt is freed after.
  */
 struct attempt_events
 {
+  bool (*wanted) (void *ctx);
   bool (*part) (void *ctx, struct str events);
   void (*done) (void *ctx, const struct attempt_result *result);
 };
--- a/src/caller.c
+++ b/src/caller.c
@@ -1,6 +1,6 @@
 #include "caller.h"
 
-#include <errno.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 
@@ -137,19 +137,23 @@
   free_if_unused (c);
 }
 
-bool
-caller_left (struct caller *c)
+/* Sees the end of a connection also behind bytes that were not read yet. */
+static bool
+peer_closed (int fd)
 {
-  char byte;
+  struct pollfd p = { .fd = fd, .events = POLLRDHUP };
+
+  return poll (&p, 1, 0) > 0
+         && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
 
+bool
+caller_left (const struct caller *c)
+{
   if (c->stopped || !c->req)
     return true;
-  if (c->req->version >= 0x200)
-    return false; /* HTTP/2 connections are read all the time */
   h2o_socket_t *sock = c->req->conn->callbacks->get_socket (c->req->conn);
-  const ssize_t n
-      = recv (h2o_socket_get_fd (sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+  return peer_closed (h2o_socket_get_fd (sock));
 }
 
 void
--- a/src/caller.h
+++ b/src/caller.h
@@ -26,7 +26,7 @@
  * h2o does not read an HTTP/1.1 connection while a handler holds its request,
  * so a caller that left is seen only here.
  */
-bool caller_left (struct caller *caller);
+bool caller_left (const struct caller *caller);
 /** caller_header() - add a response header; before the answer begins. */
 void caller_header (struct caller *caller, const char *name, struct str value);
 /** caller_length() - announce the size of an answer sent in parts; before it
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -154,6 +154,15 @@
   call_proceed (c);
 }
 
+/* The client left before the first byte of its call was sent. */
+static void
+on_withdrawn (struct call *c)
+{
+  if (c->from_budget)
+    call_retry_give_back (c);
+  call_drop (c, "left-while-connecting");
+}
+
 /* The call certainly did not run at the server. */
 static void
 on_turned_away (struct call *c, const struct forward_result *r)
@@ -251,6 +260,9 @@
     case FORWARD_NOT_SENT:
       on_unreached (c);
       break;
+    case FORWARD_WITHDRAWN:
+      on_withdrawn (c);
+      break;
     default:
       on_turned_away (c, r);
       break;
@@ -291,7 +303,16 @@
          && other != c->server;
 }
 
+static bool
+is_wanted (void *ctx)
+{
+  const struct call *c = ctx;
+
+  return !caller_left (c->caller);
+}
+
 static const struct forward_events forward_events = {
+  .wanted = is_wanted,
   .silent = on_silent,
   .begin = on_begin,
   .part = on_part,
@@ -447,6 +468,12 @@
   if (verdict == POOL_CHOSEN && server == c->avoid
       && clock_ms () < c->avoid_until_ms)
     verdict = POOL_FULL;
+  /* A timer looks at the clients of calls that go on waiting. */
+  if ((verdict == POOL_CHOSEN || !c->waiting) && caller_left (c->caller))
+    {
+      call_drop (c, "left-before-send");
+      return;
+    }
   if (verdict == POOL_NO_SERVER)
     call_give_up (c, 0, "no-server");
   else if (verdict != POOL_CHOSEN)
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -35,9 +35,10 @@
 };
 
 static const char *const outcome_names[] = {
-  [FORWARD_ANSWERED] = "answered",         [FORWARD_NOT_SENT] = "not-sent",
-  [FORWARD_NOT_EXECUTED] = "not-executed", [FORWARD_MISPLACED] = "no-model",
-  [FORWARD_REPLACED] = "other-server",     [FORWARD_BROKEN] = "broken",
+  [FORWARD_ANSWERED] = "answered",   [FORWARD_NOT_SENT] = "not-sent",
+  [FORWARD_WITHDRAWN] = "withdrawn", [FORWARD_NOT_EXECUTED] = "not-executed",
+  [FORWARD_MISPLACED] = "no-model",  [FORWARD_REPLACED] = "other-server",
+  [FORWARD_BROKEN] = "broken",
 };
 
 const char *
@@ -80,7 +81,7 @@
   struct answer_meta meta;
 
   if (!sent)
-    return FORWARD_NOT_SENT;
+    return code == -ECANCELED ? FORWARD_WITHDRAWN : FORWARD_NOT_SENT;
   if (f->status == 0 || f->bad)
     return FORWARD_BROKEN;
   answer_meta_read (call, f->status, &meta);
@@ -120,6 +121,14 @@
 
 /* ---- events of the HTTP client ---- */
 
+static bool
+on_due (void *ctx)
+{
+  const struct forward *f = ctx;
+
+  return f->events->wanted (f->ctx);
+}
+
 static void
 on_head (void *ctx, struct http_call *call, int status)
 {
@@ -246,8 +255,11 @@
   release (ctx);
 }
 
-static const struct http_events http_events
-    = { .head = on_head, .data = on_data, .done = on_done, .cut = on_cut };
+static const struct http_events http_events = { .wanted = on_due,
+                                                .head = on_head,
+                                                .data = on_data,
+                                                .done = on_done,
+                                                .cut = on_cut };
 
 struct forward *
 forward_start (struct http *http, uv_loop_t *loop,
--- a/src/edge/forward.h
+++ b/src/edge/forward.h
@@ -46,6 +46,7 @@
 {
   FORWARD_ANSWERED,     /* the server's whole answer */
   FORWARD_NOT_SENT,     /* no byte reached a server */
+  FORWARD_WITHDRAWN,    /* likewise: the call was no longer wanted */
   FORWARD_NOT_EXECUTED, /* the server states that it has not run the call */
   FORWARD_MISPLACED,    /* likewise: it lacks the model or adapter */
   FORWARD_REPLACED,     /* likewise: it is another server */
@@ -74,6 +75,7 @@
 
 /**
  * struct forward_events - callbacks.
+ * @wanted: asked before the first byte is sent; false withdraws the attempt.
  * @silent: nothing arrived within the bound. Returns whether to give up on the
  *   server; otherwise it is asked again soon.
  * @begin: the answer will be passed on in parts. The head is read from @call.
@@ -83,6 +85,7 @@
  */
 struct forward_events
 {
+  bool (*wanted) (void *ctx);
   bool (*silent) (void *ctx);
   void (*begin) (void *ctx, const struct http_call *call, int status);
   void (*part) (void *ctx, struct str part, uint64_t last_event);
--- a/src/http.c
+++ b/src/http.c
@@ -83,6 +83,7 @@
   { CURLE_RECV_ERROR, -EPIPE },
   { CURLE_SEND_ERROR, -EPIPE },
   { CURLE_GOT_NOTHING, -EPIPE },
+  { CURLE_ABORTED_BY_CALLBACK, -ECANCELED },
   { CURLE_WRITE_ERROR, -EMSGSIZE }, /* a callback refused the bytes */
 };
 
@@ -205,6 +206,22 @@
 
 /* ---- libcurl callbacks ---- */
 
+/* Between http_send() and this the connection was opened, and the loop may
+   have been late. */
+static int
+on_request_due (void *ctx, char *remote_ip, char *local_ip, int remote_port,
+                int local_port)
+{
+  const struct http_call *c = ctx;
+
+  (void)remote_ip;
+  (void)local_ip;
+  (void)remote_port;
+  (void)local_port;
+  return !c->cancelled && c->events->wanted (c->ctx) ? CURL_PREREQFUNC_OK
+                                                     : CURL_PREREQFUNC_ABORT;
+}
+
 static size_t
 on_header (char *data, size_t size, size_t n, void *ctx)
 {
@@ -465,6 +482,11 @@
   curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
   curl_easy_setopt (e, CURLOPT_MAXLIFETIME_CONN, (long)CONNECTION_AGE_LIMIT_S);
   curl_easy_setopt (e, CURLOPT_MAXAGE_CONN, (long)CONNECTION_IDLE_LIMIT_S);
+  if (c->events->wanted)
+    {
+      curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, on_request_due);
+      curl_easy_setopt (e, CURLOPT_PREREQDATA, c);
+    }
   if (req->target.len > 0)
     {
       struct str target = str_dup (req->target);
--- a/src/http.h
+++ b/src/http.h
@@ -40,6 +40,9 @@
 
 /**
  * struct http_events - callbacks of a call.
+ * @wanted: asked when the connection stands, before the first byte of the
+ *   request is sent; false ends the call unsent, with -ECANCELED. It must not
+ *   start or cancel calls. NULL: it is wanted.
  * @head: status line and headers are complete; may be NULL.
  * @data: a part of the body. May be NULL, then the body is collected and given
  *   to @done.
@@ -51,6 +54,7 @@
  */
 struct http_events
 {
+  bool (*wanted) (void *ctx);
   void (*head) (void *ctx, struct http_call *call, int status);
   void (*data) (void *ctx, struct http_call *call, struct str part);
   void (*done) (void *ctx, struct http_call *call, struct err err, int status,
--- a/src/reqflow.c
+++ b/src/reqflow.c
@@ -151,6 +151,9 @@
       else
         request_answer (r, result->status, result->content_type, result->body);
       return;
+    case ATTEMPT_UNUSED:
+      request_abandon (r);
+      return;
     case ATTEMPT_NOT_RUN:
     case ATTEMPT_NOT_LOADED:
     case ATTEMPT_LEAVING:
@@ -177,8 +180,16 @@
   return caller_write (r->caller, events);
 }
 
+static bool
+is_wanted (void *ctx)
+{
+  const struct request *r = ctx;
+
+  return !caller_left (r->caller);
+}
+
 static const struct attempt_events attempt_events
-    = { .part = on_part, .done = on_attempt_done };
+    = { .wanted = is_wanted, .part = on_part, .done = on_attempt_done };
 
 static void
 start_attempt (struct request *r, const struct grant_res *grant)
--- a/tests/e2e_left.c
+++ b/tests/e2e_left.c
@@ -303,8 +303,9 @@
     {
       snprintf (id, sizeof id, "http2-%d", i);
       calls[i] = http2_call (s->edge, "/plain/x", id);
-      if (!connections)
-        curl_easy_setopt (calls[i], CURLOPT_PIPEWAIT, 1L);
+      /* A connection that is not reused closes when its call is removed. */
+      curl_easy_setopt (
+          calls[i], connections ? CURLOPT_FORBID_REUSE : CURLOPT_PIPEWAIT, 1L);
       curl_multi_add_handle (multi, calls[i]);
     }
   run_multi (multi, LEAVE_MS);
