Look at the lease again before the first byte of an order is sent

An order could leave after the lease had lapsed or after a step-down. Where servers check fences it is refused; where they do not, orders of two holders meet.

The order's connection now asks again before its first byte; an order that is withdrawn counts as not sent. Ruled out elsewhere: writes to the store carry revisions, digests go out in the call that decides them.

Test: unit http 'order that is no longer wanted'; without the question the order is sent.

--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -150,6 +150,17 @@
   act (p);
 }
 
+static bool
+is_order_wanted (void *ctx)
+{
+  const struct order_ctx *o = ctx;
+
+  return o->fence == o->placer->fence && may_order (o->placer);
+}
+
+static const struct order_events order_events
+    = { .wanted = is_order_wanted, .done = on_order_done };
+
 static void
 give_order (struct placer *p, const struct fleet_server *s,
             struct order *order, const struct order_reason *why)
@@ -171,7 +182,7 @@
       STR_ARG (order->model), STR_ARG (order->adapter), why->need,
       why->weights, STR_ARG (why->for_model), why->waiting, why->running,
       why->rate, why->replicas, why->target, order->order_count, order->fence);
-  order_send (p->http, order, on_order_done, o);
+  order_send (p->http, order, &order_events, o);
 }
 
 static void
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -8,9 +8,10 @@
 #include <netinet/in.h>
 
 #include "http.h"
+#include "platform/orders.h"
 #include "suite.h"
 
-/* The HTTP client against a socket that listens and never answers. */
+/* Requests to a socket that listens and never answers. */
 
 #define TOTAL_MS 200
 
@@ -20,6 +21,7 @@
   bool done;
   bool sent;
   int code;
+  enum order_result result; /* orders only */
 };
 
 static bool
@@ -44,24 +46,66 @@
   e->code = err.code;
 }
 
-static int
-listen_any (struct sockaddr_in *sin)
+/**
+ * struct peer - the HTTP client on a loop of its own, and the socket that
+ * listens.
+ * @addr: ip:port of the socket.
+ */
+struct peer
 {
-  const int fd = socket (AF_INET, SOCK_STREAM, 0);
-  socklen_t len = sizeof *sin;
-
-  *sin = (struct sockaddr_in){ .sin_family = AF_INET,
-                               .sin_addr = { htonl (INADDR_LOOPBACK) } };
-  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)sin, len), 0);
-  CU_ASSERT_EQUAL_FATAL (listen (fd, 1), 0);
-  CU_ASSERT_EQUAL_FATAL (getsockname (fd, (struct sockaddr *)sin, &len), 0);
-  return fd;
+  uv_loop_t loop;
+  struct http *http;
+  int fd;
+  struct str addr;
+};
+
+static void
+peer_open (struct peer *p)
+{
+  struct sockaddr_in sin
+      = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t len = sizeof sin;
+
+  p->fd = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_EQUAL_FATAL (bind (p->fd, (struct sockaddr *)&sin, len), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (p->fd, 1), 0);
+  CU_ASSERT_EQUAL_FATAL (getsockname (p->fd, (struct sockaddr *)&sin, &len),
+                         0);
+  p->addr = str_printf ("127.0.0.1:%d", ntohs (sin.sin_port));
+  uv_loop_init (&p->loop);
+  p->http = http_create (&p->loop);
+}
+
+/* Runs until the request has ended. Returns whether the socket was sent any
+   bytes. */
+static bool
+peer_was_sent (struct peer *p, const bool *done)
+{
+  char bytes[512];
+
+  while (!*done)
+    uv_run (&p->loop, UV_RUN_ONCE);
+  http_close (p->http);
+  uv_run (&p->loop, UV_RUN_DEFAULT);
+  const int fd = accept (p->fd, NULL, NULL);
+  const ssize_t received = recv (fd, bytes, sizeof bytes, 0);
+  close (fd);
+  return received > 0;
+}
+
+static void
+peer_close (struct peer *p)
+{
+  close (p->fd);
+  str_free (&p->addr);
+  http_destroy (p->http);
+  uv_loop_close (&p->loop);
 }
 
 /* Guards against a request that is sent although what it was for has changed
    while its connection was opened. */
 static void
-test_wanted (void)
+test_request (void)
 {
   static const struct http_events events
       = { .wanted = is_wanted, .done = on_done };
@@ -80,39 +124,68 @@
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
     {
       struct end end = { .wanted = cases[i].wanted };
-      struct sockaddr_in sin;
-      char bytes[512];
-      uv_loop_t loop;
-      const int fd = listen_any (&sin);
-
-      uv_loop_init (&loop);
-      struct http *http = http_create (&loop);
-      struct str url
-          = str_printf ("http://127.0.0.1:%d/", ntohs (sin.sin_port));
+      struct peer peer;
+
+      peer_open (&peer);
+      struct str url = str_printf ("http://" STR_FMT "/", STR_ARG (peer.addr));
       const struct http_request req = { .method = STR ("GET"),
                                         .url = url,
                                         .total_ms = TOTAL_MS,
                                         .fresh = cases[i].fresh };
-      http_send (http, &req, &events, &end);
-      while (!end.done)
-        uv_run (&loop, UV_RUN_ONCE);
-      http_close (http);
-      uv_run (&loop, UV_RUN_DEFAULT);
-      const int peer = accept (fd, NULL, NULL);
-      const ssize_t received = recv (peer, bytes, sizeof bytes, 0);
-
+      http_send (peer.http, &req, &events, &end);
+      CU_ASSERT_EQUAL (peer_was_sent (&peer, &end.done), cases[i].wanted);
       CU_ASSERT_EQUAL (end.code, cases[i].code);
       CU_ASSERT_EQUAL (end.sent, cases[i].wanted);
-      CU_ASSERT_EQUAL (received > 0, cases[i].wanted);
-      close (peer);
-      close (fd);
       str_free (&url);
-      http_destroy (http);
-      uv_loop_close (&loop);
+      peer_close (&peer);
+    }
+}
+
+static void
+on_order_done (void *ctx, enum order_result result)
+{
+  struct end *e = ctx;
+
+  e->done = true;
+  e->result = result;
+}
+
+/* Guards against an order that is sent after its holder lost the lease while
+   the connection was opened. */
+static void
+test_order (void)
+{
+  static const struct order_events events
+      = { .wanted = is_wanted, .done = on_order_done };
+  static const struct
+  {
+    bool wanted;
+    enum order_result result;
+  } cases[] = {
+    { true, ORDER_UNANSWERED },
+    { false, ORDER_NOT_SENT },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct end end = { .wanted = cases[i].wanted };
+      struct peer peer;
+
+      peer_open (&peer);
+      const struct order order = { .kind = ORDER_LOAD,
+                                   .model = STR ("m1"),
+                                   .server_address = peer.addr,
+                                   .server_id = STR ("s1"),
+                                   .holder = STR ("node") };
+      order_send (peer.http, &order, &events, &end);
+      CU_ASSERT_EQUAL (peer_was_sent (&peer, &end.done), cases[i].wanted);
+      CU_ASSERT_EQUAL (end.result, cases[i].result);
+      peer_close (&peer);
     }
 }
 
 static const struct suite_case cases[] = {
-  { "request that is no longer wanted", test_wanted },
+  { "request that is no longer wanted", test_request },
+  { "order that is no longer wanted", test_order },
 };
 TEST_SUITE ("http", cases)
