Read from stale views of the store where the holder tells the newest revisions

Two watches of each node make them up; most answers tell of models that were loaded, which the holder's digests tell anyway.

The platform gives a call that may be stale for a tenth of the price. Now the holder alone reads fresh; its digests carry the revisions of the newest changes of the configuration and the servers. The other nodes watch stale views and read fresh when a change that was told has not arrived within 0.2 s, when an answer lacked it, or when nobody tells for 0.7 s: the holder is silent, its lease is not valid, or its own watches are not fresh. Listings are always fresh. A node that is cut from the holder, or whose holder is cut from the store, thus behaves as before; the lease shows the holder within 1.25 s that the store does not answer it.

Weighed: a relay of the contents in each failure domain (saves the last tenth, but brings a second path with an order of its own and costs bytes between failure domains); watches that wait longer (silent connections are noticed later).

Digests have a new number; nodes of the version before ignore them.

--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -108,6 +108,9 @@
 	bool_t whole;
 	bool_t active;
 	u_quad_t lease_revision;
+	bool_t store_current;
+	u_quad_t config_revision;
+	u_quad_t servers_revision;
 	u_int entries;
 	struct {
 		u_int nodes_len;
@@ -130,7 +133,7 @@
 
 enum datagram_kind {
 	DATAGRAM_ENTRY = 3,
-	DATAGRAM_HOLDER = 4,
+	DATAGRAM_HOLDER = 5,
 };
 typedef enum datagram_kind datagram_kind;
 
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -83,6 +83,9 @@
   bool whole; /* begin of all servers, for a node that missed some */
   bool active; /* the holder gives orders */
   unsigned hyper lease_revision; /* of the lease's object */
+  bool store_current; /* no newer change than these two is known to be missed */
+  unsigned hyper config_revision;  /* newest change of the configuration */
+  unsigned hyper servers_revision; /* newest change of the servers' entries */
   unsigned int entries; /* nodes that tell their demand */
   label nodes<>;        /* addresses of some of them, others the next time */
   crash_digest crashes<>; /* of requests with several */
@@ -95,7 +98,7 @@
 enum datagram_kind
 {
   DATAGRAM_ENTRY = 3,
-  DATAGRAM_HOLDER = 4
+  DATAGRAM_HOLDER = 5
 };
 
 union datagram switch (datagram_kind kind)
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -224,6 +224,12 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->lease_revision))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->store_current))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->servers_revision))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->entries))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->nodes.nodes_val, (u_int *) &objp->nodes.nodes_len, ~0,
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -366,6 +366,17 @@
   update_holding (p);
 }
 
+/* Only the holder must read fresh from the store. */
+static void
+check_news (struct placer *p, uint64_t now)
+{
+  struct platform_news news = p->news;
+
+  news.current = news.current && !p->holding
+                 && now <= p->holder_heard_ms + HOLDER_SILENT_MS;
+  platform_check (platform_get (p->kernel), &news);
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
@@ -378,6 +389,7 @@
           && (p->holding || now > p->holder_heard_ms + HOLDER_SILENT_MS));
   holderlease_step (p->lease);
   update_holding (p);
+  check_news (p, now);
   if (now >= p->told_ms + DIGEST_MS)
     placer_tell_demand (p);
   fleet_expire (p->fleet, now);
--- a/src/edge/placer_hear.c
+++ b/src/edge/placer_hear.c
@@ -113,6 +113,11 @@
   if (d->active)
     p->holder_heard_ms = clock_ms ();
   holderlease_hint (p->lease, d->lease_revision);
+  p->news = (struct platform_news){
+    .config_revision = d->config_revision,
+    .servers_revision = d->servers_revision,
+    .current = d->store_current,
+  };
   nodecount_told (&p->nodes, d->entries, clock_ms ());
   metrics_set ("galenagate_nodes", STR (""), nodecount_most (&p->nodes));
   str_assign (&p->holder_addr, from);
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -12,6 +12,7 @@
 #include "edge/placer.h"
 #include "edge/site.h"
 #include "http.h"
+#include "platform/platform.h"
 
 /* A node that is silent for this long is not counted any more. */
 #define NODE_SILENT_MS 2000
@@ -67,9 +68,10 @@
   uint64_t told_sequence; /* its number */
   uint64_t link_free_us;  /* until then digests fill their part of the link */
   uint64_t holder_heard_ms;
-  uint64_t holder_fence;   /* highest one heard */
-  uint64_t heard_sequence; /* of that holder's newest digest for all nodes */
-  bool missed;             /* digests before it are lacking */
+  uint64_t holder_fence;     /* highest one heard */
+  uint64_t heard_sequence;   /* of that holder's newest digest for all nodes */
+  bool missed;               /* digests before it are lacking */
+  struct platform_news news; /* of the store, as the holder told */
   struct str holder_addr;
   struct nodecount nodes; /* that share the load */
   uint64_t sequence;
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -148,6 +148,7 @@
   struct placer *p = n->placer;
   struct datagram d = { .kind = DATAGRAM_HOLDER };
   holder_digest *h = &d.datagram_u.holder;
+  const struct platform_news news = platform_news (platform_get (p->kernel));
   const bool to_all = n->to.len == 0;
   /* Once in each series of digests for all nodes. */
   const bool tells_nodes = to_all && n->server_count < SERVERS_PER_DATAGRAM;
@@ -158,6 +159,10 @@
   h->whole = n->whole;
   h->active = placer_leads (p);
   h->lease_revision = holderlease_revision (p->lease);
+  /* The lease shows that the store answers this node. */
+  h->store_current = news.current && holderlease_valid (p->lease);
+  h->config_revision = news.config_revision;
+  h->servers_revision = news.servers_revision;
   h->entries = fleet_nodes (p->fleet, clock_ms ());
   h->nodes.nodes_val = nodes;
   h->nodes.nodes_len = tells_nodes ? next_nodes (p, nodes) : 0;
--- a/tests/standin_objects.c
+++ b/tests/standin_objects.c
@@ -41,6 +41,7 @@
   char kind[64];
   uint64_t from;
   uint64_t until_ms;
+  bool stale;
   struct watch *next;
 };
 
@@ -52,11 +53,14 @@
 static struct watch *watches;
 static uv_timer_t tick;
 static json_int_t reads;
+static json_int_t stale_reads;
 static json_int_t writes;
 
-/* Answers 503, nothing at all, or loses the answers of writes. */
+/* Answers 503, nothing at all, or loses the answers of writes. @stale_from:
+   stale views end there; 0 while they do not lag. */
 static struct
 {
+  uint64_t stale_from;
   bool down;
   bool silent;
   bool lose_answers;
@@ -77,22 +81,29 @@
 /* ---- watches ---- */
 
 static json_t *
-events_since (const char *kind, uint64_t from)
+events_since (const char *kind, uint64_t from, uint64_t to)
 {
   json_t *list = json_array ();
 
   for (const struct event *e = events; e && e->revision > from; e = e->next)
-    if (strcmp (e->kind, kind) == 0)
+    if (e->revision <= to && strcmp (e->kind, kind) == 0)
       json_array_insert (list, 0, e->json);
   return list;
 }
 
 static void
-answer_watch (h2o_req_t *req, json_t *list)
+answer_watch (h2o_req_t *req, json_t *list, uint64_t to)
 {
-  standin_json (req, 200,
-                json_pack ("{s:o, s:I}", "events", list, "current_rev",
-                           (json_int_t)revision));
+  standin_json (
+      req, 200,
+      json_pack ("{s:o, s:I}", "events", list, "current_rev", (json_int_t)to));
+}
+
+/* How far the watch's view reaches. */
+static uint64_t
+view_of (const struct watch *w)
+{
+  return w->stale && faults.stale_from > 0 ? faults.stale_from : revision;
 }
 
 static void
@@ -104,7 +115,7 @@
   while (*at)
     {
       struct watch *w = *at;
-      json_t *list = events_since (w->kind, w->from);
+      json_t *list = events_since (w->kind, w->from, view_of (w));
       const bool gone = w->from < history_from;
 
       if (!gone && json_array_size (list) == 0 && clock_ms () < w->until_ms)
@@ -117,7 +128,7 @@
       if (gone)
         standin_error (w->req, 410, "history_gone");
       else
-        answer_watch (w->req, json_incref (list));
+        answer_watch (w->req, json_incref (list), view_of (w));
       json_decref (list);
       free (w);
     }
@@ -187,6 +198,8 @@
   snprintf (w->kind, sizeof w->kind, "%s", kind);
   w->from = from;
   w->until_ms = clock_ms () + standin_query_u64 (req, "wait_ms", 0);
+  w->stale = standin_query (req, "stale_ok").len > 0;
+  stale_reads += w->stale;
   w->next = watches;
   watches = w;
 }
@@ -316,6 +329,10 @@
   faults.down = json_is_true (json_object_get (json, "down"));
   faults.silent = json_is_true (json_object_get (json, "silent"));
   faults.lose_answers = json_is_true (json_object_get (json, "lose_answers"));
+  if (json_is_true (json_object_get (json, "stale")))
+    faults.stale_from = revision;
+  else
+    faults.stale_from = 0;
   if (json_is_true (json_object_get (json, "forget")))
     history_from = revision + 1;
   if (json_is_true (json_object_get (json, "forget")))
@@ -334,7 +351,8 @@
 
   if (str_eq (path, STR ("/counts")))
     standin_json (req, 200,
-                  json_pack ("{s:I, s:I}", "reads", reads, "writes", writes));
+                  json_pack ("{s:I, s:I, s:I}", "reads", reads, "stale_reads",
+                             stale_reads, "writes", writes));
   else if (str_eq (path, STR ("/faults")))
     set_faults (req);
   else if (faults.silent && !from_test)
