Fuzz the parsers of what servers, clients, nodes and the store send

make fuzz feeds the event splitter, the decoders of configuration, entries and reports, the headers of calls and the datagrams between nodes with mutations of tests/corpus, under the address and undefined-behaviour sanitizers; the events must come out as they went in, however they are cut. The seed fixes the run.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 STANDIN_LIB = $(wildcard tests/standinlib*.c)
 PEER_CFLAGS = -Wno-unused-variable -Wno-unused-parameter
 
-.PHONY: all setup check check-sanitize unit e2e bench demo format lint clean traces
+.PHONY: all setup check check-sanitize unit e2e fuzz bench demo format lint clean traces
 all: $(BUILD)/galenagate $(STANDINS)
 
 setup:
@@ -76,6 +76,22 @@
 e2e: all $(BUILD)/e2e
 	$(BUILD)/e2e
 
+# Feeds the parsers with mutations of tests/corpus; the same seed gives the same
+# run. New inputs that reach more code go to FUZZ_CORPUS.
+FUZZ_RUNS ?= 200000
+FUZZ_SEED ?= 1
+FUZZ_CORPUS ?= $(BUILD)-fuzz/corpus
+FUZZ_LIMITS = -max_len=4096 -rss_limit_mb=512 -timeout=10
+fuzz:
+	$(MAKE) BUILD=$(BUILD)-fuzz CC=clang \
+	  SAN="-fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined" \
+	  $(BUILD)-fuzz/fuzz_parsers
+	mkdir -p $(FUZZ_CORPUS)
+	$(BUILD)-fuzz/fuzz_parsers -runs=$(FUZZ_RUNS) -seed=$(FUZZ_SEED) $(FUZZ_LIMITS) $(FUZZ_CORPUS) tests/corpus
+
+$(BUILD)/fuzz_parsers: $(BUILD)/tests/fuzz_parsers.o $(LIB_OBJ)
+	$(CC) $(SAN) -fsanitize=fuzzer $^ -o $@ $(LDLIBS)
+
 # PARTS="latency idle" runs only these parts.
 bench: all $(BUILD)/bench
 	$(BUILD)/bench $(PARTS)
--- /dev/null
+++ b/tests/fuzz_parsers.c
@@ -0,0 +1,167 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "edge/digest.h"
+#include "platform/callheaders.h"
+#include "platform/routingcodec.h"
+#include "platform/servercodec.h"
+#include "sse.h"
+
+/* libFuzzer target of the parsers that are written here: bytes from servers,
+   clients, other nodes and the store. The first byte of an input chooses the
+   parser. `make fuzz` runs it; inputs that are kept lie in tests/corpus. */
+
+#define PIECE_BYTES 7
+
+/* ---- events of a stream ---- */
+
+static bool
+keep_event (void *ctx, const struct sse_event *event)
+{
+  buf_append (ctx, event->raw);
+  return true;
+}
+
+static struct buf
+feed (struct str in, size_t piece)
+{
+  struct sse sse = { 0 };
+  struct buf out = { 0 };
+
+  for (size_t i = 0; i < in.len; i += piece)
+    {
+      const size_t left = in.len - i;
+
+      sse_feed (&sse, (struct str){ in.data + i, left < piece ? left : piece },
+                keep_event, &out);
+    }
+  buf_append (&out, buf_str (&sse.in));
+  buf_free (&sse.in);
+  return out;
+}
+
+/* No byte is lost, doubled or moved, however the bytes arrive. */
+static void
+fuzz_events (struct str in)
+{
+  static const size_t pieces[] = { 1, PIECE_BYTES, SIZE_MAX };
+
+  for (size_t i = 0; i < sizeof pieces / sizeof *pieces; i++)
+    {
+      struct buf out = feed (in, pieces[i] < in.len ? pieces[i] : in.len + 1);
+
+      if (!str_eq (buf_str (&out), in))
+        abort ();
+      buf_free (&out);
+    }
+}
+
+/* ---- what the store and the servers say ---- */
+
+static void
+fuzz_routing (struct str in)
+{
+  json_t *json = json_loadb (in.data, in.len, 0, NULL);
+  struct routing *r = routing_decode (json);
+
+  if (r)
+    {
+      routing_find (r, STR ("h.example"), STR ("/a/b"));
+      routing_destroy (r);
+    }
+  json_decref (json);
+}
+
+static void
+fuzz_entry (struct str in)
+{
+  json_t *json = json_loadb (in.data, in.len, 0, NULL);
+  struct server_entry e;
+
+  if (server_entry_decode (STR ("s1"), json, &e) == 0)
+    server_entry_free (&e);
+  json_decref (json);
+}
+
+static void
+fuzz_report (struct str in)
+{
+  struct server_report r;
+
+  if (server_report_decode (in, &r) == 0)
+    server_report_free (&r);
+}
+
+/* ---- headers of a call ---- */
+
+#define FIELDS_MAX 32
+
+/* Lines "name:value". */
+static size_t
+split_fields (struct str in, struct http_field out[FIELDS_MAX])
+{
+  size_t n = 0;
+  size_t pos = 0;
+
+  while (pos < in.len && n < FIELDS_MAX)
+    {
+      const char *line = in.data + pos;
+      const size_t rest = in.len - pos;
+      const char *end = memchr (line, '\n', rest);
+      const size_t len = end ? (size_t)(end - line) : rest;
+      const char *colon = memchr (line, ':', len);
+      const size_t name = colon ? (size_t)(colon - line) : len;
+
+      out[n].name = (struct str){ line, name };
+      out[n++].value = colon ? (struct str){ colon + 1, len - name - 1 }
+                             : (struct str){ 0 };
+      pos += len + 1;
+    }
+  return n;
+}
+
+static void
+fuzz_headers (struct str in)
+{
+  struct http_field fields[FIELDS_MAX];
+  struct str lines[CALL_HEADERS_MAX];
+  const size_t n = split_fields (in, fields);
+  const struct call_stamp stamp = { .server_id = STR ("s1") };
+  struct call_meta meta;
+  size_t count;
+
+  call_meta_read (fields, n, &meta);
+  count = call_headers (fields, n, &stamp, lines);
+  for (size_t i = 0; i < count; i++)
+    str_free (&lines[i]);
+}
+
+/* ---- between nodes ---- */
+
+static void
+fuzz_datagram (struct str in)
+{
+  struct datagram d = { 0 };
+  XDR x;
+
+  xdrmem_create (&x, (char *)in.data, (u_int)in.len, XDR_DECODE);
+  xdr_datagram (&x, &d);
+  xdr_free ((xdrproc_t)xdr_datagram, (char *)&d);
+}
+
+static void (*const parsers[]) (struct str in) = {
+  fuzz_events, fuzz_routing, fuzz_entry,
+  fuzz_report, fuzz_headers, fuzz_datagram,
+};
+#define PARSERS (sizeof parsers / sizeof *parsers)
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  if (size == 0)
+    return 0;
+  parsers[data[0] % PARSERS]((struct str){ (const char *)data + 1, size - 1 });
+  return 0;
+}
