Bound the lists in datagrams between nodes

A datagram of a few bytes that claims a list of 2^28 elements made the node take the memory for it before it read the first one, and the process was ended for its memory: damaged bytes on the port between nodes were enough. The lists of digest.x had no bound, unlike those of peer.x.

Each list now has one; a datagram that claims more is unreadable, and the node that fills a list stops at the bound instead of failing to encode it. The bytes on the wire are the same.

Found by make fuzz (out of memory after some 10,000 inputs; kept as tests/corpus/datagram-long-list); 200,000 inputs pass now.

--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -18,6 +18,14 @@
 	u_int label_len;
 	char *label_val;
 } label;
+#define DIGEST_DEMAND_MAX 2048
+#define DIGEST_LOADS_MAX 2048
+#define DIGEST_CRASHES_MAX 64
+#define DIGEST_HELD_MAX 256
+#define DIGEST_ADAPTERS_MAX 256
+#define DIGEST_NODES_MAX 64
+#define DIGEST_RUNNING_MAX 256
+#define DIGEST_SERVERS_MAX 64
 
 struct demand_digest {
 	label service;
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -5,6 +5,17 @@
 
 typedef opaque label<256>;
 
+/* Bounds of the lists. A datagram that claims more is unreadable: the memory
+   for a list is taken before its elements are read. */
+const DIGEST_DEMAND_MAX = 2048;
+const DIGEST_LOADS_MAX = 2048;
+const DIGEST_CRASHES_MAX = 64;
+const DIGEST_HELD_MAX = 256;
+const DIGEST_ADAPTERS_MAX = 256;
+const DIGEST_NODES_MAX = 64;
+const DIGEST_RUNNING_MAX = 256;
+const DIGEST_SERVERS_MAX = 64;
+
 /* Demand of one node for a model, or for an adapter of it. */
 struct demand_digest
 {
@@ -39,9 +50,9 @@
   unsigned hyper sequence; /* rises with each digest of the process */
   bool store_reachable;
   bool missed; /* digests of the holder were lost: tell all servers again */
-  demand_digest demand<>;
-  load_digest loads<>;
-  crash_digest crashes<>;
+  demand_digest demand<DIGEST_DEMAND_MAX>;
+  load_digest loads<DIGEST_LOADS_MAX>;
+  crash_digest crashes<DIGEST_CRASHES_MAX>;
 };
 
 enum held_state_digest
@@ -56,7 +67,7 @@
   label model;
   held_state_digest state;
   unsigned int ready_in_ms; /* while the model is being loaded */
-  label adapters<>;
+  label adapters<DIGEST_ADAPTERS_MAX>;
 };
 
 struct server_digest
@@ -65,7 +76,7 @@
   unsigned hyper order_count;
   unsigned int running; /* calls of all nodes */
   bool placed; /* the holder knows what the server holds */
-  held_digest held<>;
+  held_digest held<DIGEST_HELD_MAX>;
 };
 
 /* Calls of all nodes at a server. */
@@ -87,10 +98,10 @@
   unsigned hyper config_revision;  /* newest change of the configuration */
   unsigned hyper servers_revision; /* newest change of the servers' entries */
   unsigned int entries; /* nodes that tell their demand */
-  label nodes<>;        /* addresses of some of them, others the next time */
-  crash_digest crashes<>; /* of requests with several */
-  running_digest running<>; /* servers whose calls changed */
-  server_digest servers<>;  /* servers that hold other models than before */
+  label nodes<DIGEST_NODES_MAX>; /* addresses of some of them, others the next time */
+  crash_digest crashes<DIGEST_CRASHES_MAX>; /* of requests with several */
+  running_digest running<DIGEST_RUNNING_MAX>; /* servers whose calls changed */
+  server_digest servers<DIGEST_SERVERS_MAX>; /* servers that hold other models than before */
 };
 
 /* A change of a digest takes new numbers; nodes that do not know them ignore
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -137,13 +137,13 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->missed))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, ~0,
+	 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, DIGEST_DEMAND_MAX,
 		sizeof (demand_digest), (xdrproc_t) xdr_demand_digest))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, ~0,
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, DIGEST_LOADS_MAX,
 		sizeof (load_digest), (xdrproc_t) xdr_load_digest))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, ~0,
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, DIGEST_CRASHES_MAX,
 		sizeof (crash_digest), (xdrproc_t) xdr_crash_digest))
 		 return FALSE;
 	return TRUE;
@@ -170,7 +170,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ready_in_ms))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->adapters.adapters_val, (u_int *) &objp->adapters.adapters_len, ~0,
+	 if (!xdr_array (xdrs, (char **)&objp->adapters.adapters_val, (u_int *) &objp->adapters.adapters_len, DIGEST_ADAPTERS_MAX,
 		sizeof (label), (xdrproc_t) xdr_label))
 		 return FALSE;
 	return TRUE;
@@ -189,7 +189,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->placed))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, ~0,
+	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, DIGEST_HELD_MAX,
 		sizeof (held_digest), (xdrproc_t) xdr_held_digest))
 		 return FALSE;
 	return TRUE;
@@ -232,16 +232,16 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->entries))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->nodes.nodes_val, (u_int *) &objp->nodes.nodes_len, ~0,
+	 if (!xdr_array (xdrs, (char **)&objp->nodes.nodes_val, (u_int *) &objp->nodes.nodes_len, DIGEST_NODES_MAX,
 		sizeof (label), (xdrproc_t) xdr_label))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, ~0,
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, DIGEST_CRASHES_MAX,
 		sizeof (crash_digest), (xdrproc_t) xdr_crash_digest))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->running.running_val, (u_int *) &objp->running.running_len, ~0,
+	 if (!xdr_array (xdrs, (char **)&objp->running.running_val, (u_int *) &objp->running.running_len, DIGEST_RUNNING_MAX,
 		sizeof (running_digest), (xdrproc_t) xdr_running_digest))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, ~0,
+	 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, DIGEST_SERVERS_MAX,
 		sizeof (server_digest), (xdrproc_t) xdr_server_digest))
 		 return FALSE;
 	return TRUE;
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -29,7 +29,6 @@
 #define SERVERS_PER_DATAGRAM 4
 #define RUNNING_PER_DATAGRAM 80
 #define NODES_PER_DATAGRAM 8
-#define LOADS_MAX 2048
 /* A node tells the holder of deaths for this long; the holder tells all nodes
    of requests with so many deaths, for as long as they matter. */
 #define CRASHES_NEW_MS 3000
@@ -191,7 +190,9 @@
 {
   out->adapters.adapters_val
       = xcalloc (r->adapter_count + 1, sizeof *out->adapters.adapters_val);
-  for (size_t i = 0; i < r->adapter_count; i++)
+  for (size_t i = 0; i < r->adapter_count
+                     && out->adapters.adapters_len < DIGEST_ADAPTERS_MAX;
+       i++)
     if (r->adapters[i].ready_ms <= now)
       out->adapters.adapters_val[out->adapters.adapters_len++]
           = str_label (r->adapters[i].name);
@@ -220,7 +221,7 @@
                         .running = v->running,
                         .placed = v->known };
   d->held.held_val = xcalloc (v->replica_count + 1, sizeof *d->held.held_val);
-  for (size_t i = 0; i < v->replica_count; i++)
+  for (size_t i = 0; i < v->replica_count && i < DIGEST_HELD_MAX; i++)
     {
       const struct replica *r = &v->replicas[i];
       held_digest *h = &d->held.held_val[d->held.held_len++];
@@ -345,6 +346,8 @@
 {
   struct told_demand *t = ctx;
 
+  if (t->count == DIGEST_DEMAND_MAX)
+    return;
   t->items = xrealloc (t->items, (t->count + 1) * sizeof *t->items);
   t->items[t->count++] = (demand_digest){
     .service = str_label (i->service),
@@ -380,12 +383,12 @@
   entry_digest *e = &d.datagram_u.entry;
   struct told_demand t = { 0 };
   crash_digest crashes[CRASHES_PER_DATAGRAM];
-  struct pool_load *loads = xcalloc (LOADS_MAX, sizeof *loads);
-  load_digest *told = xcalloc (LOADS_MAX, sizeof *told);
+  struct pool_load *loads = xcalloc (DIGEST_LOADS_MAX, sizeof *loads);
+  load_digest *told = xcalloc (DIGEST_LOADS_MAX, sizeof *told);
   size_t n;
 
   p->told_ms = clock_ms ();
-  n = pool_loads (site_pool (p->site), p->told_ms, loads, LOADS_MAX);
+  n = pool_loads (site_pool (p->site), p->told_ms, loads, DIGEST_LOADS_MAX);
   for (size_t i = 0; i < n; i++)
     told[i] = (load_digest){ .server = loads[i].server,
                              .running = loads[i].running,
