Take a stale call for overdue only while it waits

The check for a call that has to be replaced looked at one that had ended.

Test: unit freshness, 'news during the pause after an answer', failed before.

--- a/src/edge/freshness.c
+++ b/src/edge/freshness.c
@@ -27,6 +27,7 @@
 
   f->stale = allowed && f->trusted && !f->lagged && !replaced;
   f->lagged = false;
+  f->under_way = true;
   f->begun_told = f->told;
   f->begun_ms = now_ms;
   return f->stale;
@@ -38,6 +39,7 @@
   if (revision > f->seen)
     f->seen = revision;
   f->lagged = f->stale && f->seen < f->begun_told;
+  f->under_way = false;
 }
 
 bool
@@ -46,7 +48,7 @@
   const uint64_t since_ms
       = f->told_ms > f->begun_ms ? f->told_ms : f->begun_ms;
 
-  if (!f->stale)
+  if (!f->under_way || !f->stale)
     return false;
   return !f->trusted || (f->told > f->seen && now_ms >= since_ms + LAG_MS);
 }
--- a/src/edge/freshness.h
+++ b/src/edge/freshness.h
@@ -15,7 +15,8 @@
  * @told: newest revision that was told.
  * @told_ms: when a revision was first told that is still lacking.
  * @seen: revision that the node's own view has reached.
- * @stale: the call under way may be answered from a stale view.
+ * @under_way: a call was begun and its answer has not come.
+ * @stale: the newest call may be answered from a stale view.
  * @begun_told: @told at its begin.
  * @begun_ms: its begin.
  * @lagged: the last stale answer lacked what was told before its call.
@@ -26,6 +27,7 @@
   uint64_t told;
   uint64_t told_ms;
   uint64_t seen;
+  bool under_way;
   bool stale;
   uint64_t begun_told;
   uint64_t begun_ms;
