Read fresh at once after an answer that lacks a change that was told

A stale answer that lacked a change was followed by the usual pause (0.4 of drain-ms) before the fresh read, so a server that leaves could be known two pauses late.

Test: unit freshness, 'answer that lags' (the answer tells that it lags).

--- a/src/edge/freshness.c
+++ b/src/edge/freshness.c
@@ -33,13 +33,14 @@
   return f->stale;
 }
 
-void
+bool
 freshness_seen (struct freshness *f, uint64_t revision)
 {
   if (revision > f->seen)
     f->seen = revision;
   f->lagged = f->stale && f->seen < f->begun_told;
   f->under_way = false;
+  return f->lagged;
 }
 
 bool
--- a/src/edge/freshness.h
+++ b/src/edge/freshness.h
@@ -45,8 +45,13 @@
  * Returns whether it may be stale.
  */
 bool freshness_begin (struct freshness *f, bool allowed, uint64_t now_ms);
-/** freshness_seen() - the call's answer shows the view up to a revision. */
-void freshness_seen (struct freshness *f, uint64_t revision);
+/**
+ * freshness_seen() - the call's answer shows the view up to a revision.
+ *
+ * Returns whether it lacks a change that was told before the call: the next
+ * call should follow at once.
+ */
+bool freshness_seen (struct freshness *f, uint64_t revision);
 /** freshness_overdue() - the call under way must be replaced by a fresh one:
  * nobody tells the newest revision any more, or a change that was told has not
  * arrived. */
--- a/tests/test_freshness.c
+++ b/tests/test_freshness.c
@@ -14,7 +14,7 @@
   STEP_TOLD,     /* a change with this revision */
   STEP_BEGIN,    /* a call; @result: may it be stale */
   STEP_LIST,     /* a call that must be fresh; likewise */
-  STEP_SEEN,     /* its answer reaches this revision */
+  STEP_SEEN,     /* its answer reaches this revision; @result: does it lag */
   STEP_OVERDUE,  /* @result: must the call be replaced */
 };
 
@@ -42,8 +42,7 @@
     case STEP_LIST:
       return freshness_begin (f, s->kind == STEP_BEGIN, s->ms) == s->result;
     case STEP_SEEN:
-      freshness_seen (f, s->revision);
-      return true;
+      return freshness_seen (f, s->revision) == s->result;
     case STEP_OVERDUE:
       return freshness_overdue (f, s->ms) == s->result;
     case STEP_END:
@@ -95,7 +94,7 @@
       { { STEP_TRUST, 0, 0, false },
         { STEP_TOLD, 0, 11, false },
         { STEP_BEGIN, 0, 0, true },
-        { STEP_SEEN, 0, 10, false },
+        { STEP_SEEN, 0, 10, true },
         { STEP_BEGIN, 50, 0, false },
         { STEP_SEEN, 0, 11, false },
         { STEP_BEGIN, 60, 0, true } } },
