Let a crowded model load from the weight store when all its weights are in use

Test: unit plan 'crowded everywhere', failed before; the plain plan in the tests follows, planindex compares both.

--- a/src/edge/plan_impl.h
+++ b/src/edge/plan_impl.h
@@ -29,6 +29,10 @@
 
 /* ---- plan_room.c ---- */
 
+/** plan_replica_elsewhere() - could another server get a replica of the model
+ * without the weight store. */
+bool plan_replica_elsewhere (const struct fleet_server *server,
+                             const struct fleet_model *model);
 /** plan_weights_elsewhere() - could another server load the model without the
  * weight store. */
 bool plan_weights_elsewhere (const struct fleet_server *server,
--- a/src/edge/plan_room.c
+++ b/src/edge/plan_room.c
@@ -32,6 +32,20 @@
   return false;
 }
 
+bool
+plan_replica_elsewhere (const struct fleet_server *s,
+                        const struct fleet_model *m)
+{
+  for (size_t i = 0; i < m->copy_count; i++)
+    {
+      const struct fleet_server *o = m->copies[i].server;
+
+      if (o != s && fleet_usable (o) && !fleet_replica (o, m))
+        return true;
+    }
+  return false;
+}
+
 /* The models on one server, as seen by the one that room is for. */
 struct room
 {
--- a/src/edge/plan_step.c
+++ b/src/edge/plan_step.c
@@ -92,7 +92,7 @@
       /* A place on a server with the weights comes sooner than a load from
          the weight store ends. */
       if (w->need == NEED_SPARE_ROOM || now < f->term_ms + LEARN_MS
-          || (cold && plan_weights_elsewhere (s, m)))
+          || (cold && plan_replica_elsewhere (s, m)))
         return false;
       out->remove = plan_make_room (s, m, w, now, missing_mb, &removal);
       if (!out->remove)
@@ -177,7 +177,7 @@
       try_set (c, &v->cold.servers);
       return;
     }
-  if (m->want.need == NEED_SPARE_ROOM || plan_weights_elsewhere (NULL, m)
+  if (m->want.need == NEED_SPARE_ROOM || plan_replica_elsewhere (NULL, m)
       || c->now_ms < m->room_searched_ms + PLAN_SEARCH_ROOM_MS)
     {
       try_with_room (c, m);
--- a/tests/plainplan.c
+++ b/tests/plainplan.c
@@ -162,6 +162,17 @@
   return false;
 }
 
+static bool
+replica_elsewhere (const struct view *v, const struct fleet_server *s,
+                   const struct fleet_model *m)
+{
+  for (const struct fleet_server *o = v->fleet->servers; o; o = o->hh.next)
+    if (o != s && fleet_usable (o) && o->service == v->service
+        && weights_of (o, m) != WEIGHTS_STORE && !replica_of (o, m))
+      return true;
+  return false;
+}
+
 static double
 removal_cost (const struct view *v, const struct fleet_server *s,
               const struct replica *r, const struct fleet_model *for_whom,
@@ -295,7 +306,7 @@
   if (missing_mb > 0)
     {
       if (w->need == NEED_SPARE_ROOM || now < v->fleet->term_ms + 600
-          || (cold && weights_elsewhere (v, s, m)))
+          || (cold && replica_elsewhere (v, s, m)))
         return false;
       out->remove = make_room (v, s, m, w, missing_mb, &removal);
       if (!out->remove)
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -25,11 +25,12 @@
 routing_create (void)
 {
   json_t *json = json_pack (
-      "{s:i, s:[], s:[{s:s, s:{s:i, s:i, s:i, s:i, s:[o, o, o, o]}}]}",
+      "{s:i, s:[], s:[{s:s, s:{s:i, s:i, s:i, s:i, s:[o, o, o, o, o]}}]}",
       "version", 1, "routes", "services", "name", "lm", "engine", "slots", 8,
       "weights_mb", SERVER_MB, "adapter_slots", 2, "loads_per_s", 3, "models",
       model_json ("a", SMALL_MB), model_json ("b", SMALL_MB),
-      model_json ("c", SMALL_MB), model_json ("large", LARGE_MB));
+      model_json ("c", SMALL_MB), model_json ("d", SMALL_MB),
+      model_json ("large", LARGE_MB));
   struct routing *r = routing_decode (json);
 
   json_decref (json);
@@ -117,6 +118,101 @@
     }
 }
 
-static const struct suite_case cases[]
-    = { { "room for a large model", test_room_for_large } };
+#define SERVERS_MAX 3
+#define CROWD 40
+
+/* A server by the letters of the models that it holds and that its disk has
+   besides. */
+struct holds
+{
+  const char *held;
+  const char *disk;
+};
+
+static void
+add_server (struct fleet *f, const char *id, const struct holds *h)
+{
+  struct held_model held[4];
+  struct str disk[8];
+  size_t held_count = 0;
+  size_t disk_count = 0;
+  const struct server_entry entry = { .id = str_from (id),
+                                      .service = STR ("lm"),
+                                      .address = STR ("10.0.0.1:80"),
+                                      .domain = str_from (id),
+                                      .started_ms = 1,
+                                      .slots = 8 };
+
+  for (const char *p = h->held; *p; p++)
+    {
+      held[held_count++] = (struct held_model){ .name = { p, 1 } };
+      disk[disk_count++] = (struct str){ p, 1 };
+    }
+  for (const char *p = h->disk; *p; p++)
+    disk[disk_count++] = (struct str){ p, 1 };
+  const struct server_report report = { .started_ms = 1,
+                                        .models = held,
+                                        .model_count = held_count,
+                                        .on_disk = { disk, disk_count } };
+  fleet_entry (f, &entry);
+  CU_ASSERT_PTR_NOT_NULL (fleet_next_report (f, NOW));
+  fleet_report (f, entry.id, &report, NOW);
+}
+
+/* Guards against a model that stays crowded because the only servers that have
+   its weights hold it already: after a loss of power three servers turned
+   away most of one model's calls for 20 s, while others held idle models. */
+static void
+test_crowded_everywhere (void)
+{
+  static const struct
+  {
+    struct holds servers[SERVERS_MAX];
+    const char *server; /* that makes room for "a"; NULL for none */
+    bool crowded;
+  } cases[] = {
+    { { { "abc", "" }, { "abc", "" }, { "bcd", "" } }, NULL, false },
+    /* From the weight store, in place of idle models. */
+    { { { "a", "bc" }, { "a", "bc" }, { "bcd", "" } }, "2", true },
+    /* A server with the weights comes first. */
+    { { { "a", "bc" }, { "bcd", "a" }, { "bcd", "" } }, "1", true },
+  };
+  static const char *const ids[] = { "0", "1", "2" };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct routing *routing = routing_create ();
+      struct fleet *f = fleet_create ();
+      const struct fleet_wish crowd
+          = { .service = STR ("lm"),
+              .model = STR ("a"),
+              .running = cases[i].crowded ? CROWD : 1,
+              .rate = 20 };
+      struct order order = { 0 };
+      struct order_reason why;
+
+      fleet_routing (f, routing, 5000);
+      fleet_term (f, 0, 1);
+      for (size_t j = 0; j < SERVERS_MAX; j++)
+        add_server (f, ids[j], &cases[i].servers[j]);
+      fleet_node_begin (f, STR ("node"), NOW);
+      fleet_node_wish (f, STR ("node"), &crowd, NOW);
+      const struct fleet_server *s = fleet_next_order (f, NOW, &order, &why);
+      CU_ASSERT_EQUAL (s != NULL, cases[i].server != NULL);
+      if (s && cases[i].server)
+        {
+          CU_ASSERT_EQUAL (order.kind, ORDER_UNLOAD);
+          CU_ASSERT_TRUE (str_eq (why.for_model, STR ("a")));
+          CU_ASSERT_TRUE (
+              str_eq (fleet_server_id (s), str_from (cases[i].server)));
+        }
+      fleet_destroy (f);
+      routing_destroy (routing);
+    }
+}
+
+static const struct suite_case cases[] = {
+  { "room for a large model", test_room_for_large },
+  { "crowded everywhere", test_crowded_everywhere },
+};
 TEST_SUITE ("plan", cases)
