--- a/src/edge/freshness.c
+++ b/src/edge/freshness.c
@@ -2,7 +2,7 @@
 
 /* A stale view delivers a change within this time of the news of it, or the
    store is asked for a fresh one. */
-#define LAG_MS 200
+#define LAG_MS 500
 
 void
 freshness_trust (struct freshness *f, bool trusted)
--- a/src/http.c
+++ b/src/http.c
@@ -564,6 +564,12 @@
     release_call (c);
 }
 
+bool
+http_answering (const struct http_call *c)
+{
+  return c->head_bytes > 0;
+}
+
 struct str
 http_header (const struct http_call *c, const char *name)
 {
--- a/src/http.h
+++ b/src/http.h
@@ -74,6 +74,8 @@
 /** http_cancel() - end a call at once and close its connection; no callback.
  */
 void http_cancel (struct http_call *call);
+/** http_answering() - has the head of the answer begun to arrive. */
+bool http_answering (const struct http_call *call);
 /** http_header() - response header by name (any case), or the empty string. */
 struct str http_header (const struct http_call *call, const char *name);
 
