--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -22,6 +22,9 @@
 /* What a node told of the store is believed for this long. */
 #define AGREED_MS 600
 #define DRAIN_CHECK_MS 20
+/* Reports that are asked for at once; a new holder needs one of each server.
+ */
+#define REPORTS_AT_ONCE 64
 /* A node takes a free lease after this time divided by the bandwidth of its
    link: the holder's digests go to all nodes, so a wide link goes first. */
 #define LINK_DELAY_MS_MBPS 10000.0
@@ -192,6 +195,7 @@
   struct placer *p = o->placer;
 
   p->changed = true;
+  p->reports_open--;
   if (o->fence == p->fence)
     fleet_report (p->fleet, o->server_id, report, clock_ms ());
   str_free (&o->server_id);
@@ -207,6 +211,7 @@
   o->placer = p;
   o->server_id = str_dup (fleet_server_id (s));
   o->fence = p->fence;
+  p->reports_open++;
   report_get (p->http, fleet_server_address (s), o->server_id, on_report, o);
 }
 
@@ -221,7 +226,8 @@
   if (!p->holding)
     return;
   fleet_advance (p->fleet, clock_ms ());
-  while ((s = fleet_next_report (p->fleet, clock_ms ())))
+  while (p->reports_open < REPORTS_AT_ONCE
+         && (s = fleet_next_report (p->fleet, clock_ms ())))
     ask_report (p, s);
   while (may_order (p)
          && (s = fleet_next_order (p->fleet, clock_ms (), &order, &why)))
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -60,6 +60,7 @@
   bool changed; /* servers hold other than was told */
   uint64_t fence;
   uint64_t lost_fence;    /* of this node's last lease that is over */
+  uint32_t reports_open;  /* asked for and not answered */
   uint64_t told_ms;       /* last digest of this node's demand */
   uint64_t told_fence;    /* of the holder that was last told */
   unsigned whole_left;    /* digests to it that still tell all demand */
