Tell servers again at rest in a time that grows with their number

The holder told each server to all nodes each 10 s, changed or not, and a new one each second for 5 s: at 2,998 servers and 297 nodes some 300 tellings a second to all. Digests are numbered and a node that misses one asks, so the refresh only guards against what nobody foresaw: it now comes after 0.1 s for each server, 10 s at least. A new server is told again after 2.5 s and 5 s: nodes that do not know it yet drop what they are told, and know it one pause of their feed later.

--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -67,6 +67,8 @@
 /** fleet_suspect() - a node cannot reach a server. The server is asked for a
  * report; without one, it counts as down until it gives one. */
 void fleet_suspect (struct fleet *fleet, uint64_t server, uint64_t now_ms);
+/** fleet_servers() - number of servers that are known. */
+uint32_t fleet_servers (const struct fleet *fleet);
 /** fleet_nodes() - nodes that tell their demand. Until all had time to hear of
  * this holder, at least as many as the holder before knew of. */
 uint32_t fleet_nodes (const struct fleet *fleet, uint64_t now_ms);
--- a/src/edge/fleet_demand.c
+++ b/src/edge/fleet_demand.c
@@ -263,6 +263,12 @@
       = (struct node_load){ .server = server, .running = running };
 }
 
+uint32_t
+fleet_servers (const struct fleet *f)
+{
+  return (uint32_t)HASH_COUNT (f->servers);
+}
+
 uint32_t
 fleet_nodes (const struct fleet *f, uint64_t now)
 {
--- a/src/edge/fleet_views.c
+++ b/src/edge/fleet_views.c
@@ -7,7 +7,7 @@
 #define RUNNING_STEP 2
 /* Nodes that do not know a server yet drop what they are told of it, so a new
    one is told again at this interval for a while. */
-#define NEW_REFRESH_MS 1000
+#define NEW_REFRESH_MS 2500
 #define NEW_MS 5000
 
 static struct fleet_view
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -10,9 +10,11 @@
 
 /* The holder tells at this interval that it is alive. */
 #define ALIVE_MS 250
-/* A server is told again after this time, also without a change. Nodes that
-   notice a lost digest ask at once. */
-#define REFRESH_MS 10000
+/* A server is told again after the larger of these, also without a change: a
+   time, and one for each server, so that what is told at rest does not grow
+   with the servers. Nodes that notice a lost digest ask at once. */
+#define REFRESH_MIN_MS 10000
+#define REFRESH_SERVER_MS 100
 /* Shortest pause between two digests for all nodes, and what each node that
    hears them adds to it. */
 #define BROADCAST_GAP_MS 10
@@ -294,6 +296,14 @@
     flush (&n);
 }
 
+static uint32_t
+refresh_ms (const struct placer *p)
+{
+  const uint32_t ms = fleet_servers (p->fleet) * REFRESH_SERVER_MS;
+
+  return ms > REFRESH_MIN_MS ? ms : REFRESH_MIN_MS;
+}
+
 /* Without a digest for long, the nodes would take the holder for gone. */
 static void
 tell_alive (struct outgoing *n, uint64_t now)
@@ -324,7 +334,7 @@
   p->changed = false;
   p->scanned_ms = now;
   fleet_each_running (p->fleet, add_running, &n);
-  fleet_each_changed (p->fleet, now, REFRESH_MS, add_server, &n);
+  fleet_each_changed (p->fleet, now, refresh_ms (p), add_server, &n);
   if (n.server_count > 0 || n.running_count > 0)
     flush (&n);
   if (p->told_sequence != sequence)
