--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -180,6 +180,9 @@
 /** call_close() - log, count and free. */
 void call_close (struct call *call, enum call_end end, int status,
                  const char *reason);
+
+/* ---- call_budget.c ---- */
+
 /** call_retry_take() - may the call be sent once more. */
 bool call_retry_take (struct call *call);
 /** call_retry_left() - would call_retry_take() allow it. */
--- a/src/edge/calls.c
+++ b/src/edge/calls.c
@@ -4,7 +4,6 @@
 
 #include "clock.h"
 #include "edge/edge.h"
-#include "edge/placer.h"
 #include "log.h"
 #include "metrics.h"
 #include "random.h"
@@ -21,9 +20,6 @@
 /* A call is ended this long before the client stops waiting, so that the
    answer still arrives. */
 #define DEADLINE_RESERVE_MS 30
-/* Nodes that may share a retry budget before there was any placement holder.
- */
-#define NODES_UNKNOWN 8
 /* Clients leave a stream after a pause of the longest of these: a time, some
    latency objectives, some pauses that are still on time. */
 #define PATIENCE_MIN_MS 2000
@@ -153,67 +149,6 @@
   uv_close ((uv_handle_t *)&c->timer, free_call);
 }
 
-/* ---- retry budget ---- */
-
-static struct retries *
-retries_of (struct calls *all, struct str service)
-{
-  struct service_retries *r;
-
-  HASH_FIND (hh, all->retries, service.data, service.len, r);
-  if (!r)
-    {
-      r = xcalloc (1, sizeof *r);
-      r->service = str_dup (service);
-      HASH_ADD_KEYPTR (hh, all->retries, r->service.data, r->service.len, r);
-    }
-  return &r->retries;
-}
-
-static uint32_t
-budget_nodes (const struct call *c)
-{
-  const uint32_t nodes = placer_nodes (placer_get (c->calls->kernel));
-
-  return nodes > 0 ? nodes : NODES_UNKNOWN;
-}
-
-static enum retry_cause
-retry_cause (const struct call *c)
-{
-  return c->runs > 0 ? RETRY_BEGUN : RETRY_REFUSABLE;
-}
-
-bool
-call_retry_take (struct call *c)
-{
-  return retries_take (retries_of (c->calls, c->service),
-                       &c->calls->retry_limits, retry_cause (c),
-                       budget_nodes (c), clock_ms ());
-}
-
-bool
-call_retry_left (struct call *c)
-{
-  return retries_left (retries_of (c->calls, c->service),
-                       &c->calls->retry_limits, retry_cause (c),
-                       budget_nodes (c), clock_ms ());
-}
-
-void
-call_retry_give_back (struct call *c)
-{
-  retries_give_back (retries_of (c->calls, c->service),
-                     &c->calls->retry_limits, clock_ms ());
-}
-
-void
-call_count_first (struct call *c)
-{
-  retries_first (retries_of (c->calls, c->service), &c->calls->retry_limits,
-                 clock_ms ());
-}
-
 /* ---- arrival ---- */
 
 static void
