Tell all nodes of many servers in parts, changed ones first

The bound of a third of the link was looked at before the series only.

A series now stops when it is 100 ms ahead of what the link takes, and goes on when the link is free, ahead of the usual pause. Servers that changed are told before those that are told again. While a series to all runs, further wishes for all servers wait for its end.

Test: unit plan 'told in parts'.

--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -167,20 +167,25 @@
   size_t replica_count;
 };
 
-/** fleet_view_fn - sees a server. */
-typedef void (*fleet_view_fn) (void *ctx, const struct fleet_view *view);
+/** fleet_view_fn - sees a server. Returns false to stop for now. */
+typedef bool (*fleet_view_fn) (void *ctx, const struct fleet_view *view);
 
 /**
  * fleet_each_changed() - call @fn for each listed server that may hold other
  * models than @fn last saw, or was last seen @refresh_ms ago.
+ *
+ * Servers that changed come before those that did not. Returns false when @fn
+ * stopped; the rest is left for the next call.
  */
-void fleet_each_changed (struct fleet *fleet, uint64_t now_ms,
+bool fleet_each_changed (struct fleet *fleet, uint64_t now_ms,
                          uint32_t refresh_ms, fleet_view_fn fn, void *ctx);
 /** fleet_each_listed() - call @fn for all listed servers. */
 void fleet_each_listed (const struct fleet *fleet, fleet_view_fn fn,
                         void *ctx);
-/** fleet_retell() - the next fleet_each_changed() sees all servers. */
+/** fleet_retell() - fleet_each_changed() sees all servers again. */
 void fleet_retell (struct fleet *fleet);
+/** fleet_is_telling() - has fleet_each_changed() more servers to see now. */
+bool fleet_is_telling (const struct fleet *fleet, uint64_t now_ms);
 /** fleet_each_running() - call @fn for servers whose calls changed so much
  * that other nodes should hear of it. */
 void fleet_each_running (struct fleet *fleet,
--- a/src/edge/fleet_views.c
+++ b/src/edge/fleet_views.c
@@ -9,6 +9,9 @@
    one is told again at this interval for a while. */
 #define NEW_REFRESH_MS 2500
 #define NEW_MS 5000
+/* Place in the queue of servers that are told again without a change: behind
+   those that changed, which stand at 0. */
+#define RETELL_MS 1
 
 static struct fleet_view
 view_of (const struct fleet_server *s)
@@ -60,10 +63,16 @@
     {
       s->retell_ms = 0;
       if (s->listed)
-        due_set (&f->tells, &s->tell, 0);
+        due_set (&f->tells, &s->tell, RETELL_MS);
     }
 }
 
+bool
+fleet_is_telling (const struct fleet *f, uint64_t now)
+{
+  return due_first (&f->tells, now) != NULL;
+}
+
 void
 fleet_each_listed (const struct fleet *f, fleet_view_fn fn, void *ctx)
 {
@@ -71,8 +80,8 @@
     {
       const struct fleet_view view = view_of (s);
 
-      if (s->listed)
-        fn (ctx, &view);
+      if (s->listed && !fn (ctx, &view))
+        return;
     }
 }
 
@@ -107,7 +116,7 @@
   return adapter_ms < s->retell_ms ? adapter_ms : s->retell_ms;
 }
 
-void
+bool
 fleet_each_changed (struct fleet *f, uint64_t now, uint32_t refresh_ms,
                     fleet_view_fn fn, void *ctx)
 {
@@ -127,8 +136,10 @@
         continue;
       s->told_hash = hash;
       s->running_told = s->running;
-      fn (ctx, &view);
+      if (!fn (ctx, &view))
+        return false;
     }
+  return true;
 }
 
 void
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -64,6 +64,7 @@
   uint64_t told_ms;       /* last digest of this node's demand */
   uint64_t told_fence;    /* of the holder that was last told */
   unsigned whole_left;    /* digests to it that still tell all demand */
+  bool series_open;       /* changes are left to be told to all nodes */
   uint64_t scanned_ms;    /* when changes for all nodes were last looked for */
   uint64_t broadcast_ms;  /* last digest for all nodes */
   uint64_t told_sequence; /* its number */
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -22,6 +22,9 @@
 /* Part of the holder's link that digests may take; those for nodes that wait
    are sent beyond it and counted. */
 #define LINK_SHARE 0.33
+/* Digests for all nodes are sent so far ahead of what the link takes: a longer
+   series would hold up the renewal of the lease and the node's own calls. */
+#define BURST_MS 100
 /* Bytes beside each datagram on the wire. */
 #define DATAGRAM_HEADER_BYTES 42
 #define BYTES_PER_MS_AND_MBPS 125.0
@@ -112,6 +115,12 @@
   return clock_ms () * 1000 >= p->link_free_us;
 }
 
+static bool
+burst_is_over (const struct placer *p)
+{
+  return p->link_free_us > (clock_ms () + BURST_MS) * 1000;
+}
+
 static void
 send_to (struct placer *p, struct str addr, const struct datagram *d)
 {
@@ -235,7 +244,7 @@
     }
 }
 
-static void
+static bool
 add_server (void *ctx, const struct fleet_view *v)
 {
   struct outgoing *n = ctx;
@@ -243,6 +252,8 @@
   fill_server (v, clock_ms (), &n->servers[n->server_count]);
   if (++n->server_count == SERVERS_PER_DATAGRAM)
     flush (n);
+  /* What is for one node goes out whole. */
+  return n->to.len > 0 || !burst_is_over (n->placer);
 }
 
 static void
@@ -269,7 +280,7 @@
 /* Nodes that want to hear of all servers, one at a time, or all nodes where
    many want to. */
 static void
-tell_all_servers (struct placer *p)
+tell_all_servers (struct placer *p, uint64_t now)
 {
   struct outgoing n = { .placer = p, .whole = true };
   struct listener *wants = NULL;
@@ -284,14 +295,20 @@
   if (count == 0 || !link_is_free (p))
     return;
   if (count > 1 && count * WHOLE_TO_ALL_DIVISOR > HASH_COUNT (p->listeners))
-    for (struct listener *l = p->listeners; l; l = l->hh.next)
-      l->wants_whole = false;
+    {
+      if (fleet_is_telling (p->fleet, now))
+        return;
+      for (struct listener *l = p->listeners; l; l = l->hh.next)
+        l->wants_whole = false;
+      fleet_retell (p->fleet);
+      p->series_open = true;
+    }
   else
     {
       wants->wants_whole = false;
       n.to = wants->addr;
+      fleet_each_listed (p->fleet, add_server, &n);
     }
-  fleet_each_listed (p->fleet, add_server, &n);
   if (n.whole || n.server_count > 0)
     flush (&n);
 }
@@ -322,25 +339,27 @@
   const uint64_t sequence = p->told_sequence;
 
   fleet_each_awaited (p->fleet, now, tell_waiter, p);
-  tell_all_servers (p);
-  if (now < p->scanned_ms + BROADCAST_GAP_MS
-                + BROADCAST_GAP_NODE_MS * HASH_COUNT (p->listeners))
+  tell_all_servers (p, now);
+  if (!p->series_open
+      && now < p->scanned_ms + BROADCAST_GAP_MS
+                   + BROADCAST_GAP_NODE_MS * HASH_COUNT (p->listeners))
     return false;
   if (!link_is_free (p))
     {
       tell_alive (&n, now);
       return false;
     }
-  p->changed = false;
   p->scanned_ms = now;
   fleet_each_running (p->fleet, add_running, &n);
-  fleet_each_changed (p->fleet, now, refresh_ms (p), add_server, &n);
+  p->series_open
+      = !fleet_each_changed (p->fleet, now, refresh_ms (p), add_server, &n);
+  p->changed = p->series_open;
   if (n.server_count > 0 || n.running_count > 0)
     flush (&n);
   if (p->told_sequence != sequence)
     p->broadcast_ms = now;
   tell_alive (&n, now);
-  return true;
+  return !p->series_open;
 }
 
 /* ---- demand ---- */
--- a/tests/bench_plan.c
+++ b/tests/bench_plan.c
@@ -213,13 +213,14 @@
     }
 }
 
-static void
+static bool
 see_server (void *ctx, const struct fleet_view *view)
 {
   unsigned *n = ctx;
 
   (void)view;
   (*n)++;
+  return true;
 }
 
 static unsigned
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -211,7 +211,59 @@
     }
 }
 
+struct seen
+{
+  char ids[8]; /* of servers, in the order in which they were told */
+  size_t count;
+  size_t most;
+};
+
+static bool
+see (void *ctx, const struct fleet_view *v)
+{
+  struct seen *seen = ctx;
+
+  for (char id = '0'; id <= '9'; id++)
+    if (v->hash == str_hash ((struct str){ &id, 1 }, 0))
+      seen->ids[seen->count++] = id;
+  return seen->count < seen->most;
+}
+
+/* Guards against a new holder that tells all servers to all nodes in one burst
+   (it filled its link, could not renew its lease, and the next one did the
+   same), and against changes that wait behind servers that did not change. */
+static void
+test_told_in_parts (void)
+{
+  static const struct holds holds = { "abc", "" };
+  static const char *const ids[] = { "0", "1", "2" };
+  struct routing *routing = routing_create ();
+  struct fleet *f = fleet_create ();
+  struct seen all = { .most = 8 };
+  struct seen part = { .most = 1 };
+  struct seen rest = { .most = 8 };
+
+  fleet_routing (f, routing, 5000);
+  fleet_term (f, 0, 1);
+  for (size_t i = 0; i < 3; i++)
+    add_server (f, ids[i], &holds);
+  CU_ASSERT_TRUE (fleet_each_changed (f, NOW, 60000, see, &all));
+  CU_ASSERT_EQUAL (all.count, 3);
+  fleet_retell (f);
+  CU_ASSERT_FALSE (fleet_each_changed (f, NOW, 60000, see, &part));
+  CU_ASSERT_EQUAL (part.count, 1);
+  CU_ASSERT_TRUE (fleet_is_telling (f, NOW));
+  add_server (f, "9", &holds);
+  CU_ASSERT_TRUE (fleet_each_changed (f, NOW, 60000, see, &rest));
+  CU_ASSERT_EQUAL (rest.count, 3);
+  CU_ASSERT_EQUAL (rest.ids[0], '9');
+  CU_ASSERT_FALSE (fleet_is_telling (f, NOW));
+  fleet_destroy (f);
+  routing_destroy (routing);
+}
+
 static const struct suite_case cases[] = {
+  { "told in parts", test_told_in_parts },
   { "room for a large model", test_room_for_large },
   { "crowded everywhere", test_crowded_everywhere },
 };
