--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -223,9 +223,11 @@
 {
   struct seen *seen = ctx;
 
-  for (char id = '0'; id <= '9'; id++)
-    if (v->hash == str_hash ((struct str){ &id, 1 }, 0))
-      seen->ids[seen->count++] = id;
+  static const char ids[] = "0123456789";
+
+  for (size_t i = 0; i < sizeof ids - 1; i++)
+    if (v->hash == str_hash ((struct str){ &ids[i], 1 }, 0))
+      seen->ids[seen->count++] = ids[i];
   return seen->count < seen->most;
 }
 
