--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -154,7 +154,8 @@
   call_proceed (c);
 }
 
-/* The client left before the first byte of its call was sent. */
+/* The client left while the connection to the server was opened; nothing of
+   its call was sent. */
 static void
 on_withdrawn (struct call *c)
 {
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -94,7 +94,7 @@
   bool whole; /* begin of all servers, for a node that missed some */
   bool active; /* the holder gives orders */
   unsigned hyper lease_revision; /* of the lease's object */
-  bool store_current; /* no newer change than these two is known to be missed */
+  bool store_current; /* the holder reads all changes of the store as they come */
   unsigned hyper config_revision;  /* newest change of the configuration */
   unsigned hyper servers_revision; /* newest change of the servers' entries */
   unsigned int entries; /* nodes that tell their demand */
--- a/src/edge/fleet_views.c
+++ b/src/edge/fleet_views.c
@@ -9,8 +9,8 @@
    one is told again at this interval for a while. */
 #define NEW_REFRESH_MS 2500
 #define NEW_MS 5000
-/* Place in the queue of servers that are told again without a change: behind
-   those that changed, which stand at 0. */
+/* Servers that are told again without a change are due at this time, long
+   past, but after those that changed, which are due at 0. */
 #define RETELL_MS 1
 
 static struct fleet_view
--- a/src/edge/freshness.h
+++ b/src/edge/freshness.h
@@ -3,10 +3,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Whether a call to the platform's store may be answered from a stale view,
-   which costs a tenth. Another node, the placement holder, reads fresh and
-   tells the revision of the newest change; a stale view that lacks it is
-   noticed. Pure: times and revisions in, a decision out. */
+/* Whether a call to the platform's store may be answered from a stale view:
+   one that may be seconds old, and costs a tenth of a fresh read. The
+   placement holder reads fresh and tells all nodes the revision of the newest
+   change, so a view that lacks it is noticed. Pure: times and revisions in, a
+   decision out. */
 
 /**
  * struct freshness - of what a node knows of one kind of objects. Zero at the
--- a/src/edge/placer_tell.c
+++ b/src/edge/placer_tell.c
@@ -22,8 +22,9 @@
 /* Part of the holder's link that digests may take; those for nodes that wait
    are sent beyond it and counted. */
 #define LINK_SHARE 0.33
-/* Digests for all nodes are sent so far ahead of what the link takes: a longer
-   series would hold up the renewal of the lease and the node's own calls. */
+/* A series of digests for all nodes stops when its bytes fill the holder's
+   part of the link for this long: a longer one would hold up the renewal of
+   the lease and the node's own calls. */
 #define BURST_MS 100
 /* Bytes beside each datagram on the wire. */
 #define DATAGRAM_HEADER_BYTES 42
@@ -115,6 +116,7 @@
   return clock_ms () * 1000 >= p->link_free_us;
 }
 
+/* Must a series of digests for all nodes stop for now. */
 static bool
 burst_is_over (const struct placer *p)
 {
--- a/tests/suite.c
+++ b/tests/suite.c
@@ -32,8 +32,8 @@
 
 /* ---- tests that are known to fail ---- */
 
-/* Is the test listed in the file that the variable KNOWN_RED names? A test's
-   line there is "SUITE / CASE". */
+/* Is the test listed in the file that the variable KNOWN_RED names (`make
+   check` sets it to KNOWN-RED.txt)? The line of a test is "SUITE / CASE". */
 static bool
 is_known_red (const char *suite, const char *name)
 {
