Log and count why the node cut a response

From the log one could not tell a stream that was cut too soon from one whose client was about to leave: the line of a call had the longest pause, but not the time since the last event, and no metric counted cuts by reason.

The line `call` gets silent_ms, and galenagate_cut_total{reason} counts responses that ended early.

--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -93,21 +93,23 @@
             CALL_LOG_FMT
             " server=" STR_FMT
             " end=%s status=%d reason=%s runs=%u rejections=%u wait_ms=%lu"
-            " first_byte_ms=%lu max_gap_ms=%lu total_ms=%lu config=%lu",
+            " first_byte_ms=%lu max_gap_ms=%lu silent_ms=%lu total_ms=%lu"
+            " config=%lu",
             CALL_LOG_ARG (c), STR_ARG (server), end_names[end], status, reason,
             c->possible_runs, c->rejections,
             (c->sent_ms > 0 ? c->sent_ms : now) - c->arrival_ms,
             c->response_start_ms > 0 ? c->response_start_ms - c->arrival_ms
                                      : 0,
-            c->longest_gap_ms, now - c->arrival_ms, c->config_version);
+            c->longest_gap_ms, c->last_part_ms > 0 ? now - c->last_part_ms : 0,
+            now - c->arrival_ms, c->config_version);
 }
 
 static void
-count_refusal (const char *reason)
+count_reason (const char *metric, const char *reason)
 {
   struct str labels = str_printf ("reason=\"%s\"", reason);
 
-  metrics_add ("galenagate_refused_total", labels, 1);
+  metrics_add (metric, labels, 1);
   str_free (&labels);
 }
 
@@ -147,7 +149,9 @@
   log_end (c, end, status, reason);
   count_call_end (c, end);
   if (end == CALL_END_REFUSED)
-    count_refusal (reason);
+    count_reason ("galenagate_refused_total", reason);
+  else if (end == CALL_END_CUT)
+    count_reason ("galenagate_cut_total", reason);
   call_set_waiting (c, false);
   unlink_call (c);
   caller_release (c->caller);
