--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -433,6 +433,7 @@
   add_arg (p, "edge");
   add_flag (p, "--front-addr", p->url + strlen ("http://"));
   add_address (c, p, "--ready-addr", p->ready_url, sizeof p->ready_url);
+  add_address (c, p, "--metrics-addr", p->metrics_url, sizeof p->metrics_url);
   add_address (c, p, "--peer-addr", NULL, 0);
   add_flag (p, "--platform-addr", c->store->url + strlen ("http://"));
   add_flag (p, "--node-name", p->name);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -36,6 +36,7 @@
  * @url: base URL of its HTTP server, http://ip:port.
  * @bus_addr: ip:port of the bus; set for CLUSTER_NODE only.
  * @ready_url: base URL of the readiness check; set for CLUSTER_EDGE only.
+ * @metrics_url: base URL of the metrics; set for CLUSTER_EDGE only.
  * @leaving: cluster_put_hosts() lists the process with the state "leaving".
  * @pid: 0 while the process is not running.
  * @status: status from waitpid() once the process has exited.
@@ -48,6 +49,7 @@
   char url[48];
   char bus_addr[32];
   char ready_url[48];
+  char metrics_url[48];
   char service[48];
   char domain[48];
   bool leaving;
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -253,14 +253,6 @@
     }
 }
 
-static struct str
-whole_stream (void)
-{
-  return STR ("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
-              "id: 4\ndata: e4\n\nid: 5\ndata: e5\n\nid: 6\ndata: e6\n\n"
-              "id: 7\ndata: e7\n\nid: 8\ndata: e8\n\n");
-}
-
 /* Guards against events that are lost, duplicated or merged when a stream
    resumes at another server, against a cut stream that looks complete, and
    against bytes after the cut that are not part of the stream. */
@@ -290,11 +282,12 @@
       struct cluster_reply r = edgecluster_call (edge, "POST", cases[i].path,
                                                  "id-3", "m1", "prompt");
       const bool whole
-          = r.error == CURLE_OK && str_eq (buf_str (&r.body), whole_stream ());
+          = r.error == CURLE_OK
+            && str_eq (buf_str (&r.body), edgecluster_whole_stream ());
 
       CU_ASSERT_EQUAL (r.status, 200);
       CU_ASSERT_EQUAL (whole, cases[i].whole);
-      CU_ASSERT (str_starts (whole_stream (), buf_str (&r.body)));
+      CU_ASSERT (str_starts (edgecluster_whole_stream (), buf_str (&r.body)));
       if (!cases[i].whole)
         CU_ASSERT_EQUAL (r.error, CURLE_PARTIAL_FILE);
       CU_ASSERT_EQUAL (edgecluster_run_count (servers[0], "id-3"), 1);
@@ -319,7 +312,7 @@
   struct cluster_reply r
       = edgecluster_call (edge, "POST", "/stream/x", "id-4", "m1", "prompt");
   CU_ASSERT_EQUAL (r.error, CURLE_OK);
-  CU_ASSERT (str_eq (buf_str (&r.body), whole_stream ()));
+  CU_ASSERT (str_eq (buf_str (&r.body), edgecluster_whole_stream ()));
   CU_ASSERT_EQUAL (edgecluster_run_count (server, "id-4"), 1);
   cluster_reply_free (&r);
   edgecluster_destroy (&edges);
@@ -489,7 +482,7 @@
       = edgecluster_call (edge, "POST", "/stream/x", id, model, "p");
 
   CU_ASSERT_EQUAL (r.status, 200);
-  CU_ASSERT (str_eq (buf_str (&r.body), whole_stream ()));
+  CU_ASSERT (str_eq (buf_str (&r.body), edgecluster_whole_stream ()));
   cluster_reply_free (&r);
 }
 
@@ -509,7 +502,8 @@
   struct cluster_reply r
       = edgecluster_call (x->edge, "POST", "/stream/x", x->id, x->model, "p");
   const bool served
-      = r.status == 200 && str_eq (buf_str (&r.body), whole_stream ());
+      = r.status == 200
+        && str_eq (buf_str (&r.body), edgecluster_whole_stream ());
 
   CU_ASSERT_TRUE (served || r.status == 503);
   cluster_reply_free (&r);
@@ -694,7 +688,7 @@
   CU_ASSERT_NOT_EQUAL (call_on_handle (first.curl, edge, "id-21"), CURLE_OK);
   CU_ASSERT_EQUAL (edgecluster_run_count (server, "id-21"), 0);
   struct cluster_reply last = cluster_http_wait (other);
-  CU_ASSERT (str_eq (buf_str (&last.body), whole_stream ()));
+  CU_ASSERT (str_eq (buf_str (&last.body), edgecluster_whole_stream ()));
   cluster_reply_free (&last);
   CU_ASSERT_EQUAL (cluster_wait_exit (edge, WAIT_TIMEOUT_MS), 0);
   curl_easy_cleanup (first.curl);
@@ -722,42 +716,6 @@
   edgecluster_destroy (&edges);
 }
 
-/* A line expected in a node's log; it contains all @words. */
-struct expected_line
-{
-  const struct cluster_proc *edge;
-  const char *const *words;
-};
-
-static bool
-log_has_line (void *ctx)
-{
-  const struct expected_line *x = ctx;
-  FILE *f = fopen (x->edge->log, "r");
-  char line[4096];
-  bool found = false;
-
-  while (f && !found && fgets (line, sizeof line, f))
-    {
-      found = true;
-      for (size_t i = 0; x->words[i]; i++)
-        found = found && strstr (line, x->words[i]);
-    }
-  if (f)
-    fclose (f);
-  return found;
-}
-
-/* Polls the log, because a node logs a call only after it sent the
-   response. */
-static bool
-wait_logged_line (const struct cluster_proc *edge, const char *const words[])
-{
-  struct expected_line x = { edge, words };
-
-  return cluster_poll_until (log_has_line, &x, WAIT_TIMEOUT_MS);
-}
-
 /* Guards against refusals without a log line that has the call's id, the
    reason, and the configuration and waiting time behind the decision. */
 static void
@@ -788,7 +746,7 @@
   edgecluster_put_server (&edges, engine, "ready", M1_ONLY);
   edgecluster_configure (&edges, 1000);
   CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
-  CU_ASSERT_TRUE (wait_logged_line (
+  CU_ASSERT_TRUE (edgecluster_wait_logged (
       edge,
       (const char *const[]){ "event=call", "id=id-first ", "end=refused",
                              "reason=no-configuration", "config=0", NULL }));
@@ -800,7 +758,7 @@
                             cases[i].model, "x");
       CU_ASSERT_TRUE (r.status == 503 || r.status == 404);
       cluster_reply_free (&r);
-      CU_ASSERT_TRUE (wait_logged_line (
+      CU_ASSERT_TRUE (edgecluster_wait_logged (
           edge, (const char *const[]){ "event=call", id, cases[i].reason,
                                        "config=", "wait_ms=", NULL }));
     }
@@ -854,7 +812,7 @@
   r = edgecluster_call (nodes[0], "POST", "/plain/crash", "id-c9", NULL, "x");
   CU_ASSERT_EQUAL (r.status, 503);
   cluster_reply_free (&r);
-  CU_ASSERT_TRUE (wait_logged_line (
+  CU_ASSERT_TRUE (edgecluster_wait_logged (
       nodes[0], (const char *const[]){ "id=id-c9 ", "end=refused",
                                        "reason=crashes-servers", NULL }));
   r = edgecluster_call (nodes[1], "POST", "/plain/ok", "id-c10", NULL, "x");
--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -9,6 +9,7 @@
 
 #define STORE_WRITE_TIMEOUT_MS 3000
 #define MODEL_COUNT 4
+#define LOG_TIMEOUT_MS 15000
 
 struct edgecluster
 edgecluster_create (void)
@@ -206,3 +207,46 @@
   /* A server omits calls that it never ran, and the count is -1 then. */
   return n > 0 ? n : 0;
 }
+
+struct str
+edgecluster_whole_stream (void)
+{
+  return STR ("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+              "id: 4\ndata: e4\n\nid: 5\ndata: e5\n\nid: 6\ndata: e6\n\n"
+              "id: 7\ndata: e7\n\nid: 8\ndata: e8\n\n");
+}
+
+/* A line expected in a node's log; it contains all @words. */
+struct expected_line
+{
+  const struct cluster_proc *edge;
+  const char *const *words;
+};
+
+static bool
+log_has_line (void *ctx)
+{
+  const struct expected_line *x = ctx;
+  FILE *f = fopen (x->edge->log, "r");
+  char line[4096];
+  bool found = false;
+
+  while (f && !found && fgets (line, sizeof line, f))
+    {
+      found = true;
+      for (size_t i = 0; x->words[i]; i++)
+        found = found && strstr (line, x->words[i]);
+    }
+  if (f)
+    fclose (f);
+  return found;
+}
+
+bool
+edgecluster_wait_logged (const struct cluster_proc *edge,
+                         const char *const *words)
+{
+  struct expected_line x = { edge, words };
+
+  return cluster_poll_until (log_has_line, &x, LOG_TIMEOUT_MS);
+}
--- a/tests/edgecluster.h
+++ b/tests/edgecluster.h
@@ -57,3 +57,11 @@
  * id. */
 json_int_t edgecluster_run_count (const struct cluster_proc *server,
                                   const char *id);
+/** edgecluster_whole_stream() - return the complete stream of a model server,
+ * the events 1 to 8. */
+struct str edgecluster_whole_stream (void);
+/** edgecluster_wait_logged() - wait until the log of a node has a line with
+ * all @words, which NULL ends; false after a timeout. A node logs a call only
+ * after it sent the response. */
+bool edgecluster_wait_logged (const struct cluster_proc *edge,
+                              const char *const *words);
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -28,6 +28,8 @@
   uint32_t load_ms;
   uint32_t delay_ms;
   uint32_t event_gap_ms;
+  uint32_t reject_first;
+  uint32_t reject_after;
 };
 
 /* Longer than a node waits for the next event when it can resume the stream on
@@ -57,6 +59,11 @@
     FIELD (delay_ms), "0", 0, 60000 },
   { "event-gap-ms", "MS", "pause between the events of a stream", SETTING_U32,
     FIELD (event_gap_ms), "20", 1, 60000 },
+  { "reject-first", "N", "calls rejected as full before one is executed",
+    SETTING_U32, FIELD (reject_first), "0", 0, 1000 },
+  { "reject-after", "N",
+    "executed calls after which all others are rejected as full; 0 for never",
+    SETTING_U32, FIELD (reject_after), "0", 0, 1000 },
 };
 
 static struct options options;
@@ -66,6 +73,8 @@
 static json_t *ports;   /* caller's port by attempt ID */
 static json_t *orders;  /* accepted orders, oldest first */
 static json_int_t arrivals;
+static uint32_t calls_executed;
+static uint32_t calls_rejected; /* because of --reject-first */
 /* Calls whose caller disconnected before the end of the response. */
 static json_int_t calls_abandoned;
 static json_int_t capacity_violations; /* loads ordered beyond capacity */
@@ -385,6 +394,21 @@
   standin_error (req, status, "not_run");
 }
 
+/* Returns true if the call is to be rejected as by a server without a free
+   slot. */
+static bool
+is_full (void)
+{
+  if (has_fault ("shed"))
+    return true;
+  if (options.reject_after > 0 && calls_executed >= options.reject_after)
+    return true;
+  if (calls_rejected >= options.reject_first)
+    return false;
+  calls_rejected++;
+  return true;
+}
+
 static json_int_t
 caller_port (const h2o_req_t *req)
 {
@@ -503,12 +527,13 @@
   arrivals++;
   if (expected.len > 0 && !str_eq (expected, options.id))
     reject_call (req, 421);
-  else if (has_fault ("shed"))
+  else if (is_full ())
     reject_call (req, 503);
   else if (is_model_server () && !holds (model))
     reject_call (req, 421);
   else
     {
+      calls_executed++;
       record_run (req);
       if (str_eq (standin_path (req), STR ("/plain/crash")))
         _exit (1);
