Count the wait of a begun stream from its last event

Callers lost a stream in the middle of the answer: its server broke off or stayed silent, the next one was full for a moment, and the node closed the connection 17 to 25 ms later, although the client waits for 2 s and more for the next event.

Cause: wait_deadline_ms says how long a client waits for the first event and was set once, from the arrival. A stream that lasted longer than that, 1.9 s on most routes, could not wait at all. The deadline is now worked out when it is needed: from the arrival until the response starts, less the time that a refusal needs to reach the client; from the last event afterwards.

Ruled out: a longer fixed deadline, which would hold calls whose client has left before the first event.

--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -77,7 +77,8 @@
  *   there was none.
  * @response_deadline_ms: the response is sent by this time, a little before
  *   @client_deadline_ms when the client set the deadline.
- * @wait_deadline_ms: a call that has no server by this time is refused.
+ * @event_wait_ms: the client abandons a stream after this time without an
+ *   event; 0 for other calls.
  * @client_deadline_ms: when the client stops waiting.
  * @possible_runs: attempts that may have been executed.
  * @rejections: attempts that were certainly not executed.
@@ -118,7 +119,7 @@
   bool resumable;
   uint64_t arrival_ms;
   uint64_t response_deadline_ms;
-  uint64_t wait_deadline_ms;
+  uint64_t event_wait_ms;
   uint64_t client_deadline_ms;
   uint32_t possible_runs;
   uint32_t rejections;
@@ -205,6 +206,10 @@
 
 /* ---- call_table.c ---- */
 
+/** call_wait_deadline_ms() - when the call stops waiting for a server. Before
+ * the response has started a refusal must still reach the client; afterwards
+ * the next event must arrive before the client abandons the stream. */
+uint64_t call_wait_deadline_ms (const struct call *call);
 /** call_set_waiting() - set call->waiting and update the demand counters. */
 void call_set_waiting (struct call *call, bool waiting);
 /** call_close() - log, count and free a call. */
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -435,7 +435,7 @@
             ? pool_ready_in (site_pool (c->calls->site), criteria, now)
             : UINT32_MAX;
 
-  if (ready_in != UINT32_MAX && now + ready_in > c->wait_deadline_ms)
+  if (ready_in != UINT32_MAX && now + ready_in > call_wait_deadline_ms (c))
     {
       call_give_up (c, ready_in, "model-loads-too-late");
       return;
@@ -449,7 +449,7 @@
             " reason=%s ready_in_ms=%ld max_wait_ms=%lu config=%lu",
             CALL_LOG_ARG (c), wait_reason_names[result],
             ready_in == UINT32_MAX ? -1L : (long)ready_in,
-            remaining_ms (c->wait_deadline_ms), c->config_version);
+            remaining_ms (call_wait_deadline_ms (c)), c->config_version);
   if (result == POOL_NO_MODEL || result == POOL_NO_ADAPTER)
     kernel_publish (c->calls->kernel, TOPIC_DEMAND, NULL, NULL);
 }
