Do not end a begun stream for a condition that may pass

Callers lost a stream in the middle of the answer at once when, for a moment, the retry budget was used up, no server was listed, six attempts had been rejected, the only replica was loading, or the node was stopping and half of its grace period was over.

Cause: these rules are for calls that have not begun. There a refusal is truthful and tells the client when to return; a begun response can only be cut. Such a call now waits, like one whose servers are full, until its client stops waiting for the next event or the deadline comes. Each repeat still draws on the retry budget, and a server that rejects is left alone for 50 to 800 ms, so that rejections stay few without a limit of their own.

--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -188,7 +188,7 @@
       break;
     }
   avoid_server (c);
-  if (c->rejections >= REJECTIONS_MAX)
+  if (c->rejections >= REJECTIONS_MAX && !c->response_started)
     call_refuse (c, 0, "turned-away");
   else
     call_dispatch (c);
@@ -396,8 +396,10 @@
 
 /* ---- dispatch ---- */
 
+/* POOL_CHOSEN: a server could take the call, but the retry budget does not
+   allow it yet. */
 static const char *const wait_reason_names[] = {
-  [POOL_CHOSEN] = "chosen",         [POOL_NO_SERVER] = "no-server",
+  [POOL_CHOSEN] = "retry-budget",   [POOL_NO_SERVER] = "no-server",
   [POOL_NO_MODEL] = "no-model",     [POOL_NO_ADAPTER] = "no-adapter",
   [POOL_FULL] = "all-servers-full",
 };
@@ -435,7 +437,8 @@
             ? pool_ready_in (site_pool (c->calls->site), criteria, now)
             : UINT32_MAX;
 
-  if (ready_in != UINT32_MAX && now + ready_in > call_wait_deadline_ms (c))
+  if (!c->response_started && ready_in != UINT32_MAX
+      && now + ready_in > call_wait_deadline_ms (c))
     {
       call_give_up (c, ready_in, "model-loads-too-late");
       return;
@@ -485,12 +488,15 @@
       call_drop (c, "left-before-send");
       return;
     }
-  if (result == POOL_NO_SERVER)
-    call_give_up (c, 0, "no-server");
-  else if (result != POOL_CHOSEN)
+  if (result == POOL_CHOSEN && admit_send (c))
+    send_to (c, server, criteria.engine != NULL);
+  else if (c->response_started)
+    /* A cut can't be taken back, and each of these conditions may pass. */
     wait (c, &criteria, result);
-  else if (!admit_send (c))
+  else if (result == POOL_CHOSEN)
     call_give_up (c, 0, "retry-budget");
+  else if (result == POOL_NO_SERVER)
+    call_give_up (c, 0, "no-server");
   else
-    send_to (c, server, criteria.engine != NULL);
+    wait (c, &criteria, result);
 }
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -412,7 +412,7 @@
   for (struct call *c = calls->first; c; c = next)
     {
       next = c->next;
-      if (c->waiting)
+      if (c->waiting && !c->response_started)
         call_give_up (c, 0, "node-stops");
     }
 }
