--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -160,6 +160,18 @@
  * if it was certainly not executed, and fails otherwise. */
 void call_give_up (struct call *call, uint32_t retry_after_ms,
                    const char *reason);
+/** call_criteria() - what the call requires of its server. */
+struct pool_criteria call_criteria (const struct call *call);
+/** call_ms_until() - time until @end_ms, 0 if it has passed. */
+uint64_t call_ms_until (uint64_t end_ms);
+
+/* ---- call_attempt.c ---- */
+
+/** call_start_attempt() - send the call to a server.
+ * @engine: the call's service has an engine.
+ */
+void call_start_attempt (struct call *call, struct pool_server *server,
+                         bool engine);
 /** call_cancel_attempt() - cancel the attempt in flight, if there is one. */
 void call_cancel_attempt (struct call *call);
 
