Keep a silent server's attempt until another server has taken the call

Callers saw a stream end in the middle, or got 502, although their server was sound and had only paused.

Cause: when a server was silent, the node ended the attempt as soon as another server looked free. If that one rejected the call, no attempt was left: the call waited for a server until its client stopped waiting.

Now the call is sent to the second server while the first attempt stays open. An attempt is an object of its own (struct call_attempt), and a call has at most two. The first event or complete response of either decides, and the other one is cancelled; both go on from the same last event, so that no event is mixed, lost or duplicated. A second server that rejects the call, accepts no connection or breaks off leaves the first attempt as it is, and the check of the silent server may try another one. Attempts in flight count against max_attempts, and each handover is taken from the retry budget.

A response that is not a stream and has started is no longer repeated; before, the rest of a second response could have been appended to it (read in the code, not reproduced).

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -12,56 +12,50 @@
 #define REJECTION_BACKOFF_MS 60
 /* Rejections by servers after which a call is refused. */
 #define REJECTIONS_MAX 6
-/* A repeatable call is sent to another server when the first one sends
-   nothing for this many times the latency objective. */
-#define SILENCE_LATENCY_FACTOR 3
-#define SILENCE_TIMEOUT_MIN_MS 300
-/* A resumable stream moves to another server after a pause of this many times
-   the longest on-time pause between events. Engines also pause when they
-   preempt, which the factor allows for. */
-#define EVENT_GAP_FACTOR 5
-#define EVENT_GAP_TIMEOUT_MIN_MS 1000
 #define PRIORITY_LOWEST 9
 #define STATUS_BAD_GATEWAY 502
 #define STATUS_GATEWAY_TIMEOUT 504
 
-static bool
-repeatable (const struct call *c)
+bool
+call_repeatable (const struct call *c)
 {
-  return c->kind == CALL_IDEMPOTENT
+  return (c->kind == CALL_IDEMPOTENT && !c->response_started)
          || (c->kind == CALL_STREAM && c->resumable);
 }
 
-static bool
-has_attempts_left (const struct call *c)
+static uint32_t
+in_flight_count (const struct call *c)
 {
-  return c->possible_runs < c->max_attempts;
+  uint32_t n = 0;
+
+  for (size_t i = 0; i < CALL_ATTEMPTS_IN_FLIGHT_MAX; i++)
+    n += c->attempts[i].forward != NULL;
+  return n;
 }
 
-static uint32_t
-first_event_timeout (const struct call *c)
+bool
+call_in_flight (const struct call *c)
 {
-  uint32_t timeout_ms = c->latency_objective_ms * SILENCE_LATENCY_FACTOR;
+  return in_flight_count (c) > 0;
+}
+
+uint32_t
+call_attempts_left (const struct call *c)
+{
+  const uint32_t used = c->possible_runs + in_flight_count (c);
 
-  /* A timeout helps only a call that can be sent once more. */
-  if (!repeatable (c) || c->possible_runs + 1 >= c->max_attempts)
-    return 0;
-  if (timeout_ms < SILENCE_TIMEOUT_MIN_MS)
-    timeout_ms = SILENCE_TIMEOUT_MIN_MS;
-  if (timeout_ms > call_ms_until (c->response_deadline_ms) / 2)
-    timeout_ms = (uint32_t)(call_ms_until (c->response_deadline_ms) / 2);
-  return timeout_ms;
+  return used < c->max_attempts ? c->max_attempts - used : 0;
 }
 
-static uint32_t
-event_gap_timeout (const struct call *c)
+struct call_attempt *
+call_other_attempt (const struct call_attempt *a)
 {
-  const uint32_t timeout_ms = c->event_gap_ms * EVENT_GAP_FACTOR;
+  struct call *c = a->call;
 
-  if (!repeatable (c) || c->possible_runs + 1 >= c->max_attempts)
-    return 0;
-  return timeout_ms > EVENT_GAP_TIMEOUT_MIN_MS ? timeout_ms
-                                               : EVENT_GAP_TIMEOUT_MIN_MS;
+  for (size_t i = 0; i < CALL_ATTEMPTS_IN_FLIGHT_MAX; i++)
+    if (&c->attempts[i] != a && c->attempts[i].forward)
+      return &c->attempts[i];
+  return NULL;
 }
 
 static void
@@ -73,11 +67,79 @@
     c->adapter_demand->running += (uint32_t)change;
 }
 
+/* ---- end of an attempt ---- */
+
+static void
+end_attempt (struct call_attempt *a)
+{
+  pool_call_ended (a->server);
+  add_running_demand (a->call, -1);
+  a->forward = NULL;
+}
+
+static void
+cancel_attempt (struct call_attempt *a)
+{
+  forward_cancel (a->forward);
+  end_attempt (a);
+}
+
+void
+call_cancel_attempts (struct call *c)
+{
+  for (size_t i = 0; i < CALL_ATTEMPTS_IN_FLIGHT_MAX; i++)
+    if (c->attempts[i].forward)
+      {
+        cancel_attempt (&c->attempts[i]);
+        c->server = NULL;
+      }
+}
+
+/* The server failed on the call, which it may have executed. */
+static void
+record_failure (const struct call_attempt *a)
+{
+  call_suspect_crash (a->call, a->server);
+  pool_call_failed (a->server, clock_ms ());
+}
+
+static void
+refund_retry (const struct call_attempt *a)
+{
+  if (a->uses_retry_budget)
+    call_refund_retry (a->call);
+}
+
+/* Cancels the other attempt, because this one has responded first. */
+static void
+select_attempt (struct call_attempt *a)
+{
+  struct call_attempt *other = call_other_attempt (a);
+
+  a->silent = false;
+  if (!other)
+    return;
+  cancel_attempt (other);
+  if (other->sent_ms == 0)
+    {
+      refund_retry (other);
+      return;
+    }
+  a->call->reached_server = true;
+  a->call->possible_runs++;
+  if (other->silent)
+    record_failure (other);
+}
+
+/* ---- events of an attempt ---- */
+
 static void
 on_response_start (void *ctx, const struct http_call *response, int status)
 {
-  struct call *c = ctx;
+  struct call_attempt *a = ctx;
+  struct call *c = a->call;
 
+  select_attempt (a);
   if (c->response_start_ms == 0)
     c->response_start_ms = clock_ms ();
   if (!c->response_started)
@@ -97,85 +159,83 @@
 static void
 on_part (void *ctx, struct str part, uint64_t last_event_id)
 {
-  struct call *c = ctx;
+  struct call_attempt *a = ctx;
+  struct call *c = a->call;
 
+  select_attempt (a);
   c->last_event_id = last_event_id;
   record_gap (c);
   if (caller_write (c->caller, part))
     return;
-  call_cancel_attempt (c);
+  call_cancel_attempts (c);
   call_fail (c, STATUS_BAD_GATEWAY, "client-reads-too-slowly");
 }
 
-static void
-end_attempt (struct call *c)
+bool
+call_avoids (const struct call *c, const struct pool_server *server)
 {
-  pool_call_ended (c->server);
-  add_running_demand (c, -1);
-  c->forward = NULL;
+  return server == c->avoided_server && clock_ms () < c->avoided_until_ms;
 }
 
-void
-call_cancel_attempt (struct call *c)
-{
-  if (!c->forward)
-    return;
-  forward_cancel (c->forward);
-  end_attempt (c);
-  c->server = NULL;
-}
-
-/* Keeps the call away from the server of its last attempt for a short time. */
+/* Keeps the call away from the attempt's server for a short time. */
 static void
-avoid_server (struct call *c)
+avoid_server (const struct call_attempt *a)
 {
-  c->avoided_server = c->server;
-  c->avoided_until_ms = clock_ms () + REJECTION_BACKOFF_MS;
+  a->call->avoided_server = a->server;
+  a->call->avoided_until_ms = clock_ms () + REJECTION_BACKOFF_MS;
 }
 
 /* Connecting failed, so that the server received nothing of the call. */
 static void
-on_connect_failed (struct call *c)
+on_connect_failed (const struct call_attempt *a)
 {
-  call_server_unreachable (c->calls, c->server);
-  if (c->uses_retry_budget)
-    call_refund_retry (c);
-  avoid_server (c);
-  call_dispatch (c);
+  call_server_unreachable (a->call->calls, a->server);
+  refund_retry (a);
+  avoid_server (a);
+  if (!call_in_flight (a->call))
+    call_dispatch (a->call);
 }
 
 /* The client disconnected while the connection to the server was opened;
    nothing of the call was sent. */
 static void
-on_withdrawn (struct call *c)
+on_withdrawn (const struct call_attempt *a)
+{
+  struct call *c = a->call;
+  const char *reason
+      = call_in_flight (c) ? "left-running" : "left-while-connecting";
+
+  refund_retry (a);
+  call_cancel_attempts (c);
+  call_drop (c, reason);
+}
+
+static void
+record_rejection (const struct call_attempt *a, enum forward_outcome outcome)
 {
-  if (c->uses_retry_budget)
-    call_refund_retry (c);
-  call_drop (c, "left-while-connecting");
+  const struct call *c = a->call;
+
+  if (outcome == FORWARD_NO_MODEL)
+    pool_model_missing (a->server, c->meta.model, c->meta.adapter,
+                        clock_ms ());
+  else if (outcome == FORWARD_NOT_EXECUTED)
+    pool_call_rejected (a->server, clock_ms ());
+  else if (outcome == FORWARD_OTHER_SERVER)
+    pool_server_replaced (a->server);
 }
 
 /* The server certainly did not execute the call. */
 static void
-on_rejected (struct call *c, const struct forward_result *r)
+on_rejected (const struct call_attempt *a, const struct forward_result *r)
 {
+  struct call *c = a->call;
+
   c->reached_server = true;
   c->rejections++;
-  switch (r->outcome)
-    {
-    case FORWARD_NO_MODEL:
-      pool_model_missing (c->server, c->meta.model, c->meta.adapter,
-                          clock_ms ());
-      break;
-    case FORWARD_NOT_EXECUTED:
-      pool_call_rejected (c->server, clock_ms ());
-      break;
-    case FORWARD_OTHER_SERVER:
-      pool_server_replaced (c->server);
-      break;
-    default:
-      break;
-    }
-  avoid_server (c);
+  record_rejection (a, r->outcome);
+  avoid_server (a);
+  if (call_in_flight (c))
+    return;
   if (c->rejections >= REJECTIONS_MAX && !c->response_started)
     call_refuse (c, 0, "turned-away");
   else
@@ -184,14 +244,17 @@
 
 /* The call may have been executed, but there is no usable response. */
 static void
-on_broken (struct call *c, const struct forward_result *r)
+on_broken (const struct call_attempt *a, const struct forward_result *r)
 {
-  call_suspect_crash (c);
-  pool_call_failed (c->server, clock_ms ());
+  struct call *c = a->call;
+
+  record_failure (a);
   c->reached_server = true;
   c->possible_runs++;
-  c->avoided_server = c->server;
-  if (!repeatable (c) || !has_attempts_left (c)
+  c->avoided_server = a->server;
+  if (call_in_flight (c))
+    return;
+  if (!call_repeatable (c) || call_attempts_left (c) == 0
       || call_ms_until (c->response_deadline_ms) < ATTEMPT_MIN_MS)
     call_fail (c,
                r->err.code == -ETIMEDOUT ? STATUS_GATEWAY_TIMEOUT
@@ -202,13 +265,20 @@
 }
 
 static void
-on_answered (struct call *c, const struct forward_result *r,
+on_answered (struct call_attempt *a, const struct forward_result *r,
              const struct http_call *response)
 {
+  struct call *c = a->call;
+
   c->possible_runs++;
+  /* A stream is resumed only by further events; the other attempt may still
+     send them. */
+  if (call_in_flight (c) && c->response_started && !r->response_started)
+    return;
+  select_attempt (a);
   quarantine_request_completed (site_quarantine (c->calls->site),
                                 c->fingerprint, clock_ms ());
-  pool_call_served (c->server);
+  pool_call_served (a->server);
   if (r->response_started)
     call_finish_response (c);
   else
@@ -230,9 +300,11 @@
 on_done (void *ctx, const struct forward_result *r,
          const struct http_call *response)
 {
-  struct call *c = ctx;
+  struct call_attempt *a = ctx;
+  struct call *c = a->call;
 
-  end_attempt (c);
+  end_attempt (a);
+  c->server = a->server;
   count_attempt (c, r->outcome);
   if (r->outcome != FORWARD_ANSWERED)
     LOG_INFO (
@@ -240,62 +312,58 @@
         "id=" STR_FMT " server=" STR_FMT
         " outcome=%s status=%d timed_out=%d response_started=%d " LOG_E_FMT,
         STR_ARG (c->meta.client_attempt_id),
-        STR_ARG (pool_server_id (c->server)),
+        STR_ARG (pool_server_id (a->server)),
         forward_outcome_name (r->outcome), r->status, r->timed_out,
         r->response_started, LOG_E_ARG (r->err));
   switch (r->outcome)
     {
     case FORWARD_ANSWERED:
-      on_answered (c, r, response);
+      on_answered (a, r, response);
       break;
     case FORWARD_BROKEN:
-      on_broken (c, r);
+      on_broken (a, r);
       break;
     case FORWARD_NOT_SENT:
-      on_connect_failed (c);
+      on_connect_failed (a);
       break;
     case FORWARD_WITHDRAWN:
-      on_withdrawn (c);
+      on_withdrawn (a);
       break;
     default:
-      on_rejected (c, r);
+      on_rejected (a, r);
       break;
     }
 }
 
-/* Returns true if the attempt is to be ended. A silent server may still
-   respond, so this requires that another server can take the call at once. */
+/* Runs before the first byte is sent. */
 static bool
-on_silence_timeout (void *ctx)
+on_confirm_send (void *ctx)
 {
-  struct call *c = ctx;
-  struct pool_criteria criteria = call_criteria (c);
-  struct pool_server *other;
+  struct call_attempt *a = ctx;
 
-  criteria.avoid = c->server;
-  return call_retry_allowed (c)
-         && pool_choose (site_pool (c->calls->site), &criteria, clock_ms (),
-                         &other)
-                == POOL_CHOSEN
-         && other != c->server;
+  if (caller_disconnected (a->call->caller))
+    return false;
+  if (a->sent_ms == 0)
+    a->sent_ms = clock_ms ();
+  return true;
 }
 
 static bool
-is_wanted (void *ctx)
+on_timeout (void *ctx)
 {
-  const struct call *c = ctx;
-
-  return !caller_disconnected (c->caller);
+  return call_on_silence (ctx);
 }
 
 static const struct forward_events forward_events = {
-  .confirm_send = is_wanted,
-  .timeout = on_silence_timeout,
+  .confirm_send = on_confirm_send,
+  .timeout = on_timeout,
   .start = on_response_start,
   .part = on_part,
   .done = on_done,
 };
 
+/* ---- start of an attempt ---- */
+
 static struct str
 resume_event_id (struct call *c)
 {
@@ -318,22 +386,36 @@
             " attempt=%u last_event=%lu running=%u other_nodes=%u"
             " view_age_ms=%lu wait_ms=%lu deadline_ms=%lu config=%lu",
             CALL_LOG_ARG (c), STR_ARG (pool_server_id (server)),
-            c->possible_runs + c->rejections + 1, c->last_event_id,
-            stats.running, stats.other_nodes_running, stats.view_age_ms,
-            clock_ms () - c->arrival_ms, call_ms_until (c->client_deadline_ms),
-            c->config_version);
+            c->possible_runs + c->rejections + in_flight_count (c) + 1,
+            c->last_event_id, stats.running, stats.other_nodes_running,
+            stats.view_age_ms, clock_ms () - c->arrival_ms,
+            call_ms_until (c->client_deadline_ms), c->config_version);
+}
+
+static struct call_attempt *
+unused_attempt (struct call *c)
+{
+  return c->attempts[0].forward ? &c->attempts[1] : &c->attempts[0];
+}
+
+static int
+request_priority (const struct call *c)
+{
+  if (!call_criteria (c).engine)
+    return -1;
+  return c->priority > PRIORITY_LOWEST ? PRIORITY_LOWEST : (int)c->priority;
 }
 
 void
-call_start_attempt (struct call *c, struct pool_server *server, bool engine)
+call_start_attempt (struct call *c, struct pool_server *server,
+                    bool uses_retry_budget)
 {
+  struct call_attempt *a = unused_attempt (c);
   struct str lines[CALL_HEADERS_MAX];
   const struct call_extra_headers stamp = {
     .deadline_ms = call_ms_until (c->client_deadline_ms),
     .server_id = pool_server_id (server),
-    .priority = !engine                         ? -1
-                : c->priority > PRIORITY_LOWEST ? PRIORITY_LOWEST
-                                                : (int)c->priority,
+    .priority = request_priority (c),
     .last_event_id = resume_event_id (c),
   };
   const size_t count = call_headers (c->fields, c->field_count, &stamp, lines);
@@ -348,19 +430,23 @@
     .server_id = pool_server_id (server),
     .stream = c->kind == CALL_STREAM,
     .last_event_id = c->last_event_id,
-    .first_event_timeout_ms = first_event_timeout (c),
-    .gap_timeout_ms = event_gap_timeout (c),
-    .repeatable = repeatable (c),
+    .first_event_timeout_ms = call_first_event_timeout (c),
+    .gap_timeout_ms = call_event_gap_timeout (c),
+    .repeatable = call_repeatable (c),
   };
 
   call_set_waiting (c, false);
   log_send (c, server);
-  c->server = server;
+  *a = (struct call_attempt){
+    .call = c,
+    .server = server,
+    .uses_retry_budget = uses_retry_budget,
+  };
   c->sent_ms = clock_ms ();
   pool_call_started (server);
   add_running_demand (c, 1);
-  c->forward = forward_start (c->calls->http, c->calls->loop, &spec,
-                              &forward_events, c);
+  a->forward = forward_start (c->calls->http, c->calls->loop, &spec,
+                              &forward_events, a);
   for (size_t i = 0; i < count; i++)
     str_free (&lines[i]);
 }
--- a/src/edge/call_crash.c
+++ b/src/edge/call_crash.c
@@ -52,17 +52,17 @@
 }
 
 void
-call_suspect_crash (struct call *c)
+call_suspect_crash (const struct call *c, const struct pool_server *server)
 {
   struct call_table *calls = c->calls;
   const struct crash_record suspect
-      = { c->fingerprint, server_start_hash (c->server) };
+      = { c->fingerprint, server_start_hash (server) };
   struct crash_probe *p = xcalloc (1, sizeof *p);
 
   quarantine_suspect (site_quarantine (calls->site), &suspect, clock_ms ());
   p->calls = calls;
-  p->server_id = str_dup (pool_server_id (c->server));
+  p->server_id = str_dup (pool_server_id (server));
   p->server_start = suspect.server;
-  liveprobe_start (calls->loop, pool_server_address (c->server),
-                   on_probe_result, p);
+  liveprobe_start (calls->loop, pool_server_address (server), on_probe_result,
+                   p);
 }
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -67,6 +67,28 @@
   CALL_END_DENIED,      /* the request is invalid or has no route */
 };
 
+/* A call may be in flight at a silent server and at the one that is to replace
+   it. */
+#define CALL_ATTEMPTS_IN_FLIGHT_MAX 2
+
+/**
+ * struct call_attempt - an attempt to run a call on one server; context of the
+ * callbacks of @forward.
+ * @forward: NULL unless the attempt is in flight.
+ * @sent_ms: when the first byte was sent; 0 before.
+ * @uses_retry_budget: the attempt was taken from the retry budget.
+ * @silent: the call was sent to a second server because this one sent nothing.
+ */
+struct call_attempt
+{
+  struct call *call;
+  struct forward *forward;
+  struct pool_server *server;
+  uint64_t sent_ms;
+  bool uses_retry_budget;
+  bool silent;
+};
+
 /**
  * struct call - one client request; a client's retry is a call of its own.
  * Strings point into the h2o request, which outlives the call, unless the call
@@ -80,16 +102,16 @@
  * @event_wait_ms: the client abandons a stream after this time without an
  *   event; 0 for other calls.
  * @client_deadline_ms: when the client stops waiting.
- * @possible_runs: attempts that may have been executed.
+ * @possible_runs: ended attempts that may have been executed.
  * @rejections: attempts that were certainly not executed.
  * @first_send_counted: the call is counted as a first send to its service.
  * @reached_server: an earlier attempt may have reached a server.
- * @uses_retry_budget: the current attempt was taken from the retry budget.
  * @waiting: the call waits for a server; no attempt is in flight.
  * @wait_reason: why it waits.
- * @server: of the current or last attempt.
+ * @server: of the attempt that ended last, NULL if it was cancelled; for logs.
  * @avoided_server: server of the last attempt that failed or was rejected.
  *   Others are preferred; before @avoided_until_ms it is not used at all.
+ * @sent_ms: when the newest attempt was started; 0 before.
  * @response_start_ms: when the response started; 0 before.
  * @last_part_ms: when the newest part of the response arrived.
  * @longest_gap_ms: longest pause between two parts.
@@ -125,13 +147,12 @@
   uint32_t rejections;
   bool first_send_counted;
   bool reached_server;
-  bool uses_retry_budget;
   bool waiting;
   enum pool_result wait_reason;
   bool response_started;
   uint64_t last_event_id;
   char last_event_id_text[24];
-  struct forward *forward;
+  struct call_attempt attempts[CALL_ATTEMPTS_IN_FLIGHT_MAX];
   struct pool_server *server;
   struct pool_server *avoided_server;
   uint64_t avoided_until_ms;
@@ -154,7 +175,8 @@
 
 /* ---- call_send.c ---- */
 
-/** call_dispatch() - send the call to a server, let it wait, or refuse it. */
+/** call_dispatch() - send a call that has no attempt in flight to a server,
+ * let it wait, or refuse it. */
 void call_dispatch (struct call *call);
 /** call_give_up() - close a call that has no attempt in flight. It is refused
  * if it was certainly not executed, and fails otherwise. */
@@ -167,13 +189,43 @@
 
 /* ---- call_attempt.c ---- */
 
-/** call_start_attempt() - send the call to a server.
- * @engine: the call's service has an engine.
+/** call_start_attempt() - send the call to a server. At most one other attempt
+ * may be in flight.
+ * @uses_retry_budget: the attempt was taken from the retry budget.
  */
 void call_start_attempt (struct call *call, struct pool_server *server,
-                         bool engine);
-/** call_cancel_attempt() - cancel the attempt in flight, if there is one. */
-void call_cancel_attempt (struct call *call);
+                         bool uses_retry_budget);
+/** call_cancel_attempts() - cancel all attempts in flight. */
+void call_cancel_attempts (struct call *call);
+/** call_in_flight() - returns true if an attempt is in flight. */
+bool call_in_flight (const struct call *call);
+/** call_other_attempt() - the other attempt in flight; NULL if there is none.
+ */
+struct call_attempt *call_other_attempt (const struct call_attempt *attempt);
+/** call_repeatable() - returns true if the call may be executed once more. A
+ * response that is not a stream can't be resumed once it has started. */
+bool call_repeatable (const struct call *call);
+/** call_attempts_left() - number of further attempts that the route allows,
+ * when all attempts in flight are executed. */
+uint32_t call_attempts_left (const struct call *call);
+/** call_avoids() - returns true if the call must not be sent to the server
+ * yet, because it was rejected there a moment ago. */
+bool call_avoids (const struct call *call, const struct pool_server *server);
+
+/* ---- call_handover.c ---- */
+
+/** call_on_silence() - the attempt's server has sent nothing for a while.
+ * Sends the call to a second server if one can take it at once, and keeps the
+ * attempt until the second one has had time to reject the call.
+ *
+ * Returns true if the attempt is to be ended; otherwise the check runs again
+ * soon. */
+bool call_on_silence (struct call_attempt *attempt);
+/** call_first_event_timeout() - time in ms without a first event after which a
+ * new attempt counts as silent; 0 for never. */
+uint32_t call_first_event_timeout (const struct call *call);
+/** call_event_gap_timeout() - likewise between events. */
+uint32_t call_event_gap_timeout (const struct call *call);
 
 /* ---- call_response.c ---- */
 
@@ -211,7 +263,8 @@
 
 /** call_suspect_crash() - record that an attempt broke off, and probe whether
  * the server crashed. */
-void call_suspect_crash (struct call *call);
+void call_suspect_crash (const struct call *call,
+                         const struct pool_server *server);
 /** call_server_unreachable() - record that a server accepts no connection. */
 void call_server_unreachable (struct call_table *calls,
                               struct pool_server *server);
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -46,7 +46,6 @@
 static bool
 admit_send (struct call *c)
 {
-  c->uses_retry_budget = c->reached_server;
   if (c->reached_server)
     return call_take_retry (c);
   if (!c->first_send_counted)
@@ -115,8 +114,7 @@
     }
   result
       = pool_choose (site_pool (calls->site), &criteria, clock_ms (), &server);
-  if (result == POOL_CHOSEN && server == c->avoided_server
-      && clock_ms () < c->avoided_until_ms)
+  if (result == POOL_CHOSEN && call_avoids (c, server))
     result = POOL_FULL;
   /* For calls that keep waiting, the client check timer does this. */
   if ((result == POOL_CHOSEN || !c->waiting)
@@ -126,7 +124,7 @@
       return;
     }
   if (result == POOL_CHOSEN && admit_send (c))
-    call_start_attempt (c, server, criteria.engine != NULL);
+    call_start_attempt (c, server, c->reached_server);
   else if (c->response_started)
     /* A cut can't be taken back, and each of these conditions may pass. */
     wait (c, &criteria, result);
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -180,7 +180,7 @@
   struct call *c = ctx;
   const char *reason = c->waiting ? "left-waiting" : "left-running";
 
-  call_cancel_attempt (c);
+  call_cancel_attempts (c);
   call_drop (c, reason);
 }
 
@@ -189,13 +189,13 @@
 {
   struct call *c = timer->data;
 
-  if (!c->forward && c->possible_runs == 0)
+  if (!call_in_flight (c) && c->possible_runs == 0)
     {
       /* The check of waiting calls would refuse it too, but may run late. */
       call_refuse (c, 0, c->waiting ? "waited-too-long" : "no-time-left");
       return;
     }
-  call_cancel_attempt (c);
+  call_cancel_attempts (c);
   call_fail (c, STATUS_GATEWAY_TIMEOUT, "timeout");
 }
 
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -10,8 +10,7 @@
 /* Responses up to this size are buffered until they are complete, so that the
    call can be repeated or refused if the response breaks off. */
 #define BUFFERED_BYTES_MAX (256 * 1024)
-/* Interval of further timeout callbacks while no other server can take the
-   call. */
+/* Interval of the timeout callback while the server stays silent. */
 #define SILENCE_RECHECK_MS 100
 #define STATUS_OK 200
 
