Resume a broken stream until its engine brings no event for 10 s

Callers of `galenagate node` saw a streamed answer end early although the engine still had the rest: at the third break of its connection, whatever the two resumes before had brought, or within a millisecond of the first break when two resumes failed.

A stream whose connection closed after every second token was cut after 6 of 13 events, at the third break. A stream whose engine failed the first 5 resumes, with 503 and a closed connection in turn, was cut after 6 events; in the node's log both resumes and the end lie within 2 ms.

A stream is now resumed until no event has arrived for 10 s after the break, with a pause of 250 ms between resumes that bring no event. Each event ends the wait. It is still cut at once when the engine answers 404, because it doesn't know the stream, and when it refuses connections, because the process that had the stream is gone. The resume needs no grant, so no rule of the scheduler applies.

The stand-in engine gets DROPS, which closes the connection after every second token, and REFUSE n, which fails the first n resumes.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -12,15 +12,17 @@
 #define LOG_MODULE "attempt"
 /* Engines send a comment every 2 s while a stream is idle. */
 #define STREAM_IDLE_TIMEOUT_MS 5000
-#define RESUMES_MAX 2
-#define RESUME_FIRST_BYTE_MS 3000
+/* A stream that broke is given up if no event arrives for this time. */
+#define RESUME_LIMIT_MS (2 * STREAM_IDLE_TIMEOUT_MS)
+/* Pause between resumes that bring no event. */
+#define RESUME_INTERVAL_MS 250
 #define PROBE_TIMEOUT_MS 500
 #define HEADERS_MAX 8
 
 struct attempt
 {
   struct http *http;
-  struct http_call *call;
+  struct http_call *call; /* NULL while a resume is due */
   const struct attempt_events *events;
   void *ctx;
   enum attempt_kind kind;
@@ -33,23 +35,30 @@
   uint64_t first_output_ms;
   uint32_t tokens;
   uint64_t last_event_id;
-  unsigned resume_count;
+  uint64_t broken_ms; /* when the stream broke; valid while resuming */
+  uv_timer_t resume_timer;
   int status;
   bool done_seen;        /* "[DONE]" was received */
   bool wrong_attempt_id; /* the response belongs to another attempt */
-  bool aborted; /* stream_events returned false, or an event is too long */
-  bool resuming;
+  bool aborted;  /* stream_events returned false, or an event is too long */
+  bool resuming; /* the stream broke and no event has arrived since */
   bool sent;
-  struct err first_err; /* error before any resume */
+  struct err first_err; /* error before these resumes */
 };
 
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  free (handle->data);
+}
+
 static void
 free_attempt (struct attempt *a)
 {
   str_free (&a->target);
   str_free (&a->id);
   buf_free (&a->sse.pending);
-  free (a);
+  uv_close ((uv_handle_t *)&a->resume_timer, on_timer_closed);
 }
 
 static struct str
@@ -124,21 +133,37 @@
   str_free (&url);
 }
 
-static bool resume (struct attempt *a);
+static void resume_later (struct attempt *a);
+
+/* Returns true if the engine may still have the rest of a broken stream. A
+   process that refuses connections has ended, and its streams with it. */
+static bool
+may_resume (const struct attempt *a, struct err err)
+{
+  if (a->kind != ATTEMPT_KIND_STREAM || a->first_output_ms == 0
+      || a->done_seen)
+    return false;
+  if (err.code == -ENOENT || err.code == -ECONNREFUSED)
+    return false;
+  return clock_ms () - a->broken_ms < RESUME_LIMIT_MS;
+}
 
 static void
 handle_failure (struct attempt *a, struct err err)
 {
   if (!a->resuming)
-    a->first_err = err;
+    {
+      a->first_err = err;
+      a->broken_ms = clock_ms ();
+    }
   if (a->wrong_attempt_id || a->aborted)
     finish_failed (a, a->aborted ? ATTEMPT_CANCELLED : ATTEMPT_BROKEN,
                    a->first_err);
   else if (!a->sent)
     finish_failed (
         a, err.code == -ECANCELED ? ATTEMPT_UNUSED : ATTEMPT_NOT_RUN, err);
-  else if (resume (a))
-    return;
+  else if (may_resume (a, err))
+    resume_later (a);
   else if (err.code == -ETIMEDOUT && !a->resuming)
     finish_failed (a, ATTEMPT_TIMEOUT, err);
   else
@@ -269,6 +294,7 @@
     }
   else
     a->tokens++;
+  a->resuming = false;
   if (event->has_id)
     a->last_event_id = event->id;
   if (a->first_output_ms == 0)
@@ -375,23 +401,19 @@
   struct attempt *a = ctx;
 
   if (err.code == 0 && status != 200)
-    err = err_make (-EPIPE, "resume", a->target);
+    err = err_make (status == 404 ? -ENOENT : -EPIPE, "resume", a->target);
   on_stream_done (ctx, call, err, status, sent, body);
 }
 
 static const struct http_events resume_events
     = { .head = on_head, .data = on_stream_body, .done = on_resume_done };
 
-/* Requests the rest of a broken stream, from after the last complete event.
-   Returns false if the stream cannot be resumed. */
-static bool
-resume (struct attempt *a)
+/* Requests the rest of a broken stream, from after the last complete event. */
+static void
+on_resume_due (uv_timer_t *timer)
 {
-  if (a->kind != ATTEMPT_KIND_STREAM || a->first_output_ms == 0 || a->done_seen
-      || a->resume_count == RESUMES_MAX)
-    return false;
-  a->resume_count++;
-  a->resuming = true;
+  struct attempt *a = timer->data;
+
   buf_reset (&a->sse.pending);
   struct str url
       = str_printf ("http://" STR_FMT "/streams/" STR_FMT "?from=%lu",
@@ -405,7 +427,16 @@
             STR_ARG (a->id), STR_ARG (a->target), a->last_event_id);
   a->call = http_send (a->http, &req, &resume_events, a);
   str_free (&url);
-  return true;
+}
+
+static void
+resume_later (struct attempt *a)
+{
+  const uint64_t delay_ms = a->resuming ? RESUME_INTERVAL_MS : 0;
+
+  a->resuming = true;
+  a->call = NULL;
+  uv_timer_start (&a->resume_timer, on_resume_due, delay_ms, 0);
 }
 
 /* ---- start and cancel ---- */
@@ -428,7 +459,8 @@
 }
 
 struct attempt *
-attempt_start (struct http *http, const struct attempt_spec *spec,
+attempt_start (struct http *http, uv_loop_t *loop,
+               const struct attempt_spec *spec,
                const struct attempt_events *events, void *ctx)
 {
   struct attempt *a = xcalloc (1, sizeof *a);
@@ -443,6 +475,8 @@
   a->target = str_dup (spec->target);
   a->id = str_dup (spec->id);
   a->started_ms = clock_ms ();
+  uv_timer_init (loop, &a->resume_timer);
+  a->resume_timer.data = a;
   struct str url = target_url (a, path.data);
   const bool stream = spec->kind == ATTEMPT_KIND_STREAM;
   const struct http_request req = {
--- a/src/attempt.h
+++ b/src/attempt.h
@@ -87,7 +87,7 @@
   void (*done) (void *ctx, const struct attempt_result *result);
 };
 
-struct attempt *attempt_start (struct http *http,
+struct attempt *attempt_start (struct http *http, uv_loop_t *loop,
                                const struct attempt_spec *spec,
                                const struct attempt_events *events, void *ctx);
 /**
--- a/src/reqflow.c
+++ b/src/reqflow.c
@@ -225,7 +225,8 @@
     .retryable = r->retryable,
     .is_retry = r->attempts > 1,
   };
-  r->attempt = attempt_start (r->owner->http, &spec, &attempt_events, r);
+  r->attempt = attempt_start (r->owner->http, kernel_loop (r->owner->kernel),
+                              &spec, &attempt_events, r);
 }
 
 /* ---- grants ---- */
--- a/tests/standin_engine.c
+++ b/tests/standin_engine.c
@@ -109,6 +109,7 @@
   BEHAVIOUR_SILENCE, /* sends only the headers */
   BEHAVIOUR_CUT,     /* run and connection end half-way */
   BEHAVIOUR_DROP,    /* connection closes half-way, the run can be resumed */
+  BEHAVIOUR_DROPS,   /* like DROP, but after every second token */
 };
 
 /**
@@ -121,6 +122,7 @@
  * @req: request that receives the answer; NULL if none is attached.
  * @events: SSE events generated so far.
  * @events_sent: index of the next event to send to @req.
+ * @refusals_left: number of resumes that fail before one succeeds.
  * @entry: adapter, or model for a request without an adapter.
  * @base: model that @entry belongs to.
  */
@@ -146,6 +148,7 @@
   struct str *events;
   size_t event_count;
   size_t events_sent;
+  uint64_t refusals_left;
   struct entry *entry;
   struct entry *base;
   uv_timer_t timer;
@@ -848,13 +851,17 @@
   entry_finish_unload (base);
 }
 
-/* Returns true if a CUT or DROP run with a caller has generated half of its
-   tokens. */
+/* Returns true if the connection of a run with a caller is to be closed before
+   the next token. */
 static bool
 at_abort_point (const struct stream *s)
 {
+  if (!s->req || s->tokens_produced == 0)
+    return false;
+  if (s->behaviour == BEHAVIOUR_DROPS)
+    return s->tokens_produced % 2 == 0;
   return (s->behaviour == BEHAVIOUR_CUT || s->behaviour == BEHAVIOUR_DROP)
-         && s->req && s->tokens_produced == s->tokens_total / 2;
+         && s->tokens_produced == s->tokens_total / 2;
 }
 
 static void
@@ -862,6 +869,13 @@
 {
   struct stream *s = timer->data;
 
+  /* Generates no tokens between a drop and the resume, so that the number of
+     drops doesn't depend on the time that a resume takes. */
+  if (s->behaviour == BEHAVIOUR_DROPS && !s->req)
+    {
+      uv_timer_start (timer, on_token_timer, 1, 0);
+      return;
+    }
   if (at_abort_point (s))
     {
       send_events (s);
@@ -943,6 +957,8 @@
     return BEHAVIOUR_SILENCE;
   if (strstr (text, "CUT"))
     return BEHAVIOUR_CUT;
+  if (strstr (text, "DROPS"))
+    return BEHAVIOUR_DROPS;
   return strstr (text, "DROP") ? BEHAVIOUR_DROP : BEHAVIOUR_ANSWER;
 }
 
@@ -957,14 +973,14 @@
   json_object_set_new (runs_by_attempt, attempt, json_integer (n + 1));
 }
 
-/* Returns the delay of the first token: the number after SLOW in the text, or
-   the regular interval. */
+/* Returns the number after a word of the text, or @otherwise if the text
+   doesn't have the word. */
 static uint64_t
-first_token_ms (const char *text)
+number_after (const char *text, const char *word, uint64_t otherwise)
 {
-  const char *slow = strstr (text, "SLOW ");
+  const char *found = strstr (text, word);
 
-  return slow ? strtoull (slow + 5, NULL, 10) : options.token_ms;
+  return found ? strtoull (found + strlen (word), NULL, 10) : otherwise;
 }
 
 static void
@@ -983,6 +999,7 @@
   s->model = strdup (json_string_value (json_object_get (root, "model")));
   s->text = strdup (text);
   s->behaviour = parse_behaviour (text);
+  s->refusals_left = number_after (text, "REFUSE ", 0);
   s->chat = chat;
   s->sse = json_is_true (json_object_get (root, "stream"));
   s->tokens_total
@@ -1004,7 +1021,8 @@
   else if (s->behaviour == BEHAVIOUR_SILENCE)
     start_answer (s, req, "application/json", STR (""));
   if (s->behaviour != BEHAVIOUR_SILENCE)
-    uv_timer_start (&s->timer, on_token_timer, first_token_ms (text), 0);
+    uv_timer_start (&s->timer, on_token_timer,
+                    number_after (text, "SLOW ", options.token_ms), 0);
 }
 
 static void
@@ -1054,6 +1072,16 @@
   json_decref (root);
 }
 
+/* Answers with an error or closes the connection, in turn. */
+static void
+refuse_resume (struct stream *s, h2o_req_t *req)
+{
+  if (s->refusals_left-- % 2 == 0)
+    standin_error (req, 503, "busy");
+  else
+    standin_close (req);
+}
+
 static void
 handle_stream (h2o_req_t *req, struct str attempt)
 {
@@ -1073,6 +1101,11 @@
       standin_json (req, 200, json_object ());
       return;
     }
+  if (s->refusals_left > 0)
+    {
+      refuse_resume (s, req);
+      return;
+    }
   counts.resumed++;
   abort_answer (s);
   s->sse = true;
