Test that a begun stream outlives what a new request is refused for

In the node profile a begun stream is resumed at its engine without a grant, and the deadline is checked only before the first event; no test showed it.

The test starts three streams, one with a deadline of 2 s and two of a customer whose plan allows two at a time, and checks that a further request of that customer gets 429. Then all engines leave, the store is down, the other three nodes are killed and the callers' node gets SIGTERM; each stream's connection closes 2.25 s after its start. All three arrive whole, each event once.

--- a/tests/e2e_resume.c
+++ b/tests/e2e_resume.c
@@ -1,5 +1,7 @@
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "cluster_fleet.h"
 #include "suite.h"
@@ -72,7 +74,107 @@
   fleet_stop (&fleet);
 }
 
+/* ---- conditions of a request that has not begun ---- */
+
+/* With these settings a DROP stream breaks off 2.25 s after its start. */
+static const char *const slow_engine[]
+    = { "--memory",   "100", "--slots",  "4",  "--load-ms", "200",
+        "--token-ms", "150", "--tokens", "30", NULL };
+#define SLOW_TOKENS 30
+#define STREAMS 3
+
+static struct cluster_request *
+start_stream (const char *const *headers, const char *text,
+              unsigned max_tokens)
+{
+  char body[256];
+
+  snprintf (body, sizeof body,
+            "{\"model\":\"lm-1\",\"stream\":true,\"max_tokens\":%u,"
+            "\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}",
+            max_tokens, text);
+  return cluster_http_start (fleet.nodes[0], "POST", "/v1/chat/completions",
+                             headers, body, FLEET_CALL_MS);
+}
+
+static bool
+streams_run (void *ctx)
+{
+  json_int_t running = 0;
+
+  (void)ctx;
+  for (size_t i = 0; i < FLEET_ENGINES; i++)
+    running += cluster_json_int (fleet.engines[i], "/status", "running");
+  return running == STREAMS;
+}
+
+/* All engines leave, no other node schedules, the store is down, and the node
+   of the callers stops. */
+static void
+lose_everything_for_new_requests (void)
+{
+  for (size_t i = 0; i < FLEET_ENGINES; i++)
+    {
+      struct cluster_reply r = cluster_http (
+          fleet.engines[i], "POST", "/leaving", NULL, "", FLEET_CALL_MS);
+      cluster_reply_free (&r);
+    }
+  cluster_set_faults (fleet.cluster, "{\"down\":true}");
+  for (size_t i = 1; i < FLEET_NODES; i++)
+    cluster_kill (fleet.nodes[i]);
+  cluster_signal (fleet.nodes[0], SIGTERM);
+}
+
+/* Guards against a stream that is cut because a new request would be refused
+   when it has to be resumed. */
+static void
+test_conditions (void)
+{
+  static const char *const first[]
+      = { "Authorization: Bearer key-opera", NULL };
+  static const char *const deadline[]
+      = { "Authorization: Bearer key-opera", "X-Deadline-Ms: 2000", NULL };
+  static const char *const limited[]
+      = { "Authorization: Bearer key-school", NULL };
+  static const struct
+  {
+    const char *const *headers;
+    const char *text;
+  } streams[STREAMS] = {
+    { deadline, "DROP past the deadline" },
+    { limited, "DROP limited one" },
+    { limited, "DROP limited two" },
+  };
+  static const struct fleet_options options = { .engine_flags = slow_engine };
+  struct cluster_request *calls[STREAMS];
+
+  if (fleet_start (&fleet, &options))
+    {
+      struct cluster_reply r
+          = cluster_http_wait (start_stream (first, "warm", 1));
+      CU_ASSERT_EQUAL (r.status, 200);
+      cluster_reply_free (&r);
+      for (size_t i = 0; i < STREAMS; i++)
+        calls[i]
+            = start_stream (streams[i].headers, streams[i].text, SLOW_TOKENS);
+      CU_ASSERT_TRUE (cluster_poll_until (streams_run, NULL, FLEET_CALL_MS));
+      r = cluster_http_wait (start_stream (limited, "beyond the limit", 1));
+      CU_ASSERT_EQUAL (r.status, 429);
+      cluster_reply_free (&r);
+      lose_everything_for_new_requests ();
+      for (size_t i = 0; i < STREAMS; i++)
+        {
+          r = cluster_http_wait (calls[i]);
+          check_stream (&r, streams[i].text, SLOW_TOKENS + 1);
+          cluster_reply_free (&r);
+        }
+      CU_ASSERT_EQUAL (fleet_sum_counts (&fleet, "resumed"), STREAMS);
+    }
+  fleet_stop (&fleet);
+}
+
 static const struct suite_case cases[] = {
   { "connections break off", test_breaks },
+  { "conditions of requests that have not begun", test_conditions },
 };
 TEST_SUITE ("resume", cases)
