Resume a stream that breaks off after its last event

Callers of `galenagate node` saw an answer whose events had all arrived, [DONE] included, end as incomplete when the engine's connection broke before the last chunk. Such a caller has to send its request again.

The cause: a stream was not resumed once [DONE] had arrived, and without the last chunk it counts as incomplete.

Evidence: e2e `resume`, "connections break off", has two cases more, TAIL and TAIL with failing resumes.

The stream is now resumed like any other, and the engine's answer to the resume ends it properly. Nothing after [DONE] is passed on, so an engine that repeats [DONE] without an id doesn't send it to the caller twice.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -140,8 +140,7 @@
 static bool
 may_resume (const struct attempt *a, struct err err)
 {
-  if (a->kind != ATTEMPT_KIND_STREAM || a->first_output_ms == 0
-      || a->done_seen)
+  if (a->kind != ATTEMPT_KIND_STREAM || a->first_output_ms == 0)
     return false;
   if (err.code == -ENOENT || err.code == -ECONNREFUSED)
     return false;
@@ -283,7 +282,7 @@
 
   if (event->data.len == 0)
     return true; /* a comment, sent as a keep-alive */
-  if (event->has_id && event->id <= a->last_event_id)
+  if (a->done_seen || (event->has_id && event->id <= a->last_event_id))
     return true; /* received before the resume */
   if (str_eq (event->data, STR ("[DONE]")))
     a->done_seen = true;
--- a/tests/e2e_resume.c
+++ b/tests/e2e_resume.c
@@ -48,7 +48,8 @@
 /* ---- connections that break off ---- */
 
 /* Guards against a stream that is cut after a number of breaks although each
-   resume brought events, or at once because resumes fail for a moment. */
+   resume brought events, at once because resumes fail for a moment, or after
+   its last event. */
 static void
 test_breaks (void)
 {
@@ -57,6 +58,8 @@
     "DROPS again and again",
     "DROP and REFUSE 5 resumes",
     "DROPS and REFUSE 5 resumes",
+    "TAIL",
+    "TAIL and REFUSE 5 resumes",
   };
 
   if (fleet_start (&fleet, NULL))
--- a/tests/standin_engine.c
+++ b/tests/standin_engine.c
@@ -110,6 +110,7 @@
   BEHAVIOUR_CUT,     /* run and connection end half-way */
   BEHAVIOUR_DROP,    /* connection closes half-way, the run can be resumed */
   BEHAVIOUR_DROPS,   /* like DROP, but after every second token */
+  BEHAVIOUR_TAIL,    /* like DROP, but between [DONE] and the last chunk */
 };
 
 /**
@@ -860,6 +861,8 @@
     return false;
   if (s->behaviour == BEHAVIOUR_DROPS)
     return s->tokens_produced % 2 == 0;
+  if (s->behaviour == BEHAVIOUR_TAIL)
+    return s->tokens_produced == s->tokens_total;
   return (s->behaviour == BEHAVIOUR_CUT || s->behaviour == BEHAVIOUR_DROP)
          && s->tokens_produced == s->tokens_total / 2;
 }
@@ -889,7 +892,7 @@
       abort_answer (s);
       s->aborted = s->behaviour == BEHAVIOUR_CUT;
     }
-  if (s->aborted)
+  if (s->aborted || s->tokens_produced == s->tokens_total)
     {
       finish (s);
       return;
@@ -906,6 +909,11 @@
     }
   add_chunk (s, json_array (), usage_json (s));
   add_event (s, "[DONE]");
+  if (s->behaviour == BEHAVIOUR_TAIL)
+    {
+      uv_timer_start (timer, on_token_timer, 0, 0);
+      return;
+    }
   finish (s);
   if (s->sse)
     send_events (s);
@@ -959,6 +967,8 @@
     return BEHAVIOUR_CUT;
   if (strstr (text, "DROPS"))
     return BEHAVIOUR_DROPS;
+  if (strstr (text, "TAIL"))
+    return BEHAVIOUR_TAIL;
   return strstr (text, "DROP") ? BEHAVIOUR_DROP : BEHAVIOUR_ANSWER;
 }
 
