--- a/tests/e2e_resume.c
+++ b/tests/e2e_resume.c
@@ -61,13 +61,17 @@
     "TAIL",
     "TAIL and REFUSE 5 resumes",
   };
+  struct cluster_request *calls[sizeof texts / sizeof *texts];
+  const size_t n = sizeof texts / sizeof *texts;
 
   if (fleet_start (&fleet, NULL))
     {
-      for (size_t i = 0; i < sizeof texts / sizeof *texts; i++)
+      for (size_t i = 0; i < n; i++)
+        calls[i] = fleet_chat_start (fleet.nodes[i % FLEET_NODES], "lm-1",
+                                     texts[i], true);
+      for (size_t i = 0; i < n; i++)
         {
-          struct cluster_reply r = fleet_chat (fleet.nodes[i % FLEET_NODES],
-                                               "lm-1", texts[i], true);
+          struct cluster_reply r = cluster_http_wait (calls[i]);
 
           check_stream (&r, texts[i], CHUNKS);
           cluster_reply_free (&r);
