Test that a body forwarded in part is not followed by another run

A response of an idempotent route with a body over 256 KiB is forwarded in parts. When its server broke off midway, callers got status 200 with the first half of that body followed by the body of a second run: with a Content-Length exactly as many bytes as announced, which looks complete, and with chunks one and a half bodies that end properly.

--- /dev/null
+++ b/tests/e2e_bodies.c
@@ -0,0 +1,99 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "edgecluster.h"
+#include "suite.h"
+
+/* Responses that are not streams and are too large to be buffered by the node,
+   so that it forwards them in parts. */
+
+#define NO_MODELS "[]"
+#define CALL_ID "id-body"
+
+struct body_fixture
+{
+  struct edgecluster edges;
+  struct cluster_proc *edge;
+  struct cluster_proc *servers[2];
+};
+
+/* Starts a node and two plain servers. The first one has the flags and gets
+   the first call. */
+static struct body_fixture
+start_body_fixture (const char *const *flags)
+{
+  struct body_fixture f = { .edges = edgecluster_create () };
+  struct cluster *c = f.edges.cluster;
+
+  f.servers[0] = cluster_server (c, "plain", "a", flags);
+  f.servers[1]
+      = cluster_server (c, "plain", "a", CLUSTER_FLAGS ("--body-kb", "1024"));
+  for (int i = 0; i < 2; i++)
+    edgecluster_put_server (&f.edges, f.servers[i], "ready", NO_MODELS);
+  edgecluster_configure (&f.edges, 5000);
+  f.edge = cluster_edge (c, "a", CLUSTER_FLAGS ("--retry-slack", "54"));
+  CU_ASSERT_TRUE_FATAL (cluster_ready (c));
+  return f;
+}
+
+/* Returns true if every byte comes from the server, whose large bodies consist
+   of the last character of its name. */
+static bool
+is_body_of (const struct cluster_reply *r, const struct cluster_proc *server)
+{
+  const char byte = server->name[strlen (server->name) - 1];
+
+  for (size_t i = 0; i < r->body.len; i++)
+    if (r->body.data[i] != byte)
+      return false;
+  return true;
+}
+
+static void
+check_runs (const struct body_fixture *f, json_int_t first, json_int_t second)
+{
+  CU_ASSERT_EQUAL (edgecluster_run_count (f->servers[0], CALL_ID), first);
+  CU_ASSERT_EQUAL (edgecluster_run_count (f->servers[1], CALL_ID), second);
+}
+
+/* Guards against a second server's body after the first part of another one's,
+   which the client can't tell from a complete response. */
+static void
+test_broken_off (void)
+{
+  static const struct
+  {
+    const char *fault;
+    const char *path;
+  } cases[] = {
+    { "cut", "/plain/x" },
+    { "cut-chunks", "/plain/x" },
+    { "cut", "/once/x" },
+    { "cut-chunks", "/once/x" },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct body_fixture f = start_body_fixture (
+          CLUSTER_FLAGS ("--body-kb", "1024", "--event-gap-ms", "1", "--fault",
+                         cases[i].fault));
+      struct cluster_reply r = edgecluster_call (f.edge, "POST", cases[i].path,
+                                                 CALL_ID, NULL, "b");
+      const bool ok = r.status == 200 && r.error != CURLE_OK && r.body.len > 0
+                      && is_body_of (&r, f.servers[0]);
+
+      CU_ASSERT_TRUE (ok);
+      if (!ok)
+        fprintf (stderr, "%s %s: status %ld, error %d, %zu bytes\n",
+                 cases[i].fault, cases[i].path, r.status, (int)r.error,
+                 r.body.len);
+      check_runs (&f, 1, 0);
+      cluster_reply_free (&r);
+      edgecluster_destroy (&f.edges);
+    }
+}
+
+static const struct suite_case cases[] = {
+  { "broken off", test_broken_off },
+};
+TEST_SUITE ("bodies", cases)
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -30,6 +30,7 @@
   uint32_t event_gap_ms;
   uint32_t reject_first;
   uint32_t reject_after;
+  uint32_t body_kb;
 };
 
 /* Longer than a node waits for the next event when it can resume the stream on
@@ -46,7 +47,8 @@
   { "models", "LIST", "models loaded at startup; - for none", SETTING_STRING,
     FIELD (models), "", 0, 0 },
   { "fault", "WORD",
-    "shed, close, cut, unsealed, crossed, unframed, error, cut-event, "
+    "shed, close, cut, cut-chunks, unsealed, crossed, unframed, error, "
+    "cut-event, "
     "silent, pause, or one of the endless responses",
     SETTING_STRING, FIELD (fault), "", 0, 0 },
   { "most-models", "N", "models that fit in memory", SETTING_U32,
@@ -57,13 +59,16 @@
     "100", 0, 60000 },
   { "delay-ms", "MS", "duration of a call to a plain service", SETTING_U32,
     FIELD (delay_ms), "0", 0, 60000 },
-  { "event-gap-ms", "MS", "pause between the events of a stream", SETTING_U32,
-    FIELD (event_gap_ms), "20", 1, 60000 },
   { "reject-first", "N", "calls rejected as full before one is executed",
     SETTING_U32, FIELD (reject_first), "0", 0, 1000 },
   { "reject-after", "N",
     "executed calls after which all others are rejected as full; 0 for never",
     SETTING_U32, FIELD (reject_after), "0", 0, 1000 },
+  { "event-gap-ms", "MS",
+    "pause between the events of a stream or the parts of a large body",
+    SETTING_U32, FIELD (event_gap_ms), "20", 1, 60000 },
+  { "body-kb", "KB", "size of a plain service's responses, sent in parts",
+    SETTING_U32, FIELD (body_kb), "0", 0, 65536 },
 };
 
 static struct options options;
@@ -261,6 +266,82 @@
   standin_run_after (1, close_connection, req);
 }
 
+/* ---- large bodies ---- */
+
+#define BODY_PART_BYTES 16384
+
+struct large_body
+{
+  h2o_req_t *req;
+  size_t remaining; /* bytes to send */
+};
+
+/* Every byte of a large body, which differs between servers. */
+static char
+body_byte (void)
+{
+  return options.id.data[options.id.len - 1];
+}
+
+static void
+send_body_part (struct large_body *b)
+{
+  char part[BODY_PART_BYTES];
+  char size[16];
+  const size_t n = b->remaining < sizeof part ? b->remaining : sizeof part;
+
+  memset (part, body_byte (), n);
+  snprintf (size, sizeof size, "%zx\r\n", n);
+  if (has_fault ("cut-chunks"))
+    send_raw_text (b->req, size);
+  standin_send_raw (b->req, (struct str){ part, n });
+  if (has_fault ("cut-chunks"))
+    send_raw_text (b->req, "\r\n");
+  b->remaining -= n;
+}
+
+/* Sends the next part. A response with a fault breaks off at half its size. */
+static void
+continue_body (void *ctx)
+{
+  struct large_body *b = ctx;
+  const size_t end
+      = options.fault.len > 0 ? (size_t)options.body_kb * 1024 / 2 : 0;
+
+  if (b->remaining > end && !standin_client_closed (b->req))
+    {
+      send_body_part (b);
+      standin_run_after (options.event_gap_ms, continue_body, b);
+      return;
+    }
+  if (b->remaining > end)
+    calls_abandoned++;
+  standin_close (b->req);
+  free (b);
+}
+
+static void
+answer_large (h2o_req_t *req)
+{
+  struct large_body *b = xcalloc (1, sizeof *b);
+  char id[64];
+  char framing[64];
+
+  snprintf (framing, sizeof framing, "Content-Length: %zu",
+            (size_t)options.body_kb * 1024);
+  struct str head = str_printf (
+      "HTTP/1.1 200 OK\r\nX-Galenagate-Attempt-Id: %s\r\n"
+      "X-Galenagate-Server-Seal: " SEAL "\r\n%s\r\n\r\n",
+      response_attempt_id (req, id, sizeof id),
+      has_fault ("cut-chunks") ? "Transfer-Encoding: chunked" : framing);
+
+  b->req = req;
+  b->remaining = (size_t)options.body_kb * 1024;
+  send_raw_text (req, head.data);
+  str_free (&head);
+  continue_body (b);
+}
+
 static void
 answer_plain (void *ctx)
 {
@@ -271,6 +352,11 @@
 
   if (standin_client_closed (req))
     calls_abandoned++;
+  if (options.body_kb > 0)
+    {
+      answer_large (req);
+      return;
+    }
   if (has_fault ("cut"))
     {
       answer_raw (req, "Content-Length: 100\r\n", "half");
--- a/tests/standinlib.c
+++ b/tests/standinlib.c
@@ -1,6 +1,7 @@
 #include "standinlib.h"
 
 #include <errno.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,6 +12,8 @@
 
 #define BACKLOG 1024
 #define BODY_MAX ((size_t)64 << 20)
+/* Limit for a client that reads none of a raw response. */
+#define SEND_TIMEOUT_MS 1000
 
 /* @silent: no more responses are sent on this connection. */
 struct conn
@@ -360,8 +363,20 @@
 void
 standin_send_raw (h2o_req_t *req, struct str data)
 {
-  if (send (conn_fd (req), data.data, data.len, MSG_DONTWAIT) < 0)
-    shutdown (conn_fd (req), SHUT_RDWR);
+  struct pollfd p = { .fd = conn_fd (req), .events = POLLOUT };
+
+  while (data.len > 0 && poll (&p, 1, SEND_TIMEOUT_MS) > 0)
+    {
+      const ssize_t n
+          = send (p.fd, data.data, data.len, MSG_DONTWAIT | MSG_NOSIGNAL);
+
+      if (n < 0)
+        break;
+      data.data += n;
+      data.len -= (size_t)n;
+    }
+  if (data.len > 0)
+    shutdown (p.fd, SHUT_RDWR);
 }
 
 bool
