Stop the silence timer once a body is forwarded in parts

The timer for the first event was started with the attempt and never stopped for a response that is not a stream. It is now stopped when the response begins, because such a call can no longer be repeated, and the deadline of the call still bounds it.

--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -218,6 +218,7 @@
       if (!check_response_head (f))
         return;
       begin (f);
+      uv_timer_stop (&f->timer);
       f->events->part (f->ctx, buf_str (&f->buffered), 0);
       buf_reset (&f->buffered);
     }
--- a/src/edge/forward.h
+++ b/src/edge/forward.h
@@ -21,8 +21,8 @@
  * @server_id: id of the expected start of the server.
  * @stream: forward server-sent events as they arrive.
  * @last_event_id: id of the last event that the client received; 0 for none.
- * @first_event_timeout_ms: limit for the first event or the whole body; 0 for
- *   none.
+ * @first_event_timeout_ms: limit for the first event, or for a body until it
+ *   is complete or forwarded in parts; 0 for none.
  * @gap_timeout_ms: limit for the pause between events; 0 for none.
  * @repeatable: the call may be executed more than once, so that a connection
  *   may be reused.
--- a/tests/e2e_bodies.c
+++ b/tests/e2e_bodies.c
@@ -93,7 +93,29 @@
     }
 }
 
+/* Guards against a body that is ended by the limit for a silent server,
+   although its parts arrive steadily. */
+static void
+test_slow (void)
+{
+  /* 128 parts take over twice the limit of 600 ms; the 17th, with which the
+     response begins, arrives well before it. */
+  struct body_fixture f = start_body_fixture (
+      CLUSTER_FLAGS ("--body-kb", "2048", "--event-gap-ms", "10"));
+  struct cluster_reply r
+      = edgecluster_call (f.edge, "GET", "/plain/x", CALL_ID, NULL, NULL);
+
+  CU_ASSERT_EQUAL (r.status, 200);
+  CU_ASSERT_EQUAL (r.error, CURLE_OK);
+  CU_ASSERT_EQUAL (r.body.len, 2048 * 1024);
+  CU_ASSERT_TRUE (is_body_of (&r, f.servers[0]));
+  check_runs (&f, 1, 0);
+  cluster_reply_free (&r);
+  edgecluster_destroy (&f.edges);
+}
+
 static const struct suite_case cases[] = {
   { "broken off", test_broken_off },
+  { "slow", test_slow },
 };
 TEST_SUITE ("bodies", cases)
