Forward nothing but events for a call of a stream in parts

A server of a resumable stream that answers with an error whose body is over 256 KiB, and breaks off in it, led to a response with status 500, a part of that body, and then the events of another server up to a proper end.

handle_data() forwards any large body in parts, and on_broken() resumes a call of a resumable stream. A large response to such a call that is not a stream of events now ends the attempt as broken before any of it reaches the client.

The case "error of a stream" failed before: the status was 500, curl reported no error and the body ended with the eighth event of the second server. It now has status 200 and the events only.

--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -213,6 +213,13 @@
       buf_append (&f->buffered, part);
       return;
     }
+  /* A call of a stream may be resumed after what was forwarded, which must
+     therefore be events. */
+  if (f->stream)
+    {
+      f->malformed = true;
+      return;
+    }
   if (!f->response_started)
     {
       if (!check_response_head (f))
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -67,7 +67,7 @@
   { "event-gap-ms", "MS",
     "pause between the events of a stream or the parts of a large body",
     SETTING_U32, FIELD (event_gap_ms), "20", 1, 60000 },
-  { "body-kb", "KB", "size of a plain service's responses, sent in parts",
+  { "body-kb", "KB", "size of responses that are not streams, sent in parts",
     SETTING_U32, FIELD (body_kb), "0", 0, 65536 },
 };
 
@@ -330,8 +330,9 @@
   snprintf (framing, sizeof framing, "Content-Length: %zu",
             (size_t)options.body_kb * 1024);
   struct str head = str_printf (
-      "HTTP/1.1 200 OK\r\nX-Galenagate-Attempt-Id: %s\r\n"
+      "HTTP/1.1 %s\r\nX-Galenagate-Attempt-Id: %s\r\n"
       "X-Galenagate-Server-Seal: " SEAL "\r\n%s\r\n\r\n",
+      has_fault ("error") ? "500 Error" : "200 OK",
       response_attempt_id (req, id, sizeof id),
       has_fault ("cut-chunks") ? "Transfer-Encoding: chunked" : framing);
 
@@ -627,7 +628,7 @@
         standin_close (req);
       else if (endless_fault ())
         answer_endless (req, endless_fault ());
-      else if (is_model_server ())
+      else if (is_model_server () && options.body_kb == 0)
         answer_stream (req);
       else
         standin_run_after (options.delay_ms, answer_plain, req);
