Announce the end of connections whose requests were read before SIGTERM

A client whose request was being read or served when SIGTERM came got a response that kept the connection open. As read, it may send its next request just when the node closes all idle connections, and then gets no answer.

h2o decides on "Connection: close" when it reads a request. The node now decides again when it starts the response. It does not where bytes of the client are unread: on closing, the kernel resets such a connection, and the client may lose the end of the response. They belong to a next request, whose response announces the end.

The case "SIGTERM" now asks for the announcement. Before the change it failed for requests that were read before the signal: bodies half sent, and awaited responses, and for those that had arrived unread. The case "SIGTERM, unread request" passed before. With an announcement regardless of unread bytes it failed: the client got "Connection reset by peer" in the middle of the first response.

--- a/src/caller.c
+++ b/src/caller.c
@@ -2,6 +2,7 @@
 
 #include <poll.h>
 #include <stdlib.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "err.h"
@@ -169,9 +170,28 @@
                          NULL, v.base, v.len);
 }
 
+/* Announces the end of the connection if the server is to close, which h2o
+   does only for requests that it reads later. Closing a connection with unread
+   bytes resets it, and the client may lose the end of the response; such bytes
+   belong to a next request, whose response announces the end. */
+static void
+announce_close (struct caller *c)
+{
+  h2o_conn_t *conn = c->req->conn;
+  int unread_bytes = 0;
+
+  if (!conn->ctx->shutdown_requested)
+    return;
+  ioctl (h2o_socket_get_fd (conn->callbacks->get_socket (conn)), FIONREAD,
+         &unread_bytes);
+  if (unread_bytes == 0)
+    c->req->http1_is_persistent = 0;
+}
+
 static void
 set_response_head (struct caller *c, int status, struct str content_type)
 {
+  announce_close (c);
   c->req->res.status = status;
   c->req->res.reason = status < 400 ? "OK" : "Error";
   if (content_type.len > 0)
--- a/tests/e2e_connections.c
+++ b/tests/e2e_connections.c
@@ -229,6 +229,7 @@
  * @rest: bytes sent after it.
  * @answers: number of requests in both parts.
  * @new_connection: no request was answered on the connection before.
+ * @begun: the last answer has begun before the event.
  */
 struct moment
 {
@@ -238,37 +239,38 @@
   const char *rest;
   int answers;
   bool new_connection;
+  bool begun;
 };
 
 static const struct moment moments[] = {
   { "head", "id-head", "GET /plain/x HTTP/1.1\r\nHost: test.exam",
     "ple\r\nX-Galenagate-Deadline-Ms: 8000\r\n"
     "X-Galenagate-Attempt-Id: id-head\r\n\r\n",
-    1, false },
+    1, false, false },
   { "head, new connection", "id-new", "GET /pla",
-    "in/x" HEAD ("id-new") "\r\n", 1, true },
+    "in/x" HEAD ("id-new") "\r\n", 1, true, false },
   { "body", "id-body",
     "POST /once/x" HEAD ("id-body") "Content-Length: 8\r\n\r\nhalf", "rest", 1,
-    false },
+    false, false },
   { "no body yet", "id-nobody",
     "POST /once/x" HEAD ("id-nobody") "Content-Length: 4\r\n\r\n", "body", 1,
-    true },
+    true, false },
   { "chunks", "id-chunks",
     "POST /plain/x" HEAD ("id-chunks") CHUNKED "4\r\nhalf\r\n",
-    "4\r\nrest\r\n0\r\n\r\n", 1, false },
+    "4\r\nrest\r\n0\r\n\r\n", 1, false, false },
   { "chunk", "id-chunk", "POST /once/x" HEAD ("id-chunk") CHUNKED "8\r\nhalf",
-    "rest\r\n0\r\n\r\n", 1, false },
-  { "awaited", "id-awaited", GET ("id-awaited"), "", 1, false },
-  { "stream", "id-stream", "POST /stream/x" STREAM ("id-stream"), "", 1,
-    false },
+    "rest\r\n0\r\n\r\n", 1, false, false },
+  { "awaited", "id-awaited", GET ("id-awaited"), "", 1, false, false },
+  { "stream", "id-stream", "POST /stream/x" STREAM ("id-stream"), "", 1, false,
+    true },
   { "stream, new connection", "id-whole", "POST /whole/x" STREAM ("id-whole"),
-    "", 1, true },
-  { "idle", "id-idle", "", GET ("id-idle"), 1, false },
-  { "not used", "id-unused", "", GET ("id-unused"), 1, true },
+    "", 1, true, true },
+  { "idle", "id-idle", "", GET ("id-idle"), 1, false, false },
+  { "not used", "id-unused", "", GET ("id-unused"), 1, true, false },
   { "two requests", "id-second", GET ("id-first") GET ("id-second"), "", 2,
-    false },
+    false, false },
   { "second request", "id-later", "POST /stream/x" STREAM ("id-earlier"),
-    GET ("id-later"), 2, false },
+    GET ("id-later"), 2, false, false },
 };
 #define MOMENTS (sizeof moments / sizeof *moments)
 
@@ -356,10 +358,11 @@
 }
 
 /* Returns true if all requests were answered. The connection may end instead
-   after an answer that announces this, if the next request did not run. */
+   after an answer that announces this, if the next request did not run.
+   @stops: the last answer must announce it unless it had begun. */
 static bool
 moment_answered (const struct conn_fixture *s, const struct moment *m,
-                 struct connection *conn)
+                 struct connection *conn, bool stops)
 {
   for (int i = 0; i < m->answers; i++)
     {
@@ -369,6 +372,8 @@
         return false;
       if (a.closes && i + 1 < m->answers)
         return edgecluster_run_count (s->plain, m->id) == 0;
+      if (stops && i + 1 == m->answers && !m->begun && !a.closes)
+        return false;
     }
   return true;
 }
@@ -378,7 +383,7 @@
 run_event (enum event event, bool unread)
 {
   struct conn_fixture s
-      = start_conn_fixture (CLUSTER_FLAGS ("--delay-ms", "100"), 15000);
+      = start_conn_fixture (CLUSTER_FLAGS ("--delay-ms", "1000"), 15000);
   struct connection conns[MOMENTS];
 
   begin_moments (&s, conns);
@@ -395,7 +400,8 @@
     send_rest (conns);
   for (size_t i = 0; i < MOMENTS; i++)
     {
-      const bool ok = moment_answered (&s, &moments[i], &conns[i]);
+      const bool ok
+          = moment_answered (&s, &moments[i], &conns[i], event == EVENT_STOP);
 
       CU_ASSERT_TRUE (ok);
       if (!ok)
@@ -460,6 +466,33 @@
   edgecluster_destroy (&s.edges);
 }
 
+/* Guards against a connection that is reset after a response that announces
+   its end, because the client's next request is unread: the client would lose
+   the rest of the response. */
+static void
+test_stop_unread_request (void)
+{
+  struct conn_fixture s = start_conn_fixture (
+      CLUSTER_FLAGS ("--body-kb", "200", "--event-gap-ms", "1", "--delay-ms",
+                     "1000"),
+      15000);
+  struct connection c = open_connection (s.edge, SMALL_BUFFER_BYTES);
+
+  CU_ASSERT_TRUE (send_text (&c, GET ("id-first")));
+  usleep (SETTLE_MS * 1000);
+  CU_ASSERT_TRUE (send_text (&c, GET ("id-second")));
+  cluster_signal (s.edge, SIGTERM);
+  CU_ASSERT_TRUE (receive (&c));
+  usleep (LISTEN_MS * 1000);
+
+  const struct answer first = read_answer (&c);
+  const struct answer second = read_answer (&c);
+  CU_ASSERT_TRUE (first.status == 200 && first.whole);
+  CU_ASSERT_TRUE (second.status == 200 && second.whole && second.closes);
+  close_connection (&c);
+  edgecluster_destroy (&s.edges);
+}
+
 /* ---- limit for idle connections ---- */
 
 /* The node closes a connection at least this long after the limit. */
@@ -520,6 +553,7 @@
   { "SIGHUP", test_reload },
   { "SIGTERM", test_stop },
   { "SIGTERM, client reads slowly", test_stop_slow_reader },
+  { "SIGTERM, unread request", test_stop_unread_request },
   { "idle limit, long response", test_idle_response },
   { "idle limit, no request", test_idle_close },
 };
