Do not close a connection as idle while a request arrives

A client that sent a request slowly, or that began it after most of the idle limit had passed, found its connection closed in the middle of the request, without an answer.

h2o starts its timeout when a connection becomes idle and stops it when a request is complete, whatever arrives in between. The server now closes a connection by its own check when nothing has arrived for the idle limit, and h2o's timeout only bounds the arrival of one request (60 s beyond the limit). The check shuts down the receiving side.

The case "idle limit, slow request" failed before for all three requests, sent in pieces 600 ms apart with a limit of 1 s: a head, a body with a length and one in chunks. The case "idle limit, no request" passed before and after.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -3,13 +3,40 @@
 #include <errno.h>
 #include <stdbool.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 
+#include "clock.h"
 #include "err.h"
 #include "log.h"
 #include "netaddr.h"
 
 #define LOG_MODULE "httpd"
 #define LISTEN_BACKLOG 1024
+#define IDLE_TIMEOUT_DEFAULT_MS 10000
+#define IDLE_CHECK_MS 500
+/* A request that takes longer to arrive is not answered. */
+#define REQUEST_ARRIVAL_MAX_MS 60000
+
+/**
+ * struct client - connection of a client.
+ * @sock: h2o's socket on @tcp.
+ * @input_bytes: received bytes of a request that was not complete at the last
+ *   check; 0 if no request had begun.
+ * @active_ms: when the connection last received a part of a request or had a
+ *   request in progress, as far as checks have seen.
+ * @http2: h2o's own timeout applies.
+ */
+struct client
+{
+  uv_tcp_t tcp; /* first member: freed through a pointer to it */
+  struct httpd *httpd;
+  h2o_socket_t *sock;
+  struct client *prev;
+  struct client *next;
+  size_t input_bytes;
+  uint64_t active_ms;
+  bool http2;
+};
 
 struct httpd
 {
@@ -17,6 +44,9 @@
   h2o_context_t context;
   h2o_accept_ctx_t accept;
   uv_tcp_t listener;
+  uv_timer_t idle_timer;
+  uint32_t idle_timeout_ms;
+  struct client *clients;
   bool listening;
   bool closed;
   httpd_request_fn fn;
@@ -33,16 +63,51 @@
 on_request (h2o_handler_t *base, h2o_req_t *req)
 {
   struct httpd *d = ((struct handler *)base)->httpd;
+  struct client *c
+      = req->conn->callbacks->get_socket (req->conn)->on_close.data;
 
+  c->http2 = req->version >= 0x200;
+  c->active_ms = clock_ms ();
   return d->fn (d->ctx, req);
 }
 
+/* ---- connections ---- */
+
 static void
-on_client_closed (uv_handle_t *handle)
+free_client (uv_handle_t *handle)
 {
   free (handle);
 }
 
+static void
+on_socket_closed (void *ctx)
+{
+  struct client *c = ctx;
+
+  if (c->prev)
+    c->prev->next = c->next;
+  else
+    c->httpd->clients = c->next;
+  if (c->next)
+    c->next->prev = c->prev;
+}
+
+static void
+accept_client (struct httpd *d, struct client *c)
+{
+  uv_tcp_nodelay (&c->tcp, 1);
+  c->httpd = d;
+  c->active_ms = clock_ms ();
+  c->next = d->clients;
+  if (d->clients)
+    d->clients->prev = c;
+  d->clients = c;
+  c->sock = h2o_uv_socket_create ((uv_stream_t *)&c->tcp, free_client);
+  c->sock->on_close.cb = on_socket_closed;
+  c->sock->on_close.data = c;
+  h2o_accept (&d->accept, c->sock);
+}
+
 static void
 on_connection (uv_stream_t *listener, int status)
 {
@@ -53,19 +118,61 @@
       LOG_WARN ("accept", "step=accept error=\"%s\"", err_str (status));
       return;
     }
-  uv_tcp_t *client = xmalloc (sizeof *client);
-  uv_tcp_init (listener->loop, client);
-  if (uv_accept (listener, (uv_stream_t *)client) != 0)
-    {
-      uv_close ((uv_handle_t *)client, on_client_closed);
-      return;
-    }
-  uv_tcp_nodelay (client, 1);
-  h2o_socket_t *sock
-      = h2o_uv_socket_create ((uv_stream_t *)client, on_client_closed);
-  h2o_accept (&d->accept, sock);
+  struct client *c = xcalloc (1, sizeof *c);
+  uv_tcp_init (listener->loop, &c->tcp);
+  if (uv_accept (listener, (uv_stream_t *)&c->tcp) != 0)
+    uv_close ((uv_handle_t *)&c->tcp, free_client);
+  else
+    accept_client (d, c);
 }
 
+/* ---- limit for idle connections ---- */
+
+/* Closes the connection for reading. h2o then closes it, but only after it has
+   read and answered requests that have arrived meanwhile. */
+static void
+close_idle (struct client *c)
+{
+  shutdown (h2o_socket_get_fd (c->sock), SHUT_RD);
+  c->active_ms = clock_ms ();
+}
+
+/* h2o reads from an HTTP/1.1 connection only while no request is in progress.
+   Its own timeout starts when the connection becomes idle and does not take
+   into account that a request is arriving. */
+static void
+check_idle (struct client *c, uint64_t now_ms)
+{
+  if (c->http2)
+    return;
+  if (!h2o_socket_is_reading (c->sock)
+      || c->sock->input->size != c->input_bytes)
+    c->active_ms = now_ms;
+  c->input_bytes = c->sock->input->size;
+  if (now_ms - c->active_ms >= c->httpd->idle_timeout_ms)
+    close_idle (c);
+}
+
+static void
+on_idle_timer (uv_timer_t *timer)
+{
+  struct httpd *d = timer->data;
+  const uint64_t now_ms = clock_ms ();
+
+  for (struct client *c = d->clients; c; c = c->next)
+    check_idle (c, now_ms);
+}
+
+static void
+set_idle_timeout (struct httpd *d, uint32_t timeout_ms)
+{
+  d->idle_timeout_ms = timeout_ms > 0 ? timeout_ms : IDLE_TIMEOUT_DEFAULT_MS;
+  d->context.http1.req_timeout.timeout
+      = d->idle_timeout_ms + REQUEST_ARRIVAL_MAX_MS;
+}
+
+/* ---- server ---- */
+
 struct httpd *
 httpd_create (uv_loop_t *loop, const struct httpd_options *options,
               httpd_request_fn fn, void *ctx)
@@ -77,8 +184,6 @@
   h2o_config_init (&d->config);
   d->config.server_name = h2o_iovec_init (H2O_STRLIT ("galenagate"));
   d->config.max_request_entity_size = options->body_limit_bytes;
-  if (options->idle_timeout_ms > 0)
-    d->config.http1.req_timeout = options->idle_timeout_ms;
   h2o_hostconf_t *host = h2o_config_register_host (
       &d->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
   h2o_pathconf_t *path = h2o_config_register_path (host, "/", 0);
@@ -87,10 +192,13 @@
   handler->base.on_req = on_request;
   handler->httpd = d;
   h2o_context_init (&d->context, loop, &d->config);
+  set_idle_timeout (d, options->idle_timeout_ms);
   d->accept.ctx = &d->context;
   d->accept.hosts = d->config.hosts;
   uv_tcp_init (loop, &d->listener);
   d->listener.data = d;
+  uv_timer_init (loop, &d->idle_timer);
+  d->idle_timer.data = d;
   return d;
 }
 
@@ -112,6 +220,7 @@
       return rc;
     }
   d->listening = true;
+  uv_timer_start (&d->idle_timer, on_idle_timer, IDLE_CHECK_MS, IDLE_CHECK_MS);
   LOG_INFO ("listen", "http_addr=" STR_FMT, STR_ARG (addr));
   return 0;
 }
@@ -122,8 +231,8 @@
   d->config.max_request_entity_size = options->body_limit_bytes;
   /* Once the server is closed, idle connections are closed at once: keeps the
      timeout that close_idle_connections() has set. */
-  if (options->idle_timeout_ms > 0 && !d->closed)
-    d->context.http1.req_timeout.timeout = options->idle_timeout_ms;
+  if (!d->closed)
+    set_idle_timeout (d, options->idle_timeout_ms);
 }
 
 void
@@ -152,6 +261,7 @@
   d->listening = false;
   d->closed = true;
   uv_close ((uv_handle_t *)&d->listener, NULL);
+  uv_close ((uv_handle_t *)&d->idle_timer, NULL);
   h2o_context_request_shutdown (&d->context);
   close_idle_connections (d);
 }
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -14,8 +14,8 @@
 /**
  * struct httpd_options - limits that a server applies to its clients.
  * @body_limit_bytes: larger request bodies are rejected with status 413.
- * @idle_timeout_ms: a connection that sends no complete request for this time
- * is closed; 0 keeps the default of h2o.
+ * @idle_timeout_ms: a connection on which no request is in progress is closed
+ * if nothing arrives for this time; 0 for the default.
  */
 struct httpd_options
 {
--- a/tests/e2e_connections.c
+++ b/tests/e2e_connections.c
@@ -497,6 +497,7 @@
 
 /* The node closes a connection at least this long after the limit. */
 #define IDLE_TIMEOUT_MS 1000
+#define PIECE_GAP_MS 600
 
 /* Guards against an idle limit that ends a response that takes longer. */
 static void
@@ -525,6 +526,53 @@
   edgecluster_destroy (&s.edges);
 }
 
+/* Pieces of requests that are sent with pauses of PIECE_GAP_MS. Each
+   connection has been idle for as long before. */
+static const char *const slow_requests[][7] = {
+  { "GET /plain/x", " HTTP/1.1\r\nHost: ", "test.example\r\n",
+    "X-Galenagate-Deadline-Ms: 8000\r\n", "X-Galenagate-Attempt-Id: id-a\r\n",
+    "X-Test: 1\r\n", "\r\n" },
+  { "POST /once/x" HEAD ("id-b"), "Content-Length: 20\r\n\r\n", "aaaa", "bbbb",
+    "cccc", "dddd", "eeee" },
+  { "POST /plain/x" HEAD ("id-c"), CHUNKED, "4\r\naaaa\r\n", "8\r\nbbbb",
+    "bbbb\r\n", "4\r\ncccc\r\n", "0\r\n\r\n" },
+};
+#define SLOW_REQUESTS (sizeof slow_requests / sizeof *slow_requests)
+
+/* Guards against an idle limit that ends a connection although its client
+   is sending a request without pauses as long as the limit. */
+static void
+test_idle_request (void)
+{
+  struct conn_fixture s
+      = start_conn_fixture (CLUSTER_FLAGS (), IDLE_TIMEOUT_MS);
+  struct connection conns[SLOW_REQUESTS];
+
+  for (size_t i = 0; i < SLOW_REQUESTS; i++)
+    {
+      conns[i] = open_connection (s.edge, 0);
+      CU_ASSERT_TRUE (send_text (&conns[i], GET ("id-before")));
+      CU_ASSERT_EQUAL (read_answer (&conns[i]).status, 200);
+    }
+  for (int piece = 0; piece < 7; piece++)
+    {
+      usleep (PIECE_GAP_MS * 1000);
+      for (size_t i = 0; i < SLOW_REQUESTS; i++)
+        send_text (&conns[i], slow_requests[i][piece]);
+    }
+  for (size_t i = 0; i < SLOW_REQUESTS; i++)
+    {
+      const struct answer a = read_answer (&conns[i]);
+
+      CU_ASSERT_EQUAL (a.status, 200);
+      CU_ASSERT_TRUE (a.whole);
+      if (!a.whole)
+        fprintf (stderr, "slow request %zu: no whole answer\n", i);
+      close_connection (&conns[i]);
+    }
+  edgecluster_destroy (&s.edges);
+}
+
 /* Guards against connections that stay open although their clients send
    nothing, or only part of a request. */
 static void
@@ -555,6 +603,7 @@
   { "SIGTERM, client reads slowly", test_stop_slow_reader },
   { "SIGTERM, unread request", test_stop_unread_request },
   { "idle limit, long response", test_idle_response },
+  { "idle limit, slow request", test_idle_request },
   { "idle limit, no request", test_idle_close },
 };
 TEST_SUITE ("connections", cases)
