Log and count connections that the node closes with a request open

Nothing told a connection that the node closed while a request was arriving or unanswered from one that its client closed.

galenagate_connections_closed_total{cause,state} counts connections that are closed at the idle limit or on a stop, and the line "close" names those with an incomplete request. galenagate_closed_unanswered_total and the line "closed-unanswered" are for a connection of HTTP/1.1 that h2o closes before the end of a response while its client is still there.

--- a/src/caller.c
+++ b/src/caller.c
@@ -6,7 +6,10 @@
 #include <sys/socket.h>
 
 #include "err.h"
+#include "log.h"
+#include "metrics.h"
 
+#define LOG_MODULE "caller"
 /* A caller with more unsent data than this reads too slowly. */
 #define UNSENT_LIMIT_BYTES (4 * 1024 * 1024)
 
@@ -37,6 +40,37 @@
   free (c);
 }
 
+/* Returns true if the peer has closed the connection, even while received
+   bytes are still unread. */
+static bool
+peer_closed (int fd)
+{
+  struct pollfd p = { .fd = fd, .events = POLLRDHUP };
+
+  return poll (&p, 1, 0) > 0
+         && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+static int
+connection_fd (const struct caller *c)
+{
+  return h2o_socket_get_fd (
+      c->req->conn->callbacks->get_socket (c->req->conn));
+}
+
+/* Records that h2o closes a connection, of which the peer is not the cause,
+   before the response has ended. The peer may cancel a request of HTTP/2
+   without closing the connection. */
+static void
+record_unanswered_close (const struct caller *c)
+{
+  if (c->req->version >= 0x200 || peer_closed (connection_fd (c)))
+    return;
+  metrics_add ("galenagate_closed_unanswered_total", STR (""), 1);
+  LOG_WARN ("closed-unanswered", "path=" STR_FMT, (int)c->req->input.path.len,
+            c->req->input.path.base);
+}
+
 static void
 notify_disconnect (struct caller *c)
 {
@@ -44,8 +78,10 @@
 
   c->on_disconnect = NULL;
   c->closed = true;
-  if (on_disconnect && !c->response_ended && !c->released)
-    on_disconnect (c->ctx);
+  if (!on_disconnect || c->response_ended || c->released)
+    return;
+  record_unanswered_close (c);
+  on_disconnect (c->ctx);
 }
 
 static void
@@ -77,8 +113,7 @@
 {
   if (c->req->version >= 0x200)
     return;
-  h2o_socket_t *sock = c->req->conn->callbacks->get_socket (c->req->conn);
-  shutdown (h2o_socket_get_fd (sock), SHUT_WR);
+  shutdown (connection_fd (c), SHUT_WR);
 }
 
 /* Passes the pending bytes, or the end of the response, to h2o. */
@@ -139,24 +174,12 @@
   free_if_unused (c);
 }
 
-/* Returns true if the peer has closed the connection, even while received
-   bytes are still unread. */
-static bool
-peer_closed (int fd)
-{
-  struct pollfd p = { .fd = fd, .events = POLLRDHUP };
-
-  return poll (&p, 1, 0) > 0
-         && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
-
 bool
 caller_disconnected (const struct caller *c)
 {
   if (c->closed || !c->req)
     return true;
-  h2o_socket_t *sock = c->req->conn->callbacks->get_socket (c->req->conn);
-  return peer_closed (h2o_socket_get_fd (sock));
+  return peer_closed (connection_fd (c));
 }
 
 void
@@ -177,13 +200,11 @@
 static void
 announce_close (struct caller *c)
 {
-  h2o_conn_t *conn = c->req->conn;
   int unread_bytes = 0;
 
-  if (!conn->ctx->shutdown_requested)
+  if (!c->req->conn->ctx->shutdown_requested)
     return;
-  ioctl (h2o_socket_get_fd (conn->callbacks->get_socket (conn)), FIONREAD,
-         &unread_bytes);
+  ioctl (connection_fd (c), FIONREAD, &unread_bytes);
   if (unread_bytes == 0)
     c->req->http1_is_persistent = 0;
 }
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -8,6 +8,7 @@
 #include "clock.h"
 #include "err.h"
 #include "log.h"
+#include "metrics.h"
 #include "netaddr.h"
 
 #define LOG_MODULE "httpd"
@@ -128,11 +129,27 @@
 
 /* ---- limit for idle connections ---- */
 
+/* Records a connection that is closed while no request is in progress. */
+static void
+record_close (const struct client *c, const char *cause)
+{
+  const size_t input_bytes = c->sock->input->size;
+  const char *state = input_bytes > 0 ? "request-incomplete" : "idle";
+  struct str labels = str_printf ("cause=\"%s\",state=\"%s\"", cause, state);
+
+  metrics_add ("galenagate_connections_closed_total", labels, 1);
+  if (input_bytes > 0)
+    LOG_INFO ("close", "cause=%s state=%s input_bytes=%zu", cause, state,
+              input_bytes);
+  str_free (&labels);
+}
+
 /* Closes the connection for reading. h2o then closes it, but only after it has
    read and answered requests that have arrived meanwhile. */
 static void
 close_idle (struct client *c)
 {
+  record_close (c, "idle-timeout");
   shutdown (h2o_socket_get_fd (c->sock), SHUT_RD);
   c->active_ms = clock_ms ();
 }
@@ -248,6 +265,9 @@
 {
   h2o_timeout_t *t = &d->context.http1.req_timeout;
 
+  for (const struct client *c = d->clients; c; c = c->next)
+    if (!c->http2 && h2o_socket_is_reading (c->sock))
+      record_close (c, "stop");
   t->timeout = 1;
   h2o_timeout_run (d->context.loop, t,
                    h2o_now (d->context.loop) + t->timeout + 1);
--- a/tests/e2e_connections.c
+++ b/tests/e2e_connections.c
@@ -574,7 +574,8 @@
 }
 
 /* Guards against connections that stay open although their clients send
-   nothing, or only part of a request. */
+   nothing, or only part of a request, and against a close in the middle of a
+   request that the log does not show. */
 static void
 test_idle_close (void)
 {
@@ -593,6 +594,9 @@
       close_connection (&c);
     }
   CU_ASSERT_EQUAL (edgecluster_run_count (s.plain, "id-part"), 0);
+  CU_ASSERT_TRUE (log_has (
+      s.edge, "event=close cause=idle-timeout state=request-incomplete"));
+  CU_ASSERT_FALSE (log_has (s.edge, "event=closed-unanswered"));
   edgecluster_destroy (&s.edges);
 }
 
