Keep the loop with open handles reachable for leak checkers

Every test of a node on the platform failed under LeakSanitizer, with about 83 kB reported as leaked from httpd_create(). The compiler removed the static pointer to the kernel whose loop still has open handles, because nothing reads it later: the symbol "unclosed" is missing from the object file.

The pointer is now volatile, so that it is written.

--- a/src/kernel.c
+++ b/src/kernel.c
@@ -228,7 +228,7 @@
       k->plugins[i]->ops->destroy (k->plugins[i]);
   /* Open handles, such as those of idle h2o connections, still refer to the
      loop. The static pointer keeps leak checkers from reporting them. */
-  static struct kernel *unclosed;
+  static struct kernel *volatile unclosed;
   unclosed = uv_loop_close (&k->loop) == 0 ? NULL : k;
   if (!unclosed)
     free (k);
