Keep claim partitions owned until the outcomes are stored

When all nodes were stopped at once, callers that had a 200 for a call with an idempotency key got "call_running" or "outcome_unknown" for the same key afterwards.

Cause: SIGTERM made every node release all leases at once and stop competing for leases, while its callers were still served.

Now - a node keeps the leases of claim partitions while it drains, and releases them once its own outcomes are stored; - a draining node with an unsettled call competes for the partition of the key while it knows no live node, so the last nodes record their outcomes after the owner has exited; - a call to a lease holder tries this node when no live node is known; - settle requests of a draining node are repeated until the shutdown limit.

A call still runs at most once: the fences and the conditional writes of the partitions are unchanged, and of several nodes that compete for a free lease one write succeeds.

Other ways weighed: the owner waits until all peers have drained (it would need their state, and a peer that hangs would hold all nodes up to the limit); each node writes its outcomes to objects of its own (a second format that every owner has to read); all draining nodes compete for the leases (reads of four leases a second by every node of the fleet, near the store's limit at 410 nodes).

A stop that reaches the shutdown limit leaves the claim leases unreleased; their successor then waits for the expiry.

--- a/src/claims.c
+++ b/src/claims.c
@@ -57,6 +57,7 @@
 struct settle_call
 {
   struct claims *claims;
+  const struct partition *partition;
   struct settle_args args; /* owns its texts */
   claims_settled_fn fn;
   void *ctx;
@@ -411,10 +412,11 @@
 {
   struct settle_call *s = ctx;
   const struct settle_res *res = result;
+  const struct claims *c = s->claims;
 
   (void)hint;
   if (err == 0 || err == -EINVAL || err == -ECANCELED
-      || s->attempts >= SETTLE_ATTEMPTS_MAX)
+      || (s->attempts >= SETTLE_ATTEMPTS_MAX && !kernel_draining (c->kernel)))
     end_settle_call (s, err, err == 0 && res->stored);
   else
     s->retry_at = clock_ms () + SETTLE_RETRY_MS;
@@ -438,6 +440,7 @@
   *s = (struct settle_call){
     .claims = c, .args = *args, .fn = fn, .ctx = ctx
   };
+  s->partition = partition_of (c, args->customer, args->key);
   s->args.customer = text_copy (args->customer);
   s->args.key = text_copy (args->key);
   s->args.request_id = text_copy (args->request_id);
@@ -466,6 +469,9 @@
     }
   DL_FOREACH_SAFE (c->settle_calls, s, next)
   {
+    /* When all nodes shut down, the owner may exit first. */
+    if (kernel_draining (c->kernel))
+      lease_take_while_draining (leases_of (s->partition), s->partition->name);
     if (s->retry_at > 0 && now >= s->retry_at)
       send_settle_call (s);
   }
@@ -481,8 +487,12 @@
   bus_handle (bus, PEER_SETTLE, serve_settle, c);
   bus_handle (bus, PEER_LOOKUP, serve_lookup, c);
   for (size_t i = 0; i < c->partition_count; i++)
-    lease_campaign (lease_get (c->kernel), c->partitions[i].name, STR (""),
-                    on_lease_change, &c->partitions[i]);
+    {
+      struct partition *p = &c->partitions[i];
+
+      lease_campaign (leases_of (p), p->name, STR (""), on_lease_change, p);
+      lease_keep_while_draining (leases_of (p), p->name);
+    }
   uv_timer_init (kernel_loop (c->kernel), &c->timer);
   c->timer.data = c;
   uv_timer_start (&c->timer, on_tick, TICK_MS, TICK_MS);
@@ -490,7 +500,8 @@
 }
 
 /* Runs after the requests in flight have ended. Waits for the settle requests
-   that record their outcomes. */
+   that record their outcomes. The lease plug-in then releases the partitions;
+   a node that still has outcomes to record takes them over. */
 static void
 drain (struct plugin *plugin)
 {
--- a/src/lease.c
+++ b/src/lease.c
@@ -26,6 +26,8 @@
   struct str region;
   struct leasestate *state;
   bool campaigning;
+  bool kept_while_draining;
+  bool taken_while_draining;
   bool reported_held; /* held or not when last reported */
   uint64_t reported_fence;
   lease_fn fn;
@@ -41,7 +43,7 @@
   uv_timer_t tick;
   struct lease *leases;
   struct leasecalls calls;
-  bool releasing; /* the node is draining; it takes no new lease */
+  bool releasing; /* all leases are released, and none is taken */
   bool draining;  /* kernel_drained() is still to be called */
   uint64_t drain_until_ms;
 };
@@ -182,15 +184,32 @@
     }
 }
 
+/* Returns true if a node that is shutting down is to compete for the lease. */
+static bool
+should_campaign_while_draining (const struct lease *l,
+                                const struct member_view *view)
+{
+  return l->taken_while_draining && !l->table->releasing
+         && !member_at_rank (view, l->region, l->name, 0);
+}
+
+static bool
+is_candidate (const struct lease *l)
+{
+  struct kernel *kernel = l->table->kernel;
+  const struct member_view *view = kernel_latest (kernel, TOPIC_MEMBERS);
+
+  if (!l->campaigning || !view)
+    return false;
+  if (kernel_draining (kernel))
+    return should_campaign_while_draining (l, view);
+  return should_campaign (l, view);
+}
+
 static void
 update_candidate (struct lease *l)
 {
-  const struct member_view *view
-      = kernel_latest (l->table->kernel, TOPIC_MEMBERS);
-
-  leasestate_set_candidate (l->state, l->campaigning && !l->table->releasing
-                                          && view
-                                          && should_campaign (l, view));
+  leasestate_set_candidate (l->state, is_candidate (l));
 }
 
 static bool
@@ -231,24 +250,24 @@
 }
 
 static void
-release_all (struct lease_table *t)
+release (struct lease *l)
 {
-  if (t->releasing)
-    return;
-  t->releasing = true;
-  for (struct lease *l = t->leases; l; l = l->hh.next)
-    {
-      leasestate_release (l->state);
-      report_change (l);
-      step (l);
-    }
+  leasestate_release (l->state);
+  report_change (l);
+  step (l);
 }
 
 static void
 on_drain (void *ctx, const void *snapshot)
 {
+  struct lease_table *t = ctx;
+
   (void)snapshot;
-  release_all (ctx);
+  for (struct lease *l = t->leases; l; l = l->hh.next)
+    if (l->kept_while_draining)
+      update_candidate (l);
+    else
+      release (l);
 }
 
 void
@@ -266,6 +285,24 @@
   update_candidate (l);
 }
 
+void
+lease_keep_while_draining (struct lease_table *t, struct str name)
+{
+  find_or_add (t, name)->kept_while_draining = true;
+}
+
+void
+lease_take_while_draining (struct lease_table *t, struct str name)
+{
+  struct lease *l = find_or_add (t, name);
+
+  if (l->taken_while_draining)
+    return;
+  l->taken_while_draining = true;
+  update_candidate (l);
+  step (l);
+}
+
 void
 lease_withdraw (struct lease_table *t, struct str name)
 {
@@ -275,9 +312,7 @@
     return;
   l->campaigning = false;
   l->fn = NULL;
-  leasestate_release (l->state);
-  report_change (l);
-  step (l);
+  release (l);
 }
 
 bool
@@ -383,7 +418,9 @@
 {
   struct lease_table *t = (struct lease_table *)plugin;
 
-  release_all (t);
+  t->releasing = true;
+  for (struct lease *l = t->leases; l; l = l->hh.next)
+    release (l);
   /* If the store is unavailable and a lease can't be released, it expires
      within its lifetime. */
   t->drain_until_ms = clock_ms () + kernel_settings (t->kernel)->lease_ttl_ms;
--- a/src/lease.h
+++ b/src/lease.h
@@ -23,6 +23,21 @@
  */
 void lease_campaign (struct lease_table *table, struct str name,
                      struct str region, lease_fn fn, void *ctx);
+/**
+ * lease_keep_while_draining() - keep a lease during a graceful shutdown.
+ *
+ * Other leases are released as soon as the shutdown starts; this one, if held,
+ * once the plug-ins of higher rank have drained. Call after lease_campaign().
+ */
+void lease_keep_while_draining (struct lease_table *table, struct str name);
+/**
+ * lease_take_while_draining() - compete for a lease during a graceful
+ * shutdown.
+ *
+ * Without this call a node that shuts down takes no lease. It competes only
+ * while it knows no live node, which would take the lease instead.
+ */
+void lease_take_while_draining (struct lease_table *table, struct str name);
 /** lease_withdraw() - stop competing for a lease; releases it if held. */
 void lease_withdraw (struct lease_table *table, struct str name);
 /**
--- a/src/leasecall.c
+++ b/src/leasecall.c
@@ -103,16 +103,18 @@
   call_node (c);
 }
 
-/* Chooses the next node of the rendezvous order. Returns false if there is
-   none. */
+/* Chooses the next node of the rendezvous order. If all nodes are shutting
+   down it is this node, which may take the lease or know who has it. Returns
+   false if there is none. */
 static bool
 choose (struct leasecall *c)
 {
   const struct member_view *view = kernel_latest (c->p.kernel, TOPIC_MEMBERS);
   const struct member_info *m
-      = view ? member_at_rank (view, c->p.region, c->p.name, c->next_rank)
-             : NULL;
+      = member_at_rank (view, c->p.region, c->p.name, c->next_rank);
 
+  if (!m && view && c->next_rank == 0)
+    m = &view->members[view->self];
   c->next_rank++;
   if (!m)
     return false;
