Resume a begun stream elsewhere when a server answers without events

Callers lost a stream in the middle of the answer when the server that was to resume it answered 500, although the route allowed a third attempt and a server was idle. A stream whose events had all arrived, but not its last chunk, was cut as well when the next server answered the resume with a complete response that had no event left.

Cause: any complete response ended the call, as it does before the response has begun; a begun stream can't forward it and was cut (stream-not-resumed). While a silent attempt was in flight the response was ignored, nothing was recorded about the server, and the same server got the call again.

Such a response now counts as a failed attempt: the server is avoided, and the call goes on with its other attempt or another server while attempts are left. A complete, framed success without events ends the stream properly. Without framing, the server may as well have crashed before its first event.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -13,6 +13,7 @@
 /* Rejections by servers after which a call is refused. */
 #define REJECTIONS_MAX 6
 #define PRIORITY_LOWEST 9
+#define STATUS_OK 200
 #define STATUS_BAD_GATEWAY 502
 #define STATUS_GATEWAY_TIMEOUT 504
 
@@ -242,13 +243,13 @@
     call_dispatch (c);
 }
 
-/* The call may have been executed, but there is no usable response. */
+/* The call may have been executed, but there is no usable response. Goes on
+   with the other attempt or another server, if the call allows it. */
 static void
-on_broken (const struct call_attempt *a, const struct forward_result *r)
+repeat_or_fail (const struct call_attempt *a, int status, const char *reason)
 {
   struct call *c = a->call;
 
-  record_failure (a);
   c->reached_server = true;
   c->possible_runs++;
   c->avoided_server = a->server;
@@ -256,30 +257,64 @@
     return;
   if (!call_repeatable (c) || call_attempts_left (c) == 0
       || call_ms_until (c->response_deadline_ms) < ATTEMPT_MIN_MS)
-    call_fail (c,
-               r->err.code == -ETIMEDOUT ? STATUS_GATEWAY_TIMEOUT
-                                         : STATUS_BAD_GATEWAY,
-               "server-broke-off");
+    call_fail (c, status, reason);
   else
     call_dispatch (c);
 }
 
+static void
+on_broken (const struct call_attempt *a, const struct forward_result *r)
+{
+  const int status = r->err.code == -ETIMEDOUT ? STATUS_GATEWAY_TIMEOUT
+                                               : STATUS_BAD_GATEWAY;
+
+  record_failure (a);
+  repeat_or_fail (a, status, "server-broke-off");
+}
+
+/* Returns true if the response ends the call. A stream that has begun goes on
+   with events; a success without any says that there are no more. Without a
+   framed body the server may as well have crashed before its first event. */
+static bool
+ends_call (const struct call *c, const struct forward_result *r,
+           const struct http_call *response)
+{
+  if (!c->response_started || r->response_started)
+    return true;
+  return r->status == STATUS_OK
+         && (http_header (response, "Content-Length").len > 0
+             || http_header (response, "Transfer-Encoding").len > 0);
+}
+
+/* The server responded to a stream that was to be resumed with something else
+   than events. */
+static void
+on_not_resumed (const struct call_attempt *a, const struct forward_result *r)
+{
+  LOG_INFO ("not-resumed", "id=" STR_FMT " server=" STR_FMT " status=%d",
+            STR_ARG (a->call->meta.client_attempt_id),
+            STR_ARG (pool_server_id (a->server)), r->status);
+  pool_call_failed (a->server, clock_ms ());
+  repeat_or_fail (a, STATUS_BAD_GATEWAY, "stream-not-resumed");
+}
+
 static void
 on_answered (struct call_attempt *a, const struct forward_result *r,
              const struct http_call *response)
 {
   struct call *c = a->call;
 
+  if (!ends_call (c, r, response))
+    {
+      on_not_resumed (a, r);
+      return;
+    }
   c->possible_runs++;
-  /* A stream is resumed only by further events; the other attempt may still
-     send them. */
-  if (call_in_flight (c) && c->response_started && !r->response_started)
-    return;
   select_attempt (a);
   quarantine_request_completed (site_quarantine (c->calls->site),
                                 c->fingerprint, clock_ms ());
   pool_call_served (a->server);
-  if (r->response_started)
+  if (c->response_started)
     call_finish_response (c);
   else
     call_send_response (c, r, response);
--- a/src/edge/call_response.c
+++ b/src/edge/call_response.c
@@ -76,12 +76,6 @@
 call_send_response (struct call *c, const struct forward_result *r,
                     const struct http_call *response)
 {
-  if (c->response_started)
-    {
-      /* The server was to resume the stream but sent another response. */
-      call_fail (c, r->status, "stream-not-resumed");
-      return;
-    }
   copy_headers (c, response);
   caller_send (c->caller, r->status, (struct str){ 0 }, r->body);
   call_close (c, r->status < 400 ? CALL_END_SERVED : CALL_END_FAILED,
