Pace the repeats of a call that is rejected again and again

Each repeat is taken from the node's share of the retry budget, so a few such calls used up what streams with a broken server need.

Cause: the limit of six rejections can't apply to a call that has begun or is still in flight, and nothing took its place. Such a call now pauses after each rejection, 60 ms at first, doubled up to 480 ms. A handover no longer draws on the part of the budget that is kept for calls whose server failed, because the call is still in flight. A call that may have run is no longer told that it was not run when the sixth server rejects it (turned-away).

The timer of a silent server now fires exactly 200 ms after the second server received the call; checks every 100 ms ended the first attempt 50 ms sooner or later, and a late event loop added to that.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -10,8 +10,12 @@
 #define LOG_MODULE "call"
 /* A server that rejected a call does not get it again for this long. */
 #define REJECTION_BACKOFF_MS 60
-/* Rejections by servers after which a call is refused. */
+/* Rejections by servers after which a call is refused. One that can't be
+   refused any more pauses longer after each rejection instead, since each of
+   its repeats is taken from the budget of the other calls. */
 #define REJECTIONS_MAX 6
+#define REPEAT_BACKOFF_MIN_MS 60
+#define REPEAT_BACKOFF_DOUBLINGS_MAX 3
 #define PRIORITY_LOWEST 9
 #define STATUS_OK 200
 #define STATUS_BAD_GATEWAY 502
@@ -225,6 +229,16 @@
     pool_server_replaced (a->server);
 }
 
+static void
+delay_repeat (struct call *c)
+{
+  uint32_t doublings = c->rejections - 1;
+
+  if (doublings > REPEAT_BACKOFF_DOUBLINGS_MAX)
+    doublings = REPEAT_BACKOFF_DOUBLINGS_MAX;
+  c->repeat_after_ms = clock_ms () + (REPEAT_BACKOFF_MIN_MS << doublings);
+}
+
 /* The server certainly did not execute the call. */
 static void
 on_rejected (const struct call_attempt *a, const struct forward_result *r)
@@ -235,10 +249,11 @@
   c->rejections++;
   record_rejection (a, r->outcome);
   avoid_server (a);
+  delay_repeat (c);
   if (call_in_flight (c))
     return;
   if (c->rejections >= REJECTIONS_MAX && !c->response_started)
-    call_refuse (c, 0, "turned-away");
+    call_give_up (c, 0, "turned-away");
   else
     call_dispatch (c);
 }
@@ -383,15 +398,15 @@
   return true;
 }
 
-static bool
-on_timeout (void *ctx)
+static uint32_t
+on_silence (void *ctx)
 {
-  return call_on_silence (ctx);
+  return call_handle_silence (ctx);
 }
 
 static const struct forward_events forward_events = {
   .confirm_send = on_confirm_send,
-  .timeout = on_timeout,
+  .silence = on_silence,
   .start = on_response_start,
   .part = on_part,
   .done = on_done,
--- a/src/edge/call_budget.c
+++ b/src/edge/call_budget.c
@@ -34,10 +34,12 @@
   return nodes > 0 ? nodes : NODES_ASSUMED;
 }
 
+/* A call that is in flight at a silent server may do without the repeat. */
 static enum retry_cause
 retry_cause (const struct call *c)
 {
-  return c->possible_runs > 0 ? RETRY_AFTER_FAILURE : RETRY_AFTER_REJECTION;
+  return c->possible_runs > 0 && !call_in_flight (c) ? RETRY_AFTER_FAILURE
+                                                     : RETRY_AFTER_REJECTION;
 }
 
 bool
--- a/src/edge/call_handover.c
+++ b/src/edge/call_handover.c
@@ -17,11 +17,12 @@
    preempt, which the factor allows for. */
 #define EVENT_GAP_FACTOR 5
 #define EVENT_GAP_TIMEOUT_MIN_MS 1000
+/* Interval of the checks of a silent server. */
+#define SILENCE_CHECK_MS 100
 /* The silent attempt ends when the second one was sent this long ago. A server
    rejects a call sooner than that, and the first server must stop within
-   400 ms after the second one received the call. The check runs every 100 ms,
-   so that the attempt ends up to 100 ms later. */
-#define HANDOVER_OVERLAP_MS 150
+   400 ms after the second one received the call. */
+#define HANDOVER_OVERLAP_MS 200
 
 uint32_t
 call_first_event_timeout (const struct call *c)
@@ -55,7 +56,8 @@
 {
   struct call *c = a->call;
 
-  return a->sent_ms > 0 && call_repeatable (c) && call_attempts_left (c) > 0
+  return a->sent_ms > 0 && clock_ms () >= c->repeat_after_ms
+         && call_repeatable (c) && call_attempts_left (c) > 0
          && call_ms_until (c->response_deadline_ms) >= ATTEMPT_MIN_MS
          && !quarantine_contains (site_quarantine (c->calls->site),
                                   c->fingerprint, clock_ms ())
@@ -92,16 +94,12 @@
             STR_ARG (pool_server_id (to)), clock_ms () - silent_since_ms);
 }
 
-bool
-call_on_silence (struct call_attempt *a)
+static bool
+hand_over (struct call_attempt *a)
 {
-  const struct call_attempt *other = call_other_attempt (a);
   struct call *c = a->call;
   struct pool_server *server;
 
-  if (other)
-    return a->silent && other->sent_ms > 0
-           && clock_ms () >= other->sent_ms + HANDOVER_OVERLAP_MS;
   if (!may_hand_over (a))
     return false;
   server = choose_other_server (a);
@@ -110,5 +108,26 @@
   a->silent = true;
   log_handover (a, server);
   call_start_attempt (c, server, true);
-  return false;
+  return true;
+}
+
+/* Returns how long the silent attempt is kept beside the other one. */
+static uint32_t
+overlap_left_ms (const struct call_attempt *other)
+{
+  return other->sent_ms > 0
+             ? (uint32_t)call_ms_until (other->sent_ms + HANDOVER_OVERLAP_MS)
+             : SILENCE_CHECK_MS;
+}
+
+uint32_t
+call_handle_silence (struct call_attempt *a)
+{
+  const struct call_attempt *other = call_other_attempt (a);
+
+  if (other && a->silent)
+    return overlap_left_ms (other);
+  if (!other && hand_over (a))
+    return HANDOVER_OVERLAP_MS;
+  return SILENCE_CHECK_MS;
 }
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -104,6 +104,8 @@
  * @client_deadline_ms: when the client stops waiting.
  * @possible_runs: ended attempts that may have been executed.
  * @rejections: attempts that were certainly not executed.
+ * @repeat_after_ms: a call that has begun, or is in flight at a silent server,
+ *   is not sent to a further server before.
  * @first_send_counted: the call is counted as a first send to its service.
  * @reached_server: an earlier attempt may have reached a server.
  * @waiting: the call waits for a server; no attempt is in flight.
@@ -145,6 +147,7 @@
   uint64_t client_deadline_ms;
   uint32_t possible_runs;
   uint32_t rejections;
+  uint64_t repeat_after_ms;
   bool first_send_counted;
   bool reached_server;
   bool waiting;
@@ -214,13 +217,13 @@
 
 /* ---- call_handover.c ---- */
 
-/** call_on_silence() - the attempt's server has sent nothing for a while.
+/** call_handle_silence() - the attempt's server has sent nothing for a while.
  * Sends the call to a second server if one can take it at once, and keeps the
  * attempt until the second one has had time to reject the call.
  *
- * Returns true if the attempt is to be ended; otherwise the check runs again
- * soon. */
-bool call_on_silence (struct call_attempt *attempt);
+ * Returns the time in ms until the next check; 0 if the attempt is to be ended.
+ */
+uint32_t call_handle_silence (struct call_attempt *attempt);
 /** call_first_event_timeout() - time in ms without a first event after which a
  * new attempt counts as silent; 0 for never. */
 uint32_t call_first_event_timeout (const struct call *call);
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -114,7 +114,9 @@
     }
   result
       = pool_choose (site_pool (calls->site), &criteria, clock_ms (), &server);
-  if (result == POOL_CHOSEN && call_avoids (c, server))
+  if (result == POOL_CHOSEN
+      && (call_avoids (c, server)
+          || (c->response_started && clock_ms () < c->repeat_after_ms)))
     result = POOL_FULL;
   /* For calls that keep waiting, the client check timer does this. */
   if ((result == POOL_CHOSEN || !c->waiting)
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -10,8 +10,6 @@
 /* Responses up to this size are buffered until they are complete, so that the
    call can be repeated or refused if the response breaks off. */
 #define BUFFERED_BYTES_MAX (256 * 1024)
-/* Interval of the timeout callback while the server stays silent. */
-#define SILENCE_RECHECK_MS 100
 #define STATUS_OK 200
 
 struct forward
@@ -150,10 +148,11 @@
 {
   struct forward *f = timer->data;
   struct http_call *call = f->call;
+  const uint32_t next_ms = f->events->silence (f->ctx);
 
-  if (!f->events->timeout (f->ctx))
+  if (next_ms > 0)
     {
-      uv_timer_start (timer, on_silence, SILENCE_RECHECK_MS, 0);
+      uv_timer_start (timer, on_silence, next_ms, 0);
       return;
     }
   f->timed_out = true;
--- a/src/edge/forward.h
+++ b/src/edge/forward.h
@@ -79,8 +79,8 @@
  * struct forward_events - callbacks.
  * @confirm_send: runs before the first byte is sent; returning false ends the
  *   attempt with FORWARD_WITHDRAWN.
- * @timeout: no data arrived in time. Returning true ends the attempt;
- *   otherwise the callback runs again soon.
+ * @silence: no data arrived in time. Returns the time in ms after which the
+ *   callback runs again if still no data has arrived; 0 ends the attempt.
  * @start: the response will be forwarded in parts. @call has its head.
  * @part: a part of the response. For a stream it is one whole event, and
  *   @last_event_id is the id of the newest event.
@@ -90,7 +90,7 @@
 struct forward_events
 {
   bool (*confirm_send) (void *ctx);
-  bool (*timeout) (void *ctx);
+  uint32_t (*silence) (void *ctx);
   void (*start) (void *ctx, const struct http_call *call, int status);
   void (*part) (void *ctx, struct str part, uint64_t last_event_id);
   void (*done) (void *ctx, const struct forward_result *result,
