Wait with a begun stream until its client leaves

Such a stream now waits until its client leaves, which the node notices within 150 ms, or until the deadline of the call. A client with more patience than the usual 2 s gets the rest of its stream when a server is free again.

--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -34,8 +34,8 @@
  * @first: head of the list of calls, in order of arrival.
  * @open_count: length of the list.
  * @client_check_due_ms: when client_check_timer should fire next.
- * @drain_end_ms: no call waits for a server beyond this time. UINT64_MAX while
- *   the node isn't draining.
+ * @drain_end_ms: beyond this time a call waits for a server only if its response
+ *   has started. UINT64_MAX while the node isn't draining.
  */
 struct call_table
 {
@@ -99,8 +99,8 @@
  *   there was none.
  * @response_deadline_ms: the response is sent by this time, a little before
  *   @client_deadline_ms when the client set the deadline.
- * @event_wait_ms: the client abandons a stream after this time without an
- *   event; 0 for other calls.
+ * @first_event_deadline_ms: the same, but for a stream early enough to reach a
+ *   client that abandons streams without a first event.
  * @client_deadline_ms: when the client stops waiting.
  * @possible_runs: ended attempts that may have been executed.
  * @rejections: attempts that were certainly not executed.
@@ -143,7 +143,7 @@
   bool resumable;
   uint64_t arrival_ms;
   uint64_t response_deadline_ms;
-  uint64_t event_wait_ms;
+  uint64_t first_event_deadline_ms;
   uint64_t client_deadline_ms;
   uint32_t possible_runs;
   uint32_t rejections;
@@ -275,8 +275,8 @@
 /* ---- call_table.c ---- */
 
 /** call_wait_deadline_ms() - when the call stops waiting for a server. Before
- * the response has started a refusal must still reach the client; afterwards
- * the next event must arrive before the client abandons the stream. */
+ * the response has started a refusal must reach the client in time. Afterwards
+ * there is nothing to tell a client that still waits for the next event. */
 uint64_t call_wait_deadline_ms (const struct call *call);
 /** call_set_waiting() - set call->waiting and update the demand counters. */
 void call_set_waiting (struct call *call, bool waiting);
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -132,14 +132,9 @@
 uint64_t
 call_wait_deadline_ms (const struct call *c)
 {
-  const uint64_t silent_since_ms
-      = c->response_started ? c->last_part_ms : c->arrival_ms;
-  const uint64_t reserve_ms = c->response_started ? 0 : REFUSAL_RESERVE_MS;
-  uint64_t end_ms = c->response_deadline_ms;
-
-  if (c->event_wait_ms > 0
-      && silent_since_ms + c->event_wait_ms - reserve_ms < end_ms)
-    end_ms = silent_since_ms + c->event_wait_ms - reserve_ms;
+  const uint64_t end_ms = c->response_started ? c->response_deadline_ms
+                                              : c->first_event_deadline_ms;
+
   return end_ms - ATTEMPT_MIN_MS;
 }
 
@@ -254,18 +249,18 @@
   return c;
 }
 
+/* Returns how long a stream may wait for a server, so that a refusal arrives
+   before the client abandons it. */
 static uint64_t
-event_wait_ms (const struct route *r)
+max_event_wait_ms (const struct route *r)
 {
   uint64_t ms = EVENT_WAIT_MIN_MS;
 
-  if (r->kind != CALL_STREAM)
-    return 0;
   if (ms < (uint64_t)r->latency_objective_ms * EVENT_WAIT_LATENCY_FACTOR)
     ms = (uint64_t)r->latency_objective_ms * EVENT_WAIT_LATENCY_FACTOR;
   if (ms < (uint64_t)r->event_gap_ms * EVENT_WAIT_GAP_FACTOR)
     ms = (uint64_t)r->event_gap_ms * EVENT_WAIT_GAP_FACTOR;
-  return ms;
+  return ms - REFUSAL_RESERVE_MS;
 }
 
 static void
@@ -286,7 +281,9 @@
   if (wait_ms > DEADLINE_RESERVE_MS && wait_ms == c->meta.deadline_ms)
     wait_ms -= DEADLINE_RESERVE_MS;
   c->response_deadline_ms = c->arrival_ms + wait_ms;
-  c->event_wait_ms = event_wait_ms (r);
+  if (r->kind == CALL_STREAM && max_event_wait_ms (r) < wait_ms)
+    wait_ms = max_event_wait_ms (r);
+  c->first_event_deadline_ms = c->arrival_ms + wait_ms;
   str_u64 (c->meta.last_event_id, &c->last_event_id);
   uv_timer_start (&c->timer, on_deadline,
                   c->response_deadline_ms - c->arrival_ms, 0);
--- a/src/edge/call_table.h
+++ b/src/edge/call_table.h
@@ -20,7 +20,8 @@
 void call_table_accept (struct call_table *calls, h2o_req_t *req);
 /** call_table_drain() - limit the waiting time of calls before shutdown.
  * @remaining_ms: from now on. After that, calls that still wait for a server
- *   are refused, and so are new ones that would have to wait.
+ *   are refused, unless their response has started, and so are new ones that
+ *   would have to wait.
  */
 void call_table_drain (struct call_table *calls, uint32_t remaining_ms);
 /** call_table_open_count() - number of calls whose response is not complete.
