Send waiting streams that have begun before other calls

When servers are full, newcomers of higher priority took each place that became free, and a begun stream of a lower priority waited until its client left. A call that has not begun can be refused and told when to return; a begun one is lost. Begun streams now go first when waiting calls are dispatched.

--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -371,19 +371,27 @@
     }
 }
 
-/* Dispatches the most urgent calls first, and the oldest first among calls of
-   the same priority. */
+/* Returns the order of a waiting call: begun ones first, because they can't be
+   refused any more, then by priority. */
+static uint32_t
+dispatch_rank (const struct call *c)
+{
+  return c->response_started ? 0 : c->priority + 1;
+}
+
+/* Dispatches calls of a lower rank first, and the oldest first among calls of
+   the same rank. */
 static void
 dispatch_waiting (struct call_table *calls)
 {
-  uint32_t priority = 0;
-  uint32_t next_priority;
+  uint32_t rank = 0;
+  uint32_t next_rank;
 
   do
     {
       struct call *next;
 
-      next_priority = UINT32_MAX;
+      next_rank = UINT32_MAX;
       for (struct call *c = calls->first; c; c = next)
         {
           next = c->next;
@@ -391,14 +399,14 @@
             continue;
           if (clock_ms () >= call_wait_deadline_ms (c))
             call_give_up (c, 0, "waited-too-long");
-          else if (c->priority == priority)
+          else if (dispatch_rank (c) == rank)
             call_dispatch (c);
-          else if (c->priority > priority && c->priority < next_priority)
-            next_priority = c->priority;
+          else if (dispatch_rank (c) > rank && dispatch_rank (c) < next_rank)
+            next_rank = dispatch_rank (c);
         }
-      priority = next_priority;
+      rank = next_rank;
     }
-  while (next_priority != UINT32_MAX);
+  while (next_rank != UINT32_MAX);
 }
 
 static void
