--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -34,8 +34,8 @@
  * @first: head of the list of calls, in order of arrival.
  * @open_count: length of the list.
  * @client_check_due_ms: when client_check_timer should fire next.
- * @drain_end_ms: beyond this time a call waits for a server only if its response
- *   has started. UINT64_MAX while the node isn't draining.
+ * @drain_end_ms: beyond this time a call waits for a server only if its
+ * response has started. UINT64_MAX while the node isn't draining.
  */
 struct call_table
 {
@@ -221,7 +221,8 @@
  * Sends the call to a second server if one can take it at once, and keeps the
  * attempt until the second one has had time to reject the call.
  *
- * Returns the time in ms until the next check; 0 if the attempt is to be ended.
+ * Returns the time in ms until the next check; 0 if the attempt is to be
+ * ended.
  */
 uint32_t call_handle_silence (struct call_attempt *attempt);
 /** call_first_event_timeout() - time in ms without a first event after which a
