Test handovers, and streams that are resumed without events

Three cases could pass for another reason than the one they name. "begun stream, no server listed" and "retry budget" now require the log line of their wait. "begun stream, node stops" requires that the wait of the stream follows the refusal of a call that waited when the node was stopped; its grace period is 4 s, so that the second half leaves time to resume.

--- a/tests/e2e_streams.c
+++ b/tests/e2e_streams.c
@@ -32,25 +32,34 @@
   struct edgecluster e;
   struct cluster_proc *first;
   struct cluster_proc *second;
+  struct cluster_proc *third; /* NULL in most cases */
+  struct cluster_proc *plain; /* has no slots */
   struct cluster_proc *edge;
 };
 
 /**
- * struct stream_case - a stream that the second server completes, or the first
+ * struct stream_case - a stream that the last server completes, or the first
  * one if @second_runs is 0.
+ * @path: of the call; NULL for that of most cases.
  * @first: flags of the first server.
  * @second: flags of the second server.
+ * @third: flags of the third server, which runs the call once and whose entry
+ * @meanwhile puts; NULL if there is none.
  * @node: flags of the node; NULL for those that suffice for most cases.
  * @second_unlisted: @meanwhile puts the second server's entry.
  * @meanwhile: runs once the first server has the call; may be NULL.
+ * @afterwards: checks that follow the response; may be NULL.
  */
 struct stream_case
 {
+  const char *path;
   const char *const *first;
   const char *const *second;
+  const char *const *third;
   const char *const *node;
   bool second_unlisted;
   void (*meanwhile) (const struct streams *s);
+  void (*afterwards) (const struct streams *s);
   int second_runs;
 };
 
@@ -61,6 +70,10 @@
 
   s.first = cluster_server (s.e.cluster, "lm", "a", x->first);
   s.second = cluster_server (s.e.cluster, "lm", "a", x->second);
+  s.plain = cluster_server (s.e.cluster, "plain", "a", NULL);
+  if (x->third)
+    s.third = cluster_server (s.e.cluster, "lm", "a", x->third);
+  edgecluster_put_full_server (&s.e, s.plain);
   edgecluster_put_server (&s.e, s.first, "ready", MODELS);
   if (!x->second_unlisted)
     edgecluster_put_server (&s.e, s.second, "ready", MODELS);
@@ -81,7 +94,8 @@
 {
   struct streams s = start (x);
   struct cluster_request *call = edgecluster_call_begin (
-      s.edge, "POST", "/stream/x", CALL_ID, "m1", "prompt");
+      s.edge, "POST", x->path ? x->path : "/stream/x", CALL_ID, "m1",
+      "prompt");
 
   CU_ASSERT_TRUE (cluster_poll_until (has_run, s.first, WAIT_TIMEOUT_MS));
   if (x->meanwhile)
@@ -92,7 +106,11 @@
   CU_ASSERT (str_eq (buf_str (&r.body), edgecluster_whole_stream ()));
   CU_ASSERT_EQUAL (edgecluster_run_count (s.first, CALL_ID), 1);
   CU_ASSERT_EQUAL (edgecluster_run_count (s.second, CALL_ID), x->second_runs);
+  if (s.third)
+    CU_ASSERT_EQUAL (edgecluster_run_count (s.third, CALL_ID), 1);
   cluster_reply_free (&r);
+  if (x->afterwards)
+    x->afterwards (&s);
   edgecluster_destroy (&s.e);
 }
 
@@ -104,6 +122,15 @@
       (const char *const[]){ "event=attempt-failed", CALL_ID_FIELD, NULL }));
 }
 
+/* @reason is a word of the log line. */
+static void
+wait_for_wait (const struct streams *s, const char *reason)
+{
+  CU_ASSERT_TRUE (edgecluster_wait_logged (
+      s->edge,
+      (const char *const[]){ "event=wait ", CALL_ID_FIELD, reason, NULL }));
+}
+
 static void
 drain_first (const struct streams *s)
 {
@@ -117,6 +144,7 @@
 {
   drain_first (s);
   wait_attempt_failed (s);
+  wait_for_wait (s, "reason=no-server ");
   usleep (UNLISTED_MS * 1000);
   edgecluster_put_server (&s->e, s->second, "ready", MODELS);
 }
@@ -128,6 +156,7 @@
 {
   drain_first (s);
   wait_attempt_failed (s);
+  wait_for_wait (s, "reason=retry-budget ");
   struct cluster_reply r
       = edgecluster_call (s->edge, "POST", "/whole/x", "id-2", "m1", "prompt");
 
@@ -135,10 +164,42 @@
   cluster_reply_free (&r);
 }
 
+/* Lists the third server only now, so that the second one is asked first. */
+static void
+add_third (const struct streams *s)
+{
+  CU_ASSERT_TRUE (cluster_poll_until (has_run, s->second, WAIT_TIMEOUT_MS));
+  edgecluster_put_server (&s->e, s->third, "ready", MODELS);
+}
+
+/* Returns once the node has refused a call that waited when it was stopped,
+   which it does after half of the grace period. */
 static void
 stop_node (const struct streams *s)
 {
+  struct cluster_request *waiting = edgecluster_call_begin (
+      s->edge, "GET", "/plain/x", "id-2", NULL, NULL);
+
+  CU_ASSERT_TRUE (edgecluster_wait_logged (
+      s->edge, (const char *const[]){ "event=wait ", "id=id-2 ", NULL }));
   CU_ASSERT_TRUE (cluster_signal (s->edge, SIGTERM));
+  struct cluster_reply r = cluster_http_wait (waiting);
+
+  CU_ASSERT_EQUAL (r.status, 503);
+  cluster_reply_free (&r);
+}
+
+static void
+check_waited_after_refusal (const struct streams *s)
+{
+  const int refusal = edgecluster_log_line (
+      s->edge, (const char *const[]){ "event=call ", "id=id-2 ",
+                                      "reason=node-stops ", NULL });
+  const int wait = edgecluster_log_line (
+      s->edge, (const char *const[]){ "event=wait ", CALL_ID_FIELD, NULL });
+
+  CU_ASSERT_TRUE (refusal > 0);
+  CU_ASSERT_TRUE (wait > refusal);
 }
 
 enum
@@ -151,6 +212,8 @@
   NO_RETRY_BUDGET,
   NODE_STOPS,
   CUT_FOR_GOOD,
+  CUT_AFTER_LAST_EVENT,
+  RESUME_FAILED,
 };
 
 static const struct stream_case stream_cases[] = {
@@ -182,13 +245,25 @@
       .second_runs = 1 },
   /* The first server breaks off after half of the grace period. */
   [NODE_STOPS]
-  = { .first = FIRST ("--fault", "cut-event", "--event-gap-ms", "580"),
+  = { .first = FIRST ("--fault", "cut-event", "--event-gap-ms", "800"),
       .second = SERVER ("--reject-first", "1"),
-      .node = NODE ("--grace-s", "3"),
+      .node = NODE ("--grace-s", "4"),
       .meanwhile = stop_node,
+      .afterwards = check_waited_after_refusal,
       .second_runs = 1 },
   [CUT_FOR_GOOD]
   = { .first = FIRST ("--fault", "cut-event"), .second = SERVER () },
+  /* The second server resumes with a complete response without events. */
+  [CUT_AFTER_LAST_EVENT] = { .first = FIRST ("--fault", "cut-end"),
+                             .second = SERVER (),
+                             .second_runs = 1 },
+  [RESUME_FAILED]
+  = { .path = "/stream3/x",
+      .first = FIRST ("--fault", "cut-event"),
+      .second = SERVER ("--fault", "error", "--reject-after", "1"),
+      .third = SERVER (),
+      .meanwhile = add_third,
+      .second_runs = 1 },
 };
 
 /* Guards against a deadline for the first event that ends a begun stream. */
@@ -240,6 +315,22 @@
   check_stream (&stream_cases[NODE_STOPS]);
 }
 
+/* Guards against a complete stream that is cut because its resume brings no
+   further event. */
+static void
+test_cut_after_last_event (void)
+{
+  check_stream (&stream_cases[CUT_AFTER_LAST_EVENT]);
+}
+
+/* Guards against a begun stream that ends with an attempt left, because a
+   server answers the resume with a failure. */
+static void
+test_resume_failed (void)
+{
+  check_stream (&stream_cases[RESUME_FAILED]);
+}
+
 /* Guards against a cut stream that the log and the metrics do not show. */
 static void
 test_cut_is_counted (void)
@@ -271,6 +362,8 @@
   { "begun stream, no server listed for a moment", test_no_server_listed },
   { "begun stream, retry budget used up for a moment", test_no_retry_budget },
   { "begun stream, node stops", test_node_stops },
+  { "stream broken after its last event", test_cut_after_last_event },
+  { "begun stream, resume answered with 500", test_resume_failed },
   { "cut stream logged and counted", test_cut_is_counted },
 };
 TEST_SUITE ("streams", cases)
--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -9,6 +9,7 @@
 
 #define STORE_WRITE_TIMEOUT_MS 3000
 #define MODEL_COUNT 4
+#define SLOTS 8 /* of each server */
 #define LOG_TIMEOUT_MS 15000
 #define IDLE_TIMEOUT_MS 15000
 
@@ -121,10 +122,11 @@
 {
   struct str marker = str_printf ("v%lu", e->version);
   json_t *routes = json_pack (
-      "[o, o, o, o, o]",
+      "[o, o, o, o, o, o]",
       route_json ("plain", "idempotent", "plain", timeout_ms, 2, false),
       route_json ("once", "non_idempotent", "plain", timeout_ms, 1, false),
       route_json ("stream", "streaming", "lm", timeout_ms, 2, true),
+      route_json ("stream3", "streaming", "lm", timeout_ms, 3, true),
       route_json ("whole", "streaming", "lm", timeout_ms, 1, false),
       route_json (marker.data, "idempotent", "plain", timeout_ms, 1, false));
   json_t *services = json_pack (
@@ -144,22 +146,36 @@
   json_decref (spec);
 }
 
-void
-edgecluster_put_server (const struct edgecluster *e,
-                        const struct cluster_proc *server, const char *state,
-                        const char *models)
+static void
+put_server (const struct edgecluster *e, const struct cluster_proc *server,
+            int slots, const char *state, const char *models)
 {
   struct str spec = str_printf (
       "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-      "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"seq\":1,"
+      "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\",\"seq\":1,"
       "\"cold_remaining_ms\":0,\"models\":%s}",
-      server->service, server->url + strlen ("http://"), server->domain, state,
-      models);
+      server->service, server->url + strlen ("http://"), server->domain, slots,
+      state, models);
 
   edgecluster_put_object (e, "servers", server->name, spec.data);
   str_free (&spec);
 }
 
+void
+edgecluster_put_server (const struct edgecluster *e,
+                        const struct cluster_proc *server, const char *state,
+                        const char *models)
+{
+  put_server (e, server, SLOTS, state, models);
+}
+
+void
+edgecluster_put_full_server (const struct edgecluster *e,
+                             const struct cluster_proc *server)
+{
+  put_server (e, server, 0, "ready", "[]");
+}
+
 /* Header lines of a call, ended by NULL. The model's line is left out if the
    call has no model. */
 struct call_headers
@@ -234,23 +250,33 @@
   const char *const *words;
 };
 
-static bool
-log_has_line (void *ctx)
+int
+edgecluster_log_line (const struct cluster_proc *edge,
+                      const char *const *words)
 {
-  const struct expected_line *x = ctx;
-  FILE *f = fopen (x->edge->log, "r");
+  FILE *f = fopen (edge->log, "r");
   char line[4096];
   bool found = false;
+  int number = 0;
 
   while (f && !found && fgets (line, sizeof line, f))
     {
+      number++;
       found = true;
-      for (size_t i = 0; x->words[i]; i++)
-        found = found && strstr (line, x->words[i]);
+      for (size_t i = 0; words[i]; i++)
+        found = found && strstr (line, words[i]);
     }
   if (f)
     fclose (f);
-  return found;
+  return found ? number : 0;
+}
+
+static bool
+log_has_line (void *ctx)
+{
+  const struct expected_line *x = ctx;
+
+  return edgecluster_log_line (x->edge, x->words) > 0;
 }
 
 bool
--- a/tests/edgecluster.h
+++ b/tests/edgecluster.h
@@ -8,7 +8,8 @@
    of a server. The hostname test.example has these routes:
    /plain/   idempotent, 2 attempts
    /once/    not idempotent
-   /stream/  a resumable stream
+   /stream/  a resumable stream, 2 attempts
+   /stream3/ a resumable stream, 3 attempts
    /whole/   a stream that must not be resumed
    /vN/      idempotent, 1 attempt; only in version N of the configuration */
 
@@ -44,6 +45,10 @@
 void edgecluster_put_server (const struct edgecluster *e,
                              const struct cluster_proc *server,
                              const char *state, const char *models);
+/** edgecluster_put_full_server() - write the entry of a plain server that has
+ * no slots, so that its calls wait. */
+void edgecluster_put_full_server (const struct edgecluster *e,
+                                  const struct cluster_proc *server);
 /** edgecluster_set_faults() - replace the faults that the store injects. */
 void edgecluster_set_faults (const struct edgecluster *e, const char *json);
 /** edgecluster_call() - send a call with @id as its attempt id and wait for
@@ -65,6 +70,10 @@
 /** edgecluster_whole_stream() - return the complete stream of a model server,
  * the events 1 to 8. */
 struct str edgecluster_whole_stream (void);
+/** edgecluster_log_line() - return the number of the first line with all
+ * @words in the log of a node, counted from 1, or 0 if there is none. */
+int edgecluster_log_line (const struct cluster_proc *edge,
+                          const char *const *words);
 /** edgecluster_wait_logged() - wait until the log of a node has a line with
  * all @words, which NULL ends; false after a timeout. A node logs a call only
  * after it sent the response. */
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -36,6 +36,9 @@
 /* Longer than a node waits for the next event when it can resume the stream on
    another server. */
 #define STREAM_PAUSE_MS 1500
+/* Interval at which a silent stream checks whether its caller is still there.
+ */
+#define SILENT_CHECK_MS 20
 
 #define FIELD(f) .offset = offsetof (struct options, f)
 
@@ -48,7 +51,7 @@
     FIELD (models), "", 0, 0 },
   { "fault", "WORD",
     "shed, close, cut, cut-chunks, unsealed, crossed, unframed, error, "
-    "cut-event, "
+    "cut-event, cut-end, no-answer, "
     "silent, pause, or one of the endless responses",
     SETTING_STRING, FIELD (fault), "", 0, 0 },
   { "most-models", "N", "models that fit in memory", SETTING_U32,
@@ -227,7 +230,8 @@
 struct stream
 {
   h2o_req_t *req;
-  int event; /* number of the next event */
+  int event;   /* number of the next event */
+  bool silent; /* leaves the connection open without further events */
 };
 
 static void
@@ -394,9 +398,15 @@
       free (s);
       return;
     }
+  if (s->silent)
+    {
+      standin_run_after (SILENT_CHECK_MS, next_event, s);
+      return;
+    }
   if (s->event > LAST_EVENT)
     {
-      send_raw_text (s->req, "0\r\n\r\n");
+      if (!has_fault ("cut-end"))
+        send_raw_text (s->req, "0\r\n\r\n");
       standin_run_after (20, close_connection, s->req);
       free (s);
       return;
@@ -416,11 +426,7 @@
       return;
     }
   s->event++;
-  if (has_fault ("silent") && s->event == 4)
-    {
-      free (s); /* leaves the connection open without further events */
-      return;
-    }
+  s->silent = has_fault ("silent") && s->event == 4;
   standin_run_after (has_fault ("pause") && s->event == 4
                          ? STREAM_PAUSE_MS
                          : options.event_gap_ms,
@@ -442,7 +448,9 @@
   str_u64 (standin_header (req, "last-event-id"), &last);
   s->req = req;
   s->event = (int)last + 1;
-  send_raw_text (req, head.data);
+  s->silent = has_fault ("no-answer");
+  if (!s->silent)
+    send_raw_text (req, head.data);
   str_free (&head);
   next_event (s);
 }
@@ -628,7 +636,8 @@
         standin_close (req);
       else if (endless_fault ())
         answer_endless (req, endless_fault ());
-      else if (is_model_server () && options.body_kb == 0)
+      else if (is_model_server () && options.body_kb == 0
+               && !has_fault ("error"))
         answer_stream (req);
       else
         standin_run_after (options.delay_ms, answer_plain, req);
