Let the test of a takeover wait until the second node knows the test's socket

A holder sends a digest to one node after the other. The test killed it when the digest had arrived at the test's own socket, possibly before it was sent to the second node, which then did not know of the socket and had nobody to announce itself to. The log of the failed run shows that the second node took the lease in time. The test now waits for two such digests: when the second one arrives, the first one has been sent to all. It checks the same otherwise.

--- a/tests/e2e_takeover.c
+++ b/tests/e2e_takeover.c
@@ -94,18 +94,22 @@
   const int fd = bind_socket ();
   uint64_t fence = 0;
   uint64_t new_fence = 0;
+  int digests = 0;
 
   edgecluster_configure (&edges, 5000);
   first = cluster_edge (edges.cluster, "a", NULL);
   CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
   second = cluster_edge (edges.cluster, "b", NULL);
   CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
-  for (uint64_t i = 1; fence == 0 && i < WAIT_MS / POLL_MS; i++)
+  /* A digest is sent to one node after the other. Once the next one has
+     arrived here, the second node has been sent the first one. */
+  for (uint64_t i = 1; digests < 2 && i < WAIT_MS / POLL_MS; i++)
     {
       send_empty_digest (fd, peer_address (first), i);
       fence = receive_holder_fence (fd, 2);
+      digests += fence > 0;
     }
-  CU_ASSERT_TRUE (fence > 0);
+  CU_ASSERT_EQUAL (digests, 2);
   cluster_kill (first);
   for (int i = 0; new_fence <= fence && i < WAIT_MS / POLL_MS; i++)
     new_fence = receive_holder_fence (fd, 0);
