Give the start and the end of a call's attempts files of their own

The start of an attempt moves to call_start.c, log line and metrics of a call's end to call_record.c, where the counter of clients that left uses the function of the other reasons. wait() no longer has the name of a function of libc.

--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -192,14 +192,15 @@
 
 /* ---- call_attempt.c ---- */
 
-/** call_start_attempt() - send the call to a server. At most one other attempt
- * may be in flight.
- * @uses_retry_budget: the attempt was taken from the retry budget.
- */
-void call_start_attempt (struct call *call, struct pool_server *server,
-                         bool uses_retry_budget);
 /** call_cancel_attempts() - cancel all attempts in flight. */
 void call_cancel_attempts (struct call *call);
+/** call_attempt_events - callbacks of the attempts of a call. */
+extern const struct forward_events call_attempt_events;
+/** call_add_running_demand() - count attempts in flight for the demand of the
+ * call's model and adapter. */
+void call_add_running_demand (struct call *call, int change);
+/** call_in_flight_count() - number of attempts in flight. */
+uint32_t call_in_flight_count (const struct call *call);
 /** call_in_flight() - returns true if an attempt is in flight. */
 bool call_in_flight (const struct call *call);
 /** call_other_attempt() - the other attempt in flight; NULL if there is none.
@@ -215,6 +216,15 @@
  * yet, because it was rejected there a moment ago. */
 bool call_avoids (const struct call *call, const struct pool_server *server);
 
+/* ---- call_start.c ---- */
+
+/** call_start_attempt() - send the call to a server. At most one other attempt
+ * may be in flight.
+ * @uses_retry_budget: the attempt was taken from the retry budget.
+ */
+void call_start_attempt (struct call *call, struct pool_server *server,
+                         bool uses_retry_budget);
+
 /* ---- call_handover.c ---- */
 
 /** call_handle_silence() - the attempt's server has sent nothing for a while.
@@ -285,6 +295,14 @@
 void call_close (struct call *call, enum call_end end, int status,
                  const char *reason);
 
+/* ---- call_record.c ---- */
+
+/** call_record_end() - log and count the end of a call. */
+void call_record_end (const struct call *call, enum call_end end, int status,
+                      const char *reason);
+/** call_count_reason() - add 1 to a metric with the label "reason". */
+void call_count_reason (const char *metric, const char *reason);
+
 /* ---- call_budget.c ---- */
 
 /** call_take_retry() - take a retry from the budget. Returns false if the
--- a/src/edge/call_response.c
+++ b/src/edge/call_response.c
@@ -2,8 +2,6 @@
 
 #include <stdio.h>
 
-#include "metrics.h"
-
 #define RESPONSE_FIELDS_MAX 64
 /* Retry-After when the caller of call_refuse() has no estimate. Servers and
    routes are usually available again after about this time. */
@@ -103,15 +101,6 @@
   call_close (c, CALL_END_SERVED, 200, "-");
 }
 
-static void
-count_client_left (const char *reason)
-{
-  struct str labels = str_printf ("reason=\"%s\"", reason);
-
-  metrics_add ("galenagate_left_total", labels, 1);
-  str_free (&labels);
-}
-
 void
 call_drop (struct call *c, const char *reason)
 {
@@ -122,6 +111,6 @@
     send_reason (
         c, c->first_send_counted ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
         "client-left");
-  count_client_left (reason);
+  call_count_reason ("galenagate_left_total", reason);
   call_close (c, CALL_END_CLIENT_LEFT, 0, reason);
 }
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -64,8 +64,8 @@
 }
 
 static void
-wait (struct call *c, const struct pool_criteria *criteria,
-      enum pool_result result)
+wait_for_server (struct call *c, const struct pool_criteria *criteria,
+                 enum pool_result result)
 {
   const uint64_t now = clock_ms ();
   const uint32_t ready_in
@@ -129,11 +129,11 @@
     call_start_attempt (c, server, c->reached_server);
   else if (c->response_started)
     /* A cut can't be taken back, and each of these conditions may pass. */
-    wait (c, &criteria, result);
+    wait_for_server (c, &criteria, result);
   else if (result == POOL_CHOSEN)
     call_give_up (c, 0, "retry-budget");
   else if (result == POOL_NO_SERVER)
     call_give_up (c, 0, "no-server");
   else
-    wait (c, &criteria, result);
+    wait_for_server (c, &criteria, result);
 }
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -33,13 +33,6 @@
 #define STATUS_NOT_FOUND 404
 #define STATUS_GATEWAY_TIMEOUT 504
 
-static const char *const end_names[] = {
-  [CALL_END_SERVED] = "served",   [CALL_END_FAILED] = "failed",
-  [CALL_END_REFUSED] = "refused", [CALL_END_UNKNOWN] = "unknown",
-  [CALL_END_CUT] = "cut",         [CALL_END_CLIENT_LEFT] = "left",
-  [CALL_END_DENIED] = "denied",
-};
-
 /* ---- list of calls ---- */
 
 static void
@@ -82,53 +75,6 @@
   free (c);
 }
 
-static void
-log_end (const struct call *c, enum call_end end, int status,
-         const char *reason)
-{
-  const uint64_t now = clock_ms ();
-  const struct str server = c->server ? pool_server_id (c->server) : STR ("-");
-
-  LOG_INFO ("call",
-            CALL_LOG_FMT
-            " server=" STR_FMT
-            " end=%s status=%d reason=%s runs=%u rejections=%u wait_ms=%lu"
-            " first_byte_ms=%lu max_gap_ms=%lu silent_ms=%lu total_ms=%lu"
-            " config=%lu",
-            CALL_LOG_ARG (c), STR_ARG (server), end_names[end], status, reason,
-            c->possible_runs, c->rejections,
-            (c->sent_ms > 0 ? c->sent_ms : now) - c->arrival_ms,
-            c->response_start_ms > 0 ? c->response_start_ms - c->arrival_ms
-                                     : 0,
-            c->longest_gap_ms, c->last_part_ms > 0 ? now - c->last_part_ms : 0,
-            now - c->arrival_ms, c->config_version);
-}
-
-static void
-count_reason (const char *metric, const char *reason)
-{
-  struct str labels = str_printf ("reason=\"%s\"", reason);
-
-  metrics_add (metric, labels, 1);
-  str_free (&labels);
-}
-
-static void
-count_call_end (const struct call *c, enum call_end end)
-{
-  struct str labels = str_printf ("route=\"" STR_FMT "\",end=\"%s\"",
-                                  STR_ARG (c->route_name), end_names[end]);
-  const uint64_t now = clock_ms ();
-
-  metrics_add ("galenagate_calls_total", labels, 1);
-  metrics_observe ("galenagate_call_ms", labels,
-                   (double)(now - c->arrival_ms));
-  if (c->response_start_ms > 0)
-    metrics_observe ("galenagate_call_first_ms", labels,
-                     (double)(c->response_start_ms - c->arrival_ms));
-  str_free (&labels);
-}
-
 uint64_t
 call_wait_deadline_ms (const struct call *c)
 {
@@ -155,12 +101,7 @@
 void
 call_close (struct call *c, enum call_end end, int status, const char *reason)
 {
-  log_end (c, end, status, reason);
-  count_call_end (c, end);
-  if (end == CALL_END_REFUSED)
-    count_reason ("galenagate_refused_total", reason);
-  else if (end == CALL_END_CUT)
-    count_reason ("galenagate_cut_total", reason);
+  call_record_end (c, end, status, reason);
   call_set_waiting (c, false);
   unlink_call (c);
   caller_release (c->caller);
