--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -35,7 +35,7 @@
  * @open_count: length of the list.
  * @client_check_due_ms: when client_check_timer should fire next.
  * @drain_end_ms: beyond this time a call waits for a server only if its
- * response has started. UINT64_MAX while the node isn't draining.
+ *   response has started. UINT64_MAX while the node isn't draining.
  */
 struct call_table
 {
@@ -99,8 +99,9 @@
  *   there was none.
  * @response_deadline_ms: the response is sent by this time, a little before
  *   @client_deadline_ms when the client set the deadline.
- * @first_event_deadline_ms: the same, but for a stream early enough to reach a
- *   client that abandons streams without a first event.
+ * @first_event_deadline_ms: a call whose response has not started and that has
+ *   no server by this time is refused. For a stream it is early enough
+ *   to reach the client before it abandons a stream without a first event.
  * @client_deadline_ms: when the client stops waiting.
  * @possible_runs: ended attempts that may have been executed.
  * @rejections: attempts that were certainly not executed.
