--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -16,8 +16,6 @@
 #define REPEAT_BACKOFF_MIN_MS 60
 #define REPEAT_BACKOFF_DOUBLINGS_MAX 3
 #define STATUS_OK 200
-#define STATUS_BAD_GATEWAY 502
-#define STATUS_GATEWAY_TIMEOUT 504
 
 bool
 call_repeatable (const struct call *c)
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -21,6 +21,8 @@
 /* Least time before the deadline to start an attempt. No server responds
    faster than this, so the response would be late. */
 #define ATTEMPT_MIN_MS 20
+#define STATUS_BAD_GATEWAY 502
+#define STATUS_GATEWAY_TIMEOUT 504
 
 struct service_budget_entry
 {
--- a/src/edge/call_response.c
+++ b/src/edge/call_response.c
@@ -6,7 +6,6 @@
 /* Retry-After when the caller of call_refuse() has no estimate. Servers and
    routes are usually available again after about this time. */
 #define RETRY_AFTER_DEFAULT_MS 500
-#define STATUS_BAD_GATEWAY 502
 #define STATUS_UNAVAILABLE 503
 
 static const struct str text_type = { "text/plain", 10 };
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -6,7 +6,6 @@
 #define LOG_MODULE "call"
 /* Retry-After for a request that is refused because it crashes servers. */
 #define QUARANTINE_RETRY_AFTER_MS 60000
-#define STATUS_BAD_GATEWAY 502
 
 uint64_t
 call_ms_until (uint64_t end_ms)
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -31,7 +31,6 @@
 #define REFUSAL_RESERVE_MS 100
 #define STATUS_BAD_REQUEST 400
 #define STATUS_NOT_FOUND 404
-#define STATUS_GATEWAY_TIMEOUT 504
 
 /* ---- list of calls ---- */
 
