Log what the quarantine learns of crashes

No line said when a request became a suspect, when a crash under it was recorded on a node, or when its crashes were forgotten, so a request that is never refused, one whose crashes no node is told of, and one that comes with another fingerprint each time looked the same in the logs.

attempt-failed and the new line quarantined carry the fingerprint of the request, server-dead and the new line server-restarted the start that ended, and crash-recorded and crashes-cleared tell each change of the record on each node, own crashes and those learnt from others alike. No decision changes.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -355,9 +355,9 @@
   if (r->outcome != FORWARD_ANSWERED)
     LOG_INFO (
         "attempt-failed",
-        "id=" STR_FMT " server=" STR_FMT
+        "id=" STR_FMT " fingerprint=%016lx server=" STR_FMT
         " outcome=%s status=%d timed_out=%d response_started=%d " LOG_E_FMT,
-        STR_ARG (c->meta.client_attempt_id),
+        STR_ARG (c->meta.client_attempt_id), c->fingerprint,
         STR_ARG (pool_server_id (a->server)),
         forward_outcome_name (r->outcome), r->status, r->timed_out,
         r->response_started, LOG_E_ARG (r->err));
--- a/src/edge/call_crash.c
+++ b/src/edge/call_crash.c
@@ -44,7 +44,8 @@
 
   if (!reached && server && server_start_hash (server) == p->server_start)
     {
-      LOG_INFO ("server-dead", "server=" STR_FMT, STR_ARG (p->server_id));
+      LOG_INFO ("server-dead", "server=" STR_FMT " start=%016lx",
+                STR_ARG (p->server_id), p->server_start);
       call_server_unreachable (p->calls, server);
     }
   str_free (&p->server_id);
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -108,6 +108,8 @@
   if (quarantine_contains (site_quarantine (calls->site), c->fingerprint,
                            clock_ms ()))
     {
+      LOG_INFO ("quarantined", "id=" STR_FMT " fingerprint=%016lx",
+                STR_ARG (c->meta.client_attempt_id), c->fingerprint);
       call_give_up (c, QUARANTINE_RETRY_AFTER_MS, "crashes-servers");
       return;
     }
--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -38,6 +38,8 @@
   size_t crashed_requests;  /* of these, requests with crashes */
   struct suspect suspects[SUSPECTS_MAX];
   size_t next_suspect;
+  quarantine_change_fn changed; /* NULL: not observed */
+  void *ctx;
 };
 
 struct request_quarantine *
@@ -46,6 +48,25 @@
   return xcalloc (1, sizeof (struct request_quarantine));
 }
 
+void
+quarantine_observe (struct request_quarantine *c, quarantine_change_fn fn,
+                    void *ctx)
+{
+  c->changed = fn;
+  c->ctx = ctx;
+}
+
+static void
+report_change (const struct request_quarantine *c, const struct request *r,
+               uint64_t server)
+{
+  const struct quarantine_change change
+      = { r->fingerprint, server, r->crashes };
+
+  if (c->changed)
+    c->changed (c->ctx, &change);
+}
+
 static void
 clear_crashes (struct request_quarantine *c, struct request *r)
 {
@@ -148,8 +169,11 @@
                               uint64_t fingerprint, uint64_t now_ms)
 {
   struct request *r = find_or_add (c, fingerprint, now_ms);
+  const bool had_crashes = r->crashes > 0;
 
   clear_crashes (c, r);
+  if (had_crashes)
+    report_change (c, r, 0);
   r->completed = true;
   r->updated_ms = now_ms;
 }
@@ -170,6 +194,7 @@
   if (r->crashes < CRASHES_MAX)
     r->servers[r->crashes++] = crash->server;
   r->updated_ms = now_ms;
+  report_change (c, r, crash->server);
 }
 
 bool
--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -30,8 +30,26 @@
   uint64_t server;
 };
 
+/**
+ * struct quarantine_change - change of what is known about a request.
+ * @server: the start that crashed; 0 if @crashes is 0.
+ * @crashes: number of crashes now; 0 if they were cleared.
+ */
+struct quarantine_change
+{
+  uint64_t fingerprint;
+  uint64_t server;
+  uint32_t crashes;
+};
+
+typedef void (*quarantine_change_fn) (void *ctx,
+                                      const struct quarantine_change *change);
+
 struct request_quarantine *quarantine_create (void);
 void quarantine_destroy (struct request_quarantine *quarantine);
+/** quarantine_observe() - call @fn after each change, for logs. */
+void quarantine_observe (struct request_quarantine *quarantine,
+                         quarantine_change_fn fn, void *ctx);
 
 /** quarantine_fingerprint() - hash that is the same when a client sends a
  * request again. @client: any number that stays the same for a client. */
--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -93,10 +93,12 @@
   const struct pool_server *before = pool_find (s->pool, e->id);
   const uint64_t started_ms = before ? pool_server_started (before) : 0;
 
-  if (started_ms > 0 && e->started_ms > started_ms)
-    quarantine_server_crashed (s->quarantine,
-                               quarantine_server_hash (e->id, started_ms),
-                               clock_ms ());
+  if (started_ms == 0 || e->started_ms <= started_ms)
+    return;
+  LOG_INFO ("server-restarted", "server=" STR_FMT " start=%016lx",
+            STR_ARG (e->id), quarantine_server_hash (e->id, started_ms));
+  quarantine_server_crashed (
+      s->quarantine, quarantine_server_hash (e->id, started_ms), clock_ms ());
 }
 
 static void
@@ -162,6 +164,19 @@
   .reachable = on_reachable,
 };
 
+/* ---- quarantine ---- */
+
+static void
+on_quarantine_change (void *ctx, const struct quarantine_change *change)
+{
+  (void)ctx;
+  if (change->crashes == 0)
+    LOG_INFO ("crashes-cleared", "fingerprint=%016lx", change->fingerprint);
+  else
+    LOG_INFO ("crash-recorded", "fingerprint=%016lx start=%016lx crashes=%u",
+              change->fingerprint, change->server, change->crashes);
+}
+
 /* ---- plug-in ---- */
 
 static struct plugin *
@@ -174,6 +189,7 @@
   s->pool = pool_create ();
   s->demand = demand_create ();
   s->quarantine = quarantine_create ();
+  quarantine_observe (s->quarantine, on_quarantine_change, s);
   platform_listen (platform_get (kernel), &events, s);
   return &s->plugin;
 }
