Keep the crashes of a request when other requests complete

Callers saw a request that had crashed three servers run again: the table of the quarantine held completed requests too and evicted by age of insertion, so 4,096 other requests, a minute or two on a busy node, displaced the crashes within their retention of ten minutes.

Completed requests get a table of their own, and a request that is refused is displaced last. Crashes beyond the third no longer renew a record: nodes that know different three of them renewed each other's for ever.

Unit quarantine "others complete" failed before and passes.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -323,7 +323,7 @@
   c->possible_runs++;
   select_attempt (a);
   quarantine_request_completed (site_quarantine (c->calls->site),
-                                c->fingerprint, clock_ms ());
+                                c->fingerprint);
   pool_call_served (a->server);
   if (c->response_started)
     call_finish_response (c);
--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -14,6 +14,7 @@
 #define SUSPECT_WINDOW_MS 3000
 #define SUSPECTS_MAX 256
 #define REQUESTS_MAX 4096
+#define COMPLETED_MAX 4096
 
 struct suspect
 {
@@ -21,21 +22,29 @@
   uint64_t broke_off_ms;
 };
 
-/* A request that ran on servers when they crashed, or that completed. */
+/* A request that ran on servers when they crashed. */
 struct request
 {
   uint64_t fingerprint;
   uint64_t servers[CRASHES_MAX];
   uint32_t crashes;
-  bool completed;
-  uint64_t updated_ms;
+  uint64_t updated_ms; /* of the newest crash */
   UT_hash_handle hh;
 };
 
+/* A request that a server completed. */
+struct completion
+{
+  uint64_t fingerprint;
+  UT_hash_handle hh;
+};
+
+/* Requests with crashes have a table of their own, because completed ones
+   would displace them within seconds on a busy node. */
 struct request_quarantine
 {
-  struct request *requests; /* in order of insertion */
-  size_t crashed_requests;  /* of these, requests with crashes */
+  struct request *requests;     /* in order of insertion */
+  struct completion *completed; /* in order of insertion */
   struct suspect suspects[SUSPECTS_MAX];
   size_t next_suspect;
   quarantine_change_fn changed; /* NULL: not observed */
@@ -68,19 +77,17 @@
 }
 
 static void
-clear_crashes (struct request_quarantine *c, struct request *r)
+forget (struct request_quarantine *c, struct request *r)
 {
-  if (r->crashes > 0)
-    c->crashed_requests--;
-  r->crashes = 0;
+  HASH_DEL (c->requests, r);
+  free (r);
 }
 
 static void
-forget (struct request_quarantine *c, struct request *r)
+forget_completion (struct request_quarantine *c, struct completion *done)
 {
-  clear_crashes (c, r);
-  HASH_DEL (c->requests, r);
-  free (r);
+  HASH_DEL (c->completed, done);
+  free (done);
 }
 
 void
@@ -89,8 +96,13 @@
   struct request *r;
   struct request *next;
 
+  struct completion *done;
+  struct completion *next_done;
+
   HASH_ITER (hh, c->requests, r, next)
   forget (c, r);
+  HASH_ITER (hh, c->completed, done, next_done)
+  forget_completion (c, done);
   free (c);
 }
 
@@ -116,13 +128,29 @@
   return r;
 }
 
+static bool
+is_expired (const struct request *r, uint64_t now_ms)
+{
+  return now_ms > r->updated_ms + QUARANTINE_RETENTION_MS;
+}
+
+/* Returns the request to displace: the oldest one that is not refused. */
+static struct request *
+least_important (const struct request_quarantine *c, uint64_t now_ms)
+{
+  for (struct request *r = c->requests; r; r = r->hh.next)
+    if (r->crashes < CRASHES_MAX || is_expired (r, now_ms))
+      return r;
+  return c->requests;
+}
+
 static void
 make_room (struct request_quarantine *c, uint64_t now_ms)
 {
-  while (c->requests
-         && (HASH_COUNT (c->requests) >= REQUESTS_MAX
-             || now_ms > c->requests->updated_ms + QUARANTINE_RETENTION_MS))
+  while (c->requests && is_expired (c->requests, now_ms))
     forget (c, c->requests);
+  while (HASH_COUNT (c->requests) >= REQUESTS_MAX)
+    forget (c, least_important (c, now_ms));
 }
 
 void
@@ -155,8 +183,10 @@
 {
   struct request *r = find (c, fingerprint);
 
-  if (r)
+  if (r && !is_expired (r, now_ms))
     return r;
+  if (r)
+    forget (c, r);
   make_room (c, now_ms);
   r = xcalloc (1, sizeof *r);
   r->fingerprint = fingerprint;
@@ -164,35 +194,59 @@
   return r;
 }
 
+static struct completion *
+find_completion (const struct request_quarantine *c, uint64_t fingerprint)
+{
+  struct completion *done;
+
+  HASH_FIND (hh, c->completed, &fingerprint, sizeof fingerprint, done);
+  return done;
+}
+
+static void
+add_completion (struct request_quarantine *c, uint64_t fingerprint)
+{
+  struct completion *done = find_completion (c, fingerprint);
+
+  if (done)
+    HASH_DEL (c->completed, done); /* becomes the newest one */
+  else
+    done = xcalloc (1, sizeof *done);
+  done->fingerprint = fingerprint;
+  HASH_ADD (hh, c->completed, fingerprint, sizeof done->fingerprint, done);
+  if (HASH_COUNT (c->completed) > COMPLETED_MAX)
+    forget_completion (c, c->completed);
+}
+
 void
 quarantine_request_completed (struct request_quarantine *c,
-                              uint64_t fingerprint, uint64_t now_ms)
+                              uint64_t fingerprint)
 {
-  struct request *r = find_or_add (c, fingerprint, now_ms);
-  const bool had_crashes = r->crashes > 0;
+  struct request *r = find (c, fingerprint);
 
-  clear_crashes (c, r);
-  if (had_crashes)
-    report_change (c, r, 0);
-  r->completed = true;
-  r->updated_ms = now_ms;
+  add_completion (c, fingerprint);
+  if (!r)
+    return;
+  r->crashes = 0;
+  report_change (c, r, 0);
+  forget (c, r);
 }
 
 void
 quarantine_add_crash (struct request_quarantine *c,
                       const struct crash_record *crash, uint64_t now_ms)
 {
-  struct request *r = find_or_add (c, crash->fingerprint, now_ms);
+  struct request *r;
 
-  if (r->completed)
+  if (find_completion (c, crash->fingerprint))
     return;
+  r = find_or_add (c, crash->fingerprint, now_ms);
   for (uint32_t i = 0; i < r->crashes; i++)
     if (r->servers[i] == crash->server)
       return;
-  if (r->crashes == 0)
-    c->crashed_requests++;
-  if (r->crashes < CRASHES_MAX)
-    r->servers[r->crashes++] = crash->server;
+  if (r->crashes == CRASHES_MAX)
+    return;
+  r->servers[r->crashes++] = crash->server;
   r->updated_ms = now_ms;
   report_change (c, r, crash->server);
 }
@@ -203,8 +257,7 @@
 {
   const struct request *r = find (c, fingerprint);
 
-  return r && r->crashes >= CRASHES_MAX
-         && now_ms <= r->updated_ms + QUARANTINE_RETENTION_MS;
+  return r && r->crashes >= CRASHES_MAX && !is_expired (r, now_ms);
 }
 
 size_t
@@ -214,9 +267,6 @@
 {
   size_t n = 0;
 
-  /* Usually all requests completed; this saves the scan for each digest. */
-  if (c->crashed_requests == 0)
-    return 0;
   for (const struct request *r = c->requests; r; r = r->hh.next)
     {
       if (r->crashes < least || now_ms > r->updated_ms + max_age_ms)
--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -68,7 +68,7 @@
 /** quarantine_request_completed() - record that a server completed the
  * request. Clears its crashes; later ones are not attributed to it. */
 void quarantine_request_completed (struct request_quarantine *quarantine,
-                                   uint64_t fingerprint, uint64_t now_ms);
+                                   uint64_t fingerprint);
 /** quarantine_add_crash() - record a crash, for example one that another node
  * reported. Repeated reports of the same crash count once. */
 void quarantine_add_crash (struct request_quarantine *quarantine,
--- a/tests/test_crashers.c
+++ b/tests/test_crashers.c
@@ -49,7 +49,7 @@
   const struct str none = { 0 };
 
   quarantine_add_crash (c, &crashes[0], 1000);
-  quarantine_request_completed (c, REQUEST, 1001);
+  quarantine_request_completed (c, REQUEST);
   for (size_t i = 0; i < 4; i++)
     quarantine_add_crash (c, &crashes[i], 1002);
   CU_ASSERT_FALSE (quarantine_contains (c, REQUEST, 1003));
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -44,7 +44,7 @@
       if (step->kind == OTHERS_BREAK)
         quarantine_suspect (q, &other, now_ms);
       else
-        quarantine_request_completed (q, other.fingerprint, now_ms);
+        quarantine_request_completed (q, other.fingerprint);
     }
 }
 
@@ -64,7 +64,7 @@
       quarantine_server_crashed (q, step->number, now_ms);
       break;
     case COMPLETES:
-      quarantine_request_completed (q, REQUEST, now_ms);
+      quarantine_request_completed (q, REQUEST);
       break;
     case OTHERS_BREAK:
     case OTHERS_COMPLETE:
