Let a completed request be refused when it crashes servers later

Callers' requests that a server had answered once were never refused on that node, however many servers they crashed afterwards: any answer that ended the call shielded the request for good, also a 500 or 504 of a failing server, which is no sign that the request runs.

Only a success counts as completion. It clears earlier crashes; later ones count again. What the shield was for, a frequent request that runs on several servers when these fail together, is kept by counting crashes within a second once for a request that servers have completed.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -16,6 +16,7 @@
 #define REPEAT_BACKOFF_MIN_MS 60
 #define REPEAT_BACKOFF_DOUBLINGS_MAX 3
 #define STATUS_OK 200
+#define STATUS_SUCCESS_END 300
 
 bool
 call_repeatable (const struct call *c)
@@ -322,8 +323,9 @@
     }
   c->possible_runs++;
   select_attempt (a);
-  quarantine_request_completed (site_quarantine (c->calls->site),
-                                c->fingerprint);
+  if (r->status < STATUS_SUCCESS_END)
+    quarantine_request_completed (site_quarantine (c->calls->site),
+                                  c->fingerprint);
   pool_call_served (a->server);
   if (c->response_started)
     call_finish_response (c);
--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -12,6 +12,10 @@
 /* A crash is attributed to attempts that broke off at most this long before
    it was detected. */
 #define SUSPECT_WINDOW_MS 3000
+/* Crashes of servers within this time count once for a request that servers
+   have completed: a frequent one runs on several servers that fail together
+   for another reason. */
+#define JOINT_CRASHES_MS 1000
 #define SUSPECTS_MAX 256
 #define REQUESTS_MAX 4096
 #define COMPLETED_MAX 4096
@@ -232,19 +236,24 @@
   forget (c, r);
 }
 
+static bool
+is_joint_crash (const struct request_quarantine *c, const struct request *r,
+                uint64_t now_ms)
+{
+  return r->crashes > 0 && now_ms < r->updated_ms + JOINT_CRASHES_MS
+         && find_completion (c, r->fingerprint);
+}
+
 void
 quarantine_add_crash (struct request_quarantine *c,
                       const struct crash_record *crash, uint64_t now_ms)
 {
-  struct request *r;
+  struct request *r = find_or_add (c, crash->fingerprint, now_ms);
 
-  if (find_completion (c, crash->fingerprint))
-    return;
-  r = find_or_add (c, crash->fingerprint, now_ms);
   for (uint32_t i = 0; i < r->crashes; i++)
     if (r->servers[i] == crash->server)
       return;
-  if (r->crashes == CRASHES_MAX)
+  if (r->crashes == CRASHES_MAX || is_joint_crash (c, r, now_ms))
     return;
   r->servers[r->crashes++] = crash->server;
   r->updated_ms = now_ms;
--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -66,7 +66,8 @@
 void quarantine_server_crashed (struct request_quarantine *quarantine,
                                 uint64_t server, uint64_t now_ms);
 /** quarantine_request_completed() - record that a server completed the
- * request. Clears its crashes; later ones are not attributed to it. */
+ * request. Clears its crashes; of later ones that come close together, one
+ * counts. An error response of a server completes nothing. */
 void quarantine_request_completed (struct request_quarantine *quarantine,
                                    uint64_t fingerprint);
 /** quarantine_add_crash() - record a crash, for example one that another node
