Attribute a crash to attempts whose end is read later

A node could learn of a crash before it read the end of its own attempt there: from the entry of the restarted server, from its successor's answer, or because another attempt's probe came first. The record of the crash then found no suspect, and the attempt's own probe reached the new process, so the crash was never counted. An attempt was also booked on the server's newest start instead of the one that it was sent to, and a server that came back under a new id, as most do, was no sign of a crash.

An attempt keeps the start that it was sent to. A new server at the address of a listed one, and an answer of another server there, count as the end of the former one unless it was leaving. The line server-ended, one a start, replaces server-dead, one an attempt, and server-restarted.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -101,7 +101,7 @@
 static void
 record_failure (const struct call_attempt *a)
 {
-  call_suspect_crash (a->call, a->server);
+  call_suspect_crash (a);
   pool_call_failed (a->server, clock_ms ());
 }
 
@@ -223,7 +223,7 @@
   else if (outcome == FORWARD_NOT_EXECUTED)
     pool_call_rejected (a->server, clock_ms ());
   else if (outcome == FORWARD_OTHER_SERVER)
-    pool_server_replaced (a->server);
+    call_server_replaced (c->calls, a->server);
 }
 
 static void
--- a/src/edge/call_crash.c
+++ b/src/edge/call_crash.c
@@ -12,22 +12,36 @@
 /* Detects servers that crash while they run a call, and the calls that may
    have caused it. */
 
-static uint64_t
-server_start_hash (const struct pool_server *s)
+uint64_t
+call_server_start (const struct pool_server *s)
 {
   return quarantine_server_hash (pool_server_id (s), pool_server_started (s));
 }
 
-void
-call_server_unreachable (struct call_table *calls, struct pool_server *server)
+static void
+record_unreachable (struct call_table *calls, struct pool_server *server,
+                    const char *evidence)
 {
   pool_connect_failed (server, clock_ms ());
-  quarantine_server_crashed (site_quarantine (calls->site),
-                             server_start_hash (server), clock_ms ());
+  site_server_ended (calls->site, server, evidence);
   /* Reports it to the placement holder at once. */
   kernel_publish (calls->kernel, TOPIC_DEMAND, NULL, NULL);
 }
 
+void
+call_server_unreachable (struct call_table *calls, struct pool_server *server)
+{
+  record_unreachable (calls, server, "connect");
+}
+
+void
+call_server_replaced (struct call_table *calls, struct pool_server *server)
+{
+  pool_server_replaced (server);
+  if (!pool_server_leaving (server))
+    site_server_ended (calls->site, server, "other-server");
+}
+
 struct crash_probe
 {
   struct call_table *calls;
@@ -42,28 +56,24 @@
   struct pool_server *server
       = pool_find (site_pool (p->calls->site), p->server_id);
 
-  if (!reached && server && server_start_hash (server) == p->server_start)
-    {
-      LOG_INFO ("server-dead", "server=" STR_FMT " start=%016lx",
-                STR_ARG (p->server_id), p->server_start);
-      call_server_unreachable (p->calls, server);
-    }
+  if (!reached && server && call_server_start (server) == p->server_start)
+    record_unreachable (p->calls, server, "probe");
   str_free (&p->server_id);
   free (p);
 }
 
 void
-call_suspect_crash (const struct call *c, const struct pool_server *server)
+call_suspect_crash (const struct call_attempt *a)
 {
-  struct call_table *calls = c->calls;
+  struct call_table *calls = a->call->calls;
   const struct crash_record suspect
-      = { c->fingerprint, server_start_hash (server) };
+      = { a->call->fingerprint, a->server_start };
   struct crash_probe *p = xcalloc (1, sizeof *p);
 
   quarantine_suspect (site_quarantine (calls->site), &suspect, clock_ms ());
   p->calls = calls;
-  p->server_id = str_dup (pool_server_id (server));
+  p->server_id = str_dup (pool_server_id (a->server));
   p->server_start = suspect.server;
-  liveprobe_start (calls->loop, pool_server_address (server), on_probe_result,
-                   p);
+  liveprobe_start (calls->loop, pool_server_address (a->server),
+                   on_probe_result, p);
 }
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -77,6 +77,7 @@
  * struct call_attempt - an attempt to run a call on one server; context of the
  * callbacks of @forward.
  * @forward: NULL unless the attempt is in flight.
+ * @server_start: call_server_start() when the attempt began.
  * @sent_ms: when the first byte was sent; 0 before.
  * @uses_retry_budget: the attempt was taken from the retry budget.
  * @silent: the call was sent to a second server because this one sent nothing.
@@ -86,6 +87,7 @@
   struct call *call;
   struct forward *forward;
   struct pool_server *server;
+  uint64_t server_start;
   uint64_t sent_ms;
   bool uses_retry_budget;
   bool silent;
@@ -278,13 +280,18 @@
 
 /* ---- call_crash.c ---- */
 
+/** call_server_start() - hash of the server's current start. */
+uint64_t call_server_start (const struct pool_server *server);
 /** call_suspect_crash() - record that an attempt broke off, and probe whether
  * the server crashed. */
-void call_suspect_crash (const struct call *call,
-                         const struct pool_server *server);
+void call_suspect_crash (const struct call_attempt *attempt);
 /** call_server_unreachable() - record that a server accepts no connection. */
 void call_server_unreachable (struct call_table *calls,
                               struct pool_server *server);
+/** call_server_replaced() - record that another server answered at a server's
+ * address. */
+void call_server_replaced (struct call_table *calls,
+                           struct pool_server *server);
 
 /* ---- call_table.c ---- */
 
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -294,6 +294,21 @@
   return s->started_ms;
 }
 
+bool
+pool_server_leaving (const struct pool_server *s)
+{
+  return s->leaving;
+}
+
+struct pool_server *
+pool_find_at (const struct pool *p, struct str address)
+{
+  for (struct pool_server *s = p->servers; s; s = s->hh.next)
+    if (s->listed && str_eq (s->address, address))
+      return s;
+  return NULL;
+}
+
 struct pool_server *
 pool_find (const struct pool *p, struct str id)
 {
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -143,6 +143,12 @@
 /** pool_server_started() - Unix time of the server's start in ms, 0 if not
  * known. */
 uint64_t pool_server_started (const struct pool_server *server);
+/** pool_server_leaving() - returns true if the server announced that it is
+ * shutting down. */
+bool pool_server_leaving (const struct pool_server *server);
+/** pool_find_at() - look up a listed server by address; NULL if there is none.
+ */
+struct pool_server *pool_find_at (const struct pool *pool, struct str address);
 /** pool_find() - look up a server by id; NULL if there is none. */
 struct pool_server *pool_find (const struct pool *pool, struct str id);
 struct str pool_server_address (const struct pool_server *server);
--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -18,6 +18,7 @@
    for another reason. */
 #define JOINT_CRASHES_MS 1000
 #define SUSPECTS_MAX 256
+#define CRASHED_STARTS_MAX 1024
 #define REQUESTS_MAX 4096
 #define COMPLETED_MAX 4096
 
@@ -27,6 +28,14 @@
   uint64_t broke_off_ms;
 };
 
+/* A start of a server that is known to have crashed. */
+struct crashed_start
+{
+  uint64_t server;
+  uint64_t known_ms;
+  UT_hash_handle hh;
+};
+
 /* A request that ran on servers when they crashed. */
 struct request
 {
@@ -48,8 +57,9 @@
    would displace them within seconds on a busy node. */
 struct request_quarantine
 {
-  struct request *requests;     /* in order of insertion */
-  struct completion *completed; /* in order of insertion */
+  struct request *requests;      /* in order of insertion */
+  struct completion *completed;  /* in order of insertion */
+  struct crashed_start *crashed; /* in the order in which they became known */
   struct suspect suspects[SUSPECTS_MAX];
   size_t next_suspect;
   quarantine_change_fn changed; /* NULL: not observed */
@@ -95,9 +105,18 @@
   free (done);
 }
 
+static void
+forget_start (struct request_quarantine *c, struct crashed_start *start)
+{
+  HASH_DEL (c->crashed, start);
+  free (start);
+}
+
 void
 quarantine_destroy (struct request_quarantine *c)
 {
+  struct crashed_start *start;
+  struct crashed_start *next_start;
   struct request *r;
   struct request *next;
 
@@ -108,6 +127,8 @@
   forget (c, r);
   HASH_ITER (hh, c->completed, done, next_done)
   forget_completion (c, done);
+  HASH_ITER (hh, c->crashed, start, next_start)
+  forget_start (c, start);
   free (c);
 }
 
@@ -158,18 +179,55 @@
     forget (c, least_important (c, now_ms));
 }
 
+static void
+forget_old_starts (struct request_quarantine *c, uint64_t now_ms)
+{
+  while (c->crashed
+         && (HASH_COUNT (c->crashed) >= CRASHED_STARTS_MAX
+             || now_ms > c->crashed->known_ms + SUSPECT_WINDOW_MS))
+    forget_start (c, c->crashed);
+}
+
+static struct crashed_start *
+find_start (struct request_quarantine *c, uint64_t server, uint64_t now_ms)
+{
+  struct crashed_start *start;
+
+  forget_old_starts (c, now_ms);
+  HASH_FIND (hh, c->crashed, &server, sizeof server, start);
+  return start;
+}
+
 void
 quarantine_suspect (struct request_quarantine *c,
                     const struct crash_record *suspect, uint64_t now_ms)
 {
+  if (find_start (c, suspect->server, now_ms))
+    {
+      quarantine_add_crash (c, suspect, now_ms);
+      return;
+    }
   c->suspects[c->next_suspect] = (struct suspect){ *suspect, now_ms };
   c->next_suspect = (c->next_suspect + 1) % SUSPECTS_MAX;
 }
 
-void
+static void
+add_start (struct request_quarantine *c, uint64_t server, uint64_t now_ms)
+{
+  struct crashed_start *start = xcalloc (1, sizeof *start);
+
+  start->server = server;
+  start->known_ms = now_ms;
+  HASH_ADD (hh, c->crashed, server, sizeof start->server, start);
+}
+
+bool
 quarantine_server_crashed (struct request_quarantine *c, uint64_t server,
                            uint64_t now_ms)
 {
+  if (find_start (c, server, now_ms))
+    return false;
+  add_start (c, server, now_ms);
   for (size_t i = 0; i < SUSPECTS_MAX; i++)
     {
       struct suspect *s = &c->suspects[i];
@@ -180,6 +238,7 @@
         quarantine_add_crash (c, &s->crash, now_ms);
       s->broke_off_ms = 0;
     }
+  return true;
 }
 
 static struct request *
--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -11,8 +11,9 @@
    the other. Pure.
 
    A request whose attempt breaks off is a suspect. It is confirmed when the
-   server then accepts no connection or has started again. Nodes report the
-   confirmed crashes to each other. */
+   server refuses connections or has started again, which may become known
+   before or after the break. Nodes report the confirmed crashes to each other.
+ */
 
 struct request_quarantine;
 
@@ -58,12 +59,13 @@
 /** quarantine_server_hash() - hash of one start of a server. */
 uint64_t quarantine_server_hash (struct str id, uint64_t started_ms);
 
-/** quarantine_suspect() - record that an attempt of the request broke off. */
+/** quarantine_suspect() - record that an attempt of the request broke off. If
+ * the server is known to have crashed, the crash is attributed at once. */
 void quarantine_suspect (struct request_quarantine *quarantine,
                          const struct crash_record *suspect, uint64_t now_ms);
 /** quarantine_server_crashed() - record that a server crashed, which confirms
- * its recent suspects. */
-void quarantine_server_crashed (struct request_quarantine *quarantine,
+ * its recent suspects and those that follow. Returns false if it was known. */
+bool quarantine_server_crashed (struct request_quarantine *quarantine,
                                 uint64_t server, uint64_t now_ms);
 /** quarantine_request_completed() - record that a server completed the
  * request. Clears its crashes; of later ones that come close together, one
--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -85,20 +85,40 @@
   kernel_publish (s->kernel, TOPIC_ROUTING, routing, destroy_routing);
 }
 
-/* An entry with a later start time shows that the server's earlier process
-   died. */
-static void
-record_restart (struct site *s, const struct server_entry *e)
+/* Returns the server that the entry replaces: an earlier process with the same
+   id, or another one at the same address. */
+static const struct pool_server *
+replaced_server (const struct site *s, const struct server_entry *e)
+{
+  const struct pool_server *same = pool_find (s->pool, e->id);
+
+  if (!same)
+    return pool_find_at (s->pool, e->address);
+  return e->started_ms > pool_server_started (same) ? same : NULL;
+}
+
+void
+site_server_ended (struct site *s, const struct pool_server *server,
+                   const char *evidence)
 {
-  const struct pool_server *before = pool_find (s->pool, e->id);
-  const uint64_t started_ms = before ? pool_server_started (before) : 0;
+  const uint64_t start = quarantine_server_hash (pool_server_id (server),
+                                                 pool_server_started (server));
 
-  if (started_ms == 0 || e->started_ms <= started_ms)
+  if (!quarantine_server_crashed (s->quarantine, start, clock_ms ()))
     return;
-  LOG_INFO ("server-restarted", "server=" STR_FMT " start=%016lx",
-            STR_ARG (e->id), quarantine_server_hash (e->id, started_ms));
-  quarantine_server_crashed (
-      s->quarantine, quarantine_server_hash (e->id, started_ms), clock_ms ());
+  LOG_INFO ("server-ended", "server=" STR_FMT " start=%016lx evidence=%s",
+            STR_ARG (pool_server_id (server)), start, evidence);
+}
+
+/* A server that replaces another one shows that this one ended. */
+static void
+record_replacement (struct site *s, const struct server_entry *e)
+{
+  const struct pool_server *before = replaced_server (s, e);
+
+  if (before && pool_server_started (before) > 0
+      && !pool_server_leaving (before))
+    site_server_ended (s, before, "entry");
 }
 
 static void
@@ -112,7 +132,7 @@
   if (e->state == SERVER_DRAINING)
     LOG_INFO ("server-leaving", "server=" STR_FMT " service=" STR_FMT,
               STR_ARG (e->id), STR_ARG (e->service));
-  record_restart (s, e);
+  record_replacement (s, e);
   pool_update (s->pool, e, clock_ms ());
   s->listener->server (s->ctx, e);
   kernel_publish (s->kernel, TOPIC_POOL, NULL, NULL);
--- a/src/edge/site.h
+++ b/src/edge/site.h
@@ -30,6 +30,13 @@
                   void *ctx);
 struct pool *site_pool (struct site *site);
 struct demand *site_demand (struct site *site);
+/**
+ * site_server_ended() - record that a server's process ended without notice,
+ * which confirms the requests that are suspected of crashing it.
+ * @evidence: what shows it, for the log.
+ */
+void site_server_ended (struct site *site, const struct pool_server *server,
+                        const char *evidence);
 /** site_quarantine() - record of requests that crash servers. */
 struct request_quarantine *site_quarantine (struct site *site);
 /** site_routing() - configuration in force, or NULL before the first one.
