Blame requests for crashes only when connections are refused

A connection attempt without an answer counted as a crash of the server, so a node whose link to servers is cut blamed the requests that ran there. Three such cuts would have had sound requests refused on all nodes for ten minutes. A crashed process refuses connections at once; a silent link proves nothing, and a successor at the address is still seen.

No test of its own: a cut link can't be played on one machine without root.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -189,9 +189,10 @@
 
 /* Connecting failed, so that the server received nothing of the call. */
 static void
-on_connect_failed (const struct call_attempt *a)
+on_connect_failed (const struct call_attempt *a,
+                   const struct forward_result *r)
 {
-  call_server_unreachable (a->call->calls, a->server);
+  call_server_unreachable (a->call->calls, a->server, r->err.code);
   refund_retry (a);
   avoid_server (a);
   if (!call_in_flight (a->call))
@@ -372,7 +373,7 @@
       on_broken (a, r);
       break;
     case FORWARD_NOT_SENT:
-      on_connect_failed (a);
+      on_connect_failed (a, r);
       break;
     case FORWARD_WITHDRAWN:
       on_withdrawn (a);
--- a/src/edge/call_crash.c
+++ b/src/edge/call_crash.c
@@ -1,5 +1,6 @@
 #include "edge/call_impl.h"
 
+#include <errno.h>
 #include <stdlib.h>
 
 #include "clock.h"
@@ -18,20 +19,24 @@
   return quarantine_server_hash (pool_server_id (s), pool_server_started (s));
 }
 
+/* A refused connection shows that the process has ended. Without any answer
+   the link may be cut, which is no fault of the requests that ran there. */
 static void
 record_unreachable (struct call_table *calls, struct pool_server *server,
-                    const char *evidence)
+                    int code, const char *evidence)
 {
   pool_connect_failed (server, clock_ms ());
-  site_server_ended (calls->site, server, evidence);
+  if (code == -ECONNREFUSED)
+    site_server_ended (calls->site, server, evidence);
   /* Reports it to the placement holder at once. */
   kernel_publish (calls->kernel, TOPIC_DEMAND, NULL, NULL);
 }
 
 void
-call_server_unreachable (struct call_table *calls, struct pool_server *server)
+call_server_unreachable (struct call_table *calls, struct pool_server *server,
+                         int code)
 {
-  record_unreachable (calls, server, "connect");
+  record_unreachable (calls, server, code, "connect");
 }
 
 void
@@ -50,14 +55,14 @@
 };
 
 static void
-on_probe_result (void *ctx, bool reached)
+on_probe_result (void *ctx, int code)
 {
   struct crash_probe *p = ctx;
   struct pool_server *server
       = pool_find (site_pool (p->calls->site), p->server_id);
 
-  if (!reached && server && call_server_start (server) == p->server_start)
-    record_unreachable (p->calls, server, "probe");
+  if (code != 0 && server && call_server_start (server) == p->server_start)
+    record_unreachable (p->calls, server, code, "probe");
   str_free (&p->server_id);
   free (p);
 }
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -285,9 +285,10 @@
 /** call_suspect_crash() - record that an attempt broke off, and probe whether
  * the server crashed. */
 void call_suspect_crash (const struct call_attempt *attempt);
-/** call_server_unreachable() - record that a server accepts no connection. */
+/** call_server_unreachable() - record that a server accepts no connection.
+ * @code: negative errno value of the attempt to connect. */
 void call_server_unreachable (struct call_table *calls,
-                              struct pool_server *server);
+                              struct pool_server *server, int code);
 /** call_server_replaced() - record that another server answered at a server's
  * address. */
 void call_server_replaced (struct call_table *calls,
--- a/src/edge/liveprobe.c
+++ b/src/edge/liveprobe.c
@@ -1,5 +1,6 @@
 #include "edge/liveprobe.h"
 
+#include <errno.h>
 #include <stdlib.h>
 
 #include "edge/topology.h"
@@ -32,12 +33,12 @@
 }
 
 static void
-end (struct liveprobe *p, bool reached)
+end (struct liveprobe *p, int code)
 {
   if (p->finished)
     return;
   p->finished = true;
-  p->fn (p->ctx, reached);
+  p->fn (p->ctx, code);
   uv_close ((uv_handle_t *)&p->timer, on_closed);
   uv_close ((uv_handle_t *)&p->socket, on_closed);
 }
@@ -45,13 +46,13 @@
 static void
 on_connected (uv_connect_t *request, int status)
 {
-  end (request->data, status == 0);
+  end (request->data, status);
 }
 
 static void
 on_timeout (uv_timer_t *timer)
 {
-  end (timer->data, false);
+  end (timer->data, -ETIMEDOUT);
 }
 
 static void
@@ -60,10 +61,11 @@
   struct liveprobe *p = timer->data;
 
   uv_timer_start (timer, on_timeout, SERVER_CONNECT_MS, 0);
-  if (uv_tcp_connect (&p->request, &p->socket,
-                      (const struct sockaddr *)&p->address, on_connected)
-      != 0)
-    end (p, false);
+  const int rc
+      = uv_tcp_connect (&p->request, &p->socket,
+                        (const struct sockaddr *)&p->address, on_connected);
+  if (rc != 0)
+    end (p, rc);
 }
 
 void
--- a/src/edge/liveprobe.h
+++ b/src/edge/liveprobe.h
@@ -6,9 +6,9 @@
 
 #include "str.h"
 
-/** liveprobe_fn - result of a probe. @reached: the address accepted a
- * connection. */
-typedef void (*liveprobe_fn) (void *ctx, bool reached);
+/** liveprobe_fn - result of a probe. @code: 0 if the address accepted a
+ * connection; -ECONNREFUSED if nothing listens there; -ETIMEDOUT. */
+typedef void (*liveprobe_fn) (void *ctx, int code);
 
 /** liveprobe_start() - check after a short delay whether the address accepts
  * connections. The connection is closed at once. @fn is called exactly once,
