Keep suspects when hundreds of attempts break off

The suspects were a ring of 256, so the attempts that broke off beside a request, up to a batch and its queue on each server that crashes, overwrote it before the crash was confirmed, and the crash did not count for it.

Unit quarantine "others break off" (400 others) failed before and passes.

--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -17,15 +17,17 @@
    have completed: a frequent one runs on several servers that fail together
    for another reason. */
 #define JOINT_CRASHES_MS 1000
-#define SUSPECTS_MAX 256
+#define SUSPECTS_MAX 4096
 #define CRASHED_STARTS_MAX 1024
 #define REQUESTS_MAX 4096
 #define COMPLETED_MAX 4096
 
+/* A request whose attempt at a server broke off. */
 struct suspect
 {
   struct crash_record crash;
   uint64_t broke_off_ms;
+  UT_hash_handle hh;
 };
 
 /* A start of a server that is known to have crashed. */
@@ -60,9 +62,8 @@
   struct request *requests;      /* in order of insertion */
   struct completion *completed;  /* in order of insertion */
   struct crashed_start *crashed; /* in the order in which they became known */
-  struct suspect suspects[SUSPECTS_MAX];
-  size_t next_suspect;
-  quarantine_change_fn changed; /* NULL: not observed */
+  struct suspect *suspects;      /* in the order of their breaks */
+  quarantine_change_fn changed;  /* NULL: not observed */
   void *ctx;
 };
 
@@ -105,6 +106,13 @@
   free (done);
 }
 
+static void
+forget_suspect (struct request_quarantine *c, struct suspect *s)
+{
+  HASH_DEL (c->suspects, s);
+  free (s);
+}
+
 static void
 forget_start (struct request_quarantine *c, struct crashed_start *start)
 {
@@ -117,6 +125,8 @@
 {
   struct crashed_start *start;
   struct crashed_start *next_start;
+  struct suspect *s;
+  struct suspect *next_suspect;
   struct request *r;
   struct request *next;
 
@@ -129,6 +139,8 @@
   forget_completion (c, done);
   HASH_ITER (hh, c->crashed, start, next_start)
   forget_start (c, start);
+  HASH_ITER (hh, c->suspects, s, next_suspect)
+  forget_suspect (c, s);
   free (c);
 }
 
@@ -198,6 +210,32 @@
   return start;
 }
 
+static void
+forget_old_suspects (struct request_quarantine *c, uint64_t now_ms)
+{
+  while (c->suspects && now_ms > c->suspects->broke_off_ms + SUSPECT_WINDOW_MS)
+    forget_suspect (c, c->suspects);
+}
+
+static void
+add_suspect (struct request_quarantine *c, const struct crash_record *crash,
+             uint64_t now_ms)
+{
+  struct suspect *s;
+
+  forget_old_suspects (c, now_ms);
+  HASH_FIND (hh, c->suspects, crash, sizeof *crash, s);
+  if (s)
+    HASH_DEL (c->suspects, s); /* becomes the newest one */
+  else
+    s = xcalloc (1, sizeof *s);
+  if (HASH_COUNT (c->suspects) >= SUSPECTS_MAX)
+    forget_suspect (c, c->suspects);
+  s->crash = *crash;
+  s->broke_off_ms = now_ms;
+  HASH_ADD (hh, c->suspects, crash, sizeof s->crash, s);
+}
+
 void
 quarantine_suspect (struct request_quarantine *c,
                     const struct crash_record *suspect, uint64_t now_ms)
@@ -207,8 +245,7 @@
       quarantine_add_crash (c, suspect, now_ms);
       return;
     }
-  c->suspects[c->next_suspect] = (struct suspect){ *suspect, now_ms };
-  c->next_suspect = (c->next_suspect + 1) % SUSPECTS_MAX;
+  add_suspect (c, suspect, now_ms);
 }
 
 static void
@@ -225,19 +262,20 @@
 quarantine_server_crashed (struct request_quarantine *c, uint64_t server,
                            uint64_t now_ms)
 {
+  struct suspect *s;
+  struct suspect *next;
+
   if (find_start (c, server, now_ms))
     return false;
   add_start (c, server, now_ms);
-  for (size_t i = 0; i < SUSPECTS_MAX; i++)
-    {
-      struct suspect *s = &c->suspects[i];
-
-      if (s->broke_off_ms == 0 || s->crash.server != server)
-        continue;
-      if (now_ms <= s->broke_off_ms + SUSPECT_WINDOW_MS)
-        quarantine_add_crash (c, &s->crash, now_ms);
-      s->broke_off_ms = 0;
-    }
+  forget_old_suspects (c, now_ms);
+  HASH_ITER (hh, c->suspects, s, next)
+  {
+    if (s->crash.server != server)
+      continue;
+    quarantine_add_crash (c, &s->crash, now_ms);
+    forget_suspect (c, s);
+  }
   return true;
 }
 
