List the crashes that other nodes have heard least of first

A digest has room for 32 crashes and took them from the oldest requests on, the same ones each time. Every crash blames the sound calls beside the bad one first, a hundred on a node, so the report to the holder, and the holder's to all nodes, could leave out the one request that crashed three servers for as long as it lasted, and other nodes went on sending it.

Lists begin with the requests that were listed least often since their newest crash, and among these with the most crashes, so that several digests cover all. The holder no longer reports to itself, which would use up its turns.

--- a/src/edge/placer_send.c
+++ b/src/edge/placer_send.c
@@ -447,7 +447,9 @@
   e->loads.loads_val = load_digests;
   e->loads.loads_len = (u_int)n;
   e->crashes.crashes_val = crashes;
-  e->crashes.crashes_len = collect_crashes (p, 1, CRASH_REPORT_MS, crashes);
+  /* The holder's own lists are for all nodes. */
+  if (!p->is_holder)
+    e->crashes.crashes_len = collect_crashes (p, 1, CRASH_REPORT_MS, crashes);
   if (p->is_holder)
     placer_apply_entry_digest (p, edge_settings ()->peer_addr, e);
   else if (p->holder_addr.len > 0)
--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -45,6 +45,7 @@
   uint64_t servers[CRASHES_MAX];
   uint32_t crashes;
   uint64_t updated_ms; /* of the newest crash */
+  uint32_t listed;     /* number of lists with its newest crash */
   UT_hash_handle hh;
 };
 
@@ -355,6 +356,7 @@
     return;
   r->servers[r->crashes++] = crash->server;
   r->updated_ms = now_ms;
+  r->listed = 0;
   report_change (c, r, crash->server);
 }
 
@@ -367,19 +369,56 @@
   return r && r->crashes >= CRASHES_MAX && !is_expired (r, now_ms);
 }
 
+/* ---- lists for other nodes ---- */
+
+/* Orders requests by how often they were listed, then by crashes. */
+static int
+compare_urgency (const void *left, const void *right)
+{
+  const struct request *a = *(struct request *const *)left;
+  const struct request *b = *(struct request *const *)right;
+
+  if (a->listed != b->listed)
+    return a->listed < b->listed ? -1 : 1;
+  if (a->crashes != b->crashes)
+    return a->crashes > b->crashes ? -1 : 1;
+  return 0;
+}
+
+/* Returns the number of requests to list, stored in @out. */
+static size_t
+collect_listed (const struct request_quarantine *c, uint32_t least,
+                uint32_t max_age_ms, uint64_t now_ms, struct request **out)
+{
+  size_t n = 0;
+
+  for (struct request *r = c->requests; r; r = r->hh.next)
+    if (r->crashes >= least && now_ms <= r->updated_ms + max_age_ms)
+      out[n++] = r;
+  return n;
+}
+
 size_t
-quarantine_list_crashes (const struct request_quarantine *c, uint32_t least,
+quarantine_list_crashes (struct request_quarantine *c, uint32_t least,
                          uint32_t max_age_ms, uint64_t now_ms,
                          struct crash_record *out, size_t max)
 {
+  struct request **found;
+  size_t count;
   size_t n = 0;
 
-  for (const struct request *r = c->requests; r; r = r->hh.next)
+  if (!c->requests)
+    return 0;
+  found = xcalloc (HASH_COUNT (c->requests), sizeof *found);
+  count = collect_listed (c, least, max_age_ms, now_ms, found);
+  qsort (found, count, sizeof *found, compare_urgency);
+  for (size_t i = 0; i < count && n + found[i]->crashes <= max; i++)
     {
-      if (r->crashes < least || now_ms > r->updated_ms + max_age_ms)
-        continue;
-      for (uint32_t i = 0; i < r->crashes && n < max; i++)
-        out[n++] = (struct crash_record){ r->fingerprint, r->servers[i] };
+      found[i]->listed++;
+      for (uint32_t j = 0; j < found[i]->crashes; j++)
+        out[n++] = (struct crash_record){ found[i]->fingerprint,
+                                          found[i]->servers[j] };
     }
+  free (found);
   return n;
 }
--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -81,14 +81,16 @@
 bool quarantine_contains (const struct request_quarantine *quarantine,
                           uint64_t fingerprint, uint64_t now_ms);
 /**
- * quarantine_list_crashes() - list the crashes to report to other nodes.
+ * quarantine_list_crashes() - list the crashes to report to other nodes. Those
+ * that were listed least often come first, and of these the requests with the
+ * most crashes, so that repeated lists cover all.
  * @least: leaves out requests with fewer crashes.
  * @max_age_ms: leaves out requests whose newest crash is older.
  * @out: space for @max items.
  *
  * Returns the number of items stored.
  */
-size_t quarantine_list_crashes (const struct request_quarantine *quarantine,
+size_t quarantine_list_crashes (struct request_quarantine *quarantine,
                                 uint32_t least, uint32_t max_age_ms,
                                 uint64_t now_ms, struct crash_record *out,
                                 size_t max);
