Repeat what is known of crashing requests until all nodes have heard it

A node reported a crash for 3 s, by datagrams, so a holder that was cut off, stopped or not elected yet never heard of it, and each crash that stays on one node is one more server that the request may end. Clearing a request was local: other nodes went on counting the crashes beside a sound, frequent request.

Nodes report their own observations, and the holder those on requests with two crashes or more, four times after a change and then each 2 s for the ten minutes that they are kept, in the order of need; a change of the holder starts anew. Crashes carry their age, so that a completion, which is told likewise, clears those before it and not those after.

Unit quarantine "heard late" and "completion shared" are new. Before, a list more than 3 s (5 s in the old test of reports) after the crash was empty; that assertion is replaced by the retention, and by two on who reports what.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -326,7 +326,7 @@
   select_attempt (a);
   if (r->status < STATUS_SUCCESS_END)
     quarantine_request_completed (site_quarantine (c->calls->site),
-                                  c->fingerprint);
+                                  c->fingerprint, clock_ms ());
   pool_call_served (a->server);
   if (c->response_started)
     call_finish_response (c);
--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -49,6 +49,7 @@
 struct crash_digest {
 	u_quad_t fingerprint;
 	u_quad_t server;
+	u_int age_ms;
 };
 typedef struct crash_digest crash_digest;
 
@@ -140,8 +141,8 @@
 typedef struct holder_digest holder_digest;
 
 enum datagram_kind {
-	DATAGRAM_ENTRY = 3,
-	DATAGRAM_HOLDER = 5,
+	DATAGRAM_ENTRY = 6,
+	DATAGRAM_HOLDER = 7,
 };
 typedef enum datagram_kind datagram_kind;
 
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -38,11 +38,12 @@
   bool unreached;        /* accepts no connection from the node */
 };
 
-/* A server that died while it ran a request. */
+/* A server that crashed while it ran a request, or a completion of it. */
 struct crash_digest
 {
   unsigned hyper fingerprint; /* of the request */
-  unsigned hyper server;      /* hash of its id and start time */
+  unsigned hyper server;      /* hash of its id and start time; 0: completed */
+  unsigned int age_ms;        /* time since then */
 };
 
 struct entry_digest
@@ -101,7 +102,7 @@
   unsigned hyper servers_revision; /* newest change of the servers' entries */
   unsigned int entries; /* number of nodes that send their demand */
   label nodes<DIGEST_NODES_MAX>; /* addresses of some of them; later digests carry the others */
-  crash_digest crashes<DIGEST_CRASHES_MAX>; /* of requests with several deaths */
+  crash_digest crashes<DIGEST_CRASHES_MAX>; /* of requests with several crashes */
   running_digest running<DIGEST_RUNNING_MAX>; /* servers whose number of calls changed */
   server_digest servers<DIGEST_SERVERS_MAX>; /* servers that changed or are due for a refresh */
 };
@@ -110,8 +111,8 @@
    datagram. */
 enum datagram_kind
 {
-  DATAGRAM_ENTRY = 3,
-  DATAGRAM_HOLDER = 5
+  DATAGRAM_ENTRY = 6,
+  DATAGRAM_HOLDER = 7
 };
 
 union datagram switch (datagram_kind kind)
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -119,6 +119,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->server))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -367,6 +367,7 @@
   LOG_INFO ("term", "fence=%lu", fence);
   fleet_begin_term (p->fleet, holderlease_nodes (p->lease), clock_ms ());
   fleet_republish (p->fleet);
+  quarantine_list_anew (site_quarantine (p->site));
   announce_to_known_nodes (p);
 }
 
--- a/src/edge/placer_receive.c
+++ b/src/edge/placer_receive.c
@@ -53,10 +53,10 @@
 {
   for (u_int i = 0; i < count; i++)
     {
-      const struct crash_record death
-          = { crashes[i].fingerprint, crashes[i].server };
+      const struct crash_evidence evidence
+          = { crashes[i].fingerprint, crashes[i].server, crashes[i].age_ms };
 
-      quarantine_add_crash (site_quarantine (p->site), &death, clock_ms ());
+      quarantine_merge (site_quarantine (p->site), &evidence, clock_ms ());
     }
 }
 
@@ -111,6 +111,7 @@
       LOG_INFO ("holder", "holder=" STR_FMT " node=" STR_FMT " fence=%lu",
                 STR_ARG (from), STR_ARG (label_to_str (d->node)), d->fence);
       p->holder_sequence = 0;
+      quarantine_list_anew (site_quarantine (p->site));
     }
   p->holder_fence = d->fence;
   track_sequence (p, d);
--- a/src/edge/placer_send.c
+++ b/src/edge/placer_send.c
@@ -36,11 +36,6 @@
 #define SERVERS_PER_DATAGRAM 4
 #define RUNNING_PER_DATAGRAM 80
 #define NODES_PER_DATAGRAM 8
-/* A node reports a server's death to the holder for CRASH_REPORT_MS. Once a
-   request has caused BROADCAST_DEATHS_MIN deaths, the holder sends them to all
-   nodes for as long as they are remembered. */
-#define CRASH_REPORT_MS 3000
-#define BROADCAST_DEATHS_MIN 2
 #define CRASHES_PER_DATAGRAM 32
 /* Number of digests with the full demand that are sent to a new holder,
    because datagrams may be lost. */
@@ -87,19 +82,18 @@
   return n;
 }
 
-/* Collects the deaths of servers for a digest: those of requests with at least
-   @min_deaths. Returns their number. */
+/* Collects the crashes of servers for a digest. Returns their number. */
 static u_int
-collect_crashes (struct placer *p, uint32_t min_deaths, uint32_t max_age_ms,
+collect_crashes (struct placer *p, enum quarantine_scope scope,
                  crash_digest out[CRASHES_PER_DATAGRAM])
 {
-  struct crash_record deaths[CRASHES_PER_DATAGRAM];
-  const size_t n = quarantine_list_crashes (
-      site_quarantine (p->site), min_deaths, max_age_ms, clock_ms (), deaths,
-      CRASHES_PER_DATAGRAM);
+  struct crash_evidence found[CRASHES_PER_DATAGRAM];
+  const size_t n = quarantine_list (site_quarantine (p->site), scope,
+                                    clock_ms (), found, CRASHES_PER_DATAGRAM);
 
   for (size_t i = 0; i < n; i++)
-    out[i] = (crash_digest){ deaths[i].fingerprint, deaths[i].server };
+    out[i] = (crash_digest){ found[i].fingerprint, found[i].server,
+                             found[i].age_ms };
   return (u_int)n;
 }
 
@@ -188,9 +182,7 @@
   h->nodes.nodes_len = includes_nodes ? collect_nodes (p, nodes) : 0;
   h->crashes.crashes_val = crashes;
   h->crashes.crashes_len
-      = includes_nodes ? collect_crashes (p, BROADCAST_DEATHS_MIN,
-                                          QUARANTINE_RETENTION_MS, crashes)
-                       : 0;
+      = includes_nodes ? collect_crashes (p, QUARANTINE_ALL, crashes) : 0;
   h->running.running_val = b->running;
   h->running.running_len = b->running_count;
   h->servers.servers_val = b->servers;
@@ -449,7 +441,7 @@
   e->crashes.crashes_val = crashes;
   /* The holder's own lists are for all nodes. */
   if (!p->is_holder)
-    e->crashes.crashes_len = collect_crashes (p, 1, CRASH_REPORT_MS, crashes);
+    e->crashes.crashes_len = collect_crashes (p, QUARANTINE_OWN, crashes);
   if (p->is_holder)
     placer_apply_entry_digest (p, edge_settings ()->peer_addr, e);
   else if (p->holder_addr.len > 0)
--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -9,6 +9,8 @@
 /* Crashes after which a request is refused. Two may be chance while servers
    crash for other reasons. */
 #define CRASHES_MAX 3
+/* Its crashes and a completion. */
+#define EVIDENCE_PER_REQUEST_MAX (CRASHES_MAX + 1)
 /* A crash is attributed to attempts that broke off at most this long before
    it was detected. Often only the entry of the restarted server tells of it,
    and crashed servers are away for seconds. */
@@ -19,6 +21,12 @@
 #define JOINT_CRASHES_MS 1000
 #define SUSPECTS_MAX 4096
 #define CRASHED_STARTS_MAX 1024
+/* Crashes from which on the holder tells all nodes of a request. */
+#define CRASHES_FOR_ALL 2
+/* Evidence is listed so often after a change, then at the interval. Nodes that
+   were cut off must know it before they count as in touch again, 3 s later. */
+#define LISTS_AFTER_CHANGE 4
+#define LIST_INTERVAL_MS 2000
 #define REQUESTS_MAX 4096
 #define COMPLETED_MAX 4096
 
@@ -38,14 +46,24 @@
   UT_hash_handle hh;
 };
 
+struct crash
+{
+  uint64_t server;
+  uint64_t at_ms;
+  bool own; /* seen by this node */
+};
+
 /* A request that ran on servers when they crashed. */
 struct request
 {
   uint64_t fingerprint;
-  uint64_t servers[CRASHES_MAX];
-  uint32_t crashes;
-  uint64_t updated_ms; /* of the newest crash */
-  uint32_t listed;     /* number of lists with its newest crash */
+  struct crash crashes[CRASHES_MAX];
+  uint32_t crash_count;
+  uint64_t completed_ms; /* newest completion that cleared crashes, or 0 */
+  bool completed_here;   /* seen by this node */
+  uint64_t updated_ms;   /* newest crash or completion */
+  uint32_t listed;       /* number of lists since the last change */
+  uint64_t listed_ms;
   UT_hash_handle hh;
 };
 
@@ -87,7 +105,7 @@
                uint64_t server)
 {
   const struct quarantine_change change
-      = { r->fingerprint, server, r->crashes };
+      = { r->fingerprint, server, r->crash_count };
 
   if (c->changed)
     c->changed (c->ctx, &change);
@@ -178,7 +196,7 @@
 least_important (const struct request_quarantine *c, uint64_t now_ms)
 {
   for (struct request *r = c->requests; r; r = r->hh.next)
-    if (r->crashes < CRASHES_MAX || is_expired (r, now_ms))
+    if (r->crash_count < CRASHES_MAX || is_expired (r, now_ms))
       return r;
   return c->requests;
 }
@@ -321,43 +339,117 @@
     forget_completion (c, c->completed);
 }
 
+static void
+mark_changed (struct request *r, uint64_t at_ms)
+{
+  if (at_ms > r->updated_ms)
+    r->updated_ms = at_ms;
+  r->listed = 0;
+}
+
+static void
+drop_crashes_before (struct request *r, uint64_t end_ms)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < r->crash_count; i++)
+    if (r->crashes[i].at_ms > end_ms)
+      r->crashes[kept++] = r->crashes[i];
+  r->crash_count = kept;
+}
+
+/* Clears the crashes before a completion. Returns false if there were none. */
+static bool
+complete (struct request_quarantine *c, struct request *r, uint64_t at_ms)
+{
+  const uint32_t before = r->crash_count;
+
+  drop_crashes_before (r, at_ms);
+  if (r->crash_count == before)
+    return false;
+  if (at_ms > r->completed_ms)
+    r->completed_ms = at_ms;
+  mark_changed (r, at_ms);
+  report_change (c, r, 0);
+  return true;
+}
+
 void
 quarantine_request_completed (struct request_quarantine *c,
-                              uint64_t fingerprint)
+                              uint64_t fingerprint, uint64_t now_ms)
 {
   struct request *r = find (c, fingerprint);
 
   add_completion (c, fingerprint);
-  if (!r)
-    return;
-  r->crashes = 0;
-  report_change (c, r, 0);
-  forget (c, r);
+  if (r && complete (c, r, now_ms))
+    r->completed_here = true;
+}
+
+static bool
+is_known_crash (const struct request *r, uint64_t server)
+{
+  for (uint32_t i = 0; i < r->crash_count; i++)
+    if (r->crashes[i].server == server)
+      return true;
+  return false;
 }
 
+/* Returns true if the crash comes close to another one of a request that
+   servers complete. */
 static bool
 is_joint_crash (const struct request_quarantine *c, const struct request *r,
-                uint64_t now_ms)
+                uint64_t at_ms)
 {
-  return r->crashes > 0 && now_ms < r->updated_ms + JOINT_CRASHES_MS
-         && find_completion (c, r->fingerprint);
+  if (r->completed_ms == 0 && !find_completion (c, r->fingerprint))
+    return false;
+  for (uint32_t i = 0; i < r->crash_count; i++)
+    if (at_ms < r->crashes[i].at_ms + JOINT_CRASHES_MS
+        && r->crashes[i].at_ms < at_ms + JOINT_CRASHES_MS)
+      return true;
+  return false;
+}
+
+static void
+add_crash (struct request_quarantine *c, uint64_t fingerprint,
+           const struct crash *crash, uint64_t now_ms)
+{
+  struct request *r = find_or_add (c, fingerprint, now_ms);
+
+  if (r->crash_count == CRASHES_MAX || crash->at_ms <= r->completed_ms
+      || is_known_crash (r, crash->server)
+      || is_joint_crash (c, r, crash->at_ms))
+    return;
+  r->crashes[r->crash_count++] = *crash;
+  mark_changed (r, crash->at_ms);
+  report_change (c, r, crash->server);
 }
 
 void
 quarantine_add_crash (struct request_quarantine *c,
-                      const struct crash_record *crash, uint64_t now_ms)
+                      const struct crash_record *record, uint64_t now_ms)
 {
-  struct request *r = find_or_add (c, crash->fingerprint, now_ms);
+  const struct crash crash = { record->server, now_ms, .own = true };
 
-  for (uint32_t i = 0; i < r->crashes; i++)
-    if (r->servers[i] == crash->server)
-      return;
-  if (r->crashes == CRASHES_MAX || is_joint_crash (c, r, now_ms))
+  add_crash (c, record->fingerprint, &crash, now_ms);
+}
+
+void
+quarantine_merge (struct request_quarantine *c, const struct crash_evidence *e,
+                  uint64_t now_ms)
+{
+  const struct crash crash = { e->server, now_ms - e->age_ms, .own = false };
+  struct request *r;
+
+  if (e->age_ms > QUARANTINE_RETENTION_MS || e->age_ms > now_ms)
     return;
-  r->servers[r->crashes++] = crash->server;
-  r->updated_ms = now_ms;
-  r->listed = 0;
-  report_change (c, r, crash->server);
+  if (e->server != 0)
+    {
+      add_crash (c, e->fingerprint, &crash, now_ms);
+      return;
+    }
+  r = find (c, e->fingerprint);
+  if (r && complete (c, r, crash.at_ms))
+    r->completed_here = false;
 }
 
 bool
@@ -366,7 +458,7 @@
 {
   const struct request *r = find (c, fingerprint);
 
-  return r && r->crashes >= CRASHES_MAX && !is_expired (r, now_ms);
+  return r && r->crash_count >= CRASHES_MAX && !is_expired (r, now_ms);
 }
 
 /* ---- lists for other nodes ---- */
@@ -380,45 +472,92 @@
 
   if (a->listed != b->listed)
     return a->listed < b->listed ? -1 : 1;
-  if (a->crashes != b->crashes)
-    return a->crashes > b->crashes ? -1 : 1;
+  if (a->crash_count != b->crash_count)
+    return a->crash_count > b->crash_count ? -1 : 1;
   return 0;
 }
 
-/* Returns the number of requests to list, stored in @out. */
+static bool
+has_own_evidence (const struct request *r)
+{
+  for (uint32_t i = 0; i < r->crash_count; i++)
+    if (r->crashes[i].own)
+      return true;
+  return r->completed_here;
+}
+
+static bool
+is_in_scope (const struct request *r, enum quarantine_scope scope)
+{
+  if (scope == QUARANTINE_OWN)
+    return has_own_evidence (r);
+  return r->crash_count >= CRASHES_FOR_ALL || r->completed_ms > 0;
+}
+
+static bool
+is_due (const struct request *r, uint64_t now_ms)
+{
+  return !is_expired (r, now_ms)
+         && (r->listed < LISTS_AFTER_CHANGE
+             || now_ms >= r->listed_ms + LIST_INTERVAL_MS);
+}
+
 static size_t
-collect_listed (const struct request_quarantine *c, uint32_t least,
-                uint32_t max_age_ms, uint64_t now_ms, struct request **out)
+collect_due (const struct request_quarantine *c, enum quarantine_scope scope,
+             uint64_t now_ms, struct request **out)
 {
   size_t n = 0;
 
   for (struct request *r = c->requests; r; r = r->hh.next)
-    if (r->crashes >= least && now_ms <= r->updated_ms + max_age_ms)
+    if (is_in_scope (r, scope) && is_due (r, now_ms))
       out[n++] = r;
+  qsort (out, n, sizeof *out, compare_urgency);
+  return n;
+}
+
+/* Stores the evidence on a request. Returns the number of items. */
+static size_t
+write_evidence (const struct request *r, enum quarantine_scope scope,
+                uint64_t now_ms, struct crash_evidence *out)
+{
+  size_t n = 0;
+
+  for (uint32_t i = 0; i < r->crash_count; i++)
+    if (scope == QUARANTINE_ALL || r->crashes[i].own)
+      out[n++] = (struct crash_evidence){ r->fingerprint, r->crashes[i].server,
+                                          (uint32_t)(now_ms
+                                                     - r->crashes[i].at_ms) };
+  if (r->completed_ms > 0 && (scope == QUARANTINE_ALL || r->completed_here))
+    out[n++] = (struct crash_evidence){ r->fingerprint, 0,
+                                        (uint32_t)(now_ms - r->completed_ms) };
   return n;
 }
 
 size_t
-quarantine_list_crashes (struct request_quarantine *c, uint32_t least,
-                         uint32_t max_age_ms, uint64_t now_ms,
-                         struct crash_record *out, size_t max)
+quarantine_list (struct request_quarantine *c, enum quarantine_scope scope,
+                 uint64_t now_ms, struct crash_evidence *out, size_t max)
 {
-  struct request **found;
+  struct request **due;
   size_t count;
   size_t n = 0;
 
   if (!c->requests)
     return 0;
-  found = xcalloc (HASH_COUNT (c->requests), sizeof *found);
-  count = collect_listed (c, least, max_age_ms, now_ms, found);
-  qsort (found, count, sizeof *found, compare_urgency);
-  for (size_t i = 0; i < count && n + found[i]->crashes <= max; i++)
+  due = xcalloc (HASH_COUNT (c->requests), sizeof (struct request *));
+  count = collect_due (c, scope, now_ms, due);
+  for (size_t i = 0; i < count && n + EVIDENCE_PER_REQUEST_MAX <= max; i++)
     {
-      found[i]->listed++;
-      for (uint32_t j = 0; j < found[i]->crashes; j++)
-        out[n++] = (struct crash_record){ found[i]->fingerprint,
-                                          found[i]->servers[j] };
+      n += write_evidence (due[i], scope, now_ms, out + n);
+      due[i]->listed++;
+      due[i]->listed_ms = now_ms;
     }
-  free (found);
+  free (due);
   return n;
 }
+
+void
+quarantine_list_anew (struct request_quarantine *c)
+{
+  for (struct request *r = c->requests; r; r = r->hh.next)
+    r->listed = 0;
+}
--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -31,6 +31,18 @@
   uint64_t server;
 };
 
+/**
+ * struct crash_evidence - what one node tells others of a request.
+ * @server: the start that crashed under it; 0 if a server completed it.
+ * @age_ms: time since then.
+ */
+struct crash_evidence
+{
+  uint64_t fingerprint;
+  uint64_t server;
+  uint32_t age_ms;
+};
+
 /**
  * struct quarantine_change - change of what is known about a request.
  * @server: the start that crashed; 0 if @crashes is 0.
@@ -68,29 +80,40 @@
 bool quarantine_server_crashed (struct request_quarantine *quarantine,
                                 uint64_t server, uint64_t now_ms);
 /** quarantine_request_completed() - record that a server completed the
- * request. Clears its crashes; of later ones that come close together, one
- * counts. An error response of a server completes nothing. */
+ * request. Clears its earlier crashes; of later ones that come close together,
+ * one counts. An error response of a server completes nothing. */
 void quarantine_request_completed (struct request_quarantine *quarantine,
-                                   uint64_t fingerprint);
-/** quarantine_add_crash() - record a crash, for example one that another node
- * reported. Repeated reports of the same crash count once. */
+                                   uint64_t fingerprint, uint64_t now_ms);
+/** quarantine_add_crash() - record a crash. The same crash counts once. */
 void quarantine_add_crash (struct request_quarantine *quarantine,
                            const struct crash_record *crash, uint64_t now_ms);
+/** quarantine_merge() - record what another node tells. Repeated evidence
+ * changes nothing. */
+void quarantine_merge (struct request_quarantine *quarantine,
+                       const struct crash_evidence *evidence, uint64_t now_ms);
 /** quarantine_contains() - returns true if the request has crashed so many
  * servers that it must not run again. */
 bool quarantine_contains (const struct request_quarantine *quarantine,
                           uint64_t fingerprint, uint64_t now_ms);
+/* Which evidence to list. */
+enum quarantine_scope
+{
+  QUARANTINE_OWN, /* what this node saw itself, for the holder */
+  QUARANTINE_ALL  /* requests with several crashes, for all nodes */
+};
+
 /**
- * quarantine_list_crashes() - list the crashes to report to other nodes. Those
- * that were listed least often come first, and of these the requests with the
- * most crashes, so that repeated lists cover all.
- * @least: leaves out requests with fewer crashes.
- * @max_age_ms: leaves out requests whose newest crash is older.
+ * quarantine_list() - list the evidence that is due to be sent to other nodes:
+ * a few times after it changed, because datagrams are lost, then at intervals
+ * for nodes that were away. Requests that were listed least often come first,
+ * and of these the ones with the most crashes, so that repeated lists cover
+ * all.
  * @out: space for @max items.
  *
  * Returns the number of items stored.
  */
-size_t quarantine_list_crashes (struct request_quarantine *quarantine,
-                                uint32_t least, uint32_t max_age_ms,
-                                uint64_t now_ms, struct crash_record *out,
-                                size_t max);
+size_t quarantine_list (struct request_quarantine *quarantine,
+                        enum quarantine_scope scope, uint64_t now_ms,
+                        struct crash_evidence *out, size_t max);
+/** quarantine_list_anew() - make all evidence due, when the holder changes. */
+void quarantine_list_anew (struct request_quarantine *quarantine);
--- a/tests/test_crashers.c
+++ b/tests/test_crashers.c
@@ -49,7 +49,7 @@
   const struct str none = { 0 };
 
   quarantine_add_crash (c, &crashes[0], 1000);
-  quarantine_request_completed (c, REQUEST);
+  quarantine_request_completed (c, REQUEST, 1001);
   for (size_t i = 0; i < 4; i++)
     quarantine_add_crash (c, &crashes[i], 1002);
   CU_ASSERT_FALSE (quarantine_contains (c, REQUEST, 1003));
@@ -65,22 +65,30 @@
 {
   struct request_quarantine *a = quarantine_create ();
   struct request_quarantine *b = quarantine_create ();
-  struct crash_record reported[8];
+  struct crash_evidence reported[8];
   size_t n;
 
   for (size_t i = 0; i < 2; i++)
     {
+      /* All nodes are told only of several crashes. */
+      CU_ASSERT_EQUAL (quarantine_list (a, QUARANTINE_ALL, 1002, reported, 8),
+                       0);
       quarantine_suspect (a, &crashes[i], 1000);
       quarantine_server_crashed (a, crashes[i].server, 1001);
     }
-  CU_ASSERT_EQUAL (quarantine_list_crashes (a, 3, 5000, 1002, reported, 8), 0);
-  CU_ASSERT_EQUAL (quarantine_list_crashes (a, 1, 5000, 9000, reported, 8), 0);
-  n = quarantine_list_crashes (a, 1, 5000, 1002, reported, 8);
+  CU_ASSERT_EQUAL (quarantine_list (a, QUARANTINE_ALL, 1002, reported, 8), 2);
+  CU_ASSERT_EQUAL (quarantine_list (a, QUARANTINE_OWN,
+                                    1002 + QUARANTINE_RETENTION_MS, reported,
+                                    8),
+                   0);
+  n = quarantine_list (a, QUARANTINE_OWN, 1002, reported, 8);
   CU_ASSERT_EQUAL (n, 2);
   for (int again = 0; again < 3; again++)
     for (size_t i = 0; i < n; i++)
-      quarantine_add_crash (b, &reported[i], 1003);
+      quarantine_merge (b, &reported[i], 1003);
   CU_ASSERT_FALSE (quarantine_contains (b, REQUEST, 1004));
+  /* What a node was told it does not report as its own. */
+  CU_ASSERT_EQUAL (quarantine_list (b, QUARANTINE_OWN, 1004, reported, 8), 0);
   quarantine_suspect (b, &crashes[2], 1005);
   quarantine_server_crashed (b, 3, 1006);
   CU_ASSERT_TRUE (quarantine_contains (b, REQUEST, 1007));
@@ -94,13 +102,12 @@
 test_bounded (void)
 {
   struct request_quarantine *c = quarantine_create ();
-  static struct crash_record reported[20000];
+  static struct crash_evidence reported[20000];
 
   for (uint64_t i = 1; i <= 20000; i++)
     quarantine_add_crash (c, &(struct crash_record){ i, 1 }, 1000 + i);
-  CU_ASSERT_TRUE (
-      quarantine_list_crashes (c, 1, UINT32_MAX, 21000, reported, 20000)
-      <= 4096);
+  CU_ASSERT_TRUE (quarantine_list (c, QUARANTINE_OWN, 21000, reported, 20000)
+                  <= 4096);
   CU_ASSERT_TRUE (quarantine_server_hash (STR ("i-1"), 1)
                   != quarantine_server_hash (STR ("i-1"), 2));
   quarantine_destroy (c);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -44,7 +44,7 @@
       if (step->kind == OTHERS_BREAK)
         quarantine_suspect (q, &other, now_ms);
       else
-        quarantine_request_completed (q, other.fingerprint);
+        quarantine_request_completed (q, other.fingerprint, now_ms);
     }
 }
 
@@ -64,7 +64,7 @@
       quarantine_server_crashed (q, step->number, now_ms);
       break;
     case COMPLETES:
-      quarantine_request_completed (q, REQUEST);
+      quarantine_request_completed (q, REQUEST, now_ms);
       break;
     case OTHERS_BREAK:
     case OTHERS_COMPLETE:
@@ -217,7 +217,7 @@
 #define LISTS_MAX 10
 
 static uint32_t
-count_listed (const struct crash_record *records, size_t count,
+count_listed (const struct crash_evidence *records, size_t count,
               uint64_t fingerprint)
 {
   uint32_t n = 0;
@@ -241,14 +241,14 @@
 test_worst_listed_first (void)
 {
   struct request_quarantine *q = quarantine_create ();
-  struct crash_record listed[LIST_MAX];
+  struct crash_evidence listed[LIST_MAX];
   size_t n;
 
   add_bystanders (q);
   for (uint64_t server = 1; server <= 3; server++)
     quarantine_add_crash (q, &(struct crash_record){ REQUEST, server },
                           START_MS);
-  n = quarantine_list_crashes (q, 1, UINT32_MAX, START_MS, listed, LIST_MAX);
+  n = quarantine_list (q, QUARANTINE_OWN, START_MS, listed, LIST_MAX);
   CU_ASSERT_EQUAL (count_listed (listed, n, REQUEST), 3);
   quarantine_destroy (q);
 }
@@ -259,14 +259,14 @@
 test_listed_in_turn (void)
 {
   struct request_quarantine *q = quarantine_create ();
-  struct crash_record listed[LIST_MAX];
+  struct crash_evidence listed[LIST_MAX];
   uint32_t count[BYSTANDERS + 1] = { 0 };
 
   add_bystanders (q);
   for (int i = 0; i < LISTS_MAX; i++)
     {
-      const size_t n = quarantine_list_crashes (q, 1, UINT32_MAX, START_MS,
-                                                listed, LIST_MAX);
+      const size_t n
+          = quarantine_list (q, QUARANTINE_OWN, START_MS, listed, LIST_MAX);
 
       for (size_t j = 0; j < n; j++)
         count[listed[j].fingerprint - REQUEST]++;
@@ -276,6 +276,85 @@
   quarantine_destroy (q);
 }
 
+#define REPORT_INTERVAL_MS 250
+#define AWAY_MS 20000
+/* Nodes that were cut off count as in touch again after this time. */
+#define CONTACT_MS 3000
+
+/* Sends all that @from lists until @end_ms to @to, which may be NULL. */
+static void
+send_reports (struct request_quarantine *from, enum quarantine_scope scope,
+              struct request_quarantine *to, uint64_t start_ms,
+              uint64_t end_ms)
+{
+  struct crash_evidence listed[LIST_MAX];
+
+  for (uint64_t now = start_ms; now < end_ms; now += REPORT_INTERVAL_MS)
+    {
+      const size_t n = quarantine_list (from, scope, now, listed, LIST_MAX);
+
+      for (size_t i = 0; to && i < n; i++)
+        quarantine_merge (to, &listed[i], now);
+    }
+}
+
+static void
+add_crashes (struct request_quarantine *q, uint64_t count)
+{
+  for (uint64_t server = 1; server <= count; server++)
+    quarantine_add_crash (q, &(struct crash_record){ REQUEST, server },
+                          START_MS);
+}
+
+/* Guards against crashes that a node or the holder never hears of, because it
+   was cut off, stopped or not yet started when they were reported. */
+static void
+test_heard_late (void)
+{
+  static const enum quarantine_scope scopes[]
+      = { QUARANTINE_OWN, QUARANTINE_ALL };
+
+  for (size_t i = 0; i < sizeof scopes / sizeof *scopes; i++)
+    {
+      struct request_quarantine *from = quarantine_create ();
+      struct request_quarantine *to = quarantine_create ();
+      const uint64_t back_ms = START_MS + AWAY_MS;
+
+      add_crashes (from, 3);
+      send_reports (from, scopes[i], NULL, START_MS, back_ms);
+      send_reports (from, scopes[i], to, back_ms, back_ms + CONTACT_MS);
+      CU_ASSERT_TRUE (quarantine_contains (to, REQUEST, back_ms + CONTACT_MS));
+      quarantine_destroy (from);
+      quarantine_destroy (to);
+    }
+}
+
+/* Guards against a frequent request that is refused because other nodes count
+   the crashes beside it and never hear of its completions. */
+static void
+test_completion_shared (void)
+{
+  struct request_quarantine *a = quarantine_create ();
+  struct request_quarantine *b = quarantine_create ();
+
+  add_crashes (a, 2);
+  send_reports (a, QUARANTINE_OWN, b, START_MS, START_MS + 1000);
+  quarantine_request_completed (b, REQUEST, START_MS + 2000);
+  send_reports (b, QUARANTINE_OWN, a, START_MS + 2000, START_MS + 3000);
+  /* Repeated reports of the earlier crashes count no more. */
+  send_reports (a, QUARANTINE_OWN, b, START_MS + 3000, START_MS + 9000);
+  quarantine_add_crash (a, &(struct crash_record){ REQUEST, 3 },
+                        START_MS + 9000);
+  quarantine_add_crash (b, &(struct crash_record){ REQUEST, 4 },
+                        START_MS + 11000);
+  send_reports (a, QUARANTINE_OWN, b, START_MS + 11000, START_MS + 14000);
+  send_reports (b, QUARANTINE_ALL, a, START_MS + 11000, START_MS + 14000);
+  CU_ASSERT_FALSE (quarantine_contains (a, REQUEST, START_MS + 14000));
+  CU_ASSERT_FALSE (quarantine_contains (b, REQUEST, START_MS + 14000));
+  quarantine_destroy (a);
+  quarantine_destroy (b);
+}
+
 static const struct suite_case cases[] = {
   { "others complete", test_others_complete },
   { "completed once", test_completed_once },
@@ -285,5 +364,7 @@
   { "not refused", test_not_refused },
   { "worst listed first", test_worst_listed_first },
   { "listed in turn", test_listed_in_turn },
+  { "heard late", test_heard_late },
+  { "completion shared", test_completion_shared },
 };
 TEST_SUITE ("quarantine", cases)
