Keep the refused requests in the platform's store

What crashes servers was known to processes only. When all nodes were killed or lost power at the same moment, or the holder died before a node that had just started heard it, a request that had been refused was run again and crashed three more servers.

The lease holder writes the crashes of the refused requests, 256 at most, to the object galenagate-quarantine/requests when the set changes, at most each 500 ms, under the revision that it knows. Each process reads the object once at its start and merges it like another node's digest; the holder reads it again after a failed write. Without crashes nothing is written.

--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -410,6 +410,8 @@
   if (now >= p->demand_sent_ms + DEMAND_INTERVAL_MS)
     placer_send_demand (p);
   fleet_expire (p->fleet, now);
+  quarantine_store_step (p->quarantine_store, holderlease_valid (p->lease),
+                         now);
   if (!p->is_holder)
     return;
   drop_silent_followers (p);
@@ -495,6 +497,8 @@
                                  s->peer_addr, kernel_instance (kernel),
                                  (uint32_t)s->lease_ms, on_lease_changed, p);
   holderlease_set_delay (p->lease, claim_delay_ms (s));
+  p->quarantine_store = quarantine_store_create (
+      platform_objects (platform_get (kernel)), site_quarantine (p->site));
   p->peers = peers_create (loop, on_datagram, p);
   uv_timer_init (loop, &p->tick);
   uv_timer_init (loop, &p->run_timer);
@@ -573,6 +577,7 @@
   }
   fleet_destroy (p->fleet);
   holderlease_destroy (p->lease);
+  quarantine_store_destroy (p->quarantine_store);
   peers_destroy (p->peers);
   str_free (&p->holder_addr);
   free (p);
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -10,6 +10,7 @@
 #include "edge/nodecount.h"
 #include "edge/peers.h"
 #include "edge/placer.h"
+#include "edge/quarantine_store.h"
 #include "edge/site.h"
 #include "http.h"
 #include "platform/platform.h"
@@ -53,6 +54,7 @@
   struct http *http;
   struct fleet *fleet;
   struct holderlease *lease;
+  struct quarantine_store *quarantine_store;
   struct peers *peers;
   uv_timer_t tick;
   uv_timer_t run_timer; /* runs a placement round before the next tick */
--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -6,11 +6,8 @@
 
 #include "err.h"
 
-/* Crashes after which a request is refused. Two may be chance while servers
-   crash for other reasons. */
-#define CRASHES_MAX 3
 /* Its crashes and a completion. */
-#define EVIDENCE_PER_REQUEST_MAX (CRASHES_MAX + 1)
+#define EVIDENCE_PER_REQUEST_MAX (QUARANTINE_CRASHES + 1)
 /* A crash is attributed to attempts that broke off at most this long before
    it was detected. Often only the entry of the restarted server tells of it,
    and crashed servers are away for seconds. */
@@ -57,7 +54,7 @@
 struct request
 {
   uint64_t fingerprint;
-  struct crash crashes[CRASHES_MAX];
+  struct crash crashes[QUARANTINE_CRASHES];
   uint32_t crash_count;
   uint64_t completed_ms; /* newest completion that cleared crashes, or 0 */
   bool completed_here;   /* seen by this node */
@@ -82,6 +79,7 @@
   struct completion *completed;  /* in order of insertion */
   struct crashed_start *crashed; /* in the order in which they became known */
   struct suspect *suspects;      /* in the order of their breaks */
+  uint64_t version;              /* see quarantine_version() */
   quarantine_change_fn changed;  /* NULL: not observed */
   void *ctx;
 };
@@ -196,7 +194,7 @@
 least_important (const struct request_quarantine *c, uint64_t now_ms)
 {
   for (struct request *r = c->requests; r; r = r->hh.next)
-    if (r->crash_count < CRASHES_MAX || is_expired (r, now_ms))
+    if (r->crash_count < QUARANTINE_CRASHES || is_expired (r, now_ms))
       return r;
   return c->requests;
 }
@@ -367,6 +365,8 @@
   drop_crashes_before (r, at_ms);
   if (r->crash_count == before)
     return false;
+  if (before == QUARANTINE_CRASHES)
+    c->version++;
   if (at_ms > r->completed_ms)
     r->completed_ms = at_ms;
   mark_changed (r, at_ms);
@@ -415,11 +415,13 @@
 {
   struct request *r = find_or_add (c, fingerprint, now_ms);
 
-  if (r->crash_count == CRASHES_MAX || crash->at_ms <= r->completed_ms
+  if (r->crash_count == QUARANTINE_CRASHES || crash->at_ms <= r->completed_ms
       || is_known_crash (r, crash->server)
       || is_joint_crash (c, r, crash->at_ms))
     return;
   r->crashes[r->crash_count++] = *crash;
+  if (r->crash_count == QUARANTINE_CRASHES)
+    c->version++;
   mark_changed (r, crash->at_ms);
   report_change (c, r, crash->server);
 }
@@ -458,7 +460,7 @@
 {
   const struct request *r = find (c, fingerprint);
 
-  return r && r->crash_count >= CRASHES_MAX && !is_expired (r, now_ms);
+  return r && r->crash_count >= QUARANTINE_CRASHES && !is_expired (r, now_ms);
 }
 
 /* ---- lists for other nodes ---- */
@@ -515,6 +517,14 @@
   return n;
 }
 
+static struct crash_evidence
+crash_item (const struct request *r, const struct crash *crash,
+            uint64_t now_ms)
+{
+  return (struct crash_evidence){ r->fingerprint, crash->server,
+                                  (uint32_t)(now_ms - crash->at_ms) };
+}
+
 /* Stores the evidence on a request. Returns the number of items. */
 static size_t
 write_evidence (const struct request *r, enum quarantine_scope scope,
@@ -561,3 +571,26 @@
   for (struct request *r = c->requests; r; r = r->hh.next)
     r->listed = 0;
 }
+
+uint64_t
+quarantine_version (const struct request_quarantine *c)
+{
+  return c->version;
+}
+
+size_t
+quarantine_list_refused (const struct request_quarantine *c, uint64_t now_ms,
+                         struct crash_evidence *out, size_t max)
+{
+  const struct request *r
+      = c->requests
+            ? ELMT_FROM_HH (c->requests->hh.tbl, c->requests->hh.tbl->tail)
+            : NULL;
+  size_t n = 0;
+
+  for (; r && n + QUARANTINE_CRASHES <= max; r = r->hh.prev)
+    if (r->crash_count == QUARANTINE_CRASHES && !is_expired (r, now_ms))
+      for (uint32_t i = 0; i < r->crash_count; i++)
+        out[n++] = crash_item (r, &r->crashes[i], now_ms);
+  return n;
+}
--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -17,6 +17,9 @@
 
 struct request_quarantine;
 
+/* Crashes after which a request is refused. Two may be chance while servers
+   crash for other reasons. */
+#define QUARANTINE_CRASHES 3
 /* How long the crashes of a request are kept after the newest one. */
 #define QUARANTINE_RETENTION_MS (10 * 60 * 1000)
 
@@ -117,3 +120,11 @@
                         struct crash_evidence *out, size_t max);
 /** quarantine_list_anew() - make all evidence due, when the holder changes. */
 void quarantine_list_anew (struct request_quarantine *quarantine);
+/** quarantine_version() - number that changes whenever a request begins or
+ * ceases to be refused; 0 if none ever was. */
+uint64_t quarantine_version (const struct request_quarantine *quarantine);
+/** quarantine_list_refused() - list the crashes of the requests that are
+ * refused, the newest requests first. Returns the number of items stored. */
+size_t quarantine_list_refused (const struct request_quarantine *quarantine,
+                                uint64_t now_ms, struct crash_evidence *out,
+                                size_t max);
