Suspect the attempts that were cancelled before their server crashed

A client that leaves, or a deadline that passes, ends the node's attempt, and when the server crashed right after, nothing was left to attribute the crash to. A request whose client always leaves early crashed one server after the other and was never refused.

A cancelled attempt that was sent makes its request a suspect like one that breaks off, without a probe. Since a crash counts only if that start of the server ends within 10 s, and three are needed, requests of clients that leave are not refused for it.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -82,6 +82,9 @@
 static void
 cancel_attempt (struct call_attempt *a)
 {
+  /* The server may go on with the call and crash. */
+  if (a->sent_ms > 0)
+    call_record_suspect (a);
   forward_cancel (a->forward);
   end_attempt (a);
 }
--- a/src/edge/call_crash.c
+++ b/src/edge/call_crash.c
@@ -68,17 +68,25 @@
 }
 
 void
-call_suspect_crash (const struct call_attempt *a)
+call_record_suspect (const struct call_attempt *a)
 {
-  struct call_table *calls = a->call->calls;
   const struct crash_record suspect
       = { a->call->fingerprint, a->server_start };
+
+  quarantine_suspect (site_quarantine (a->call->calls->site), &suspect,
+                      clock_ms ());
+}
+
+void
+call_suspect_crash (const struct call_attempt *a)
+{
+  struct call_table *calls = a->call->calls;
   struct crash_probe *p = xcalloc (1, sizeof *p);
 
-  quarantine_suspect (site_quarantine (calls->site), &suspect, clock_ms ());
+  call_record_suspect (a);
   p->calls = calls;
   p->server_id = str_dup (pool_server_id (a->server));
-  p->server_start = suspect.server;
+  p->server_start = a->server_start;
   liveprobe_start (calls->loop, pool_server_address (a->server),
                    on_probe_result, p);
 }
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -282,6 +282,9 @@
 
 /** call_server_start() - hash of the server's current start. */
 uint64_t call_server_start (const struct pool_server *server);
+/** call_record_suspect() - record that an attempt ended without a response
+ * that shows that its server lives on. */
+void call_record_suspect (const struct call_attempt *attempt);
 /** call_suspect_crash() - record that an attempt broke off, and probe whether
  * the server crashed. */
 void call_suspect_crash (const struct call_attempt *attempt);
--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -10,9 +10,10 @@
    such a request again, through any node, and it would crash one server after
    the other. Pure.
 
-   A request whose attempt breaks off is a suspect. It is confirmed when the
-   server refuses connections or has started again, which may become known
-   before or after the break. Nodes report the confirmed crashes to each other.
+   A request whose attempt breaks off or is cancelled is a suspect. It is
+   confirmed when the server refuses connections or has started again, which
+   may become known before or after the break. Nodes report the confirmed
+   crashes to each other.
  */
 
 struct request_quarantine;
--- a/tests/e2e_crashes.c
+++ b/tests/e2e_crashes.c
@@ -43,11 +43,11 @@
 }
 
 static void
-start_servers (struct crash_test *t)
+start_servers (struct crash_test *t, const char *const *flags)
 {
   for (size_t i = 0; i < SERVERS; i++)
     {
-      t->servers[i] = cluster_server (t->edges.cluster, "plain", "a", NULL);
+      t->servers[i] = cluster_server (t->edges.cluster, "plain", "a", flags);
       edgecluster_put_server (&t->edges, t->servers[i], "ready", NO_MODELS);
     }
 }
@@ -136,7 +136,7 @@
 {
   struct crash_test t = begin ();
 
-  start_servers (&t);
+  start_servers (&t, NULL);
   start_nodes (&t);
   crash_servers (&t);
   check_all_refuse (&t);
@@ -157,7 +157,7 @@
   for (size_t i = 0; i < NODES; i++)
     CU_ASSERT_EQUAL (send_crashing (&t, t.nodes[i]), 500);
   edgecluster_delete_object (&t.edges, "servers", failing->name);
-  start_servers (&t);
+  start_servers (&t, NULL);
   sleep (CRASH_NOTICE_S);
   crash_servers (&t);
   check_all_refuse (&t);
@@ -172,7 +172,7 @@
   struct crash_test t = begin ();
   unsigned crashed;
 
-  start_servers (&t);
+  start_servers (&t, NULL);
   start_nodes (&t);
   crash_servers (&t);
   crashed = count_crashed (&t);
@@ -184,9 +184,39 @@
   edgecluster_destroy (&t.edges);
 }
 
+#define CRASH_DELAY_FLAGS CLUSTER_FLAGS ("--delay-ms", "700")
+#define PATIENCE_MS 300
+
+/* Guards against crashes that do not count for a request because its client
+   left just before. */
+static void
+test_client_leaves (void)
+{
+  struct crash_test t = begin ();
+
+  start_servers (&t, CRASH_DELAY_FLAGS);
+  start_nodes (&t);
+  for (size_t i = 0; i < CALLS + 1; i++)
+    {
+      struct cluster_reply r = edgecluster_call_for (
+          t.nodes[0], "POST", CRASHING_PATH, "id-left", "x", PATIENCE_MS);
+
+      cluster_reply_free (&r);
+      sleep (1);
+      /* Lets the node notice that a server ended. */
+      r = edgecluster_call (t.nodes[0], "POST", "/plain/ok", "id-ok", NULL,
+                            "x");
+      cluster_reply_free (&r);
+    }
+  sleep (CRASH_NOTICE_S);
+  check_all_refuse (&t);
+  edgecluster_destroy (&t.edges);
+}
+
 static const struct suite_case cases[] = {
   { "crashing request", test_crashing_request },
   { "error first", test_error_first },
   { "all nodes restart", test_all_nodes_restart },
+  { "client leaves", test_client_leaves },
 };
 TEST_SUITE ("crashes", cases)
--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -210,6 +210,17 @@
                        EDGE_CALL_TIMEOUT_MS);
 }
 
+struct cluster_reply
+edgecluster_call_for (const struct cluster_proc *edge, const char *method,
+                      const char *path, const char *id, const char *body,
+                      uint32_t timeout_ms)
+{
+  struct call_headers h;
+
+  set_call_headers (&h, id, NULL);
+  return cluster_http (edge, method, path, h.lines, body, timeout_ms);
+}
+
 struct cluster_request *
 edgecluster_call_begin (const struct cluster_proc *edge, const char *method,
                         const char *path, const char *id, const char *model,
--- a/tests/edgecluster.h
+++ b/tests/edgecluster.h
@@ -57,6 +57,13 @@
                                        const char *method, const char *path,
                                        const char *id, const char *model,
                                        const char *body);
+/** edgecluster_call_for() - likewise, from a client that leaves after
+ * @timeout_ms. */
+struct cluster_reply edgecluster_call_for (const struct cluster_proc *edge,
+                                           const char *method,
+                                           const char *path, const char *id,
+                                           const char *body,
+                                           uint32_t timeout_ms);
 /** edgecluster_call_begin() - send such a call from a new thread; see
  * cluster_http_start(). */
 struct cluster_request *
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -612,6 +612,13 @@
 
 /* ---- request dispatch ---- */
 
+static void
+crash (void *ctx)
+{
+  (void)ctx;
+  _exit (1);
+}
+
 static void
 serve_call (h2o_req_t *req)
 {
@@ -632,8 +639,8 @@
       record_run (req);
       if (str_eq (standin_path (req), STR ("/plain/crash"))
           && !has_fault ("error"))
-        _exit (1);
-      if (has_fault ("close"))
+        standin_run_after (options.delay_ms, crash, req);
+      else if (has_fault ("close"))
         standin_close (req);
       else if (endless_fault ())
         answer_endless (req, endless_fault ());
