Split the quarantine into evidence, suspects and lists

The attempts that may have crashed servers move to quarantine_suspects.c, the lists for other nodes and the store to quarantine_list.c. Code is moved, not changed; unit crashers, quarantine and quarantinestore pass.

--- /dev/null
+++ b/src/edge/quarantine_list.c
@@ -0,0 +1,141 @@
+#include "edge/quarantine_impl.h"
+
+#include <stdlib.h>
+
+#include "err.h"
+
+/* Lists of the evidence, for other nodes and for the store. */
+
+/* Its crashes and a completion. */
+#define EVIDENCE_PER_REQUEST_MAX (QUARANTINE_CRASHES + 1)
+/* Crashes from which on the holder tells all nodes of a request. */
+#define CRASHES_FOR_ALL 2
+/* Evidence is listed so often after a change, then at the interval. Nodes that
+   were cut off must know it before they count as in touch again, 3 s later. */
+#define LISTS_AFTER_CHANGE 4
+#define LIST_INTERVAL_MS 2000
+
+/* Orders requests by how often they were listed, then by crashes. */
+static int
+compare_urgency (const void *left, const void *right)
+{
+  const struct request *a = *(struct request *const *)left;
+  const struct request *b = *(struct request *const *)right;
+
+  if (a->listed != b->listed)
+    return a->listed < b->listed ? -1 : 1;
+  if (a->crash_count != b->crash_count)
+    return a->crash_count > b->crash_count ? -1 : 1;
+  return 0;
+}
+
+static bool
+has_own_evidence (const struct request *r)
+{
+  for (uint32_t i = 0; i < r->crash_count; i++)
+    if (r->crashes[i].own)
+      return true;
+  return r->completed_here;
+}
+
+static bool
+is_in_scope (const struct request *r, enum quarantine_scope scope)
+{
+  if (scope == QUARANTINE_OWN)
+    return has_own_evidence (r);
+  return r->crash_count >= CRASHES_FOR_ALL || r->completed_ms > 0;
+}
+
+static bool
+is_due (const struct request *r, uint64_t now_ms)
+{
+  return !quarantine_expired (r, now_ms)
+         && (r->listed < LISTS_AFTER_CHANGE
+             || now_ms >= r->listed_ms + LIST_INTERVAL_MS);
+}
+
+static size_t
+collect_due (const struct request_quarantine *c, enum quarantine_scope scope,
+             uint64_t now_ms, struct request **out)
+{
+  size_t n = 0;
+
+  for (struct request *r = c->requests; r; r = r->hh.next)
+    if (is_in_scope (r, scope) && is_due (r, now_ms))
+      out[n++] = r;
+  qsort (out, n, sizeof *out, compare_urgency);
+  return n;
+}
+
+static struct crash_evidence
+crash_item (const struct request *r, const struct crash *crash,
+            uint64_t now_ms)
+{
+  return (struct crash_evidence){ r->fingerprint, crash->server,
+                                  (uint32_t)(now_ms - crash->at_ms) };
+}
+
+/* Stores the evidence on a request. Returns the number of items. */
+static size_t
+write_evidence (const struct request *r, enum quarantine_scope scope,
+                uint64_t now_ms, struct crash_evidence *out)
+{
+  size_t n = 0;
+
+  for (uint32_t i = 0; i < r->crash_count; i++)
+    if (scope == QUARANTINE_ALL || r->crashes[i].own)
+      out[n++] = (struct crash_evidence){ r->fingerprint, r->crashes[i].server,
+                                          (uint32_t)(now_ms
+                                                     - r->crashes[i].at_ms) };
+  if (r->completed_ms > 0 && (scope == QUARANTINE_ALL || r->completed_here))
+    out[n++] = (struct crash_evidence){ r->fingerprint, 0,
+                                        (uint32_t)(now_ms - r->completed_ms) };
+  return n;
+}
+
+size_t
+quarantine_list (struct request_quarantine *c, enum quarantine_scope scope,
+                 uint64_t now_ms, struct crash_evidence *out, size_t max)
+{
+  struct request **due;
+  size_t count;
+  size_t n = 0;
+
+  if (!c->requests)
+    return 0;
+  due = xcalloc (HASH_COUNT (c->requests), sizeof (struct request *));
+  count = collect_due (c, scope, now_ms, due);
+  for (size_t i = 0; i < count && n + EVIDENCE_PER_REQUEST_MAX <= max; i++)
+    {
+      n += write_evidence (due[i], scope, now_ms, out + n);
+      due[i]->listed++;
+      due[i]->listed_ms = now_ms;
+    }
+  free (due);
+  return n;
+}
+
+void
+quarantine_list_anew (struct request_quarantine *c)
+{
+  for (struct request *r = c->requests; r; r = r->hh.next)
+    r->listed = 0;
+}
+
+size_t
+quarantine_list_refused (const struct request_quarantine *c, uint64_t now_ms,
+                         struct crash_evidence *out, size_t max)
+{
+  const struct request *r
+      = c->requests
+            ? ELMT_FROM_HH (c->requests->hh.tbl, c->requests->hh.tbl->tail)
+            : NULL;
+  size_t n = 0;
+
+  for (; r && n + QUARANTINE_CRASHES <= max; r = r->hh.prev)
+    if (r->crash_count == QUARANTINE_CRASHES
+        && !quarantine_expired (r, now_ms))
+      for (uint32_t i = 0; i < r->crash_count; i++)
+        out[n++] = crash_item (r, &r->crashes[i], now_ms);
+  return n;
+}
--- /dev/null
+++ b/src/edge/quarantine_suspects.c
@@ -0,0 +1,130 @@
+#include "edge/quarantine_impl.h"
+
+#include <stdlib.h>
+
+#include "err.h"
+
+/* Attempts that may have crashed their servers, and servers that crashed. */
+
+/* A crash is attributed to attempts that broke off at most this long before
+   it was detected. Often only the entry of the restarted server tells of it,
+   and crashed servers are away for seconds. */
+#define SUSPECT_WINDOW_MS 10000
+#define SUSPECTS_MAX 4096
+#define CRASHED_STARTS_MAX 1024
+
+static void
+forget_suspect (struct request_quarantine *c, struct suspect *s)
+{
+  HASH_DEL (c->suspects, s);
+  free (s);
+}
+
+static void
+forget_start (struct request_quarantine *c, struct crashed_start *start)
+{
+  HASH_DEL (c->crashed, start);
+  free (start);
+}
+
+static void
+forget_old_starts (struct request_quarantine *c, uint64_t now_ms)
+{
+  while (c->crashed
+         && (HASH_COUNT (c->crashed) >= CRASHED_STARTS_MAX
+             || now_ms > c->crashed->known_ms + SUSPECT_WINDOW_MS))
+    forget_start (c, c->crashed);
+}
+
+static struct crashed_start *
+find_start (struct request_quarantine *c, uint64_t server, uint64_t now_ms)
+{
+  struct crashed_start *start;
+
+  forget_old_starts (c, now_ms);
+  HASH_FIND (hh, c->crashed, &server, sizeof server, start);
+  return start;
+}
+
+static void
+forget_old_suspects (struct request_quarantine *c, uint64_t now_ms)
+{
+  while (c->suspects && now_ms > c->suspects->broke_off_ms + SUSPECT_WINDOW_MS)
+    forget_suspect (c, c->suspects);
+}
+
+static void
+add_suspect (struct request_quarantine *c, const struct crash_record *crash,
+             uint64_t now_ms)
+{
+  struct suspect *s;
+
+  forget_old_suspects (c, now_ms);
+  HASH_FIND (hh, c->suspects, crash, sizeof *crash, s);
+  if (s)
+    HASH_DEL (c->suspects, s); /* becomes the newest one */
+  else
+    s = xcalloc (1, sizeof *s);
+  if (HASH_COUNT (c->suspects) >= SUSPECTS_MAX)
+    forget_suspect (c, c->suspects);
+  s->crash = *crash;
+  s->broke_off_ms = now_ms;
+  HASH_ADD (hh, c->suspects, crash, sizeof s->crash, s);
+}
+
+void
+quarantine_suspect (struct request_quarantine *c,
+                    const struct crash_record *suspect, uint64_t now_ms)
+{
+  if (find_start (c, suspect->server, now_ms))
+    {
+      quarantine_add_crash (c, suspect, now_ms);
+      return;
+    }
+  add_suspect (c, suspect, now_ms);
+}
+
+static void
+add_start (struct request_quarantine *c, uint64_t server, uint64_t now_ms)
+{
+  struct crashed_start *start = xcalloc (1, sizeof *start);
+
+  start->server = server;
+  start->known_ms = now_ms;
+  HASH_ADD (hh, c->crashed, server, sizeof start->server, start);
+}
+
+bool
+quarantine_server_crashed (struct request_quarantine *c, uint64_t server,
+                           uint64_t now_ms)
+{
+  struct suspect *s;
+  struct suspect *next;
+
+  if (find_start (c, server, now_ms))
+    return false;
+  add_start (c, server, now_ms);
+  forget_old_suspects (c, now_ms);
+  HASH_ITER (hh, c->suspects, s, next)
+  {
+    if (s->crash.server != server)
+      continue;
+    quarantine_add_crash (c, &s->crash, now_ms);
+    forget_suspect (c, s);
+  }
+  return true;
+}
+
+void
+quarantine_free_suspects (struct request_quarantine *c)
+{
+  struct crashed_start *start;
+  struct crashed_start *next_start;
+  struct suspect *s;
+  struct suspect *next_suspect;
+
+  HASH_ITER (hh, c->crashed, start, next_start)
+  forget_start (c, start);
+  HASH_ITER (hh, c->suspects, s, next_suspect)
+  forget_suspect (c, s);
+}
