Log the shared parts of a prompt with each failed attempt

Requests with one part in common crash server after server, no two alike. The logs could not tell which part the failed attempts share, nor whether their servers had begun to respond to them.

No decision changes.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -348,6 +348,35 @@
   str_free (&labels);
 }
 
+static void
+join_parts (const struct call_meta *meta, struct buf *out)
+{
+  for (size_t i = 0; i < meta->shared_part_count; i++)
+    {
+      if (i > 0)
+        buf_append (out, STR (","));
+      buf_append (out, meta->shared_parts[i]);
+    }
+}
+
+static void
+log_failed_attempt (const struct call_attempt *a,
+                    const struct forward_result *r)
+{
+  const struct call *c = a->call;
+  struct buf parts = { 0 };
+
+  join_parts (&c->meta, &parts);
+  LOG_INFO (
+      "attempt-failed",
+      "id=" STR_FMT " fingerprint=%016lx parts=" STR_FMT " server=" STR_FMT
+      " outcome=%s status=%d timed_out=%d response_started=%d " LOG_E_FMT,
+      STR_ARG (c->meta.client_attempt_id), c->fingerprint, STR_ARG (parts),
+      STR_ARG (pool_server_id (a->server)), forward_outcome_name (r->outcome),
+      r->status, r->timed_out, r->response_started, LOG_E_ARG (r->err));
+  buf_free (&parts);
+}
+
 static void
 on_done (void *ctx, const struct forward_result *r,
          const struct http_call *response)
@@ -359,14 +388,7 @@
   c->server = a->server;
   count_attempt (c, r->outcome);
   if (r->outcome != FORWARD_ANSWERED)
-    LOG_INFO (
-        "attempt-failed",
-        "id=" STR_FMT " fingerprint=%016lx server=" STR_FMT
-        " outcome=%s status=%d timed_out=%d response_started=%d " LOG_E_FMT,
-        STR_ARG (c->meta.client_attempt_id), c->fingerprint,
-        STR_ARG (pool_server_id (a->server)),
-        forward_outcome_name (r->outcome), r->status, r->timed_out,
-        r->response_started, LOG_E_ARG (r->err));
+    log_failed_attempt (a, r);
   switch (r->outcome)
     {
     case FORWARD_ANSWERED:
