Name the quarantine's types for more than requests

The same evidence will be kept on parts of prompts: struct request_quarantine becomes struct quarantine, its entries subjects. Names only; unit crashers, quarantine and quarantinestore pass.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -328,8 +328,8 @@
   c->possible_runs++;
   select_attempt (a);
   if (r->status < STATUS_SUCCESS_END)
-    quarantine_request_completed (site_quarantine (c->calls->site),
-                                  c->fingerprint, clock_ms ());
+    quarantine_completed (site_quarantine (c->calls->site), c->fingerprint,
+                          clock_ms ());
   pool_call_served (a->server);
   if (c->response_started)
     call_finish_response (c);
--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -10,25 +10,24 @@
    have completed: a frequent one runs on several servers that fail together
    for another reason. */
 #define JOINT_CRASHES_MS 1000
-#define REQUESTS_MAX 4096
+#define SUBJECTS_MAX 4096
 #define COMPLETED_MAX 4096
 
-struct request_quarantine *
+struct quarantine *
 quarantine_create (void)
 {
-  return xcalloc (1, sizeof (struct request_quarantine));
+  return xcalloc (1, sizeof (struct quarantine));
 }
 
 void
-quarantine_observe (struct request_quarantine *c, quarantine_change_fn fn,
-                    void *ctx)
+quarantine_observe (struct quarantine *c, quarantine_change_fn fn, void *ctx)
 {
   c->changed = fn;
   c->ctx = ctx;
 }
 
 static void
-report_change (const struct request_quarantine *c, const struct request *r,
+report_change (const struct quarantine *c, const struct subject *r,
                uint64_t server)
 {
   const struct quarantine_change change
@@ -39,29 +38,29 @@
 }
 
 static void
-forget (struct request_quarantine *c, struct request *r)
+forget (struct quarantine *c, struct subject *r)
 {
-  HASH_DEL (c->requests, r);
+  HASH_DEL (c->subjects, r);
   free (r);
 }
 
 static void
-forget_completion (struct request_quarantine *c, struct completion *done)
+forget_completion (struct quarantine *c, struct completion *done)
 {
   HASH_DEL (c->completed, done);
   free (done);
 }
 
 void
-quarantine_destroy (struct request_quarantine *c)
+quarantine_destroy (struct quarantine *c)
 {
-  struct request *r;
-  struct request *next;
+  struct subject *r;
+  struct subject *next;
 
   struct completion *done;
   struct completion *next_done;
 
-  HASH_ITER (hh, c->requests, r, next)
+  HASH_ITER (hh, c->subjects, r, next)
   forget (c, r);
   HASH_ITER (hh, c->completed, done, next_done)
   forget_completion (c, done);
@@ -82,45 +81,44 @@
   return str_hash (id, started_ms);
 }
 
-static struct request *
-find (const struct request_quarantine *c, uint64_t fingerprint)
+static struct subject *
+find (const struct quarantine *c, uint64_t fingerprint)
 {
-  struct request *r;
+  struct subject *r;
 
-  HASH_FIND (hh, c->requests, &fingerprint, sizeof fingerprint, r);
+  HASH_FIND (hh, c->subjects, &fingerprint, sizeof fingerprint, r);
   return r;
 }
 
 bool
-quarantine_expired (const struct request *r, uint64_t now_ms)
+quarantine_expired (const struct subject *r, uint64_t now_ms)
 {
   return now_ms > r->updated_ms + QUARANTINE_RETENTION_MS;
 }
 
 /* Returns the request to displace: the oldest one that is not refused. */
-static struct request *
-least_important (const struct request_quarantine *c, uint64_t now_ms)
+static struct subject *
+least_important (const struct quarantine *c, uint64_t now_ms)
 {
-  for (struct request *r = c->requests; r; r = r->hh.next)
+  for (struct subject *r = c->subjects; r; r = r->hh.next)
     if (r->crash_count < QUARANTINE_CRASHES || quarantine_expired (r, now_ms))
       return r;
-  return c->requests;
+  return c->subjects;
 }
 
 static void
-make_room (struct request_quarantine *c, uint64_t now_ms)
+make_room (struct quarantine *c, uint64_t now_ms)
 {
-  while (c->requests && quarantine_expired (c->requests, now_ms))
-    forget (c, c->requests);
-  while (HASH_COUNT (c->requests) >= REQUESTS_MAX)
+  while (c->subjects && quarantine_expired (c->subjects, now_ms))
+    forget (c, c->subjects);
+  while (HASH_COUNT (c->subjects) >= SUBJECTS_MAX)
     forget (c, least_important (c, now_ms));
 }
 
-static struct request *
-find_or_add (struct request_quarantine *c, uint64_t fingerprint,
-             uint64_t now_ms)
+static struct subject *
+find_or_add (struct quarantine *c, uint64_t fingerprint, uint64_t now_ms)
 {
-  struct request *r = find (c, fingerprint);
+  struct subject *r = find (c, fingerprint);
 
   if (r && !quarantine_expired (r, now_ms))
     return r;
@@ -129,12 +127,12 @@
   make_room (c, now_ms);
   r = xcalloc (1, sizeof *r);
   r->fingerprint = fingerprint;
-  HASH_ADD (hh, c->requests, fingerprint, sizeof r->fingerprint, r);
+  HASH_ADD (hh, c->subjects, fingerprint, sizeof r->fingerprint, r);
   return r;
 }
 
 static struct completion *
-find_completion (const struct request_quarantine *c, uint64_t fingerprint)
+find_completion (const struct quarantine *c, uint64_t fingerprint)
 {
   struct completion *done;
 
@@ -143,7 +141,7 @@
 }
 
 static void
-add_completion (struct request_quarantine *c, uint64_t fingerprint)
+add_completion (struct quarantine *c, uint64_t fingerprint)
 {
   struct completion *done = find_completion (c, fingerprint);
 
@@ -158,7 +156,7 @@
 }
 
 static void
-mark_changed (struct request *r, uint64_t at_ms)
+mark_changed (struct subject *r, uint64_t at_ms)
 {
   if (at_ms > r->updated_ms)
     r->updated_ms = at_ms;
@@ -166,7 +164,7 @@
 }
 
 static void
-drop_crashes_before (struct request *r, uint64_t end_ms)
+drop_crashes_before (struct subject *r, uint64_t end_ms)
 {
   uint32_t kept = 0;
 
@@ -178,7 +176,7 @@
 
 /* Clears the crashes before a completion. Returns false if there were none. */
 static bool
-complete (struct request_quarantine *c, struct request *r, uint64_t at_ms)
+complete (struct quarantine *c, struct subject *r, uint64_t at_ms)
 {
   const uint32_t before = r->crash_count;
 
@@ -195,10 +193,10 @@
 }
 
 void
-quarantine_request_completed (struct request_quarantine *c,
-                              uint64_t fingerprint, uint64_t now_ms)
+quarantine_completed (struct quarantine *c, uint64_t fingerprint,
+                      uint64_t now_ms)
 {
-  struct request *r = find (c, fingerprint);
+  struct subject *r = find (c, fingerprint);
 
   add_completion (c, fingerprint);
   if (r && complete (c, r, now_ms))
@@ -206,7 +204,7 @@
 }
 
 static bool
-is_known_crash (const struct request *r, uint64_t server)
+is_known_crash (const struct subject *r, uint64_t server)
 {
   for (uint32_t i = 0; i < r->crash_count; i++)
     if (r->crashes[i].server == server)
@@ -217,7 +215,7 @@
 /* Returns true if the crash comes close to another one of a request that
    servers complete. */
 static bool
-is_joint_crash (const struct request_quarantine *c, const struct request *r,
+is_joint_crash (const struct quarantine *c, const struct subject *r,
                 uint64_t at_ms)
 {
   if (r->completed_ms == 0 && !find_completion (c, r->fingerprint))
@@ -230,10 +228,10 @@
 }
 
 static void
-add_crash (struct request_quarantine *c, uint64_t fingerprint,
+add_crash (struct quarantine *c, uint64_t fingerprint,
            const struct crash *crash, uint64_t now_ms)
 {
-  struct request *r = find_or_add (c, fingerprint, now_ms);
+  struct subject *r = find_or_add (c, fingerprint, now_ms);
 
   if (r->crash_count == QUARANTINE_CRASHES || crash->at_ms <= r->completed_ms
       || is_known_crash (r, crash->server)
@@ -247,8 +245,8 @@
 }
 
 void
-quarantine_add_crash (struct request_quarantine *c,
-                      const struct crash_record *record, uint64_t now_ms)
+quarantine_add_crash (struct quarantine *c, const struct crash_record *record,
+                      uint64_t now_ms)
 {
   const struct crash crash = { record->server, now_ms, .own = true };
 
@@ -256,11 +254,11 @@
 }
 
 void
-quarantine_merge (struct request_quarantine *c, const struct crash_evidence *e,
+quarantine_merge (struct quarantine *c, const struct crash_evidence *e,
                   uint64_t now_ms)
 {
   const struct crash crash = { e->server, now_ms - e->age_ms, .own = false };
-  struct request *r;
+  struct subject *r;
 
   if (e->age_ms > QUARANTINE_RETENTION_MS || e->age_ms > now_ms)
     return;
@@ -275,17 +273,17 @@
 }
 
 bool
-quarantine_contains (const struct request_quarantine *c, uint64_t fingerprint,
+quarantine_contains (const struct quarantine *c, uint64_t fingerprint,
                      uint64_t now_ms)
 {
-  const struct request *r = find (c, fingerprint);
+  const struct subject *r = find (c, fingerprint);
 
   return r && r->crash_count >= QUARANTINE_CRASHES
          && !quarantine_expired (r, now_ms);
 }
 
 uint64_t
-quarantine_version (const struct request_quarantine *c)
+quarantine_version (const struct quarantine *c)
 {
   return c->version;
 }
--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -16,7 +16,7 @@
    crashes to each other.
  */
 
-struct request_quarantine;
+struct quarantine;
 
 /* Crashes after which a request is refused. Two may be chance while servers
    crash for other reasons. */
@@ -62,10 +62,10 @@
 typedef void (*quarantine_change_fn) (void *ctx,
                                       const struct quarantine_change *change);
 
-struct request_quarantine *quarantine_create (void);
-void quarantine_destroy (struct request_quarantine *quarantine);
+struct quarantine *quarantine_create (void);
+void quarantine_destroy (struct quarantine *quarantine);
 /** quarantine_observe() - call @fn after each change, for logs. */
-void quarantine_observe (struct request_quarantine *quarantine,
+void quarantine_observe (struct quarantine *quarantine,
                          quarantine_change_fn fn, void *ctx);
 
 /** quarantine_fingerprint() - hash that is the same when a client sends a
@@ -77,27 +77,27 @@
 
 /** quarantine_suspect() - record that an attempt of the request broke off. If
  * the server is known to have crashed, the crash is attributed at once. */
-void quarantine_suspect (struct request_quarantine *quarantine,
+void quarantine_suspect (struct quarantine *quarantine,
                          const struct crash_record *suspect, uint64_t now_ms);
 /** quarantine_server_crashed() - record that a server crashed, which confirms
  * its recent suspects and those that follow. Returns false if it was known. */
-bool quarantine_server_crashed (struct request_quarantine *quarantine,
-                                uint64_t server, uint64_t now_ms);
-/** quarantine_request_completed() - record that a server completed the
+bool quarantine_server_crashed (struct quarantine *quarantine, uint64_t server,
+                                uint64_t now_ms);
+/** quarantine_completed() - record that a server completed the
  * request. Clears its earlier crashes; of later ones that come close together,
  * one counts. An error response of a server completes nothing. */
-void quarantine_request_completed (struct request_quarantine *quarantine,
-                                   uint64_t fingerprint, uint64_t now_ms);
+void quarantine_completed (struct quarantine *quarantine, uint64_t fingerprint,
+                           uint64_t now_ms);
 /** quarantine_add_crash() - record a crash. The same crash counts once. */
-void quarantine_add_crash (struct request_quarantine *quarantine,
+void quarantine_add_crash (struct quarantine *quarantine,
                            const struct crash_record *crash, uint64_t now_ms);
 /** quarantine_merge() - record what another node tells. Repeated evidence
  * changes nothing. */
-void quarantine_merge (struct request_quarantine *quarantine,
+void quarantine_merge (struct quarantine *quarantine,
                        const struct crash_evidence *evidence, uint64_t now_ms);
 /** quarantine_contains() - returns true if the request has crashed so many
  * servers that it must not run again. */
-bool quarantine_contains (const struct request_quarantine *quarantine,
+bool quarantine_contains (const struct quarantine *quarantine,
                           uint64_t fingerprint, uint64_t now_ms);
 /* Which evidence to list. */
 enum quarantine_scope
@@ -116,16 +116,16 @@
  *
  * Returns the number of items stored.
  */
-size_t quarantine_list (struct request_quarantine *quarantine,
+size_t quarantine_list (struct quarantine *quarantine,
                         enum quarantine_scope scope, uint64_t now_ms,
                         struct crash_evidence *out, size_t max);
 /** quarantine_list_anew() - make all evidence due, when the holder changes. */
-void quarantine_list_anew (struct request_quarantine *quarantine);
+void quarantine_list_anew (struct quarantine *quarantine);
 /** quarantine_version() - number that changes whenever a request begins or
  * ceases to be refused; 0 if none ever was. */
-uint64_t quarantine_version (const struct request_quarantine *quarantine);
+uint64_t quarantine_version (const struct quarantine *quarantine);
 /** quarantine_list_refused() - list the crashes of the requests that are
  * refused, the newest requests first. Returns the number of items stored. */
-size_t quarantine_list_refused (const struct request_quarantine *quarantine,
+size_t quarantine_list_refused (const struct quarantine *quarantine,
                                 uint64_t now_ms, struct crash_evidence *out,
                                 size_t max);
--- a/src/edge/quarantine_impl.h
+++ b/src/edge/quarantine_impl.h
@@ -30,7 +30,7 @@
 };
 
 /* A request that ran on servers when they crashed. */
-struct request
+struct subject
 {
   uint64_t fingerprint;
   struct crash crashes[QUARANTINE_CRASHES];
@@ -52,9 +52,9 @@
 
 /* Requests with crashes have a table of their own, because completed ones
    would displace them within seconds on a busy node. */
-struct request_quarantine
+struct quarantine
 {
-  struct request *requests;      /* in order of insertion */
+  struct subject *subjects;      /* in order of insertion */
   struct completion *completed;  /* in order of insertion */
   struct crashed_start *crashed; /* in the order in which they became known */
   struct suspect *suspects;      /* in the order of their breaks */
@@ -65,11 +65,11 @@
 
 /* ---- quarantine.c ---- */
 
-/** quarantine_expired() - returns true if the evidence on the request is too
+/** quarantine_expired() - returns true if the evidence on the subject is too
  * old to count. */
-bool quarantine_expired (const struct request *request, uint64_t now_ms);
+bool quarantine_expired (const struct subject *subject, uint64_t now_ms);
 
 /* ---- quarantine_suspects.c ---- */
 
 /** quarantine_free_suspects() - free the suspects and the crashed starts. */
-void quarantine_free_suspects (struct request_quarantine *quarantine);
+void quarantine_free_suspects (struct quarantine *quarantine);
--- a/src/edge/quarantine_list.c
+++ b/src/edge/quarantine_list.c
@@ -7,7 +7,7 @@
 /* Lists of the evidence, for other nodes and for the store. */
 
 /* Its crashes and a completion. */
-#define EVIDENCE_PER_REQUEST_MAX (QUARANTINE_CRASHES + 1)
+#define EVIDENCE_PER_SUBJECT_MAX (QUARANTINE_CRASHES + 1)
 /* Crashes from which on the holder tells all nodes of a request. */
 #define CRASHES_FOR_ALL 2
 /* Evidence is listed so often after a change, then at the interval. Nodes that
@@ -19,8 +19,8 @@
 static int
 compare_urgency (const void *left, const void *right)
 {
-  const struct request *a = *(struct request *const *)left;
-  const struct request *b = *(struct request *const *)right;
+  const struct subject *a = *(struct subject *const *)left;
+  const struct subject *b = *(struct subject *const *)right;
 
   if (a->listed != b->listed)
     return a->listed < b->listed ? -1 : 1;
@@ -30,7 +30,7 @@
 }
 
 static bool
-has_own_evidence (const struct request *r)
+has_own_evidence (const struct subject *r)
 {
   for (uint32_t i = 0; i < r->crash_count; i++)
     if (r->crashes[i].own)
@@ -39,7 +39,7 @@
 }
 
 static bool
-is_in_scope (const struct request *r, enum quarantine_scope scope)
+is_in_scope (const struct subject *r, enum quarantine_scope scope)
 {
   if (scope == QUARANTINE_OWN)
     return has_own_evidence (r);
@@ -47,7 +47,7 @@
 }
 
 static bool
-is_due (const struct request *r, uint64_t now_ms)
+is_due (const struct subject *r, uint64_t now_ms)
 {
   return !quarantine_expired (r, now_ms)
          && (r->listed < LISTS_AFTER_CHANGE
@@ -55,12 +55,12 @@
 }
 
 static size_t
-collect_due (const struct request_quarantine *c, enum quarantine_scope scope,
-             uint64_t now_ms, struct request **out)
+collect_due (const struct quarantine *c, enum quarantine_scope scope,
+             uint64_t now_ms, struct subject **out)
 {
   size_t n = 0;
 
-  for (struct request *r = c->requests; r; r = r->hh.next)
+  for (struct subject *r = c->subjects; r; r = r->hh.next)
     if (is_in_scope (r, scope) && is_due (r, now_ms))
       out[n++] = r;
   qsort (out, n, sizeof *out, compare_urgency);
@@ -68,7 +68,7 @@
 }
 
 static struct crash_evidence
-crash_item (const struct request *r, const struct crash *crash,
+crash_item (const struct subject *r, const struct crash *crash,
             uint64_t now_ms)
 {
   return (struct crash_evidence){ r->fingerprint, crash->server,
@@ -77,7 +77,7 @@
 
 /* Stores the evidence on a request. Returns the number of items. */
 static size_t
-write_evidence (const struct request *r, enum quarantine_scope scope,
+write_evidence (const struct subject *r, enum quarantine_scope scope,
                 uint64_t now_ms, struct crash_evidence *out)
 {
   size_t n = 0;
@@ -94,18 +94,18 @@
 }
 
 size_t
-quarantine_list (struct request_quarantine *c, enum quarantine_scope scope,
+quarantine_list (struct quarantine *c, enum quarantine_scope scope,
                  uint64_t now_ms, struct crash_evidence *out, size_t max)
 {
-  struct request **due;
+  struct subject **due;
   size_t count;
   size_t n = 0;
 
-  if (!c->requests)
+  if (!c->subjects)
     return 0;
-  due = xcalloc (HASH_COUNT (c->requests), sizeof (struct request *));
+  due = xcalloc (HASH_COUNT (c->subjects), sizeof (struct subject *));
   count = collect_due (c, scope, now_ms, due);
-  for (size_t i = 0; i < count && n + EVIDENCE_PER_REQUEST_MAX <= max; i++)
+  for (size_t i = 0; i < count && n + EVIDENCE_PER_SUBJECT_MAX <= max; i++)
     {
       n += write_evidence (due[i], scope, now_ms, out + n);
       due[i]->listed++;
@@ -116,19 +116,19 @@
 }
 
 void
-quarantine_list_anew (struct request_quarantine *c)
+quarantine_list_anew (struct quarantine *c)
 {
-  for (struct request *r = c->requests; r; r = r->hh.next)
+  for (struct subject *r = c->subjects; r; r = r->hh.next)
     r->listed = 0;
 }
 
 size_t
-quarantine_list_refused (const struct request_quarantine *c, uint64_t now_ms,
+quarantine_list_refused (const struct quarantine *c, uint64_t now_ms,
                          struct crash_evidence *out, size_t max)
 {
-  const struct request *r
-      = c->requests
-            ? ELMT_FROM_HH (c->requests->hh.tbl, c->requests->hh.tbl->tail)
+  const struct subject *r
+      = c->subjects
+            ? ELMT_FROM_HH (c->subjects->hh.tbl, c->subjects->hh.tbl->tail)
             : NULL;
   size_t n = 0;
 
--- a/src/edge/quarantine_store.c
+++ b/src/edge/quarantine_store.c
@@ -21,7 +21,7 @@
 struct quarantine_store
 {
   struct objects *objects;
-  struct request_quarantine *quarantine;
+  struct quarantine *quarantine;
   uint64_t revision;        /* of the object; 0: does not exist */
   uint64_t written_version; /* quarantine_version() of the copy */
   uint64_t writing_version; /* likewise of the write in flight */
@@ -113,7 +113,7 @@
 
 struct quarantine_store *
 quarantine_store_create (struct objects *objects,
-                         struct request_quarantine *quarantine)
+                         struct quarantine *quarantine)
 {
   struct quarantine_store *s = xcalloc (1, sizeof *s);
 
--- a/src/edge/quarantine_store.h
+++ b/src/edge/quarantine_store.h
@@ -14,7 +14,7 @@
  * store. */
 struct quarantine_store *
 quarantine_store_create (struct objects *objects,
-                         struct request_quarantine *quarantine);
+                         struct quarantine *quarantine);
 void quarantine_store_destroy (struct quarantine_store *store);
 /**
  * quarantine_store_step() - start the read or write that is due. Call it at
--- a/src/edge/quarantine_suspects.c
+++ b/src/edge/quarantine_suspects.c
@@ -14,21 +14,21 @@
 #define CRASHED_STARTS_MAX 1024
 
 static void
-forget_suspect (struct request_quarantine *c, struct suspect *s)
+forget_suspect (struct quarantine *c, struct suspect *s)
 {
   HASH_DEL (c->suspects, s);
   free (s);
 }
 
 static void
-forget_start (struct request_quarantine *c, struct crashed_start *start)
+forget_start (struct quarantine *c, struct crashed_start *start)
 {
   HASH_DEL (c->crashed, start);
   free (start);
 }
 
 static void
-forget_old_starts (struct request_quarantine *c, uint64_t now_ms)
+forget_old_starts (struct quarantine *c, uint64_t now_ms)
 {
   while (c->crashed
          && (HASH_COUNT (c->crashed) >= CRASHED_STARTS_MAX
@@ -37,7 +37,7 @@
 }
 
 static struct crashed_start *
-find_start (struct request_quarantine *c, uint64_t server, uint64_t now_ms)
+find_start (struct quarantine *c, uint64_t server, uint64_t now_ms)
 {
   struct crashed_start *start;
 
@@ -47,14 +47,14 @@
 }
 
 static void
-forget_old_suspects (struct request_quarantine *c, uint64_t now_ms)
+forget_old_suspects (struct quarantine *c, uint64_t now_ms)
 {
   while (c->suspects && now_ms > c->suspects->broke_off_ms + SUSPECT_WINDOW_MS)
     forget_suspect (c, c->suspects);
 }
 
 static void
-add_suspect (struct request_quarantine *c, const struct crash_record *crash,
+add_suspect (struct quarantine *c, const struct crash_record *crash,
              uint64_t now_ms)
 {
   struct suspect *s;
@@ -73,8 +73,8 @@
 }
 
 void
-quarantine_suspect (struct request_quarantine *c,
-                    const struct crash_record *suspect, uint64_t now_ms)
+quarantine_suspect (struct quarantine *c, const struct crash_record *suspect,
+                    uint64_t now_ms)
 {
   if (find_start (c, suspect->server, now_ms))
     {
@@ -85,7 +85,7 @@
 }
 
 static void
-add_start (struct request_quarantine *c, uint64_t server, uint64_t now_ms)
+add_start (struct quarantine *c, uint64_t server, uint64_t now_ms)
 {
   struct crashed_start *start = xcalloc (1, sizeof *start);
 
@@ -95,7 +95,7 @@
 }
 
 bool
-quarantine_server_crashed (struct request_quarantine *c, uint64_t server,
+quarantine_server_crashed (struct quarantine *c, uint64_t server,
                            uint64_t now_ms)
 {
   struct suspect *s;
@@ -116,7 +116,7 @@
 }
 
 void
-quarantine_free_suspects (struct request_quarantine *c)
+quarantine_free_suspects (struct quarantine *c)
 {
   struct crashed_start *start;
   struct crashed_start *next_start;
--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -16,7 +16,7 @@
   struct kernel *kernel;
   struct pool *pool;
   struct demand *demand;
-  struct request_quarantine *quarantine;
+  struct quarantine *quarantine;
   bool servers_listed;
   const struct site_listener *listener;
   void *ctx;
@@ -49,7 +49,7 @@
   return s->demand;
 }
 
-struct request_quarantine *
+struct quarantine *
 site_quarantine (struct site *s)
 {
   return s->quarantine;
--- a/src/edge/site.h
+++ b/src/edge/site.h
@@ -38,7 +38,7 @@
 void site_server_ended (struct site *site, const struct pool_server *server,
                         const char *evidence);
 /** site_quarantine() - record of requests that crash servers. */
-struct request_quarantine *site_quarantine (struct site *site);
+struct quarantine *site_quarantine (struct site *site);
 /** site_routing() - configuration in force, or NULL before the first one.
  * Valid until control returns to the event loop. */
 const struct routing *site_routing (const struct site *site);
--- a/tests/test_crashers.c
+++ b/tests/test_crashers.c
@@ -12,7 +12,7 @@
 static void
 test_refused (void)
 {
-  struct request_quarantine *c = quarantine_create ();
+  struct quarantine *c = quarantine_create ();
   uint64_t now = 1000;
 
   for (size_t i = 0; i < 3; i++, now += 2000)
@@ -43,13 +43,13 @@
 static void
 test_completed (void)
 {
-  struct request_quarantine *c = quarantine_create ();
+  struct quarantine *c = quarantine_create ();
   const struct str get = STR ("GET");
   const struct str path = STR ("/a");
   const struct str none = { 0 };
 
   quarantine_add_crash (c, &crashes[0], 1000);
-  quarantine_request_completed (c, REQUEST, 1001);
+  quarantine_completed (c, REQUEST, 1001);
   for (size_t i = 0; i < 4; i++)
     quarantine_add_crash (c, &crashes[i], 1002);
   CU_ASSERT_FALSE (quarantine_contains (c, REQUEST, 1003));
@@ -63,8 +63,8 @@
 static void
 test_reported (void)
 {
-  struct request_quarantine *a = quarantine_create ();
-  struct request_quarantine *b = quarantine_create ();
+  struct quarantine *a = quarantine_create ();
+  struct quarantine *b = quarantine_create ();
   struct crash_evidence reported[8];
   size_t n;
 
@@ -101,7 +101,7 @@
 static void
 test_bounded (void)
 {
-  struct request_quarantine *c = quarantine_create ();
+  struct quarantine *c = quarantine_create ();
   static struct crash_evidence reported[20000];
 
   for (uint64_t i = 1; i <= 20000; i++)
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -34,7 +34,7 @@
 };
 
 static void
-apply_to_others (struct request_quarantine *q, const struct step *step,
+apply_to_others (struct quarantine *q, const struct step *step,
                  uint64_t now_ms)
 {
   for (uint64_t i = 1; i <= step->number; i++)
@@ -44,12 +44,12 @@
       if (step->kind == OTHERS_BREAK)
         quarantine_suspect (q, &other, now_ms);
       else
-        quarantine_request_completed (q, other.fingerprint, now_ms);
+        quarantine_completed (q, other.fingerprint, now_ms);
     }
 }
 
 static void
-apply (struct request_quarantine *q, const struct step *step, uint64_t now_ms)
+apply (struct quarantine *q, const struct step *step, uint64_t now_ms)
 {
   const struct crash_record suspect = { REQUEST, step->number };
 
@@ -64,7 +64,7 @@
       quarantine_server_crashed (q, step->number, now_ms);
       break;
     case COMPLETES:
-      quarantine_request_completed (q, REQUEST, now_ms);
+      quarantine_completed (q, REQUEST, now_ms);
       break;
     case OTHERS_BREAK:
     case OTHERS_COMPLETE:
@@ -76,7 +76,7 @@
 static void
 check_history (const struct history *h)
 {
-  struct request_quarantine *q = quarantine_create ();
+  struct quarantine *q = quarantine_create ();
   uint64_t now_ms = START_MS;
 
   for (const struct step *s = h->steps; s->kind != END; s++)
@@ -228,7 +228,7 @@
 }
 
 static void
-add_bystanders (struct request_quarantine *q)
+add_bystanders (struct quarantine *q)
 {
   for (uint64_t i = 1; i <= BYSTANDERS; i++)
     quarantine_add_crash (q, &(struct crash_record){ REQUEST + i, 1 },
@@ -240,7 +240,7 @@
 static void
 test_worst_listed_first (void)
 {
-  struct request_quarantine *q = quarantine_create ();
+  struct quarantine *q = quarantine_create ();
   struct crash_evidence listed[LIST_MAX];
   size_t n;
 
@@ -258,7 +258,7 @@
 static void
 test_listed_in_turn (void)
 {
-  struct request_quarantine *q = quarantine_create ();
+  struct quarantine *q = quarantine_create ();
   struct crash_evidence listed[LIST_MAX];
   uint32_t count[BYSTANDERS + 1] = { 0 };
 
@@ -283,9 +283,8 @@
 
 /* Sends all that @from lists until @end_ms to @to, which may be NULL. */
 static void
-send_reports (struct request_quarantine *from, enum quarantine_scope scope,
-              struct request_quarantine *to, uint64_t start_ms,
-              uint64_t end_ms)
+send_reports (struct quarantine *from, enum quarantine_scope scope,
+              struct quarantine *to, uint64_t start_ms, uint64_t end_ms)
 {
   struct crash_evidence listed[LIST_MAX];
 
@@ -299,7 +298,7 @@
 }
 
 static void
-add_crashes (struct request_quarantine *q, uint64_t count)
+add_crashes (struct quarantine *q, uint64_t count)
 {
   for (uint64_t server = 1; server <= count; server++)
     quarantine_add_crash (q, &(struct crash_record){ REQUEST, server },
@@ -316,8 +315,8 @@
 
   for (size_t i = 0; i < sizeof scopes / sizeof *scopes; i++)
     {
-      struct request_quarantine *from = quarantine_create ();
-      struct request_quarantine *to = quarantine_create ();
+      struct quarantine *from = quarantine_create ();
+      struct quarantine *to = quarantine_create ();
       const uint64_t back_ms = START_MS + AWAY_MS;
 
       add_crashes (from, 3);
@@ -334,12 +333,12 @@
 static void
 test_completion_shared (void)
 {
-  struct request_quarantine *a = quarantine_create ();
-  struct request_quarantine *b = quarantine_create ();
+  struct quarantine *a = quarantine_create ();
+  struct quarantine *b = quarantine_create ();
 
   add_crashes (a, 2);
   send_reports (a, QUARANTINE_OWN, b, START_MS, START_MS + 1000);
-  quarantine_request_completed (b, REQUEST, START_MS + 2000);
+  quarantine_completed (b, REQUEST, START_MS + 2000);
   send_reports (b, QUARANTINE_OWN, a, START_MS + 2000, START_MS + 3000);
   /* Repeated reports of the earlier crashes count no more. */
   send_reports (a, QUARANTINE_OWN, b, START_MS + 3000, START_MS + 9000);
