Show that requests with a crashing prompt part end all servers

Two end-to-end tests that fail on the current code: different requests, no two alike, whose prompts share one part that crashes each server. In one test sound prompts were served before, in the other the crashing ones come first. The stand-in crashes on a part named "dead".

--- a/tests/e2e_crashes.c
+++ b/tests/e2e_crashes.c
@@ -43,15 +43,22 @@
 }
 
 static void
-start_servers (struct crash_test *t, const char *const *flags)
+start_servers_of (struct crash_test *t, const char *service,
+                  const char *const *flags, const char *models)
 {
   for (size_t i = 0; i < SERVERS; i++)
     {
-      t->servers[i] = cluster_server (t->edges.cluster, "plain", "a", flags);
-      edgecluster_put_server (&t->edges, t->servers[i], "ready", NO_MODELS);
+      t->servers[i] = cluster_server (t->edges.cluster, service, "a", flags);
+      edgecluster_put_server (&t->edges, t->servers[i], "ready", models);
     }
 }
 
+static void
+start_servers (struct crash_test *t, const char *const *flags)
+{
+  start_servers_of (t, "plain", flags, NO_MODELS);
+}
+
 static struct crash_test
 begin (void)
 {
@@ -213,10 +220,95 @@
   edgecluster_destroy (&t.edges);
 }
 
+/* ---- prompts with a part that crashes servers ---- */
+
+#define M1_ONLY "[{\"name\":\"m1\",\"version\":1,\"adapters\":[]}]"
+#define PROMPT_PATH "/stream/x"
+#define SHARED_PARTS "f1:100,x1:20"
+
+/* Sends a prompt with an own last part, after the shared and the @extra ones,
+   through a node. Returns the status. */
+static int
+send_prompt (struct crash_test *t, const struct cluster_proc *node,
+             const char *extra)
+{
+  char id[16];
+  char parts[128];
+  struct cluster_reply r;
+  int status;
+
+  snprintf (id, sizeof id, "id-p%u", ++t->calls);
+  snprintf (parts, sizeof parts, SHARED_PARTS "%s,own%u:10", extra, t->calls);
+  r = edgecluster_call_prompt (node, PROMPT_PATH, id, parts);
+  status = r.status;
+  cluster_reply_free (&r);
+  return status;
+}
+
+static void
+check_sound_prompts (struct crash_test *t)
+{
+  for (size_t i = 0; i < NODES; i++)
+    CU_ASSERT_EQUAL (send_prompt (t, t->nodes[i], ""), 200);
+}
+
+static void
+check_prompt_refused (struct crash_test *t, struct cluster_proc *node)
+{
+  char id[24];
+
+  CU_ASSERT_EQUAL (send_prompt (t, node, ",dead:30"), 503);
+  snprintf (id, sizeof id, "id=id-p%u ", t->calls);
+  CU_ASSERT_TRUE (edgecluster_wait_logged (
+      node, (const char *const[]){ id, "end=refused", "reason=crashes-servers",
+                                   NULL }));
+}
+
+static void
+run_crashing_part (bool sound_before)
+{
+  struct crash_test t = begin ();
+
+  start_servers_of (&t, "lm", CLUSTER_FLAGS ("--models", "m1"), M1_ONLY);
+  start_nodes (&t);
+  if (sound_before)
+    check_sound_prompts (&t);
+  for (size_t i = 0; i < CALLS; i++)
+    {
+      const int status = send_prompt (&t, t.nodes[i % NODES], ",dead:30");
+
+      CU_ASSERT_TRUE (status == 502 || status == 503);
+      sleep (CRASH_NOTICE_S);
+    }
+  CU_ASSERT_TRUE (count_crashed (&t) <= CRASHES_ALLOWED);
+  for (size_t i = 0; i < NODES; i++)
+    check_prompt_refused (&t, t.nodes[i]);
+  check_sound_prompts (&t);
+  edgecluster_destroy (&t.edges);
+}
+
+/* Guards against different requests that crash one server after another with
+   the same part of their prompts, and against refusing sound ones that share
+   the other parts. */
+static void
+test_crashing_part (void)
+{
+  run_crashing_part (true);
+}
+
+/* Likewise before any request with the other parts was served. */
+static void
+test_crashing_part_first (void)
+{
+  run_crashing_part (false);
+}
+
 static const struct suite_case cases[] = {
   { "crashing request", test_crashing_request },
   { "error first", test_error_first },
   { "all nodes restart", test_all_nodes_restart },
   { "client leaves", test_client_leaves },
+  { "crashing prompt part", test_crashing_part },
+  { "crashing prompt part first", test_crashing_part_first },
 };
 TEST_SUITE ("crashes", cases)
--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -221,6 +221,21 @@
   return cluster_http (edge, method, path, h.lines, body, timeout_ms);
 }
 
+struct cluster_reply
+edgecluster_call_prompt (const struct cluster_proc *edge, const char *path,
+                         const char *id, const char *parts)
+{
+  struct call_headers h;
+  char line[256];
+
+  set_call_headers (&h, id, "m1");
+  snprintf (line, sizeof line, "X-Galenagate-Prompt-Prefix: %s", parts);
+  h.lines[4] = line;
+  h.lines[5] = NULL;
+  return cluster_http (edge, "POST", path, h.lines, parts,
+                       EDGE_CALL_TIMEOUT_MS);
+}
+
 struct cluster_request *
 edgecluster_call_begin (const struct cluster_proc *edge, const char *method,
                         const char *path, const char *id, const char *model,
--- a/tests/edgecluster.h
+++ b/tests/edgecluster.h
@@ -64,6 +64,11 @@
                                            const char *path, const char *id,
                                            const char *body,
                                            uint32_t timeout_ms);
+/** edgecluster_call_prompt() - likewise with a model, m1, and the parts of the
+ * prompt as ID:TOKENS pairs. */
+struct cluster_reply edgecluster_call_prompt (const struct cluster_proc *edge,
+                                              const char *path, const char *id,
+                                              const char *parts);
 /** edgecluster_call_begin() - send such a call from a new thread; see
  * cluster_http_start(). */
 struct cluster_request *
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -612,6 +612,9 @@
 
 /* ---- request dispatch ---- */
 
+/* A prompt with this part crashes the server. */
+#define CRASHING_PART "dead:"
+
 static void
 crash (void *ctx)
 {
@@ -619,6 +622,20 @@
   _exit (1);
 }
 
+/* Returns true if the request crashes each server that runs it. */
+static bool
+is_crashing (h2o_req_t *req)
+{
+  const struct str parts = standin_header (req, "x-galenagate-prompt-prefix");
+
+  if (has_fault ("error"))
+    return false;
+  return str_eq (standin_path (req), STR ("/plain/crash"))
+         || (parts.len > 0
+             && memmem (parts.data, parts.len, CRASHING_PART,
+                        sizeof CRASHING_PART - 1));
+}
+
 static void
 serve_call (h2o_req_t *req)
 {
@@ -637,8 +654,7 @@
     {
       calls_executed++;
       record_run (req);
-      if (str_eq (standin_path (req), STR ("/plain/crash"))
-          && !has_fault ("error"))
+      if (is_crashing (req))
         standin_run_after (options.delay_ms, crash, req);
       else if (has_fault ("close"))
         standin_close (req);
