Refuse prompts with a part that crashes servers

The quarantine now keeps its evidence on shared parts of prompts too. A part is a suspect when its server had not begun to respond; a response that begins clears the parts of its prompt for 30 s, on all nodes that count crashes for them. A part that was always followed by the same shared part is spared for that one. So the parts that the crashing prompts share with sound ones stay free.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -145,6 +145,7 @@
   struct call *c = a->call;
 
   select_attempt (a);
+  call_record_response (a);
   if (c->response_start_ms == 0)
     c->response_start_ms = clock_ms ();
   if (!c->response_started)
@@ -328,8 +329,11 @@
   c->possible_runs++;
   select_attempt (a);
   if (r->status < STATUS_SUCCESS_END)
-    quarantine_completed (site_quarantine (c->calls->site), c->fingerprint,
-                          clock_ms ());
+    {
+      call_record_response (a);
+      quarantine_completed (site_quarantine (c->calls->site), c->fingerprint,
+                            clock_ms ());
+    }
   pool_call_served (a->server);
   if (c->response_started)
     call_finish_response (c);
--- a/src/edge/call_crash.c
+++ b/src/edge/call_crash.c
@@ -67,14 +67,74 @@
   free (p);
 }
 
+void
+call_fingerprint (struct call *c, uint64_t client)
+{
+  c->fingerprint
+      = quarantine_fingerprint (client, c->method, c->request_target, c->body);
+  for (size_t i = 0; i < c->meta.shared_part_count; i++)
+    c->part_fingerprints[i]
+        = quarantine_part_fingerprint (c->meta.shared_parts[i]);
+}
+
+uint64_t
+call_quarantined (const struct call *c)
+{
+  const struct quarantine *q = site_quarantine (c->calls->site);
+  const uint64_t now = clock_ms ();
+
+  if (quarantine_contains (q, c->fingerprint, now))
+    return c->fingerprint;
+  for (size_t i = 0; i < c->meta.shared_part_count; i++)
+    if (quarantine_contains (q, c->part_fingerprints[i], now))
+      return c->part_fingerprints[i];
+  return 0;
+}
+
+static void
+record_suspect_parts (const struct call_attempt *a)
+{
+  const struct call *c = a->call;
+  const size_t count = c->meta.shared_part_count;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct crash_record suspect = {
+        .fingerprint = c->part_fingerprints[i],
+        .server = a->server_start,
+        .next_part = i + 1 < count ? c->part_fingerprints[i + 1] : 0,
+        .kind = QUARANTINE_PART,
+      };
+
+      quarantine_suspect (site_quarantine (c->calls->site), &suspect,
+                          clock_ms ());
+    }
+}
+
 void
 call_record_suspect (const struct call_attempt *a)
 {
-  const struct crash_record suspect
-      = { a->call->fingerprint, a->server_start };
+  const struct crash_record suspect = { .fingerprint = a->call->fingerprint,
+                                        .server = a->server_start,
+                                        .kind = QUARANTINE_REQUEST };
 
   quarantine_suspect (site_quarantine (a->call->calls->site), &suspect,
                       clock_ms ());
+  if (!a->responded)
+    record_suspect_parts (a);
+}
+
+void
+call_record_response (struct call_attempt *a)
+{
+  const struct call *c = a->call;
+
+  if (a->responded)
+    return;
+  a->responded = true;
+  for (size_t i = 0; i < c->meta.shared_part_count; i++)
+    quarantine_completed (site_quarantine (c->calls->site),
+                          c->part_fingerprints[i], clock_ms ());
 }
 
 void
--- a/src/edge/call_handover.c
+++ b/src/edge/call_handover.c
@@ -59,9 +59,7 @@
   return a->sent_ms > 0 && clock_ms () >= c->repeat_after_ms
          && call_repeatable (c) && call_attempts_left (c) > 0
          && call_ms_until (c->response_deadline_ms) >= ATTEMPT_MIN_MS
-         && !quarantine_contains (site_quarantine (c->calls->site),
-                                  c->fingerprint, clock_ms ())
-         && call_retry_allowed (c);
+         && call_quarantined (c) == 0 && call_retry_allowed (c);
 }
 
 /* Returns a server that can take the call at once, or NULL. */
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -81,6 +81,7 @@
  * @sent_ms: when the first byte was sent; 0 before.
  * @uses_retry_budget: the attempt was taken from the retry budget.
  * @silent: the call was sent to a second server because this one sent nothing.
+ * @responded: the server sent a part of the response's body.
  */
 struct call_attempt
 {
@@ -91,6 +92,7 @@
   uint64_t sent_ms;
   bool uses_retry_budget;
   bool silent;
+  bool responded;
 };
 
 /**
@@ -98,6 +100,7 @@
  * Strings point into the h2o request, which outlives the call, unless the call
  * owns them.
  * @fingerprint: the same when the client sends the request again.
+ * @part_fingerprints: of the shared parts of its prompt, as in @meta.
  * @route_name, @service: owned by the call.
  * @config_version: version of the configuration that routed the call; 0 if
  *   there was none.
@@ -137,6 +140,7 @@
   struct str request_target;
   struct str body;
   uint64_t fingerprint;
+  uint64_t part_fingerprints[PROMPT_PARTS_MAX];
   struct str route_name;
   struct str service;
   uint64_t config_version;
@@ -282,9 +286,17 @@
 
 /** call_server_start() - hash of the server's current start. */
 uint64_t call_server_start (const struct pool_server *server);
+/** call_fingerprint() - set the fingerprints of a call.
+ * @client: any number that stays the same for a client. */
+void call_fingerprint (struct call *call, uint64_t client);
+/** call_quarantined() - returns the fingerprint of what crashes servers, the
+ * request or a part of its prompt; 0 if neither does. */
+uint64_t call_quarantined (const struct call *call);
 /** call_record_suspect() - record that an attempt ended without a response
  * that shows that its server lives on. */
 void call_record_suspect (const struct call_attempt *attempt);
+/** call_record_response() - record that a server began to respond. */
+void call_record_response (struct call_attempt *attempt);
 /** call_suspect_crash() - record that an attempt broke off, and probe whether
  * the server crashed. */
 void call_suspect_crash (const struct call_attempt *attempt);
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -99,17 +99,18 @@
   const struct pool_criteria criteria = call_criteria (c);
   struct pool_server *server;
   enum pool_result result;
+  uint64_t subject;
 
   if (call_ms_until (c->response_deadline_ms) < ATTEMPT_MIN_MS)
     {
       call_give_up (c, 0, "no-time-left");
       return;
     }
-  if (quarantine_contains (site_quarantine (calls->site), c->fingerprint,
-                           clock_ms ()))
+  subject = call_quarantined (c);
+  if (subject != 0)
     {
-      LOG_INFO ("quarantined", "id=" STR_FMT " fingerprint=%016lx",
-                STR_ARG (c->meta.client_attempt_id), c->fingerprint);
+      LOG_INFO ("quarantined", "id=" STR_FMT " subject=%016lx",
+                STR_ARG (c->meta.client_attempt_id), subject);
       call_give_up (c, QUARANTINE_RETRY_AFTER_MS, "crashes-servers");
       return;
     }
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -182,8 +182,7 @@
   c->method = iovec_view (req->input.method);
   c->request_target = iovec_view (req->input.path);
   c->body = iovec_view (req->entity);
-  c->fingerprint = quarantine_fingerprint (client_address (req), c->method,
-                                           c->request_target, c->body);
+  call_fingerprint (c, client_address (req));
   c->caller = caller_create (req, on_client_left, c);
   link_call (c);
   return c;
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -38,11 +38,14 @@
   bool unreached;        /* accepts no connection from the node */
 };
 
-/* A server that crashed while it ran a request, or a completion of it. */
+/* A server that crashed while it ran a request or a prompt with a part, or a
+   completion. */
 struct crash_digest
 {
-  unsigned hyper fingerprint; /* of the request */
+  bool is_part;               /* the subject is a part of prompts */
+  unsigned hyper fingerprint; /* of the subject */
   unsigned hyper server;      /* hash of its id and start time; 0: completed */
+  unsigned hyper next_part;   /* fingerprint of the shared part behind it; 0: none */
   unsigned int age_ms;        /* time since then */
 };
 
@@ -102,7 +105,7 @@
   unsigned hyper servers_revision; /* newest change of the servers' entries */
   unsigned int entries; /* number of nodes that send their demand */
   label nodes<DIGEST_NODES_MAX>; /* addresses of some of them; later digests carry the others */
-  crash_digest crashes<DIGEST_CRASHES_MAX>; /* of requests with several crashes */
+  crash_digest crashes<DIGEST_CRASHES_MAX>; /* of subjects with several crashes */
   running_digest running<DIGEST_RUNNING_MAX>; /* servers whose number of calls changed */
   server_digest servers<DIGEST_SERVERS_MAX>; /* servers that changed or are due for a refresh */
 };
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -115,10 +115,14 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_bool (xdrs, &objp->is_part))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->server))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->next_part))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
 	return TRUE;
--- a/src/edge/placer_receive.c
+++ b/src/edge/placer_receive.c
@@ -53,8 +53,14 @@
 {
   for (u_int i = 0; i < count; i++)
     {
-      const struct crash_evidence evidence
-          = { crashes[i].fingerprint, crashes[i].server, crashes[i].age_ms };
+      const struct crash_evidence evidence = {
+        .crash = { .fingerprint = crashes[i].fingerprint,
+                   .server = crashes[i].server,
+                   .next_part = crashes[i].next_part,
+                   .kind = crashes[i].is_part ? QUARANTINE_PART
+                                              : QUARANTINE_REQUEST },
+        .age_ms = crashes[i].age_ms,
+      };
 
       quarantine_merge (site_quarantine (p->site), &evidence, clock_ms ());
     }
--- a/src/edge/placer_send.c
+++ b/src/edge/placer_send.c
@@ -92,8 +92,13 @@
                                     clock_ms (), found, CRASHES_PER_DATAGRAM);
 
   for (size_t i = 0; i < n; i++)
-    out[i] = (crash_digest){ found[i].fingerprint, found[i].server,
-                             found[i].age_ms };
+    out[i] = (crash_digest){
+      .is_part = found[i].crash.kind == QUARANTINE_PART,
+      .fingerprint = found[i].crash.fingerprint,
+      .server = found[i].crash.server,
+      .next_part = found[i].crash.next_part,
+      .age_ms = found[i].age_ms,
+    };
   return (u_int)n;
 }
 
--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -6,15 +6,15 @@
 
 #include "str.h"
 
-/* Quarantine of requests that crash the servers that run them. Clients send
-   such a request again, through any node, and it would crash one server after
-   the other. Pure.
+/* Quarantine of requests, and of shared parts of prompts, that crash the
+   servers that run them. Clients send such requests again and again, through
+   any node, and they would crash one server after the other. Pure.
 
-   A request whose attempt breaks off or is cancelled is a suspect. It is
+   A request whose attempt breaks off or is cancelled is a suspect, and so are
+   the parts of its prompt if the server had not begun to respond. Suspects are
    confirmed when the server refuses connections or has started again, which
    may become known before or after the break. Nodes report the confirmed
-   crashes to each other.
- */
+   crashes to each other. */
 
 struct quarantine;
 
@@ -24,36 +24,48 @@
 /* How long the crashes of a request are kept after the newest one. */
 #define QUARANTINE_RETENTION_MS (10 * 60 * 1000)
 
+/* What may crash a server. */
+enum quarantine_kind
+{
+  QUARANTINE_REQUEST, /* one request */
+  QUARANTINE_PART     /* a part of prompts that different requests share */
+};
+
 /**
- * struct crash_record - a server that crashed while it ran a request.
- * @fingerprint: quarantine_fingerprint() of the request.
+ * struct crash_record - a server that crashed under a subject.
+ * @fingerprint: quarantine_fingerprint() of the request, or
+ *   quarantine_part_fingerprint() of the part.
  * @server: quarantine_server_hash() of the start that crashed.
+ * @next_part: fingerprint of the shared part that follows the part in the
+ *   prompt; 0 if there is none, and for requests.
  */
 struct crash_record
 {
   uint64_t fingerprint;
   uint64_t server;
+  uint64_t next_part;
+  enum quarantine_kind kind;
 };
 
 /**
- * struct crash_evidence - what one node tells others of a request.
- * @server: the start that crashed under it; 0 if a server completed it.
+ * struct crash_evidence - what one node tells others of a subject.
+ * @crash: the crash; its @server is 0 if a server completed the subject.
  * @age_ms: time since then.
  */
 struct crash_evidence
 {
-  uint64_t fingerprint;
-  uint64_t server;
+  struct crash_record crash;
   uint32_t age_ms;
 };
 
 /**
- * struct quarantine_change - change of what is known about a request.
+ * struct quarantine_change - change of what is known about a subject.
  * @server: the start that crashed; 0 if @crashes is 0.
  * @crashes: number of crashes now; 0 if they were cleared.
  */
 struct quarantine_change
 {
+  enum quarantine_kind kind;
   uint64_t fingerprint;
   uint64_t server;
   uint32_t crashes;
@@ -72,6 +84,8 @@
  * request again. @client: any number that stays the same for a client. */
 uint64_t quarantine_fingerprint (uint64_t client, struct str method,
                                  struct str target, struct str body);
+/** quarantine_part_fingerprint() - hash of the id of a part of a prompt. */
+uint64_t quarantine_part_fingerprint (struct str part);
 /** quarantine_server_hash() - hash of one start of a server. */
 uint64_t quarantine_server_hash (struct str id, uint64_t started_ms);
 
@@ -83,9 +97,15 @@
  * its recent suspects and those that follow. Returns false if it was known. */
 bool quarantine_server_crashed (struct quarantine *quarantine, uint64_t server,
                                 uint64_t now_ms);
-/** quarantine_completed() - record that a server completed the
- * request. Clears its earlier crashes; of later ones that come close together,
- * one counts. An error response of a server completes nothing. */
+/**
+ * quarantine_completed() - record that a server completed the request, or
+ * began to respond to a prompt with the part.
+ *
+ * It clears the earlier crashes. Of a request's later crashes that come close
+ * together, one counts; an error response completes nothing. A part's crashes
+ * do not count for half a minute: all servers would have crashed under it, so
+ * another part of the prompts is the cause.
+ */
 void quarantine_completed (struct quarantine *quarantine, uint64_t fingerprint,
                            uint64_t now_ms);
 /** quarantine_add_crash() - record a crash. The same crash counts once. */
@@ -95,21 +115,22 @@
  * changes nothing. */
 void quarantine_merge (struct quarantine *quarantine,
                        const struct crash_evidence *evidence, uint64_t now_ms);
-/** quarantine_contains() - returns true if the request has crashed so many
- * servers that it must not run again. */
+/** quarantine_contains() - returns true if the subject has crashed so many
+ * servers that it must not run again. A part that was always followed by the
+ * same shared part is spared, since that one explains the crashes as well. */
 bool quarantine_contains (const struct quarantine *quarantine,
                           uint64_t fingerprint, uint64_t now_ms);
 /* Which evidence to list. */
 enum quarantine_scope
 {
   QUARANTINE_OWN, /* what this node saw itself, for the holder */
-  QUARANTINE_ALL  /* requests with several crashes, for all nodes */
+  QUARANTINE_ALL  /* subjects with several crashes, for all nodes */
 };
 
 /**
  * quarantine_list() - list the evidence that is due to be sent to other nodes:
  * a few times after it changed, because datagrams are lost, then at intervals
- * for nodes that were away. Requests that were listed least often come first,
+ * for nodes that were away. Subjects that were listed least often come first,
  * and of these the ones with the most crashes, so that repeated lists cover
  * all.
  * @out: space for @max items.
@@ -121,11 +142,11 @@
                         struct crash_evidence *out, size_t max);
 /** quarantine_list_anew() - make all evidence due, when the holder changes. */
 void quarantine_list_anew (struct quarantine *quarantine);
-/** quarantine_version() - number that changes whenever a request begins or
+/** quarantine_version() - number that changes whenever a subject begins or
  * ceases to be refused; 0 if none ever was. */
 uint64_t quarantine_version (const struct quarantine *quarantine);
-/** quarantine_list_refused() - list the crashes of the requests that are
- * refused, the newest requests first. Returns the number of items stored. */
+/** quarantine_list_refused() - list the crashes of the subjects that are
+ * refused, the newest ones first. Returns the number of items stored. */
 size_t quarantine_list_refused (const struct quarantine *quarantine,
                                 uint64_t now_ms, struct crash_evidence *out,
                                 size_t max);
--- a/src/edge/quarantine_impl.h
+++ b/src/edge/quarantine_impl.h
@@ -6,7 +6,7 @@
 
 #include "edge/quarantine.h"
 
-/* A request whose attempt at a server broke off. */
+/* A subject whose attempt at a server broke off. */
 struct suspect
 {
   struct crash_record crash;
@@ -25,17 +25,19 @@
 struct crash
 {
   uint64_t server;
+  uint64_t next_part;
   uint64_t at_ms;
   bool own; /* seen by this node */
 };
 
-/* A request that ran on servers when they crashed. */
+/* What ran on servers when they crashed. */
 struct subject
 {
+  enum quarantine_kind kind;
   uint64_t fingerprint;
   struct crash crashes[QUARANTINE_CRASHES];
   uint32_t crash_count;
-  uint64_t completed_ms; /* newest completion that cleared crashes, or 0 */
+  uint64_t completed_ms; /* newest completion known beside crashes, or 0 */
   bool completed_here;   /* seen by this node */
   uint64_t updated_ms;   /* newest crash or completion */
   uint32_t listed;       /* number of lists since the last change */
@@ -43,14 +45,15 @@
   UT_hash_handle hh;
 };
 
-/* A request that a server completed. */
+/* A subject that a server completed. */
 struct completion
 {
   uint64_t fingerprint;
+  uint64_t at_ms;
   UT_hash_handle hh;
 };
 
-/* Requests with crashes have a table of their own, because completed ones
+/* Subjects with crashes have a table of their own, because completed ones
    would displace them within seconds on a busy node. */
 struct quarantine
 {
@@ -68,6 +71,8 @@
 /** quarantine_expired() - returns true if the evidence on the subject is too
  * old to count. */
 bool quarantine_expired (const struct subject *subject, uint64_t now_ms);
+/** quarantine_refused() - returns true if the subject must not run again. */
+bool quarantine_refused (const struct subject *subject, uint64_t now_ms);
 
 /* ---- quarantine_suspects.c ---- */
 
--- a/src/edge/quarantine_list.c
+++ b/src/edge/quarantine_list.c
@@ -8,14 +8,14 @@
 
 /* Its crashes and a completion. */
 #define EVIDENCE_PER_SUBJECT_MAX (QUARANTINE_CRASHES + 1)
-/* Crashes from which on the holder tells all nodes of a request. */
+/* Crashes from which on the holder tells all nodes of a subject. */
 #define CRASHES_FOR_ALL 2
 /* Evidence is listed so often after a change, then at the interval. Nodes that
    were cut off must know it before they count as in touch again, 3 s later. */
 #define LISTS_AFTER_CHANGE 4
 #define LIST_INTERVAL_MS 2000
 
-/* Orders requests by how often they were listed, then by crashes. */
+/* Orders subjects by how often they were listed, then by crashes. */
 static int
 compare_urgency (const void *left, const void *right)
 {
@@ -71,25 +71,25 @@
 crash_item (const struct subject *r, const struct crash *crash,
             uint64_t now_ms)
 {
-  return (struct crash_evidence){ r->fingerprint, crash->server,
-                                  (uint32_t)(now_ms - crash->at_ms) };
+  return (struct crash_evidence){
+    .crash = { r->fingerprint, crash->server, crash->next_part, r->kind },
+    .age_ms = (uint32_t)(now_ms - crash->at_ms),
+  };
 }
 
-/* Stores the evidence on a request. Returns the number of items. */
+/* Stores the evidence on a subject. Returns the number of items. */
 static size_t
 write_evidence (const struct subject *r, enum quarantine_scope scope,
                 uint64_t now_ms, struct crash_evidence *out)
 {
+  const struct crash completion = { .at_ms = r->completed_ms };
   size_t n = 0;
 
   for (uint32_t i = 0; i < r->crash_count; i++)
     if (scope == QUARANTINE_ALL || r->crashes[i].own)
-      out[n++] = (struct crash_evidence){ r->fingerprint, r->crashes[i].server,
-                                          (uint32_t)(now_ms
-                                                     - r->crashes[i].at_ms) };
+      out[n++] = crash_item (r, &r->crashes[i], now_ms);
   if (r->completed_ms > 0 && (scope == QUARANTINE_ALL || r->completed_here))
-    out[n++] = (struct crash_evidence){ r->fingerprint, 0,
-                                        (uint32_t)(now_ms - r->completed_ms) };
+    out[n++] = crash_item (r, &completion, now_ms);
   return n;
 }
 
@@ -133,8 +133,7 @@
   size_t n = 0;
 
   for (; r && n + QUARANTINE_CRASHES <= max; r = r->hh.prev)
-    if (r->crash_count == QUARANTINE_CRASHES
-        && !quarantine_expired (r, now_ms))
+    if (quarantine_refused (r, now_ms))
       for (uint32_t i = 0; i < r->crash_count; i++)
         out[n++] = crash_item (r, &r->crashes[i], now_ms);
   return n;
--- a/src/edge/quarantine_store.c
+++ b/src/edge/quarantine_store.c
@@ -11,9 +11,9 @@
 #define LOG_MODULE "quarantine"
 #define OBJECT_KIND "galenagate-quarantine"
 #define OBJECT_NAME "requests"
-/* Requests in the copy. */
-#define STORED_REQUESTS_MAX 256
-#define STORED_ITEMS_MAX (STORED_REQUESTS_MAX * QUARANTINE_CRASHES)
+/* Requests and parts of prompts in the copy. */
+#define STORED_SUBJECTS_MAX 256
+#define STORED_ITEMS_MAX (STORED_SUBJECTS_MAX * QUARANTINE_CRASHES)
 /* Minimum time between two calls to the store. */
 #define CALL_GAP_MS 500
 #define HEX_MAX 17
@@ -32,6 +32,9 @@
 
 /* ---- encoding ---- */
 
+static const char *const kind_keys[]
+    = { [QUARANTINE_REQUEST] = "request", [QUARANTINE_PART] = "part" };
+
 static json_t *
 encode_number (uint64_t n)
 {
@@ -50,10 +53,12 @@
 
   for (size_t i = 0; i < count; i++)
     json_array_append_new (
-        items, json_pack ("{s:o, s:o, s:I}", "request",
-                          encode_number (evidence[i].fingerprint), "server",
-                          encode_number (evidence[i].server), "crashed_ms",
-                          (json_int_t)(wall_ms - evidence[i].age_ms)));
+        items,
+        json_pack ("{s:o, s:o, s:o, s:I}", kind_keys[evidence[i].crash.kind],
+                   encode_number (evidence[i].crash.fingerprint), "server",
+                   encode_number (evidence[i].crash.server), "next_part",
+                   encode_number (evidence[i].crash.next_part), "crashed_ms",
+                   (json_int_t)(wall_ms - evidence[i].age_ms)));
   json_t *json = json_pack ("{s:o}", "crashes", items);
   char *text = json_dumps (json, JSON_COMPACT);
 
@@ -81,9 +86,14 @@
       = json_integer_value (json_object_get (item, "crashed_ms"));
   uint64_t age_ms;
 
-  if (!decode_number (item, "request", &out->fingerprint)
-      || !decode_number (item, "server", &out->server) || out->server == 0
-      || at_ms <= 0)
+  out->crash.kind = json_object_get (item, kind_keys[QUARANTINE_PART])
+                        ? QUARANTINE_PART
+                        : QUARANTINE_REQUEST;
+  if (!decode_number (item, kind_keys[out->crash.kind],
+                      &out->crash.fingerprint)
+      || !decode_number (item, "server", &out->crash.server)
+      || !decode_number (item, "next_part", &out->crash.next_part)
+      || out->crash.server == 0 || at_ms <= 0)
     return false;
   /* The clocks of two nodes may differ. */
   age_ms = (uint64_t)at_ms < wall_ms ? wall_ms - (uint64_t)at_ms : 0;
--- a/src/edge/quarantine_suspects.c
+++ b/src/edge/quarantine_suspects.c
@@ -11,6 +11,8 @@
    and crashed servers are away for seconds. */
 #define SUSPECT_WINDOW_MS 10000
 #define SUSPECTS_MAX 4096
+/* Fingerprint and server. */
+#define SUSPECT_KEY_BYTES offsetof (struct crash_record, next_part)
 #define CRASHED_STARTS_MAX 1024
 
 static void
@@ -60,7 +62,7 @@
   struct suspect *s;
 
   forget_old_suspects (c, now_ms);
-  HASH_FIND (hh, c->suspects, crash, sizeof *crash, s);
+  HASH_FIND (hh, c->suspects, crash, SUSPECT_KEY_BYTES, s);
   if (s)
     HASH_DEL (c->suspects, s); /* becomes the newest one */
   else
@@ -69,7 +71,7 @@
     forget_suspect (c, c->suspects);
   s->crash = *crash;
   s->broke_off_ms = now_ms;
-  HASH_ADD (hh, c->suspects, crash, sizeof s->crash, s);
+  HASH_ADD (hh, c->suspects, crash, SUSPECT_KEY_BYTES, s);
 }
 
 void
--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -186,15 +186,21 @@
 
 /* ---- quarantine ---- */
 
+static const char *const kind_names[]
+    = { [QUARANTINE_REQUEST] = "request", [QUARANTINE_PART] = "prompt-part" };
+
 static void
 on_quarantine_change (void *ctx, const struct quarantine_change *change)
 {
   (void)ctx;
   if (change->crashes == 0)
-    LOG_INFO ("crashes-cleared", "fingerprint=%016lx", change->fingerprint);
+    LOG_INFO ("crashes-cleared", "kind=%s fingerprint=%016lx",
+              kind_names[change->kind], change->fingerprint);
   else
-    LOG_INFO ("crash-recorded", "fingerprint=%016lx start=%016lx crashes=%u",
-              change->fingerprint, change->server, change->crashes);
+    LOG_INFO ("crash-recorded",
+              "kind=%s fingerprint=%016lx start=%016lx crashes=%u",
+              kind_names[change->kind], change->fingerprint, change->server,
+              change->crashes);
 }
 
 /* ---- plug-in ---- */
--- a/tests/test_crashers.c
+++ b/tests/test_crashers.c
@@ -5,7 +5,10 @@
 #define REQUEST 77
 
 static const struct crash_record crashes[]
-    = { { REQUEST, 1 }, { REQUEST, 2 }, { REQUEST, 3 }, { REQUEST, 4 } };
+    = { { REQUEST, 1, 0, QUARANTINE_REQUEST },
+        { REQUEST, 2, 0, QUARANTINE_REQUEST },
+        { REQUEST, 3, 0, QUARANTINE_REQUEST },
+        { REQUEST, 4, 0, QUARANTINE_REQUEST } };
 
 /* Guards against a request that crashes one server after the other, and
    against refusing requests whose responses were merely lost. */
@@ -105,7 +108,8 @@
   static struct crash_evidence reported[20000];
 
   for (uint64_t i = 1; i <= 20000; i++)
-    quarantine_add_crash (c, &(struct crash_record){ i, 1 }, 1000 + i);
+    quarantine_add_crash (
+        c, &(struct crash_record){ i, 1, 0, QUARANTINE_REQUEST }, 1000 + i);
   CU_ASSERT_TRUE (quarantine_list (c, QUARANTINE_OWN, 21000, reported, 20000)
                   <= 4096);
   CU_ASSERT_TRUE (quarantine_server_hash (STR ("i-1"), 1)
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -39,7 +39,8 @@
 {
   for (uint64_t i = 1; i <= step->number; i++)
     {
-      const struct crash_record other = { REQUEST + i, 1000 + i };
+      const struct crash_record other
+          = { REQUEST + i, 1000 + i, 0, QUARANTINE_REQUEST };
 
       if (step->kind == OTHERS_BREAK)
         quarantine_suspect (q, &other, now_ms);
@@ -51,7 +52,8 @@
 static void
 apply (struct quarantine *q, const struct step *step, uint64_t now_ms)
 {
-  const struct crash_record suspect = { REQUEST, step->number };
+  const struct crash_record suspect
+      = { REQUEST, step->number, 0, QUARANTINE_REQUEST };
 
   switch (step->kind)
     {
@@ -223,7 +225,7 @@
   uint32_t n = 0;
 
   for (size_t i = 0; i < count; i++)
-    n += records[i].fingerprint == fingerprint;
+    n += records[i].crash.fingerprint == fingerprint;
   return n;
 }
 
@@ -231,8 +233,9 @@
 add_bystanders (struct quarantine *q)
 {
   for (uint64_t i = 1; i <= BYSTANDERS; i++)
-    quarantine_add_crash (q, &(struct crash_record){ REQUEST + i, 1 },
-                          START_MS);
+    quarantine_add_crash (
+        q, &(struct crash_record){ REQUEST + i, 1, 0, QUARANTINE_REQUEST },
+        START_MS);
 }
 
 /* Guards against a report that has no room for the request that crashes
@@ -246,8 +249,9 @@
 
   add_bystanders (q);
   for (uint64_t server = 1; server <= 3; server++)
-    quarantine_add_crash (q, &(struct crash_record){ REQUEST, server },
-                          START_MS);
+    quarantine_add_crash (
+        q, &(struct crash_record){ REQUEST, server, 0, QUARANTINE_REQUEST },
+        START_MS);
   n = quarantine_list (q, QUARANTINE_OWN, START_MS, listed, LIST_MAX);
   CU_ASSERT_EQUAL (count_listed (listed, n, REQUEST), 3);
   quarantine_destroy (q);
@@ -269,7 +273,7 @@
           = quarantine_list (q, QUARANTINE_OWN, START_MS, listed, LIST_MAX);
 
       for (size_t j = 0; j < n; j++)
-        count[listed[j].fingerprint - REQUEST]++;
+        count[listed[j].crash.fingerprint - REQUEST]++;
     }
   for (int i = 1; i <= BYSTANDERS; i++)
     CU_ASSERT_TRUE (count[i] > 0);
@@ -301,8 +305,9 @@
 add_crashes (struct quarantine *q, uint64_t count)
 {
   for (uint64_t server = 1; server <= count; server++)
-    quarantine_add_crash (q, &(struct crash_record){ REQUEST, server },
-                          START_MS);
+    quarantine_add_crash (
+        q, &(struct crash_record){ REQUEST, server, 0, QUARANTINE_REQUEST },
+        START_MS);
 }
 
 /* Guards against crashes that a node or the holder never hears of, because it
@@ -342,10 +347,12 @@
   send_reports (b, QUARANTINE_OWN, a, START_MS + 2000, START_MS + 3000);
   /* Repeated reports of the earlier crashes count no more. */
   send_reports (a, QUARANTINE_OWN, b, START_MS + 3000, START_MS + 9000);
-  quarantine_add_crash (a, &(struct crash_record){ REQUEST, 3 },
-                        START_MS + 9000);
-  quarantine_add_crash (b, &(struct crash_record){ REQUEST, 4 },
-                        START_MS + 11000);
+  quarantine_add_crash (
+      a, &(struct crash_record){ REQUEST, 3, 0, QUARANTINE_REQUEST },
+      START_MS + 9000);
+  quarantine_add_crash (
+      b, &(struct crash_record){ REQUEST, 4, 0, QUARANTINE_REQUEST },
+      START_MS + 11000);
   send_reports (a, QUARANTINE_OWN, b, START_MS + 11000, START_MS + 14000);
   send_reports (b, QUARANTINE_ALL, a, START_MS + 11000, START_MS + 14000);
   CU_ASSERT_FALSE (quarantine_contains (a, REQUEST, START_MS + 14000));
--- a/tests/test_quarantinestore.c
+++ b/tests/test_quarantinestore.c
@@ -17,11 +17,17 @@
     uint32_t age_ms;
     int64_t later_ms;
     uint32_t age_then_ms;
-  } cases[] = { { 0, 0, 0 }, { 500, 1000, 1500 }, { 500, -2000, 0 } };
+    enum quarantine_kind kind;
+    uint64_t next_part;
+  } cases[] = { { 0, 0, 0, QUARANTINE_REQUEST, 0 },
+                { 500, 1000, 1500, QUARANTINE_PART, 0 },
+                { 500, -2000, 0, QUARANTINE_PART, 9 } };
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
     {
-      const struct crash_evidence in = { UINT64_MAX, 7, cases[i].age_ms };
+      const struct crash_evidence in
+          = { { UINT64_MAX, 7, cases[i].next_part, cases[i].kind },
+              cases[i].age_ms };
       struct crash_evidence out[ITEMS_MAX];
       struct str text = crash_evidence_encode (&in, 1, WALL_MS);
       json_t *json = json_loadb (text.data, text.len, 0, NULL);
@@ -30,8 +36,10 @@
           crash_evidence_decode (json, (uint64_t)(WALL_MS + cases[i].later_ms),
                                  out, ITEMS_MAX),
           1);
-      CU_ASSERT_EQUAL (out[0].fingerprint, in.fingerprint);
-      CU_ASSERT_EQUAL (out[0].server, in.server);
+      CU_ASSERT_EQUAL (out[0].crash.fingerprint, in.crash.fingerprint);
+      CU_ASSERT_EQUAL (out[0].crash.server, in.crash.server);
+      CU_ASSERT_EQUAL (out[0].crash.next_part, in.crash.next_part);
+      CU_ASSERT_EQUAL (out[0].crash.kind, in.crash.kind);
       CU_ASSERT_EQUAL (out[0].age_ms, cases[i].age_then_ms);
       json_decref (json);
       str_free (&text);
@@ -39,7 +47,8 @@
 }
 
 #define REQUEST_FIELD "\"request\":\"00000000000000aa\""
-#define SERVER_FIELD "\"server\":\"00000000000000bb\""
+#define NEXT_FIELD "\"next_part\":\"0000000000000000\""
+#define SERVER_FIELD "\"server\":\"00000000000000bb\"," NEXT_FIELD
 #define GOOD                                                                  \
   "{" REQUEST_FIELD "," SERVER_FIELD ",\"crashed_ms\":1699999999000}"
 
@@ -62,10 +71,11 @@
     { "{\"crashes\":[" GOOD ",{}," GOOD "]}", 2 },
     { "{\"crashes\":[" GOOD "," GOOD "," GOOD "," GOOD "," GOOD "]}",
       ITEMS_MAX },
-    { "{\"crashes\":[{" REQUEST_FIELD ",\"server\":\"bb\","
+    { "{\"crashes\":[{" REQUEST_FIELD ",\"server\":\"bb\"," NEXT_FIELD ","
       "\"crashed_ms\":1699999999000}]}",
       0 },
-    { "{\"crashes\":[{" REQUEST_FIELD ",\"server\":\"0000000000000000\","
+    { "{\"crashes\":[{" REQUEST_FIELD
+      ",\"server\":\"0000000000000000\"," NEXT_FIELD ","
       "\"crashed_ms\":1699999999000}]}",
       0 },
     { "{\"crashes\":[{" REQUEST_FIELD "," SERVER_FIELD ",\"crashed_ms\":-1}]}",
