Test streams with neither a length nor chunks

Four cases of e2e edge "streams" guard against taking such a stream for broken when it ends between events, and for complete when it ends inside one, whether it may be resumed or not.

--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -272,6 +272,11 @@
     { "close", "/stream/x", true, 1 },
     { "cut-event", "/whole/x", false, 0 },
     { "", "/whole/x", true, 0 },
+    /* Streams with neither a length nor chunks. */
+    { "unframed", "/stream/x", true, 0 },
+    { "unframed", "/whole/x", true, 0 },
+    { "unframed-cut", "/stream/x", true, 1 },
+    { "unframed-cut", "/whole/x", false, 0 },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -51,7 +51,7 @@
     FIELD (models), "", 0, 0 },
   { "fault", "WORD",
     "shed, close, cut, cut-chunks, unsealed, crossed, unframed, error, "
-    "cut-event, cut-end, no-answer, "
+    "unframed-cut, cut-event, cut-end, no-answer, "
     "silent, pause, or one of the endless responses",
     SETTING_STRING, FIELD (fault), "", 0, 0 },
   { "most-models", "N", "models that fit in memory", SETTING_U32,
@@ -384,12 +384,42 @@
   buf_free (&body);
 }
 
+/* Returns true for streams with neither a length nor chunks. */
+static bool
+is_unframed (void)
+{
+  return has_fault ("unframed") || has_fault ("unframed-cut");
+}
+
+/* Returns true if the stream breaks off inside its current event. */
+static bool
+cuts_event (const struct stream *s)
+{
+  return s->event == 4
+         && (has_fault ("cut-event") || has_fault ("unframed-cut"));
+}
+
+static void
+send_event (const struct stream *s)
+{
+  struct str event = str_printf ("id: %d\ndata: e%d\n\n", s->event, s->event);
+  struct str chunk;
+
+  /* The connection is closed after the truncated event. */
+  if (cuts_event (s))
+    event.len -= 5;
+  chunk = is_unframed () ? str_dup (event)
+                         : str_printf ("%zx\r\n" STR_FMT "\r\n", event.len,
+                                       STR_ARG (event));
+  send_raw_text (s->req, chunk.data);
+  str_free (&event);
+  str_free (&chunk);
+}
+
 static void
 next_event (void *ctx)
 {
   struct stream *s = ctx;
-  struct str event;
-  struct str chunk;
 
   if (standin_client_closed (s->req))
     {
@@ -405,21 +435,14 @@
     }
   if (s->event > LAST_EVENT)
     {
-      if (!has_fault ("cut-end"))
+      if (!has_fault ("cut-end") && !is_unframed ())
         send_raw_text (s->req, "0\r\n\r\n");
       standin_run_after (20, close_connection, s->req);
       free (s);
       return;
     }
-  event = str_printf ("id: %d\ndata: e%d\n\n", s->event, s->event);
-  /* Truncates the event; the connection is closed below. */
-  if (has_fault ("cut-event") && s->event == 4)
-    event.len -= 5;
-  chunk = str_printf ("%zx\r\n" STR_FMT "\r\n", event.len, STR_ARG (event));
-  send_raw_text (s->req, chunk.data);
-  str_free (&event);
-  str_free (&chunk);
-  if (has_fault ("cut-event") && s->event == 4)
+  send_event (s);
+  if (cuts_event (s))
     {
       standin_run_after (1, close_connection, s->req);
       free (s);
@@ -439,11 +462,12 @@
   struct stream *s = xcalloc (1, sizeof *s);
   uint64_t last = 0;
   char id[64];
-  struct str head = str_printf (
-      "HTTP/1.1 200 OK\r\nX-Galenagate-Attempt-Id: %s\r\n"
-      "X-Galenagate-Server-Seal: " SEAL "\r\n"
-      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-      response_attempt_id (req, id, sizeof id));
+  struct str head
+      = str_printf ("HTTP/1.1 200 OK\r\nX-Galenagate-Attempt-Id: %s\r\n"
+                    "X-Galenagate-Server-Seal: " SEAL "\r\n"
+                    "Content-Type: text/event-stream\r\n%s\r\n",
+                    response_attempt_id (req, id, sizeof id),
+                    is_unframed () ? "" : "Transfer-Encoding: chunked\r\n");
 
   str_u64 (standin_header (req, "last-event-id"), &last);
   s->req = req;
