--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -432,6 +432,15 @@
     "\"slots\":8,\"state\":\"asleep\"}",
     "{\"service\":\"plain\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\","
     "\"slots\":\"many\",\"state\":\"ready\"}",
+    "{\"service\":\"plain\",\"address\":\"127.0.0.1:70000\",\"zone\":\"a\","
+    "\"slots\":8,\"state\":\"ready\"}",
+    /* The store's stand-in replaces these words by values that no parser
+       takes. */
+    "{\"slots\":\"@integer@\"}",
+    "{\"slots\":\"@real@\"}",
+    "{\"service\":\"@nul@\"}",
+    "{\"service\":\"@bytes@\"}",
+    "{\"models\":\"@deep@\"}",
   };
   struct cluster_proc *servers[2];
   struct cluster_proc *edge = start_with_two_servers ("plain", "", servers);
--- a/tests/standin_objects.c
+++ b/tests/standin_objects.c
@@ -80,6 +80,75 @@
   return objects;
 }
 
+/* ---- odd values ---- */
+
+#define NESTING 5000
+
+static void
+append_nested (struct buf *out)
+{
+  for (int i = 0; i < NESTING; i++)
+    buf_append (out, STR ("["));
+  for (int i = 0; i < NESTING; i++)
+    buf_append (out, STR ("]"));
+}
+
+/* Texts that take the place of strings, since no JSON value of this process
+   could hold them. */
+static const struct
+{
+  const char *marker;
+  const char *text; /* NULL: deeply nested arrays */
+} odd_values[] = {
+  { "\"@integer@\"", "123456789012345678901234567890" },
+  { "\"@real@\"", "1e999" },
+  { "\"@nul@\"", "\"\\u0000\"" },
+  { "\"@bytes@\"", "\"\xff\xfe\"" },
+  { "\"@deep@\"", NULL },
+};
+
+/* Appends the odd value whose marker begins the text. Returns the marker's
+   length, 0 if there is none. */
+static size_t
+append_odd_value (const char *text, struct buf *out)
+{
+  for (size_t i = 0; i < sizeof odd_values / sizeof *odd_values; i++)
+    {
+      const size_t len = strlen (odd_values[i].marker);
+
+      if (strncmp (text, odd_values[i].marker, len) != 0)
+        continue;
+      if (odd_values[i].text)
+        buf_append (out, str_from (odd_values[i].text));
+      else
+        append_nested (out);
+      return len;
+    }
+  return 0;
+}
+
+/* Answers with JSON in which markers are replaced by odd values. Takes
+   ownership of @json. */
+static void
+answer_objects (h2o_req_t *req, json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT);
+  struct buf out = { 0 };
+
+  for (const char *at = text; *at;)
+    {
+      const size_t len = *at == '"' ? append_odd_value (at, &out) : 0;
+
+      if (len == 0)
+        buf_append (&out, (struct str){ at, 1 });
+      at += len > 0 ? len : 1;
+    }
+  standin_reply (req, 200, "application/json", buf_str (&out));
+  buf_free (&out);
+  free (text);
+  json_decref (json);
+}
+
 /* ---- watches ---- */
 
 static json_t *
@@ -96,9 +165,8 @@
 static void
 answer_watch (h2o_req_t *req, json_t *list, uint64_t to)
 {
-  standin_json (
-      req, 200,
-      json_pack ("{s:o, s:I}", "events", list, "current_rev", (json_int_t)to));
+  answer_objects (req, json_pack ("{s:o, s:I}", "events", list, "current_rev",
+                                  (json_int_t)to));
 }
 
 /* Returns the latest revision that the watch can see. */
@@ -188,9 +256,8 @@
       json_array_append (items, json_object_get (objects, names[i]));
     }
   free (names);
-  standin_json (req, 200,
-                json_pack ("{s:o, s:b, s:I}", "items", items, "more", more,
-                           "current_rev", (json_int_t)revision));
+  answer_objects (req, json_pack ("{s:o, s:b, s:I}", "items", items, "more",
+                                  more, "current_rev", (json_int_t)revision));
 }
 
 static void
@@ -239,7 +306,7 @@
       standin_close (req);
       return;
     }
-  standin_json (req, 200, object);
+  answer_objects (req, object);
 }
 
 static void
