Do not take an earlier call's refusal for a response

A faulty server may write a refusal once more on a kept connection. A copy that came as the next call's response was taken for its own: without an attempt id always, and with the same id when the call was sent again to the server that had refused it. The call counted as not run while the server ran it, so that its client could be told "not run", and it was run again; the server's real response then stood in the way of the next call on the connection.

An attempt after a refusal gets a connection of its own.

The stand-in names the call in its refusals, as the platform's servers do.

--- a/src/edge/call_start.c
+++ b/src/edge/call_start.c
@@ -52,6 +52,15 @@
   return c->priority > PRIORITY_LOWEST ? PRIORITY_LOWEST : (int)c->priority;
 }
 
+/* libcurl repeats a request by itself if a reused connection closes before the
+   response. And a server may write its rejection of an earlier attempt once
+   more on a kept connection, with the same id. */
+static bool
+needs_new_connection (const struct call *c)
+{
+  return !call_repeatable (c) || c->rejections > 0;
+}
+
 void
 call_start_attempt (struct call *c, struct pool_server *server,
                     bool uses_retry_budget)
@@ -78,7 +87,7 @@
     .last_event_id = c->last_event_id,
     .first_event_timeout_ms = call_first_event_timeout (c),
     .gap_timeout_ms = call_event_gap_timeout (c),
-    .repeatable = call_repeatable (c),
+    .new_connection = needs_new_connection (c),
   };
 
   call_set_waiting (c, false);
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -64,12 +64,13 @@
   uv_close ((uv_handle_t *)&f->timer, free_forward);
 }
 
-/* Returns true if the response is for this call and its body is unmodified. */
+/* Returns true if the response is for this call and its body is unmodified. A
+   response without the call's id may belong to an earlier call on the
+   connection. */
 static bool
 answers_call (const struct forward *f, const struct answer_meta *meta)
 {
-  return !meta->encoded
-         && (meta->id.len == 0 || str_eq (meta->id, f->call_id));
+  return !meta->encoded && str_eq (meta->id, f->call_id);
 }
 
 static enum forward_outcome
@@ -127,13 +128,28 @@
   return f->events->confirm_send (f->ctx);
 }
 
+/* Ends the attempt at malformed data, which may never end by itself. Closes
+   the connection, on which more of it may follow. */
+static void
+end_malformed (struct forward *f, struct http_call *call)
+{
+  f->malformed = true;
+  finish (f, call, err_make (-EBADMSG, "answer", f->server_id), true);
+  http_cancel (call);
+}
+
 static void
 on_head (void *ctx, struct http_call *call, int status)
 {
   struct forward *f = ctx;
+  struct answer_meta meta;
 
-  (void)call;
+  if (f->finished)
+    return;
   f->status = status;
+  answer_meta_read (call, status, &meta);
+  if (!str_eq (meta.id, f->call_id))
+    end_malformed (f, call);
 }
 
 static void
@@ -231,7 +247,6 @@
   f->events->part (f->ctx, part, 0);
 }
 
-/* Ends the attempt at malformed data, which may never end by itself. */
 static void
 on_data (void *ctx, struct http_call *call, struct str part)
 {
@@ -240,10 +255,8 @@
   if (f->finished)
     return;
   handle_data (f, part);
-  if (f->finished || !f->malformed)
-    return;
-  finish (f, call, err_make (-EBADMSG, "answer", f->server_id), true);
-  http_cancel (call);
+  if (!f->finished && f->malformed)
+    end_malformed (f, call);
 }
 
 static void
@@ -285,9 +298,7 @@
     .body = spec->body,
     .connect_ms = SERVER_CONNECT_MS,
     .allow_close_delimited = true,
-    /* libcurl repeats a request by itself if a reused connection closes before
-       the response. */
-    .new_connection = !spec->repeatable,
+    .new_connection = spec->new_connection,
   };
 
   f->events = events;
--- a/src/edge/forward.h
+++ b/src/edge/forward.h
@@ -24,8 +24,7 @@
  * @first_event_timeout_ms: limit for the first event, or for a body until it
  *   is complete or forwarded in parts; 0 for none.
  * @gap_timeout_ms: limit for the pause between events; 0 for none.
- * @repeatable: the call may be executed more than once, so that a connection
- *   may be reused.
+ * @new_connection: send the call on a connection of its own.
  */
 struct forward_spec
 {
@@ -41,7 +40,7 @@
   uint64_t last_event_id;
   uint32_t first_event_timeout_ms;
   uint32_t gap_timeout_ms;
-  bool repeatable;
+  bool new_connection;
 };
 
 enum forward_outcome
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -303,6 +303,56 @@
     }
 }
 
+/* Guards against taking a refusal that a faulty server writes once more on a
+   kept connection for the response to the next call, or to the same call's
+   next attempt: the client would be told that a call was not run that runs, or
+   it would run twice. */
+static void
+test_repeated_refusal (void)
+{
+  static const struct
+  {
+    const char *fault;
+    const char *path;
+    const char *next_path;
+    int next_runs;
+  } cases[] = {
+    { "repeat-refusal", "/once/x", "/once/x", 1 },
+    { "repeat-refusal-unnamed", "/once/x", "/once/x", 1 },
+    /* A call may run again after an attempt that broke off. */
+    { "repeat-refusal", "/plain/x", "/plain/x", 2 },
+    { "repeat-refusal-unnamed", "/plain/x", "/plain/x", 2 },
+    { "repeat-refusal", "/plain/x", "/once/x", 1 },
+    { "repeat-refusal-unnamed", "/plain/x", "/once/x", 1 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      const char *const flags[] = { "--fault", cases[i].fault, NULL };
+      struct cluster_proc *server;
+      struct cluster_proc *edge
+          = start_with_one_server ("plain", flags, &server);
+      struct cluster_reply r
+          = edgecluster_call (edge, "POST", cases[i].path, "id-1", NULL, "x");
+
+      CU_ASSERT_EQUAL (r.status, 200);
+      cluster_reply_free (&r);
+      CU_ASSERT_EQUAL (edgecluster_run_count (server, "id-1"), 1);
+      r = edgecluster_call (edge, "POST", cases[i].next_path, "id-2", NULL,
+                            "x");
+      CU_ASSERT_EQUAL (r.status, 200);
+      cluster_reply_free (&r);
+      CU_ASSERT_TRUE (edgecluster_run_count (server, "id-2")
+                      <= cases[i].next_runs);
+      CU_ASSERT_EQUAL (
+          edgecluster_log_line (
+              edge, (const char *const[]){ "event=attempt-failed", "id=id-2 ",
+                                           "outcome=not-executed", NULL }),
+          0);
+      edgecluster_destroy (&edges);
+    }
+}
+
 /* Guards against a stream that the node cuts because its server pauses, when
    no other server could resume it. */
 static void
@@ -785,6 +835,7 @@
   { "bad responses", test_bad_responses },
   { "endless responses", test_endless_responses },
   { "streams", test_streams },
+  { "repeated refusal", test_repeated_refusal },
   { "paused server", test_paused_server },
   { "connection reuse", test_connection_reuse },
   { "configuration", test_configuration },
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -52,6 +52,7 @@
   { "fault", "WORD",
     "shed, close, cut, cut-chunks, unsealed, crossed, unframed, error, "
     "unframed-cut, cut-event, cut-end, no-answer, "
+    "repeat-refusal, repeat-refusal-unnamed, "
     "silent, pause, or one of the endless responses",
     SETTING_STRING, FIELD (fault), "", 0, 0 },
   { "most-models", "N", "models that fit in memory", SETTING_U32,
@@ -507,12 +508,58 @@
 static void
 reject_call (h2o_req_t *req, int status)
 {
+  standin_add_header (req, "X-Galenagate-Attempt-Id",
+                      standin_header (req, "x-galenagate-attempt-id"));
   standin_add_header (req, "X-Galenagate-Instance-Id", options.id);
   if (status == 503)
     standin_add_header (req, "X-Galenagate-Not-Executed", STR ("1"));
   standin_error (req, status, "not_run");
 }
 
+/* ---- refusals that are written twice ---- */
+
+static const h2o_conn_t *refused_conn; /* of the refused request */
+static char refused_id[64];
+
+static bool
+repeats_refusal (void)
+{
+  return has_fault ("repeat-refusal") || has_fault ("repeat-refusal-unnamed");
+}
+
+/* Refuses the first request. */
+static bool
+refuses_first (const h2o_req_t *req)
+{
+  const struct str id = standin_header (req, "x-galenagate-attempt-id");
+
+  if (!repeats_refusal () || refused_conn)
+    return false;
+  refused_conn = req->conn;
+  snprintf (refused_id, sizeof refused_id, "%.*s", (int)id.len, id.data);
+  return true;
+}
+
+/* Writes the refusal again, in front of the response to the next request on
+   its connection. */
+static void
+repeat_refusal (h2o_req_t *req)
+{
+  /* A new connection may have the address of the former one. */
+  if (!repeats_refusal () || req->conn != refused_conn
+      || standin_conn_requests (req) < 2)
+    return;
+  send_raw_text (req, "HTTP/1.1 503 Full\r\nX-Galenagate-Not-Executed: 1\r\n"
+                      "Content-Length: 0\r\n");
+  if (has_fault ("repeat-refusal"))
+    {
+      send_raw_text (req, "X-Galenagate-Attempt-Id: ");
+      send_raw_text (req, refused_id);
+      send_raw_text (req, "\r\n");
+    }
+  send_raw_text (req, "\r\n");
+}
+
 /* Returns true if the call is to be rejected as by a server without a free
    slot. */
 static bool
@@ -670,7 +717,7 @@
   arrivals++;
   if (expected.len > 0 && !str_eq (expected, options.id))
     reject_call (req, 421);
-  else if (is_full ())
+  else if (refuses_first (req) || is_full ())
     reject_call (req, 503);
   else if (is_model_server () && !holds (model))
     reject_call (req, 421);
@@ -678,6 +725,7 @@
     {
       calls_executed++;
       record_run (req);
+      repeat_refusal (req);
       if (is_crashing (req))
         standin_run_after (options.delay_ms, crash, req);
       else if (has_fault ("close"))
