Resume a stream only with events

A server that was to resume a begun stream and responded with 200 and something else was believed: text that ends with an empty line was forwarded between the stream's events, and an empty or short body of any type ended the stream as if it were complete.

A resumed stream goes on only with events that have an id; comments before the first one are dropped, anything else ends the attempt as broken. Only an empty response of type text/event-stream says that there are no more events.

e2e streams "begun stream, resume answered without events" has five kinds of such responses, one with a whole HTTP head; four failed before (the text in the stream, or a stream cut short that looked complete) and all pass.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -289,8 +289,15 @@
   repeat_or_fail (a, status, "server-broke-off");
 }
 
+static bool
+is_event_stream (const struct http_call *response)
+{
+  return str_starts (http_header (response, "Content-Type"),
+                     STR ("text/event-stream"));
+}
+
 /* Returns true if the response ends the call. A stream that has begun goes on
-   with events; a success without any says that there are no more. Without a
+   with events; a stream without any says that there are no more. Without a
    framed body the server may as well have crashed before its first event. */
 static bool
 ends_call (const struct call *c, const struct forward_result *r,
@@ -298,7 +305,7 @@
 {
   if (!c->response_started || r->response_started)
     return true;
-  return r->status == STATUS_OK
+  return r->status == STATUS_OK && is_event_stream (response)
          && (http_header (response, "Content-Length").len > 0
              || http_header (response, "Transfer-Encoding").len > 0);
 }
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -176,11 +176,25 @@
   http_cancel (call);
 }
 
+/* Returns true if the attempt is to resume a stream and has not yet sent an
+   event that follows those before. */
+static bool
+awaits_resume (const struct forward *f)
+{
+  return f->last_event_id > 0 && !f->response_started;
+}
+
 static bool
 on_event (void *ctx, const struct sse_event *event)
 {
   struct forward *f = ctx;
 
+  if (awaits_resume (f) && !event->has_id)
+    {
+      /* A failure's text, between events of the stream. */
+      f->malformed = !event->is_comment;
+      return event->is_comment;
+    }
   if (event->has_id && event->id <= f->last_event_id)
     {
       f->malformed = true;
--- a/src/sse.c
+++ b/src/sse.c
@@ -20,6 +20,8 @@
 
   if (line.len > 0 && line.data[line.len - 1] == '\r')
     line.len--;
+  if (line.len > 0 && line.data[0] != ':')
+    event->is_comment = false;
   if (str_starts (line, data))
     event->data = field_value (line, data);
   else if (str_starts (line, id))
@@ -33,7 +35,7 @@
 {
   size_t pos = 0;
 
-  *event = (struct sse_event){ 0 };
+  *event = (struct sse_event){ .is_comment = true };
   while (pos < in.len)
     {
       const char *end = memchr (in.data + pos, '\n', in.len - pos);
--- a/src/sse.h
+++ b/src/sse.h
@@ -13,6 +13,7 @@
  * @data: value of its last data line; empty for a comment.
  * @id: value of its id line, valid if @has_id.
  * @has_id: the event has an id line with a decimal number.
+ * @is_comment: it consists of comment lines only.
  */
 struct sse_event
 {
@@ -20,6 +21,7 @@
   struct str data;
   uint64_t id;
   bool has_id;
+  bool is_comment;
 };
 
 /* Limit for an incomplete event, because its bytes may never end. */
--- a/tests/e2e_streams.c
+++ b/tests/e2e_streams.c
@@ -331,6 +331,28 @@
   check_stream (&stream_cases[RESUME_FAILED]);
 }
 
+/* Guards against a stream whose client finds a server's failure between its
+   events, or that ends as if it were complete, because the server that is to
+   resume it responds with 200 and something else than events. */
+static void
+test_resume_without_events (void)
+{
+  static const char *const faults[]
+      = { "text-busy", "text-lines", "text-empty", "events-lines",
+          "events-head" };
+
+  for (size_t i = 0; i < sizeof faults / sizeof *faults; i++)
+    {
+      struct stream_case x = stream_cases[RESUME_FAILED];
+      const char *const second[]
+          = { "--models",       "m1,m2", "--fault", faults[i],
+              "--reject-after", "1",     NULL };
+
+      x.second = second;
+      check_stream (&x);
+    }
+}
+
 /* Guards against a cut stream that the log and the metrics do not show. */
 static void
 test_cut_is_counted (void)
@@ -364,6 +386,8 @@
   { "begun stream, node stops", test_node_stops },
   { "stream broken after its last event", test_cut_after_last_event },
   { "begun stream, resume answered with 500", test_resume_failed },
+  { "begun stream, resume answered without events",
+    test_resume_without_events },
   { "cut stream logged and counted", test_cut_is_counted },
 };
 TEST_SUITE ("streams", cases)
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -52,7 +52,8 @@
   { "fault", "WORD",
     "shed, close, cut, cut-chunks, unsealed, crossed, unframed, error, "
     "unframed-cut, cut-event, cut-end, no-answer, "
-    "repeat-refusal, repeat-refusal-unnamed, "
+    "repeat-refusal, repeat-refusal-unnamed, text-busy, text-lines, "
+    "text-empty, events-lines, events-head, "
     "silent, pause, or one of the endless responses",
     SETTING_STRING, FIELD (fault), "", 0, 0 },
   { "most-models", "N", "models that fit in memory", SETTING_U32,
@@ -457,9 +458,46 @@
                      next_event, s);
 }
 
+/* Answers with status 200 to calls of streams that are no events. */
+static const struct
+{
+  const char *fault_name;
+  const char *type;
+  const char *body;
+} no_events[] = {
+  { "text-busy", "text/plain", "busy" },
+  { "text-lines", "text/plain", "busy\n\n" },
+  { "text-empty", "text/plain", "" },
+  { "events-lines", "text/event-stream", "{\"error\":\"busy\"}\n\n" },
+  { "events-head", "text/event-stream",
+    "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy" },
+};
+
+/* Returns false if the server has no such fault. */
+static bool
+answer_without_events (h2o_req_t *req)
+{
+  for (size_t i = 0; i < sizeof no_events / sizeof *no_events; i++)
+    {
+      if (!has_fault (no_events[i].fault_name))
+        continue;
+      struct str framing
+          = str_printf ("Content-Type: %s\r\nContent-Length: %zu\r\n",
+                        no_events[i].type, strlen (no_events[i].body));
+
+      answer_raw (req, framing.data, no_events[i].body);
+      str_free (&framing);
+      return true;
+    }
+  return false;
+}
+
 static void
 answer_stream (h2o_req_t *req)
 {
+  if (answer_without_events (req))
+    return;
+
   struct stream *s = xcalloc (1, sizeof *s);
   uint64_t last = 0;
   char id[64];
