--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -23,52 +23,51 @@
 }
 
 void
-quarantine_observe (struct quarantine *c, quarantine_change_fn fn, void *ctx)
+quarantine_observe (struct quarantine *q, quarantine_change_fn fn, void *ctx)
 {
-  c->changed = fn;
-  c->ctx = ctx;
+  q->changed = fn;
+  q->ctx = ctx;
 }
 
 static void
-report_change (const struct quarantine *c, const struct subject *r,
+report_change (const struct quarantine *q, const struct subject *s,
                uint64_t server)
 {
   const struct quarantine_change change
-      = { r->kind, r->fingerprint, server, r->crash_count };
+      = { s->kind, s->fingerprint, server, s->crash_count };
 
-  if (c->changed)
-    c->changed (c->ctx, &change);
+  if (q->changed)
+    q->changed (q->ctx, &change);
 }
 
 static void
-forget (struct quarantine *c, struct subject *r)
+forget (struct quarantine *q, struct subject *s)
 {
-  HASH_DEL (c->subjects, r);
-  free (r);
+  HASH_DEL (q->subjects, s);
+  free (s);
 }
 
 static void
-forget_completion (struct quarantine *c, struct completion *done)
+forget_completion (struct quarantine *q, struct completion *done)
 {
-  HASH_DEL (c->completed, done);
+  HASH_DEL (q->completed, done);
   free (done);
 }
 
 void
-quarantine_destroy (struct quarantine *c)
+quarantine_destroy (struct quarantine *q)
 {
-  struct subject *r;
+  struct subject *s;
   struct subject *next;
-
   struct completion *done;
   struct completion *next_done;
 
-  HASH_ITER (hh, c->subjects, r, next)
-  forget (c, r);
-  HASH_ITER (hh, c->completed, done, next_done)
-  forget_completion (c, done);
-  quarantine_free_suspects (c);
-  free (c);
+  HASH_ITER (hh, q->subjects, s, next)
+  forget (q, s);
+  HASH_ITER (hh, q->completed, done, next_done)
+  forget_completion (q, done);
+  quarantine_free_suspects (q);
+  free (q);
 }
 
 uint64_t
@@ -91,109 +90,109 @@
 }
 
 static struct subject *
-find (const struct quarantine *c, uint64_t fingerprint)
+find (const struct quarantine *q, uint64_t fingerprint)
 {
-  struct subject *r;
+  struct subject *s;
 
-  HASH_FIND (hh, c->subjects, &fingerprint, sizeof fingerprint, r);
-  return r;
+  HASH_FIND (hh, q->subjects, &fingerprint, sizeof fingerprint, s);
+  return s;
 }
 
 bool
-quarantine_expired (const struct subject *r, uint64_t now_ms)
+quarantine_expired (const struct subject *s, uint64_t now_ms)
 {
-  return now_ms > r->updated_ms + QUARANTINE_RETENTION_MS;
+  return now_ms > s->updated_ms + QUARANTINE_RETENTION_MS;
 }
 
 /* Returns true if all crashes came with the same part behind this one, which
    is then the more specific explanation. */
 static bool
-next_part_explains (const struct subject *r)
+next_part_explains (const struct subject *s)
 {
-  for (uint32_t i = 0; i < r->crash_count; i++)
-    if (r->crashes[i].next_part == 0
-        || r->crashes[i].next_part != r->crashes[0].next_part)
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    if (s->crashes[i].next_part == 0
+        || s->crashes[i].next_part != s->crashes[0].next_part)
       return false;
   return true;
 }
 
 bool
-quarantine_refused (const struct subject *r, uint64_t now_ms)
+quarantine_refused (const struct subject *s, uint64_t now_ms)
 {
-  return r->crash_count >= QUARANTINE_CRASHES && !next_part_explains (r)
-         && !quarantine_expired (r, now_ms);
+  return s->crash_count >= QUARANTINE_CRASHES && !next_part_explains (s)
+         && !quarantine_expired (s, now_ms);
 }
 
 /* Returns the subject to displace: the oldest one that is not refused. */
 static struct subject *
-least_important (const struct quarantine *c, uint64_t now_ms)
+least_important (const struct quarantine *q, uint64_t now_ms)
 {
-  for (struct subject *r = c->subjects; r; r = r->hh.next)
-    if (!quarantine_refused (r, now_ms))
-      return r;
-  return c->subjects;
+  for (struct subject *s = q->subjects; s; s = s->hh.next)
+    if (!quarantine_refused (s, now_ms))
+      return s;
+  return q->subjects;
 }
 
 static void
-make_room (struct quarantine *c, uint64_t now_ms)
+make_room (struct quarantine *q, uint64_t now_ms)
 {
-  while (c->subjects && quarantine_expired (c->subjects, now_ms))
-    forget (c, c->subjects);
-  while (HASH_COUNT (c->subjects) >= SUBJECTS_MAX)
-    forget (c, least_important (c, now_ms));
+  while (q->subjects && quarantine_expired (q->subjects, now_ms))
+    forget (q, q->subjects);
+  while (HASH_COUNT (q->subjects) >= SUBJECTS_MAX)
+    forget (q, least_important (q, now_ms));
 }
 
 static struct subject *
-find_or_add (struct quarantine *c, enum quarantine_kind kind,
+find_or_add (struct quarantine *q, enum quarantine_kind kind,
              uint64_t fingerprint, uint64_t now_ms)
 {
-  struct subject *r = find (c, fingerprint);
+  struct subject *s = find (q, fingerprint);
 
-  if (r && !quarantine_expired (r, now_ms))
-    return r;
-  if (r)
-    forget (c, r);
-  make_room (c, now_ms);
-  r = xcalloc (1, sizeof *r);
-  r->kind = kind;
-  r->fingerprint = fingerprint;
-  HASH_ADD (hh, c->subjects, fingerprint, sizeof r->fingerprint, r);
-  return r;
+  if (s && !quarantine_expired (s, now_ms))
+    return s;
+  if (s)
+    forget (q, s);
+  make_room (q, now_ms);
+  s = xcalloc (1, sizeof *s);
+  s->kind = kind;
+  s->fingerprint = fingerprint;
+  HASH_ADD (hh, q->subjects, fingerprint, sizeof s->fingerprint, s);
+  return s;
 }
 
 static struct completion *
-find_completion (const struct quarantine *c, uint64_t fingerprint)
+find_completion (const struct quarantine *q, uint64_t fingerprint)
 {
   struct completion *done;
 
-  HASH_FIND (hh, c->completed, &fingerprint, sizeof fingerprint, done);
+  HASH_FIND (hh, q->completed, &fingerprint, sizeof fingerprint, done);
   return done;
 }
 
 static void
-add_completion (struct quarantine *c, uint64_t fingerprint, uint64_t at_ms)
+add_completion (struct quarantine *q, uint64_t fingerprint, uint64_t at_ms)
 {
-  struct completion *done = find_completion (c, fingerprint);
+  struct completion *done = find_completion (q, fingerprint);
 
   if (done && done->at_ms >= at_ms)
     return;
   if (done)
-    HASH_DEL (c->completed, done); /* becomes the newest one */
+    HASH_DEL (q->completed, done); /* becomes the newest one */
   else
     done = xcalloc (1, sizeof *done);
   done->fingerprint = fingerprint;
   done->at_ms = at_ms;
-  HASH_ADD (hh, c->completed, fingerprint, sizeof done->fingerprint, done);
-  if (HASH_COUNT (c->completed) > COMPLETED_MAX)
-    forget_completion (c, c->completed);
+  HASH_ADD (hh, q->completed, fingerprint, sizeof done->fingerprint, done);
+  if (HASH_COUNT (q->completed) > COMPLETED_MAX)
+    forget_completion (q, q->completed);
 }
 
 static void
-mark_changed (struct subject *r, uint64_t at_ms)
+mark_changed (struct subject *s, uint64_t at_ms)
 {
-  if (at_ms > r->updated_ms)
-    r->updated_ms = at_ms;
-  r->listed = 0;
+  if (at_ms > s->updated_ms)
+    s->updated_ms = at_ms;
+  s->listed = 0;
 }
 
 /* Returns the time until which a completion clears crashes. */
@@ -204,63 +203,63 @@
 }
 
 static bool
-is_cleared (const struct subject *r, uint64_t crash_ms)
+is_cleared (const struct subject *s, uint64_t crash_ms)
 {
-  return r->completed_ms > 0
-         && crash_ms <= cleared_until (r->kind, r->completed_ms);
+  return s->completed_ms > 0
+         && crash_ms <= cleared_until (s->kind, s->completed_ms);
 }
 
 static void
-drop_crashes_before (struct subject *r, uint64_t end_ms)
+drop_crashes_before (struct subject *s, uint64_t end_ms)
 {
   uint32_t kept = 0;
 
-  for (uint32_t i = 0; i < r->crash_count; i++)
-    if (r->crashes[i].at_ms > end_ms)
-      r->crashes[kept++] = r->crashes[i];
-  r->crash_count = kept;
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    if (s->crashes[i].at_ms > end_ms)
+      s->crashes[kept++] = s->crashes[i];
+  s->crash_count = kept;
 }
 
 static void
-set_completed (struct subject *r, uint64_t at_ms, bool here)
+set_completed (struct subject *s, uint64_t at_ms, bool here)
 {
-  if (at_ms > r->completed_ms)
-    r->completed_ms = at_ms;
-  r->completed_here = here;
-  mark_changed (r, at_ms);
+  if (at_ms > s->completed_ms)
+    s->completed_ms = at_ms;
+  s->completed_here = here;
+  mark_changed (s, at_ms);
 }
 
 /* Clears the crashes before a completion. */
 static void
-complete (struct quarantine *c, struct subject *r, uint64_t at_ms, bool here)
+complete (struct quarantine *q, struct subject *s, uint64_t at_ms, bool here)
 {
-  const uint32_t before = r->crash_count;
+  const uint32_t before = s->crash_count;
 
-  drop_crashes_before (r, cleared_until (r->kind, at_ms));
-  if (r->crash_count == before)
+  drop_crashes_before (s, cleared_until (s->kind, at_ms));
+  if (s->crash_count == before)
     return;
   if (before == QUARANTINE_CRASHES)
-    c->version++;
-  set_completed (r, at_ms, here);
-  report_change (c, r, 0);
+    q->version++;
+  set_completed (s, at_ms, here);
+  report_change (q, s, 0);
 }
 
 void
-quarantine_completed (struct quarantine *c, uint64_t fingerprint,
+quarantine_completed (struct quarantine *q, uint64_t fingerprint,
                       uint64_t now_ms)
 {
-  struct subject *r = find (c, fingerprint);
+  struct subject *s = find (q, fingerprint);
 
-  add_completion (c, fingerprint, now_ms);
-  if (r)
-    complete (c, r, now_ms, true);
+  add_completion (q, fingerprint, now_ms);
+  if (s)
+    complete (q, s, now_ms, true);
 }
 
 static bool
-is_known_crash (const struct subject *r, uint64_t server)
+is_known_crash (const struct subject *s, uint64_t server)
 {
-  for (uint32_t i = 0; i < r->crash_count; i++)
-    if (r->crashes[i].server == server)
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    if (s->crashes[i].server == server)
       return true;
   return false;
 }
@@ -268,15 +267,15 @@
 /* Returns true if the crash comes close to another one of a request that
    servers complete. */
 static bool
-is_joint_crash (const struct quarantine *c, const struct subject *r,
+is_joint_crash (const struct quarantine *q, const struct subject *s,
                 uint64_t at_ms)
 {
-  if (r->kind != QUARANTINE_REQUEST
-      || (r->completed_ms == 0 && !find_completion (c, r->fingerprint)))
+  if (s->kind != QUARANTINE_REQUEST
+      || (s->completed_ms == 0 && !find_completion (q, s->fingerprint)))
     return false;
-  for (uint32_t i = 0; i < r->crash_count; i++)
-    if (at_ms < r->crashes[i].at_ms + JOINT_CRASHES_MS
-        && r->crashes[i].at_ms < at_ms + JOINT_CRASHES_MS)
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    if (at_ms < s->crashes[i].at_ms + JOINT_CRASHES_MS
+        && s->crashes[i].at_ms < at_ms + JOINT_CRASHES_MS)
       return true;
   return false;
 }
@@ -284,10 +283,10 @@
 /* Returns the completion that shows that a part is not the cause of a crash;
    NULL if there is none. */
 static const struct completion *
-find_proof (const struct quarantine *c, const struct crash_record *crash,
+find_proof (const struct quarantine *q, const struct crash_record *crash,
             uint64_t at_ms)
 {
-  const struct completion *done = find_completion (c, crash->fingerprint);
+  const struct completion *done = find_completion (q, crash->fingerprint);
 
   return done && crash->kind == QUARANTINE_PART
                  && at_ms <= cleared_until (crash->kind, done->at_ms)
@@ -298,101 +297,101 @@
 /* Stores a crash. Of a part with all crashes that are kept explained by the
    next one, the newest makes room for one that is not. */
 static void
-store_crash (struct subject *r, const struct crash *crash)
+store_crash (struct subject *s, const struct crash *crash)
 {
-  if (r->crash_count == QUARANTINE_CRASHES)
-    r->crash_count--;
-  r->crashes[r->crash_count++] = *crash;
+  if (s->crash_count == QUARANTINE_CRASHES)
+    s->crash_count--;
+  s->crashes[s->crash_count++] = *crash;
 }
 
 static bool
-has_room (const struct subject *r, const struct crash *crash)
+has_room (const struct subject *s, const struct crash *crash)
 {
-  return r->crash_count < QUARANTINE_CRASHES
-         || (next_part_explains (r)
-             && crash->next_part != r->crashes[0].next_part);
+  return s->crash_count < QUARANTINE_CRASHES
+         || (next_part_explains (s)
+             && crash->next_part != s->crashes[0].next_part);
 }
 
 static void
-add_crash (struct quarantine *c, const struct crash_record *record,
+add_crash (struct quarantine *q, const struct crash_record *record,
            const struct crash *crash, uint64_t now_ms)
 {
-  struct subject *r
-      = find_or_add (c, record->kind, record->fingerprint, now_ms);
+  struct subject *s
+      = find_or_add (q, record->kind, record->fingerprint, now_ms);
 
-  if (!has_room (r, crash) || is_cleared (r, crash->at_ms)
-      || is_known_crash (r, crash->server)
-      || is_joint_crash (c, r, crash->at_ms))
+  if (!has_room (s, crash) || is_cleared (s, crash->at_ms)
+      || is_known_crash (s, crash->server)
+      || is_joint_crash (q, s, crash->at_ms))
     return;
-  store_crash (r, crash);
-  if (quarantine_refused (r, now_ms))
-    c->version++;
-  mark_changed (r, crash->at_ms);
-  report_change (c, r, crash->server);
+  store_crash (s, crash);
+  if (quarantine_refused (s, now_ms))
+    q->version++;
+  mark_changed (s, crash->at_ms);
+  report_change (q, s, crash->server);
 }
 
 void
-quarantine_add_crash (struct quarantine *c, const struct crash_record *record,
+quarantine_add_crash (struct quarantine *q, const struct crash_record *record,
                       uint64_t now_ms)
 {
   const struct crash crash
       = { record->server, record->next_part, now_ms, .own = true };
 
-  if (!find_proof (c, record, now_ms))
-    add_crash (c, record, &crash, now_ms);
+  if (!find_proof (q, record, now_ms))
+    add_crash (q, record, &crash, now_ms);
 }
 
 /* Another node counts a crash that a completion here clears: tells it. */
 static void
-contradict (struct quarantine *c, const struct crash_record *record,
+contradict (struct quarantine *q, const struct crash_record *record,
             uint64_t crash_ms, const struct completion *proof, uint64_t now_ms)
 {
-  struct subject *r
-      = find_or_add (c, record->kind, record->fingerprint, now_ms);
+  struct subject *s
+      = find_or_add (q, record->kind, record->fingerprint, now_ms);
 
-  if (!is_cleared (r, crash_ms))
-    set_completed (r, proof->at_ms, true);
+  if (!is_cleared (s, crash_ms))
+    set_completed (s, proof->at_ms, true);
 }
 
 void
-quarantine_merge (struct quarantine *c, const struct crash_evidence *e,
+quarantine_merge (struct quarantine *q, const struct crash_evidence *e,
                   uint64_t now_ms)
 {
   const uint64_t at_ms = now_ms - e->age_ms;
   const struct crash crash
       = { e->crash.server, e->crash.next_part, at_ms, .own = false };
   const struct completion *proof;
-  struct subject *r;
+  struct subject *s;
 
   if (e->age_ms > QUARANTINE_RETENTION_MS || e->age_ms > now_ms)
     return;
   if (e->crash.server == 0)
     {
-      r = find (c, e->crash.fingerprint);
+      s = find (q, e->crash.fingerprint);
       if (e->crash.kind == QUARANTINE_PART)
-        add_completion (c, e->crash.fingerprint, at_ms);
-      if (r)
-        complete (c, r, at_ms, false);
+        add_completion (q, e->crash.fingerprint, at_ms);
+      if (s)
+        complete (q, s, at_ms, false);
       return;
     }
-  proof = find_proof (c, &e->crash, at_ms);
+  proof = find_proof (q, &e->crash, at_ms);
   if (proof)
-    contradict (c, &e->crash, at_ms, proof, now_ms);
+    contradict (q, &e->crash, at_ms, proof, now_ms);
   else
-    add_crash (c, &e->crash, &crash, now_ms);
+    add_crash (q, &e->crash, &crash, now_ms);
 }
 
 bool
-quarantine_contains (const struct quarantine *c, uint64_t fingerprint,
+quarantine_contains (const struct quarantine *q, uint64_t fingerprint,
                      uint64_t now_ms)
 {
-  const struct subject *r = find (c, fingerprint);
+  const struct subject *s = find (q, fingerprint);
 
-  return r && quarantine_refused (r, now_ms);
+  return s && quarantine_refused (s, now_ms);
 }
 
 uint64_t
-quarantine_version (const struct quarantine *c)
+quarantine_version (const struct quarantine *q)
 {
-  return c->version;
+  return q->version;
 }
--- a/src/edge/quarantine_list.c
+++ b/src/edge/quarantine_list.c
@@ -30,81 +30,81 @@
 }
 
 static bool
-has_own_evidence (const struct subject *r)
+has_own_evidence (const struct subject *s)
 {
-  for (uint32_t i = 0; i < r->crash_count; i++)
-    if (r->crashes[i].own)
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    if (s->crashes[i].own)
       return true;
-  return r->completed_here;
+  return s->completed_here;
 }
 
 static bool
-is_in_scope (const struct subject *r, enum quarantine_scope scope)
+is_in_scope (const struct subject *s, enum quarantine_scope scope)
 {
   if (scope == QUARANTINE_OWN)
-    return has_own_evidence (r);
-  return r->crash_count >= CRASHES_FOR_ALL || r->completed_ms > 0;
+    return has_own_evidence (s);
+  return s->crash_count >= CRASHES_FOR_ALL || s->completed_ms > 0;
 }
 
 static bool
-is_due (const struct subject *r, uint64_t now_ms)
+is_due (const struct subject *s, uint64_t now_ms)
 {
-  return !quarantine_expired (r, now_ms)
-         && (r->listed < LISTS_AFTER_CHANGE
-             || now_ms >= r->listed_ms + LIST_INTERVAL_MS);
+  return !quarantine_expired (s, now_ms)
+         && (s->listed < LISTS_AFTER_CHANGE
+             || now_ms >= s->listed_ms + LIST_INTERVAL_MS);
 }
 
 static size_t
-collect_due (const struct quarantine *c, enum quarantine_scope scope,
+collect_due (const struct quarantine *q, enum quarantine_scope scope,
              uint64_t now_ms, struct subject **out)
 {
   size_t n = 0;
 
-  for (struct subject *r = c->subjects; r; r = r->hh.next)
-    if (is_in_scope (r, scope) && is_due (r, now_ms))
-      out[n++] = r;
+  for (struct subject *s = q->subjects; s; s = s->hh.next)
+    if (is_in_scope (s, scope) && is_due (s, now_ms))
+      out[n++] = s;
   qsort (out, n, sizeof *out, compare_urgency);
   return n;
 }
 
 static struct crash_evidence
-crash_item (const struct subject *r, const struct crash *crash,
+crash_item (const struct subject *s, const struct crash *crash,
             uint64_t now_ms)
 {
   return (struct crash_evidence){
-    .crash = { r->fingerprint, crash->server, crash->next_part, r->kind },
+    .crash = { s->fingerprint, crash->server, crash->next_part, s->kind },
     .age_ms = (uint32_t)(now_ms - crash->at_ms),
   };
 }
 
 /* Stores the evidence on a subject. Returns the number of items. */
 static size_t
-write_evidence (const struct subject *r, enum quarantine_scope scope,
+write_evidence (const struct subject *s, enum quarantine_scope scope,
                 uint64_t now_ms, struct crash_evidence *out)
 {
-  const struct crash completion = { .at_ms = r->completed_ms };
+  const struct crash completion = { .at_ms = s->completed_ms };
   size_t n = 0;
 
-  for (uint32_t i = 0; i < r->crash_count; i++)
-    if (scope == QUARANTINE_ALL || r->crashes[i].own)
-      out[n++] = crash_item (r, &r->crashes[i], now_ms);
-  if (r->completed_ms > 0 && (scope == QUARANTINE_ALL || r->completed_here))
-    out[n++] = crash_item (r, &completion, now_ms);
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    if (scope == QUARANTINE_ALL || s->crashes[i].own)
+      out[n++] = crash_item (s, &s->crashes[i], now_ms);
+  if (s->completed_ms > 0 && (scope == QUARANTINE_ALL || s->completed_here))
+    out[n++] = crash_item (s, &completion, now_ms);
   return n;
 }
 
 size_t
-quarantine_list (struct quarantine *c, enum quarantine_scope scope,
+quarantine_list (struct quarantine *q, enum quarantine_scope scope,
                  uint64_t now_ms, struct crash_evidence *out, size_t max)
 {
   struct subject **due;
   size_t count;
   size_t n = 0;
 
-  if (!c->subjects)
+  if (!q->subjects)
     return 0;
-  due = xcalloc (HASH_COUNT (c->subjects), sizeof (struct subject *));
-  count = collect_due (c, scope, now_ms, due);
+  due = xcalloc (HASH_COUNT (q->subjects), sizeof (struct subject *));
+  count = collect_due (q, scope, now_ms, due);
   for (size_t i = 0; i < count && n + EVIDENCE_PER_SUBJECT_MAX <= max; i++)
     {
       n += write_evidence (due[i], scope, now_ms, out + n);
@@ -116,25 +116,25 @@
 }
 
 void
-quarantine_list_anew (struct quarantine *c)
+quarantine_list_anew (struct quarantine *q)
 {
-  for (struct subject *r = c->subjects; r; r = r->hh.next)
-    r->listed = 0;
+  for (struct subject *s = q->subjects; s; s = s->hh.next)
+    s->listed = 0;
 }
 
 size_t
-quarantine_list_refused (const struct quarantine *c, uint64_t now_ms,
+quarantine_list_refused (const struct quarantine *q, uint64_t now_ms,
                          struct crash_evidence *out, size_t max)
 {
-  const struct subject *r
-      = c->subjects
-            ? ELMT_FROM_HH (c->subjects->hh.tbl, c->subjects->hh.tbl->tail)
+  const struct subject *s
+      = q->subjects
+            ? ELMT_FROM_HH (q->subjects->hh.tbl, q->subjects->hh.tbl->tail)
             : NULL;
   size_t n = 0;
 
-  for (; r && n + QUARANTINE_CRASHES <= max; r = r->hh.prev)
-    if (quarantine_refused (r, now_ms))
-      for (uint32_t i = 0; i < r->crash_count; i++)
-        out[n++] = crash_item (r, &r->crashes[i], now_ms);
+  for (; s && n + QUARANTINE_CRASHES <= max; s = s->hh.prev)
+    if (quarantine_refused (s, now_ms))
+      for (uint32_t i = 0; i < s->crash_count; i++)
+        out[n++] = crash_item (s, &s->crashes[i], now_ms);
   return n;
 }
--- a/src/edge/quarantine_suspects.c
+++ b/src/edge/quarantine_suspects.c
@@ -16,117 +16,117 @@
 #define CRASHED_STARTS_MAX 1024
 
 static void
-forget_suspect (struct quarantine *c, struct suspect *s)
+forget_suspect (struct quarantine *q, struct suspect *s)
 {
-  HASH_DEL (c->suspects, s);
+  HASH_DEL (q->suspects, s);
   free (s);
 }
 
 static void
-forget_start (struct quarantine *c, struct crashed_start *start)
+forget_start (struct quarantine *q, struct crashed_start *start)
 {
-  HASH_DEL (c->crashed, start);
+  HASH_DEL (q->crashed, start);
   free (start);
 }
 
 static void
-forget_old_starts (struct quarantine *c, uint64_t now_ms)
+forget_old_starts (struct quarantine *q, uint64_t now_ms)
 {
-  while (c->crashed
-         && (HASH_COUNT (c->crashed) >= CRASHED_STARTS_MAX
-             || now_ms > c->crashed->known_ms + SUSPECT_WINDOW_MS))
-    forget_start (c, c->crashed);
+  while (q->crashed
+         && (HASH_COUNT (q->crashed) >= CRASHED_STARTS_MAX
+             || now_ms > q->crashed->known_ms + SUSPECT_WINDOW_MS))
+    forget_start (q, q->crashed);
 }
 
 static struct crashed_start *
-find_start (struct quarantine *c, uint64_t server, uint64_t now_ms)
+find_start (struct quarantine *q, uint64_t server, uint64_t now_ms)
 {
   struct crashed_start *start;
 
-  forget_old_starts (c, now_ms);
-  HASH_FIND (hh, c->crashed, &server, sizeof server, start);
+  forget_old_starts (q, now_ms);
+  HASH_FIND (hh, q->crashed, &server, sizeof server, start);
   return start;
 }
 
 static void
-forget_old_suspects (struct quarantine *c, uint64_t now_ms)
+forget_old_suspects (struct quarantine *q, uint64_t now_ms)
 {
-  while (c->suspects && now_ms > c->suspects->broke_off_ms + SUSPECT_WINDOW_MS)
-    forget_suspect (c, c->suspects);
+  while (q->suspects && now_ms > q->suspects->broke_off_ms + SUSPECT_WINDOW_MS)
+    forget_suspect (q, q->suspects);
 }
 
 static void
-add_suspect (struct quarantine *c, const struct crash_record *crash,
+add_suspect (struct quarantine *q, const struct crash_record *crash,
              uint64_t now_ms)
 {
   struct suspect *s;
 
-  forget_old_suspects (c, now_ms);
-  HASH_FIND (hh, c->suspects, crash, SUSPECT_KEY_BYTES, s);
+  forget_old_suspects (q, now_ms);
+  HASH_FIND (hh, q->suspects, crash, SUSPECT_KEY_BYTES, s);
   if (s)
-    HASH_DEL (c->suspects, s); /* becomes the newest one */
+    HASH_DEL (q->suspects, s); /* becomes the newest one */
   else
     s = xcalloc (1, sizeof *s);
-  if (HASH_COUNT (c->suspects) >= SUSPECTS_MAX)
-    forget_suspect (c, c->suspects);
+  if (HASH_COUNT (q->suspects) >= SUSPECTS_MAX)
+    forget_suspect (q, q->suspects);
   s->crash = *crash;
   s->broke_off_ms = now_ms;
-  HASH_ADD (hh, c->suspects, crash, SUSPECT_KEY_BYTES, s);
+  HASH_ADD (hh, q->suspects, crash, SUSPECT_KEY_BYTES, s);
 }
 
 void
-quarantine_suspect (struct quarantine *c, const struct crash_record *suspect,
+quarantine_suspect (struct quarantine *q, const struct crash_record *suspect,
                     uint64_t now_ms)
 {
-  if (find_start (c, suspect->server, now_ms))
+  if (find_start (q, suspect->server, now_ms))
     {
-      quarantine_add_crash (c, suspect, now_ms);
+      quarantine_add_crash (q, suspect, now_ms);
       return;
     }
-  add_suspect (c, suspect, now_ms);
+  add_suspect (q, suspect, now_ms);
 }
 
 static void
-add_start (struct quarantine *c, uint64_t server, uint64_t now_ms)
+add_start (struct quarantine *q, uint64_t server, uint64_t now_ms)
 {
   struct crashed_start *start = xcalloc (1, sizeof *start);
 
   start->server = server;
   start->known_ms = now_ms;
-  HASH_ADD (hh, c->crashed, server, sizeof start->server, start);
+  HASH_ADD (hh, q->crashed, server, sizeof start->server, start);
 }
 
 bool
-quarantine_server_crashed (struct quarantine *c, uint64_t server,
+quarantine_server_crashed (struct quarantine *q, uint64_t server,
                            uint64_t now_ms)
 {
   struct suspect *s;
   struct suspect *next;
 
-  if (find_start (c, server, now_ms))
+  if (find_start (q, server, now_ms))
     return false;
-  add_start (c, server, now_ms);
-  forget_old_suspects (c, now_ms);
-  HASH_ITER (hh, c->suspects, s, next)
+  add_start (q, server, now_ms);
+  forget_old_suspects (q, now_ms);
+  HASH_ITER (hh, q->suspects, s, next)
   {
     if (s->crash.server != server)
       continue;
-    quarantine_add_crash (c, &s->crash, now_ms);
-    forget_suspect (c, s);
+    quarantine_add_crash (q, &s->crash, now_ms);
+    forget_suspect (q, s);
   }
   return true;
 }
 
 void
-quarantine_free_suspects (struct quarantine *c)
+quarantine_free_suspects (struct quarantine *q)
 {
   struct crashed_start *start;
   struct crashed_start *next_start;
   struct suspect *s;
   struct suspect *next_suspect;
 
-  HASH_ITER (hh, c->crashed, start, next_start)
-  forget_start (c, start);
-  HASH_ITER (hh, c->suspects, s, next_suspect)
-  forget_suspect (c, s);
+  HASH_ITER (hh, q->crashed, start, next_start)
+  forget_start (q, start);
+  HASH_ITER (hh, q->suspects, s, next_suspect)
+  forget_suspect (q, s);
 }
