Name the call in the stand-in's endless responses

Since a response without the call's id ends at its head, the endless bodies, chunks and events of the stand-in were no longer read, and the tests of bounded memory passed without them.

--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -648,21 +648,23 @@
 
 /* ---- endless responses ---- */
 
-/* Sends @prefix once, then @filler repeatedly until the caller disconnects. */
+/* Sends the status line, the call's id and @rest once, then @filler repeatedly
+   until the caller disconnects. */
 static const struct endless_kind
 {
   const char *fault_name;
-  const char *prefix;
+  bool has_status;
+  const char *rest;
   const char *filler;
 } endless_kinds[] = {
-  { "endless-status", "", "HHHHHHHHHHHHHHHH" },
-  { "endless-head", "HTTP/1.1 200 OK\r\n", "X-Fill: aaaaaaa\r\n" },
-  { "endless-field", "HTTP/1.1 200 OK\r\nX-Fill: ", "aaaaaaaaaaaaaaaa" },
-  { "endless-body", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaaaaaaaaaa" },
-  { "endless-chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+  { "endless-status", false, "", "HHHHHHHHHHHHHHHH" },
+  { "endless-head", true, "", "X-Fill: aaaaaaa\r\n" },
+  { "endless-field", true, "X-Fill: ", "aaaaaaaaaaaaaaaa" },
+  { "endless-body", true, "\r\n", "aaaaaaaaaaaaaaaa" },
+  { "endless-chunk", true, "Transfer-Encoding: chunked\r\n\r\n",
     "0000000000000000" },
-  { "endless-event",
-    "HTTP/1.1 200 OK\r\nX-Galenagate-Server-Seal: " SEAL "\r\n"
+  { "endless-event", true,
+    "X-Galenagate-Server-Seal: " SEAL "\r\n"
     "Content-Type: text/event-stream\r\n\r\ndata: ",
     "aaaaaaaaaaaaaaaa" },
 };
@@ -707,6 +709,19 @@
   standin_run_after (ENDLESS_GAP_MS, send_more_bytes, r);
 }
 
+/* Sends a status line and the field that names the call. */
+static void
+send_named_head (h2o_req_t *req)
+{
+  char id[64];
+  struct str head
+      = str_printf ("HTTP/1.1 200 OK\r\nX-Galenagate-Attempt-Id: %s\r\n",
+                    response_attempt_id (req, id, sizeof id));
+
+  send_raw_text (req, head.data);
+  str_free (&head);
+}
+
 static void
 answer_endless (h2o_req_t *req, const struct endless_kind *kind)
 {
@@ -715,7 +730,9 @@
   r->req = req;
   r->kind = kind;
   endless_open++;
-  send_raw_text (req, kind->prefix);
+  if (kind->has_status)
+    send_named_head (req);
+  send_raw_text (req, kind->rest);
   standin_run_after (ENDLESS_GAP_MS, send_more_bytes, r);
 }
 
