Send nothing more to a server that says it is leaving

A server that leaves says so in its responses, earlier than its entry reaches a node, and at all when the store does not answer the node or the server. No code read it, so calls went on to a server that ends within seconds.

The head of each response of the call, of any status and of a stream as well, is looked at when it arrives; Server-Leaving: 1 takes that start of the server out on this node at once, until a later start appears. What runs there goes on. The line server-leaves names the response that said it.

Other nodes and the placement holder are not told yet.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -433,6 +433,23 @@
   return true;
 }
 
+static void
+on_head (void *ctx, const struct answer_meta *meta)
+{
+  const struct call_attempt *a = ctx;
+  const struct str id = a->call->meta.client_attempt_id;
+  const struct str server = pool_server_id (a->server);
+
+  if (call_server_start (a->server) != a->server_start)
+    return;
+  if (meta->leaving && pool_server_announced_leaving (a->server))
+    {
+      LOG_INFO ("server-leaves", "server=" STR_FMT " id=" STR_FMT,
+                STR_ARG (server), STR_ARG (id));
+      metrics_add ("galenagate_servers_left_total", STR (""), 1);
+    }
+}
+
 static uint32_t
 on_silence (void *ctx)
 {
@@ -441,6 +458,7 @@
 
 const struct forward_events call_attempt_events = {
   .confirm_send = on_confirm_send,
+  .head = on_head,
   .silence = on_silence,
   .start = on_response_start,
   .part = on_part,
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -148,7 +148,9 @@
     return;
   f->status = status;
   answer_meta_read (call, status, &meta);
-  if (!str_eq (meta.id, f->call_id))
+  if (str_eq (meta.id, f->call_id))
+    f->events->head (f->ctx, &meta);
+  else
     end_malformed (f, call);
 }
 
--- a/src/edge/forward.h
+++ b/src/edge/forward.h
@@ -5,6 +5,7 @@
 
 #include "err.h"
 #include "http.h"
+#include "platform/callheaders.h"
 #include "str.h"
 
 /* One attempt to run a call on one server. */
@@ -78,6 +79,7 @@
  * struct forward_events - callbacks.
  * @confirm_send: runs before the first byte is sent; returning false ends the
  *   attempt with FORWARD_WITHDRAWN.
+ * @head: the head of the call's response arrived, whatever its status.
  * @silence: no data arrived in time. Returns the time in ms after which the
  *   callback runs again if still no data has arrived; 0 ends the attempt.
  * @start: the response will be forwarded in parts. @call has its head.
@@ -89,6 +91,7 @@
 struct forward_events
 {
   bool (*confirm_send) (void *ctx);
+  void (*head) (void *ctx, const struct answer_meta *meta);
   uint32_t (*silence) (void *ctx);
   void (*start) (void *ctx, const struct http_call *call, int status);
   void (*part) (void *ctx, struct str part, uint64_t last_event_id);
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -136,6 +136,10 @@
 /** pool_model_missing() - the server doesn't have the model or adapter. */
 void pool_model_missing (struct pool_server *server, struct str model,
                          struct str adapter, uint64_t now_ms);
+/** pool_server_announced_leaving() - the server said in a response that it is
+ * shutting down. It gets no calls until it starts again. Returns false if this
+ * was known. */
+bool pool_server_announced_leaving (struct pool_server *server);
 /** pool_server_replaced() - another server uses the address now. */
 void pool_server_replaced (struct pool_server *server);
 
--- a/src/edge/pool_calls.c
+++ b/src/edge/pool_calls.c
@@ -96,6 +96,15 @@
               name_list_has (&m->adapters, adapter) ? adapter : STR (""));
 }
 
+bool
+pool_server_announced_leaving (struct pool_server *s)
+{
+  const bool is_new = !s->leaving;
+
+  s->leaving = true;
+  return is_new;
+}
+
 void
 pool_server_replaced (struct pool_server *s)
 {
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -353,6 +353,47 @@
     }
 }
 
+/* Guards against calls to a server after a response of its own said that it is
+   leaving, while the store does not answer, and against ending what runs
+   there. */
+static void
+test_leaving_response (void)
+{
+  static const struct
+  {
+    const char *service;
+    const char *path;
+    const char *model;
+  } cases[] = { { "plain", "/plain/x", NULL },
+                { "plain", "/once/x", NULL },
+                { "lm", "/stream/x", "m1" } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct cluster_proc *servers[2];
+      struct cluster_proc *edge
+          = start_with_two_servers (cases[i].service, "leaving", servers);
+
+      edgecluster_set_faults (&edges, "{\"down\":true}");
+      for (int n = 0; n < 5; n++)
+        {
+          struct cluster_reply r = edgecluster_call (
+              edge, "POST", cases[i].path, "id-1", cases[i].model, "x");
+
+          CU_ASSERT_EQUAL (r.status, 200);
+          CU_ASSERT_EQUAL (r.error, CURLE_OK);
+          cluster_reply_free (&r);
+        }
+      CU_ASSERT_EQUAL (edgecluster_run_count (servers[0], "id-1"), 1);
+      /* Calls that may be repeated may run twice on a slow machine. */
+      CU_ASSERT_TRUE (edgecluster_run_count (servers[1], "id-1") >= 4);
+      CU_ASSERT_TRUE (edgecluster_wait_logged (
+          edge,
+          (const char *const[]){ "event=server-leaves", "id=id-1", NULL }));
+      edgecluster_destroy (&edges);
+    }
+}
+
 /* Guards against a stream that the node cuts because its server pauses, when
    no other server could resume it. */
 static void
@@ -836,6 +877,7 @@
   { "endless responses", test_endless_responses },
   { "streams", test_streams },
   { "repeated refusal", test_repeated_refusal },
+  { "leaving, said in a response", test_leaving_response },
   { "paused server", test_paused_server },
   { "connection reuse", test_connection_reuse },
   { "configuration", test_configuration },
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -53,7 +53,7 @@
     "shed, close, cut, cut-chunks, unsealed, crossed, unframed, error, "
     "unframed-cut, cut-event, cut-end, no-answer, "
     "repeat-refusal, repeat-refusal-unnamed, text-busy, text-lines, "
-    "text-empty, events-lines, events-head, "
+    "text-empty, events-lines, events-head, leaving, "
     "silent, pause, or one of the endless responses",
     SETTING_STRING, FIELD (fault), "", 0, 0 },
   { "most-models", "N", "models that fit in memory", SETTING_U32,
@@ -374,6 +374,8 @@
       answer_raw (req, "", "to the end");
       return;
     }
+  if (has_fault ("leaving"))
+    standin_add_header (req, "Server-Leaving", STR ("1"));
   if (!has_fault ("unsealed"))
     standin_add_header (req, "X-Galenagate-Server-Seal", STR (SEAL));
   standin_add_header (req, "X-Galenagate-Attempt-Id",
@@ -504,8 +506,9 @@
   struct str head
       = str_printf ("HTTP/1.1 200 OK\r\nX-Galenagate-Attempt-Id: %s\r\n"
                     "X-Galenagate-Server-Seal: " SEAL "\r\n"
-                    "Content-Type: text/event-stream\r\n%s\r\n",
+                    "Content-Type: text/event-stream\r\n%s%s\r\n",
                     response_attempt_id (req, id, sizeof id),
+                    has_fault ("leaving") ? "Server-Leaving: 1\r\n" : "",
                     is_unframed () ? "" : "Transfer-Encoding: chunked\r\n");
 
   str_u64 (standin_header (req, "last-event-id"), &last);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -268,9 +268,33 @@
   pool_destroy (p);
 }
 
+/* Guards against calls to a server that said in a response that it is leaving.
+   Entries that say "ready" must not make it usable again unless it
+   restarted. */
+static void
+test_leaving_response (void)
+{
+  struct pool *p = pool_create ();
+  const struct server_entry ready = entry ("i-1", "a", 1000, SERVER_READY);
+  const struct server_entry again = entry ("i-1", "a", 2000, SERVER_READY);
+  struct pool_server *s;
+
+  pool_update (p, &ready, 10);
+  s = choose (p, &plain_criteria, 10, POOL_CHOSEN);
+  CU_ASSERT_TRUE (pool_server_announced_leaving (s));
+  CU_ASSERT_FALSE (pool_server_announced_leaving (s));
+  choose (p, &plain_criteria, 20, POOL_NO_SERVER);
+  pool_update (p, &ready, 30);
+  choose (p, &plain_criteria, 30, POOL_NO_SERVER);
+  pool_update (p, &again, 40);
+  choose (p, &plain_criteria, 40, POOL_CHOSEN);
+  pool_destroy (p);
+}
+
 static const struct suite_case cases[] = {
   { "turned away", test_turned_away },
   { "leaving", test_leaving },
+  { "leaving, said in a response", test_leaving_response },
   { "expired entries", test_expired_entries },
   { "unreadable entry", test_unreadable },
   { "preference", test_preference },
