Leave a server alone for as long as it asks with Retry-After

A server that turns a call away with 503 and Retry-After wants nothing of this node for so long. No code read it: the server was tried again after 50 ms to 0.8 s, and a call whose servers all rested was sent again up to six times.

The node keeps for each start of a server until when it rests, the latest time that it said, a minute at most; no call, repeat or handover goes there before. When all servers that could run a call rest, it waits for the first that is back in time, or is refused at once with the shortest rest. Decimals count; zero, negative values, dates and other text count as none.

e2e edge "resting server": before, two of four cases (calls whose servers come back too late) were sent to the resting server again and answered late; now they are refused at once with the reason. Unit pool "rest" and routing "retry after" are new.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -448,6 +448,12 @@
                 STR_ARG (server), STR_ARG (id));
       metrics_add ("galenagate_servers_left_total", STR (""), 1);
     }
+  if (meta->rest_ms == 0)
+    return;
+  LOG_INFO ("server-rests", "server=" STR_FMT " id=" STR_FMT " rest_ms=%u",
+            STR_ARG (server), STR_ARG (id), meta->rest_ms);
+  metrics_add ("galenagate_server_rests_total", STR (""), 1);
+  pool_server_rests (a->server, clock_ms () + meta->rest_ms);
 }
 
 static uint32_t
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -35,9 +35,9 @@
 /* POOL_CHOSEN: a server could take the call, but the retry budget does not
    allow it yet. */
 static const char *const wait_reason_names[] = {
-  [POOL_CHOSEN] = "retry-budget",   [POOL_NO_SERVER] = "no-server",
-  [POOL_NO_MODEL] = "no-model",     [POOL_NO_ADAPTER] = "no-adapter",
-  [POOL_FULL] = "all-servers-full",
+  [POOL_CHOSEN] = "retry-budget",      [POOL_NO_SERVER] = "no-server",
+  [POOL_NO_MODEL] = "no-model",        [POOL_NO_ADAPTER] = "no-adapter",
+  [POOL_RESTING] = "all-servers-rest", [POOL_FULL] = "all-servers-full",
 };
 
 /* Counts a first send, or takes a retry from the budget if an earlier attempt
@@ -62,20 +62,33 @@
     call_refuse (c, retry_after_ms, reason);
 }
 
+/* Returns the time in ms after which the call's condition is known to pass;
+   UINT32_MAX if it is not known. */
+static uint32_t
+ready_time (const struct call *c, const struct pool_criteria *criteria,
+            enum pool_result result)
+{
+  const struct pool *pool = site_pool (c->calls->site);
+
+  if (result == POOL_NO_MODEL)
+    return pool_ready_in (pool, criteria, clock_ms ());
+  if (result == POOL_RESTING)
+    return pool_rest_ends_in (pool, criteria, clock_ms ());
+  return UINT32_MAX;
+}
+
 static void
 wait_for_server (struct call *c, const struct pool_criteria *criteria,
                  enum pool_result result)
 {
-  const uint64_t now = clock_ms ();
-  const uint32_t ready_in
-      = result == POOL_NO_MODEL
-            ? pool_ready_in (site_pool (c->calls->site), criteria, now)
-            : UINT32_MAX;
+  const uint32_t ready_in = ready_time (c, criteria, result);
 
   if (!c->response_started && ready_in != UINT32_MAX
-      && now + ready_in > call_wait_deadline_ms (c))
+      && clock_ms () + ready_in > call_wait_deadline_ms (c))
     {
-      call_give_up (c, ready_in, "model-loads-too-late");
+      call_give_up (c, ready_in,
+                    result == POOL_RESTING ? "servers-rest"
+                                           : "model-loads-too-late");
       return;
     }
   if (c->waiting && c->wait_reason == result)
--- a/src/edge/pool_calls.c
+++ b/src/edge/pool_calls.c
@@ -105,6 +105,13 @@
   return is_new;
 }
 
+void
+pool_server_rests (struct pool_server *s, uint64_t until_ms)
+{
+  if (until_ms > s->rest_until_ms)
+    s->rest_until_ms = until_ms;
+}
+
 void
 pool_server_replaced (struct pool_server *s)
 {
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -394,6 +394,44 @@
     }
 }
 
+/* Guards against calls to a server within the time for which it asked for a
+   rest, and against waiting for one that is not back in time. */
+static void
+test_resting_server (void)
+{
+  static const struct
+  {
+    const char *path;
+    uint32_t timeout_ms;
+    int status;
+  } cases[] = { { "/plain/x", 4000, 200 },
+                { "/once/x", 4000, 200 },
+                { "/plain/x", 1000, 503 },
+                { "/once/x", 1000, 503 } };
+  static const char *const flags[] = { "--fault", "rest", NULL };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct cluster_proc *server;
+      struct cluster_proc *edge
+          = start_with_one_server ("plain", flags, &server);
+      struct cluster_reply r;
+
+      edgecluster_configure (&edges, cases[i].timeout_ms);
+      sleep (2);
+      r = edgecluster_call (edge, "POST", cases[i].path, "id-1", NULL, "x");
+      CU_ASSERT_EQUAL (r.status, cases[i].status);
+      CU_ASSERT_EQUAL (server_counter (server, "arrivals"),
+                       cases[i].status == 200 ? 2 : 1);
+      if (cases[i].status == 503)
+        CU_ASSERT_TRUE (edgecluster_wait_logged (
+            edge, (const char *const[]){ "event=call", "id=id-1 ",
+                                         "reason=servers-rest", NULL }));
+      cluster_reply_free (&r);
+      edgecluster_destroy (&edges);
+    }
+}
+
 /* Guards against a stream that the node cuts because its server pauses, when
    no other server could resume it. */
 static void
@@ -878,6 +916,7 @@
   { "streams", test_streams },
   { "repeated refusal", test_repeated_refusal },
   { "leaving, said in a response", test_leaving_response },
+  { "resting server", test_resting_server },
   { "paused server", test_paused_server },
   { "connection reuse", test_connection_reuse },
   { "configuration", test_configuration },
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -291,10 +291,44 @@
   pool_destroy (p);
 }
 
+/* Guards against calls to a server that asked for a rest, against leaving it
+   for longer, and against resting after a restart. */
+static void
+test_rest (void)
+{
+  struct pool *p = pool_create ();
+  const struct server_entry first = entry ("i-1", "a", 1000, SERVER_READY);
+  const struct server_entry second = entry ("i-2", "b", 1000, SERVER_READY);
+  const struct server_entry again = entry ("i-2", "b", 2000, SERVER_READY);
+  struct pool_server *s;
+
+  pool_update (p, &first, 10);
+  pool_update (p, &second, 10);
+  s = choose (p, &plain_criteria, 10, POOL_CHOSEN);
+  CU_ASSERT (str_eq (pool_server_id (s), STR ("i-1")));
+  CU_ASSERT_EQUAL (pool_rest_ends_in (p, &plain_criteria, 10), UINT32_MAX);
+  pool_server_rests (s, 1010);
+  /* An answer that was under way asks for less. */
+  pool_server_rests (s, 500);
+  s = choose (p, &plain_criteria, 600, POOL_CHOSEN);
+  CU_ASSERT (str_eq (pool_server_id (s), STR ("i-2")));
+  pool_server_rests (s, 3000);
+  choose (p, &plain_criteria, 700, POOL_RESTING);
+  CU_ASSERT_EQUAL (pool_rest_ends_in (p, &plain_criteria, 700), 310);
+  s = choose (p, &plain_criteria, 1010, POOL_CHOSEN);
+  CU_ASSERT (str_eq (pool_server_id (s), STR ("i-1")));
+  pool_server_rests (s, 3000);
+  pool_update (p, &again, 1200);
+  s = choose (p, &plain_criteria, 1200, POOL_CHOSEN);
+  CU_ASSERT (str_eq (pool_server_id (s), STR ("i-2")));
+  pool_destroy (p);
+}
+
 static const struct suite_case cases[] = {
   { "turned away", test_turned_away },
   { "leaving", test_leaving },
   { "leaving, said in a response", test_leaving_response },
+  { "rest", test_rest },
   { "expired entries", test_expired_entries },
   { "unreadable entry", test_unreadable },
   { "preference", test_preference },
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -289,6 +289,35 @@
     }
 }
 
+/* Guards against a rest of no or endless length because of a value that is no
+   number of seconds. */
+static void
+test_retry_after (void)
+{
+  static const struct
+  {
+    const char *value;
+    uint32_t ms;
+  } cases[] = {
+    { "2", 2000 },
+    { "0.25", 250 },
+    { "0", 0 },
+    { "-3", 0 },
+    { "", 0 },
+    { "soon", 0 },
+    { "2 s", 0 },
+    { "nan", 0 },
+    { "1e9", 60000 },
+    { "inf", 60000 },
+    { "Sat, 05 Dec 2026 08:00:00 GMT", 0 },
+    { "00000000000000000000000000000000001", 0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    CU_ASSERT_EQUAL (retry_after_read (str_from (cases[i].value)),
+                     cases[i].ms);
+}
+
 static const struct suite_case cases[] = {
   { "find", test_find },
   { "split", test_split },
@@ -297,5 +326,6 @@
   { "entries", test_entries },
   { "headers", test_headers },
   { "prompt parts", test_prompt_parts },
+  { "retry after", test_retry_after },
 };
 TEST_SUITE ("routing", cases)
