--- a/tests/test_promptparts.c
+++ b/tests/test_promptparts.c
@@ -9,7 +9,7 @@
 #define FIRST 1
 #define TOPIC 2
 #define OTHER_TOPIC 3
-#define DEADLY 4
+#define CRASHING 4
 #define PARTS_MAX 4
 #define STEPS_MAX 12
 #define START_MS 100000
@@ -22,8 +22,9 @@
 
 static const struct prompt sound = { { FIRST, TOPIC } };
 static const struct prompt other = { { FIRST, OTHER_TOPIC } };
-static const struct prompt deadly = { { FIRST, TOPIC, DEADLY } };
-static const struct prompt deadly_other = { { FIRST, OTHER_TOPIC, DEADLY } };
+static const struct prompt crashing = { { FIRST, TOPIC, CRASHING } };
+static const struct prompt crashing_other
+    = { { FIRST, OTHER_TOPIC, CRASHING } };
 
 struct step
 {
@@ -76,7 +77,7 @@
       crash (q, s->prompt, s->crashed, now_ms);
     else
       respond (q, s->prompt, now_ms);
-  for (uint64_t part = FIRST; part <= DEADLY; part++)
+  for (uint64_t part = FIRST; part <= CRASHING; part++)
     CU_ASSERT_EQUAL (quarantine_contains (q, part, now_ms),
                      is_listed (h->refused, part));
   quarantine_destroy (q);
@@ -89,51 +90,57 @@
 {
   static const struct history histories[] = {
     /* The prompts are all there is. */
-    { { { &deadly, 1 }, { &deadly, 2 }, { &deadly, 3 } }, { DEADLY } },
+    { { { &crashing, 1 }, { &crashing, 2 }, { &crashing, 3 } }, { CRASHING } },
     /* Sound prompts are served in between. */
     { { { &sound, 0 },
-        { &deadly, 1 },
+        { &crashing, 1 },
         { &sound, 0 },
-        { &deadly, 2 },
+        { &crashing, 2 },
         { &other, 0 },
-        { &deadly, 3 },
+        { &crashing, 3 },
         { &sound, 0 } },
-      { DEADLY } },
+      { CRASHING } },
     /* Sound prompts were served before and run beside the crashes. */
     { { { &sound, 0 },
         { &other, 0 },
-        { &deadly, 1 },
+        { &crashing, 1 },
         { &other, 1 },
-        { &deadly_other, 2 },
+        { &crashing_other, 2 },
         { &sound, 2 },
-        { &deadly, 3 },
+        { &crashing, 3 },
         { &other, 3 },
         { &sound, 4 },
         { &sound, 5 } },
-      { DEADLY } },
+      { CRASHING } },
     /* The part comes behind several others. */
     { { { &sound, 0 },
         { &other, 0 },
-        { &deadly, 1 },
-        { &deadly_other, 2 },
-        { &deadly, 3 },
-        { &deadly_other, 4 } },
-      { DEADLY } },
+        { &crashing, 1 },
+        { &crashing_other, 2 },
+        { &crashing, 3 },
+        { &crashing_other, 4 } },
+      { CRASHING } },
     /* A part crashes servers whatever follows it. */
-    { { { &other, 0 }, { &deadly, 1 }, { &sound, 2 }, { &deadly, 3 } },
+    { { { &other, 0 }, { &crashing, 1 }, { &sound, 2 }, { &crashing, 3 } },
       { TOPIC } },
     /* The same after the part behind it was blamed for it. */
     { { { &other, 0 },
-        { &deadly, 1 },
-        { &deadly, 2 },
-        { &deadly, 3 },
+        { &crashing, 1 },
+        { &crashing, 2 },
+        { &crashing, 3 },
         { &sound, 4 } },
-      { TOPIC, DEADLY } },
+      { TOPIC, CRASHING } },
     /* Two crashes, and one crash seen three times. */
-    { { { &deadly, 1 }, { &deadly, 2 }, { &deadly, 2 }, { &deadly, 2 } },
+    { { { &crashing, 1 },
+        { &crashing, 2 },
+        { &crashing, 2 },
+        { &crashing, 2 } },
       { 0 } },
     /* A server responds to the part between the crashes. */
-    { { { &deadly, 1 }, { &deadly, 2 }, { &deadly, 0 }, { &deadly, 3 } },
+    { { { &crashing, 1 },
+        { &crashing, 2 },
+        { &crashing, 0 },
+        { &crashing, 3 } },
       { 0 } },
   };
 
@@ -146,19 +153,19 @@
 /* Guards against a part that is never refused because prompts with it were
    answered in the past. */
 static void
-test_turns_deadly (void)
+test_begins_to_crash (void)
 {
   struct quarantine *q = quarantine_create ();
   uint64_t now_ms = START_MS;
 
-  respond (q, &deadly, now_ms);
+  respond (q, &crashing, now_ms);
   for (uint64_t server = 1; server <= 3; server++)
-    crash (q, &deadly, server, now_ms += PROOF_MS / 4);
-  CU_ASSERT_FALSE (quarantine_contains (q, DEADLY, now_ms));
+    crash (q, &crashing, server, now_ms += PROOF_MS / 4);
+  CU_ASSERT_FALSE (quarantine_contains (q, CRASHING, now_ms));
   now_ms += PROOF_MS;
   for (uint64_t server = 4; server <= 6; server++)
-    crash (q, &deadly, server, now_ms += STEP_MS);
-  CU_ASSERT_TRUE (quarantine_contains (q, DEADLY, now_ms));
+    crash (q, &crashing, server, now_ms += STEP_MS);
+  CU_ASSERT_TRUE (quarantine_contains (q, CRASHING, now_ms));
   quarantine_destroy (q);
 }
 
@@ -187,8 +194,8 @@
 
   respond (holder, &sound, now_ms);
   respond (holder, &other, now_ms);
-  crash (node, &deadly, 1, now_ms);
-  crash (node, &deadly_other, 2, now_ms);
+  crash (node, &crashing, 1, now_ms);
+  crash (node, &crashing_other, 2, now_ms);
   crash (node, &other, 3, now_ms);
   CU_ASSERT_TRUE (quarantine_contains (node, FIRST, now_ms));
   for (int i = 0; i < 4; i++, now_ms += REPORT_INTERVAL_MS)
@@ -198,16 +205,16 @@
     }
   CU_ASSERT_FALSE (quarantine_contains (node, FIRST, now_ms));
   CU_ASSERT_FALSE (quarantine_contains (holder, FIRST, now_ms));
-  crash (node, &deadly, 4, now_ms);
+  crash (node, &crashing, 4, now_ms);
   CU_ASSERT_FALSE (quarantine_contains (node, FIRST, now_ms));
-  CU_ASSERT_TRUE (quarantine_contains (node, DEADLY, now_ms));
+  CU_ASSERT_TRUE (quarantine_contains (node, CRASHING, now_ms));
   quarantine_destroy (holder);
   quarantine_destroy (node);
 }
 
 static const struct suite_case cases[] = {
   { "blame", test_blame },
-  { "turns deadly", test_turns_deadly },
+  { "begins to crash servers", test_begins_to_crash },
   { "contradicted", test_contradicted },
 };
 TEST_SUITE ("promptparts", cases)
