--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -448,12 +448,13 @@
                 STR_ARG (server), STR_ARG (id));
       metrics_add ("galenagate_servers_left_total", STR (""), 1);
     }
-  if (meta->rest_ms == 0)
+  if (meta->retry_after_ms == 0)
     return;
-  LOG_INFO ("server-rests", "server=" STR_FMT " id=" STR_FMT " rest_ms=%u",
-            STR_ARG (server), STR_ARG (id), meta->rest_ms);
-  metrics_add ("galenagate_server_rests_total", STR (""), 1);
-  pool_server_rests (a->server, clock_ms () + meta->rest_ms);
+  LOG_INFO ("server-deferred",
+            "server=" STR_FMT " id=" STR_FMT " retry_after_ms=%u",
+            STR_ARG (server), STR_ARG (id), meta->retry_after_ms);
+  metrics_add ("galenagate_servers_deferred_total", STR (""), 1);
+  pool_defer_calls (a->server, clock_ms () + meta->retry_after_ms);
 }
 
 static uint32_t
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -35,9 +35,12 @@
 /* POOL_CHOSEN: a server could take the call, but the retry budget does not
    allow it yet. */
 static const char *const wait_reason_names[] = {
-  [POOL_CHOSEN] = "retry-budget",      [POOL_NO_SERVER] = "no-server",
-  [POOL_NO_MODEL] = "no-model",        [POOL_NO_ADAPTER] = "no-adapter",
-  [POOL_RESTING] = "all-servers-rest", [POOL_FULL] = "all-servers-full",
+  [POOL_CHOSEN] = "retry-budget",
+  [POOL_NO_SERVER] = "no-server",
+  [POOL_NO_MODEL] = "no-model",
+  [POOL_NO_ADAPTER] = "no-adapter",
+  [POOL_DEFERRED] = "all-servers-deferred",
+  [POOL_FULL] = "all-servers-full",
 };
 
 /* Counts a first send, or takes a retry from the budget if an earlier attempt
@@ -72,8 +75,8 @@
 
   if (result == POOL_NO_MODEL)
     return pool_ready_in (pool, criteria, clock_ms ());
-  if (result == POOL_RESTING)
-    return pool_rest_ends_in (pool, criteria, clock_ms ());
+  if (result == POOL_DEFERRED)
+    return pool_deferred_for (pool, criteria, clock_ms ());
   return UINT32_MAX;
 }
 
@@ -87,8 +90,8 @@
       && clock_ms () + ready_in > call_wait_deadline_ms (c))
     {
       call_give_up (c, ready_in,
-                    result == POOL_RESTING ? "servers-rest"
-                                           : "model-loads-too-late");
+                    result == POOL_DEFERRED ? "servers-deferred"
+                                            : "model-loads-too-late");
       return;
     }
   if (c->waiting && c->wait_reason == result)
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -144,7 +144,7 @@
   s->rejections = 0;
   s->full_until_ms = 0;
   s->avoid_until_ms = 0;
-  s->rest_until_ms = 0;
+  s->deferred_until_ms = 0;
   s->unreached = false;
 }
 
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -76,7 +76,7 @@
   POOL_NO_SERVER,  /* the service has no usable server */
   POOL_NO_MODEL,   /* no server has the model */
   POOL_NO_ADAPTER, /* servers have the model without the adapter */
-  POOL_RESTING,    /* all servers that could run the call want none */
+  POOL_DEFERRED,   /* all servers that could run it want no calls yet */
   POOL_FULL,       /* likewise full */
 };
 
@@ -141,12 +141,12 @@
  * shutting down. It gets no calls until it starts again. Returns false if this
  * was known. */
 bool pool_server_announced_leaving (struct pool_server *server);
-/** pool_server_rests() - the server wants no calls of this node until then, or
+/** pool_defer_calls() - the server wants no calls of this node until then, or
  * until a later time that it said before. */
-void pool_server_rests (struct pool_server *server, uint64_t until_ms);
-/** pool_rest_ends_in() - shortest time in ms until a server that could run the
- * call takes calls again; UINT32_MAX if none rests. */
-uint32_t pool_rest_ends_in (const struct pool *pool,
+void pool_defer_calls (struct pool_server *server, uint64_t until_ms);
+/** pool_deferred_for() - shortest time in ms until a server that could run the
+ * call wants calls again; UINT32_MAX if none wants to wait. */
+uint32_t pool_deferred_for (const struct pool *pool,
                             const struct pool_criteria *criteria,
                             uint64_t now_ms);
 /** pool_server_replaced() - another server uses the address now. */
--- a/src/edge/pool_calls.c
+++ b/src/edge/pool_calls.c
@@ -106,10 +106,10 @@
 }
 
 void
-pool_server_rests (struct pool_server *s, uint64_t until_ms)
+pool_defer_calls (struct pool_server *s, uint64_t until_ms)
 {
-  if (until_ms > s->rest_until_ms)
-    s->rest_until_ms = until_ms;
+  if (until_ms > s->deferred_until_ms)
+    s->deferred_until_ms = until_ms;
 }
 
 void
--- a/src/edge/pool_choose.c
+++ b/src/edge/pool_choose.c
@@ -45,7 +45,8 @@
 }
 
 /* Returns POOL_CHOSEN if the server can run the call, else why not. Leaves out
-   whether it rests, and for a plain service whether it is full. */
+   whether it wants no calls yet, and for a plain service whether it is full.
+ */
 static enum pool_result
 match_server (const struct pool_server *s,
               const struct pool_criteria *criteria, uint64_t now_ms)
@@ -103,8 +104,8 @@
       if (match == POOL_CHOSEN && is_full (s, criteria, now_ms))
         match = POOL_FULL;
       if ((match == POOL_CHOSEN || match == POOL_FULL)
-          && now_ms < s->rest_until_ms)
-        match = POOL_RESTING;
+          && now_ms < s->deferred_until_ms)
+        match = POOL_DEFERRED;
       if (match != POOL_CHOSEN)
         result = closer_result (result, match);
       else if (!best || is_better (s, best, criteria, now_ms))
@@ -117,7 +118,7 @@
 }
 
 uint32_t
-pool_rest_ends_in (const struct pool *p, const struct pool_criteria *criteria,
+pool_deferred_for (const struct pool *p, const struct pool_criteria *criteria,
                    uint64_t now_ms)
 {
   uint32_t best = UINT32_MAX;
@@ -126,13 +127,14 @@
     {
       enum pool_result match;
 
-      if (now_ms >= s->rest_until_ms || !str_eq (s->service, criteria->service)
+      if (now_ms >= s->deferred_until_ms
+          || !str_eq (s->service, criteria->service)
           || !pool_server_usable (s, now_ms))
         continue;
       match = match_server (s, criteria, now_ms);
       if ((match == POOL_CHOSEN || match == POOL_FULL)
-          && s->rest_until_ms - now_ms < best)
-        best = (uint32_t)(s->rest_until_ms - now_ms);
+          && s->deferred_until_ms - now_ms < best)
+        best = (uint32_t)(s->deferred_until_ms - now_ms);
     }
   return best;
 }
--- a/src/edge/pool_impl.h
+++ b/src/edge/pool_impl.h
@@ -39,7 +39,7 @@
  * @running: calls of this node.
  * @reported_running: value of @running that was last reported to the holder.
  * @rejections: since the server last served a call.
- * @rest_until_ms: the server wants no calls of this node before.
+ * @deferred_until_ms: the server wants no calls of this node before.
  * @unreached: the last connection attempt failed.
  */
 struct pool_server
@@ -70,7 +70,7 @@
   uint32_t rejections;
   uint64_t full_until_ms;
   uint64_t avoid_until_ms;
-  uint64_t rest_until_ms;
+  uint64_t deferred_until_ms;
   bool unreached;
   UT_hash_handle hh;
   UT_hash_handle hh_hash;
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -394,10 +394,10 @@
     }
 }
 
-/* Guards against calls to a server within the time for which it asked for a
-   rest, and against waiting for one that is not back in time. */
+/* Guards against calls to a server before the time that its Retry-After asked
+   for, and against waiting for one that is not back in time. */
 static void
-test_resting_server (void)
+test_retry_after (void)
 {
   static const struct
   {
@@ -408,7 +408,7 @@
                 { "/once/x", 4000, 200 },
                 { "/plain/x", 1000, 503 },
                 { "/once/x", 1000, 503 } };
-  static const char *const flags[] = { "--fault", "rest", NULL };
+  static const char *const flags[] = { "--fault", "retry-after", NULL };
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
     {
@@ -426,7 +426,7 @@
       if (cases[i].status == 503)
         CU_ASSERT_TRUE (edgecluster_wait_logged (
             edge, (const char *const[]){ "event=call", "id=id-1 ",
-                                         "reason=servers-rest", NULL }));
+                                         "reason=servers-deferred", NULL }));
       cluster_reply_free (&r);
       edgecluster_destroy (&edges);
     }
@@ -916,7 +916,7 @@
   { "streams", test_streams },
   { "repeated refusal", test_repeated_refusal },
   { "leaving, said in a response", test_leaving_response },
-  { "resting server", test_resting_server },
+  { "Retry-After of a server", test_retry_after },
   { "paused server", test_paused_server },
   { "connection reuse", test_connection_reuse },
   { "configuration", test_configuration },
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -53,7 +53,7 @@
     "shed, close, cut, cut-chunks, unsealed, crossed, unframed, error, "
     "unframed-cut, cut-event, cut-end, no-answer, "
     "repeat-refusal, repeat-refusal-unnamed, text-busy, text-lines, "
-    "text-empty, events-lines, events-head, leaving, rest, "
+    "text-empty, events-lines, events-head, leaving, retry-after, "
     "silent, pause, or one of the endless responses",
     SETTING_STRING, FIELD (fault), "", 0, 0 },
   { "most-models", "N", "models that fit in memory", SETTING_U32,
@@ -549,7 +549,7 @@
 static void
 reject_call (h2o_req_t *req, int status)
 {
-  if (has_fault ("rest"))
+  if (has_fault ("retry-after"))
     standin_add_header (req, "Retry-After", STR ("1.5"));
   standin_add_header (req, "X-Galenagate-Attempt-Id",
                       standin_header (req, "x-galenagate-attempt-id"));
@@ -777,7 +777,7 @@
   arrivals++;
   if (expected.len > 0 && !str_eq (expected, options.id))
     reject_call (req, 421);
-  else if (has_fault ("rest") && calls_rejected++ == 0)
+  else if (has_fault ("retry-after") && calls_rejected++ == 0)
     reject_call (req, 503);
   else if (refuses_first (req) || is_full ())
     reject_call (req, 503);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -291,10 +291,10 @@
   pool_destroy (p);
 }
 
-/* Guards against calls to a server that asked for a rest, against leaving it
-   for longer, and against resting after a restart. */
+/* Guards against calls to a server before the time that it asked for, against
+   leaving it alone for longer, also after a restart. */
 static void
-test_rest (void)
+test_retry_after (void)
 {
   struct pool *p = pool_create ();
   const struct server_entry first = entry ("i-1", "a", 1000, SERVER_READY);
@@ -306,18 +306,18 @@
   pool_update (p, &second, 10);
   s = choose (p, &plain_criteria, 10, POOL_CHOSEN);
   CU_ASSERT (str_eq (pool_server_id (s), STR ("i-1")));
-  CU_ASSERT_EQUAL (pool_rest_ends_in (p, &plain_criteria, 10), UINT32_MAX);
-  pool_server_rests (s, 1010);
+  CU_ASSERT_EQUAL (pool_deferred_for (p, &plain_criteria, 10), UINT32_MAX);
+  pool_defer_calls (s, 1010);
   /* An answer that was under way asks for less. */
-  pool_server_rests (s, 500);
+  pool_defer_calls (s, 500);
   s = choose (p, &plain_criteria, 600, POOL_CHOSEN);
   CU_ASSERT (str_eq (pool_server_id (s), STR ("i-2")));
-  pool_server_rests (s, 3000);
-  choose (p, &plain_criteria, 700, POOL_RESTING);
-  CU_ASSERT_EQUAL (pool_rest_ends_in (p, &plain_criteria, 700), 310);
+  pool_defer_calls (s, 3000);
+  choose (p, &plain_criteria, 700, POOL_DEFERRED);
+  CU_ASSERT_EQUAL (pool_deferred_for (p, &plain_criteria, 700), 310);
   s = choose (p, &plain_criteria, 1010, POOL_CHOSEN);
   CU_ASSERT (str_eq (pool_server_id (s), STR ("i-1")));
-  pool_server_rests (s, 3000);
+  pool_defer_calls (s, 3000);
   pool_update (p, &again, 1200);
   s = choose (p, &plain_criteria, 1200, POOL_CHOSEN);
   CU_ASSERT (str_eq (pool_server_id (s), STR ("i-2")));
@@ -328,7 +328,7 @@
   { "turned away", test_turned_away },
   { "leaving", test_leaving },
   { "leaving, said in a response", test_leaving_response },
-  { "rest", test_rest },
+  { "retry after", test_retry_after },
   { "expired entries", test_expired_entries },
   { "unreadable entry", test_unreadable },
   { "preference", test_preference },
