--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -22,7 +22,8 @@
   uv_timer_t timer;
   bool stream;
   bool response_started;
-  bool malformed; /* data that can't be part of the call's response */
+  bool forwardable; /* signed by the server, and the body is unmodified */
+  bool malformed;   /* data that can't be part of the call's response */
   bool timed_out;
   bool finished;
   int status;
@@ -64,15 +65,6 @@
   uv_close ((uv_handle_t *)&f->timer, free_forward);
 }
 
-/* Returns true if the response is for this call and its body is unmodified. A
-   response without the call's id may belong to an earlier call on the
-   connection. */
-static bool
-answers_call (const struct forward *f, const struct answer_meta *meta)
-{
-  return !meta->encoded && str_eq (meta->id, f->call_id);
-}
-
 static enum forward_outcome
 outcome_of (const struct forward *f, const struct http_call *call, int code,
             bool sent)
@@ -84,7 +76,7 @@
   if (f->status == 0 || f->malformed)
     return FORWARD_BROKEN;
   answer_meta_read (call, f->status, &meta);
-  if (!answers_call (f, &meta))
+  if (meta.encoded)
     return FORWARD_BROKEN;
   if (meta.not_executed && !f->response_started)
     {
@@ -148,6 +140,9 @@
     return;
   f->status = status;
   answer_meta_read (call, status, &meta);
+  f->forwardable = meta.sealed && !meta.encoded;
+  /* A response without the call's id may belong to an earlier call on the
+     connection. */
   if (str_eq (meta.id, f->call_id))
     f->events->head (f->ctx, &meta);
   else
@@ -216,26 +211,12 @@
   return true;
 }
 
-/* Returns true if the response may be forwarded, because it comes from the
-   server and is for this call. Otherwise it counts as malformed. */
-static bool
-check_response_head (struct forward *f)
-{
-  struct answer_meta meta;
-
-  answer_meta_read (f->call, f->status, &meta);
-  if (meta.sealed && answers_call (f, &meta))
-    return true;
-  f->malformed = true;
-  return false;
-}
-
 static void
 handle_data (struct forward *f, struct str part)
 {
   if (f->stream && f->status == STATUS_OK)
     {
-      if (check_response_head (f) && !sse_feed (&f->sse, part, on_event, f))
+      if (!f->forwardable || !sse_feed (&f->sse, part, on_event, f))
         f->malformed = true;
       return;
     }
@@ -253,8 +234,11 @@
     }
   if (!f->response_started)
     {
-      if (!check_response_head (f))
-        return;
+      if (!f->forwardable)
+        {
+          f->malformed = true;
+          return;
+        }
       begin (f);
       uv_timer_stop (&f->timer);
       f->events->part (f->ctx, buf_str (&f->buffered), 0);
