Compute the hash of a server's start in one function

site_server_ended() and call_server_start() had the same expression. site_server_start() serves both.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -440,7 +440,7 @@
   const struct str id = a->call->meta.client_attempt_id;
   const struct str server = pool_server_id (a->server);
 
-  if (call_server_start (a->server) != a->server_start)
+  if (site_server_start (a->server) != a->server_start)
     return;
   if (meta->leaving && pool_server_announced_leaving (a->server))
     {
--- a/src/edge/call_crash.c
+++ b/src/edge/call_crash.c
@@ -13,12 +13,6 @@
 /* Detects servers that crash while they run a call, and the calls that may
    have caused it. */
 
-uint64_t
-call_server_start (const struct pool_server *s)
-{
-  return quarantine_server_hash (pool_server_id (s), pool_server_started (s));
-}
-
 /* A refused connection shows that the process has ended. Without any answer
    the link may be cut, which is no fault of the requests that ran there. */
 static void
@@ -61,7 +55,7 @@
   struct pool_server *server
       = pool_find (site_pool (p->calls->site), p->server_id);
 
-  if (code != 0 && server && call_server_start (server) == p->server_start)
+  if (code != 0 && server && site_server_start (server) == p->server_start)
     record_unreachable (p->calls, server, code, "probe");
   str_free (&p->server_id);
   free (p);
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -77,7 +77,7 @@
  * struct call_attempt - an attempt to run a call on one server; context of the
  * callbacks of @forward.
  * @forward: NULL unless the attempt is in flight.
- * @server_start: call_server_start() when the attempt began.
+ * @server_start: site_server_start() when the attempt began.
  * @sent_ms: when the first byte was sent; 0 before.
  * @uses_retry_budget: the attempt was taken from the retry budget.
  * @silent: the call was sent to a second server because this one sent nothing.
@@ -284,8 +284,6 @@
 
 /* ---- call_crash.c ---- */
 
-/** call_server_start() - hash of the server's current start. */
-uint64_t call_server_start (const struct pool_server *server);
 /** call_fingerprint() - set the fingerprints of a call.
  * @client: any number that stays the same for a client. */
 void call_fingerprint (struct call *call, uint64_t client);
--- a/src/edge/call_start.c
+++ b/src/edge/call_start.c
@@ -95,7 +95,7 @@
   *a = (struct call_attempt){
     .call = c,
     .server = server,
-    .server_start = call_server_start (server),
+    .server_start = site_server_start (server),
     .uses_retry_budget = uses_retry_budget,
   };
   c->sent_ms = clock_ms ();
--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -97,12 +97,18 @@
   return e->started_ms > pool_server_started (same) ? same : NULL;
 }
 
+uint64_t
+site_server_start (const struct pool_server *server)
+{
+  return quarantine_server_hash (pool_server_id (server),
+                                 pool_server_started (server));
+}
+
 void
 site_server_ended (struct site *s, const struct pool_server *server,
                    const char *evidence)
 {
-  const uint64_t start = quarantine_server_hash (pool_server_id (server),
-                                                 pool_server_started (server));
+  const uint64_t start = site_server_start (server);
 
   if (!quarantine_server_crashed (s->quarantine, start, clock_ms ()))
     return;
--- a/src/edge/site.h
+++ b/src/edge/site.h
@@ -30,6 +30,8 @@
                   void *ctx);
 struct pool *site_pool (struct site *site);
 struct demand *site_demand (struct site *site);
+/** site_server_start() - hash of the server's current start. */
+uint64_t site_server_start (const struct pool_server *server);
 /**
  * site_server_ended() - record that a server's process ended without notice,
  * which confirms the requests that are suspected of crashing it.
