Bound the placement holder's digests by bytes, and never end over one

Cause: digests to all nodes were bounded by counts only, and xdrcodec_encode() ended the process over a value that exceeds the bounds of its type. A list within all bounds could still exceed a datagram; it was then dropped whole, with the other servers in it, and logged at debug level only. Lists beyond 256 models or adapters were cut without notice.

Change: servers are put into a datagram until their bytes are used up. A server whose list does not fit alone is sent without it and marked, and nodes use its entry in the store instead. xdrcodec_encode() returns -EMSGSIZE; a datagram that can't be encoded or sent is logged as a warning and counted.

Evidence: the test "foreign entry" (9 entries: long names, many names, both, more than a datagram) fails before, the holder ends with SIGABRT; it passes now.

--- a/src/claim_object.c
+++ b/src/claim_object.c
@@ -1,11 +1,18 @@
 #include "claim_impl.h"
 
+#include <stdlib.h>
+
 #include "xdrcodec.h"
 
 struct str
 claim_encode (const struct claim_object *object)
 {
-  return xdrcodec_encode ((xdrproc_t)xdr_claim_object, object);
+  struct str bytes;
+
+  /* Its records were decoded with the same bounds. */
+  if (xdrcodec_encode ((xdrproc_t)xdr_claim_object, object, &bytes) != 0)
+    abort ();
+  return bytes;
 }
 
 /* Returns false if the object is malformed or its format is unknown. On
--- a/src/edge/demand.c
+++ b/src/edge/demand.c
@@ -60,14 +60,39 @@
                      STR_ARG (model), STR_ARG (adapter));
 }
 
+uint64_t
+demand_model_hash (struct str service, struct str model)
+{
+  return str_hash (model, str_hash (service, 0));
+}
+
+static struct demand_entry *
+find_entry (const struct demand *d, struct str key)
+{
+  struct demand_entry *e;
+
+  HASH_FIND (hh, d->entries, key.data, key.len, e);
+  return e;
+}
+
+struct demand_item *
+demand_lookup (const struct demand *d, struct str service, struct str model,
+               struct str adapter)
+{
+  struct str key = demand_key (service, model, adapter);
+  struct demand_entry *e = find_entry (d, key);
+
+  str_free (&key);
+  return e ? &e->item : NULL;
+}
+
 struct demand_item *
 demand_find (struct demand *d, struct str service, struct str model,
              struct str adapter)
 {
   struct str key = demand_key (service, model, adapter);
-  struct demand_entry *e;
+  struct demand_entry *e = find_entry (d, key);
 
-  HASH_FIND (hh, d->entries, key.data, key.len, e);
   if (e)
     {
       str_free (&key);
--- a/src/edge/demand.h
+++ b/src/edge/demand.h
@@ -44,6 +44,13 @@
  * str_free(). */
 struct str demand_key (struct str service, struct str model,
                        struct str adapter);
+/** demand_model_hash() - Returns a hash that stands for the names of a service
+ * and its model in digests, whose size then does not depend on names. */
+uint64_t demand_model_hash (struct str service, struct str model);
+/** demand_lookup() - Returns the item of the three names, or NULL. */
+struct demand_item *demand_lookup (const struct demand *demand,
+                                   struct str service, struct str model,
+                                   struct str adapter);
 /** demand_find() - Returns the item of the three names, created at first use.
  * An item with calls stays valid; one without calls may be removed by
  * demand_take(). */
--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -13,12 +13,13 @@
 extern "C" {
 #endif
 
+#define DIGEST_LABEL_MAX 65507
 
 typedef struct {
 	u_int label_len;
 	char *label_val;
 } label;
-#define DIGEST_DEMAND_MAX 2048
+#define DIGEST_DEMAND_MAX 512
 #define DIGEST_LOADS_MAX 2048
 #define DIGEST_CRASHES_MAX 64
 #define DIGEST_HELD_MAX 256
@@ -28,8 +29,7 @@
 #define DIGEST_SERVERS_MAX 64
 
 struct demand_digest {
-	label service;
-	label model;
+	u_quad_t model;
 	label adapter;
 	u_int waiting;
 	u_int running;
@@ -61,6 +61,7 @@
 	u_quad_t sequence;
 	bool_t store_reachable;
 	bool_t missed;
+	bool_t continues;
 	struct {
 		u_int demand_len;
 		demand_digest *demand_val;
@@ -99,6 +100,7 @@
 	u_quad_t order_count;
 	u_int running;
 	bool_t placed;
+	bool_t omitted;
 	struct {
 		u_int held_len;
 		held_digest *held_val;
@@ -143,8 +145,8 @@
 typedef struct holder_digest holder_digest;
 
 enum datagram_kind {
-	DATAGRAM_ENTRY = 6,
-	DATAGRAM_HOLDER = 7,
+	DATAGRAM_ENTRY = 8,
+	DATAGRAM_HOLDER = 9,
 };
 typedef enum datagram_kind datagram_kind;
 
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -4,12 +4,14 @@
  * nodes.
  */
 
-typedef opaque label<256>;
+/* Names have no bound of their own: the limit is what a datagram carries. */
+const DIGEST_LABEL_MAX = 65507;
+typedef opaque label<DIGEST_LABEL_MAX>;
 
 /* Bounds of the lists. A datagram that exceeds one is rejected as malformed,
    because the memory for a list is allocated before its elements are decoded.
  */
-const DIGEST_DEMAND_MAX = 2048;
+const DIGEST_DEMAND_MAX = 512;
 const DIGEST_LOADS_MAX = 2048;
 const DIGEST_CRASHES_MAX = 64;
 const DIGEST_HELD_MAX = 256;
@@ -21,8 +23,7 @@
 /* Demand of one node for a model or for one of its adapters. */
 struct demand_digest
 {
-  label service;
-  label model;
+  unsigned hyper model; /* hash of the names of its service and itself */
   label adapter; /* empty for the model itself */
   unsigned int waiting;
   unsigned int running;
@@ -56,6 +57,7 @@
   unsigned hyper sequence; /* increases with each digest of the process */
   bool store_reachable;
   bool missed; /* digests of the holder were lost: send all servers again */
+  bool continues; /* adds demand to the digest with the previous number */
   demand_digest demand<DIGEST_DEMAND_MAX>;
   load_digest loads<DIGEST_LOADS_MAX>;
   crash_digest crashes<DIGEST_CRASHES_MAX>;
@@ -82,6 +84,7 @@
   unsigned hyper order_count;
   unsigned int running; /* calls of all nodes that run there */
   bool placed; /* the holder has read what the server holds */
+  bool omitted; /* the list is too large for a datagram: use the server's entry */
   held_digest held<DIGEST_HELD_MAX>;
 };
 
@@ -114,8 +117,8 @@
    datagram. */
 enum datagram_kind
 {
-  DATAGRAM_ENTRY = 6,
-  DATAGRAM_HOLDER = 7
+  DATAGRAM_ENTRY = 8,
+  DATAGRAM_HOLDER = 9
 };
 
 union datagram switch (datagram_kind kind)
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -10,7 +10,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->label_val, (u_int *) &objp->label_len, 256))
+	 if (!xdr_bytes (xdrs, (char **)&objp->label_val, (u_int *) &objp->label_len, DIGEST_LABEL_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -22,9 +22,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_label (xdrs, &objp->service))
-			 return FALSE;
-		 if (!xdr_label (xdrs, &objp->model))
+		 if (!xdr_u_quad_t (xdrs, &objp->model))
 			 return FALSE;
 		 if (!xdr_label (xdrs, &objp->adapter))
 			 return FALSE;
@@ -49,9 +47,7 @@
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_label (xdrs, &objp->service))
-			 return FALSE;
-		 if (!xdr_label (xdrs, &objp->model))
+		 if (!xdr_u_quad_t (xdrs, &objp->model))
 			 return FALSE;
 		 if (!xdr_label (xdrs, &objp->adapter))
 			 return FALSE;
@@ -77,9 +73,7 @@
 	 return TRUE;
 	}
 
-	 if (!xdr_label (xdrs, &objp->service))
-		 return FALSE;
-	 if (!xdr_label (xdrs, &objp->model))
+	 if (!xdr_u_quad_t (xdrs, &objp->model))
 		 return FALSE;
 	 if (!xdr_label (xdrs, &objp->adapter))
 		 return FALSE;
@@ -133,6 +127,71 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_label (xdrs, &objp->node))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->instance))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->store_reachable))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->missed))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->continues))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->store_reachable);
+		IXDR_PUT_BOOL(buf, objp->missed);
+		IXDR_PUT_BOOL(buf, objp->continues);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, DIGEST_DEMAND_MAX,
+			sizeof (demand_digest), (xdrproc_t) xdr_demand_digest))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, DIGEST_LOADS_MAX,
+			sizeof (load_digest), (xdrproc_t) xdr_load_digest))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, DIGEST_CRASHES_MAX,
+			sizeof (crash_digest), (xdrproc_t) xdr_crash_digest))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_label (xdrs, &objp->node))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->instance))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->store_reachable))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->missed))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->continues))
+				 return FALSE;
+
+		} else {
+		objp->store_reachable = IXDR_GET_BOOL(buf);
+		objp->missed = IXDR_GET_BOOL(buf);
+		objp->continues = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, DIGEST_DEMAND_MAX,
+			sizeof (demand_digest), (xdrproc_t) xdr_demand_digest))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, DIGEST_LOADS_MAX,
+			sizeof (load_digest), (xdrproc_t) xdr_load_digest))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, DIGEST_CRASHES_MAX,
+			sizeof (crash_digest), (xdrproc_t) xdr_crash_digest))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_label (xdrs, &objp->node))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->instance))
@@ -143,6 +202,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->missed))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->continues))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, DIGEST_DEMAND_MAX,
 		sizeof (demand_digest), (xdrproc_t) xdr_demand_digest))
 		 return FALSE;
@@ -187,6 +248,55 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->server))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->order_count))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->placed))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->omitted))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->running);
+		IXDR_PUT_BOOL(buf, objp->placed);
+		IXDR_PUT_BOOL(buf, objp->omitted);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, DIGEST_HELD_MAX,
+			sizeof (held_digest), (xdrproc_t) xdr_held_digest))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->server))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->order_count))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->placed))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->omitted))
+				 return FALSE;
+
+		} else {
+		objp->running = IXDR_GET_U_LONG(buf);
+		objp->placed = IXDR_GET_BOOL(buf);
+		objp->omitted = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, DIGEST_HELD_MAX,
+			sizeof (held_digest), (xdrproc_t) xdr_held_digest))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->server))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->order_count))
@@ -195,6 +305,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->placed))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->omitted))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, DIGEST_HELD_MAX,
 		sizeof (held_digest), (xdrproc_t) xdr_held_digest))
 		 return FALSE;
--- a/src/edge/fleet.h
+++ b/src/edge/fleet.h
@@ -66,6 +66,16 @@
   uint32_t idle_ms;
 };
 
+/**
+ * fleet_find_model() - Finds a model that is configured or held by a server.
+ * @hash: of its names, by demand_model_hash().
+ * @service, @model: its names, valid until the next call that changes the
+ *   fleet.
+ *
+ * Returns false if there is none.
+ */
+bool fleet_find_model (const struct fleet *fleet, uint64_t hash,
+                       struct str *service, struct str *model);
 /**
  * fleet_begin_digest() - Starts a new demand digest of a node and drops the
  * contents of its previous one.
--- a/src/edge/fleet_impl.h
+++ b/src/edge/fleet_impl.h
@@ -191,7 +191,9 @@
   RB_ENTRY (fleet_model) queue;
   struct fleet_model *stale_prev, *stale_next;
   struct fleet_model *prev, *next; /* in the list of all models */
+  uint64_t hash;                   /* demand_model_hash() */
   UT_hash_handle hh;
+  UT_hash_handle hh_hash;
 };
 
 RB_HEAD (need_queue, fleet_model);
@@ -383,6 +385,7 @@
   struct fleet_server *servers;         /* by id */
   struct fleet_server *servers_by_hash; /* by hash of the id */
   struct fleet_model *models;           /* of all services */
+  struct fleet_model *models_by_hash;   /* likewise, by their hash */
   struct fleet_model *stale;
   struct due_queue need_changes;
   struct due_queue reports;
--- a/src/edge/fleet_index.c
+++ b/src/edge/fleet_index.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "edge/demand.h"
 #include "err.h"
 
 /* Services, models, adapters and failure domains by name, and sets of
@@ -114,11 +115,27 @@
   m->demand.model = m;
   m->need_due.owner = m;
   m->need_due.ordinal = ++f->ordinals;
+  m->hash = demand_model_hash (v->name, name);
   HASH_ADD_KEYPTR (hh, v->models, m->name.data, m->name.len, m);
+  HASH_ADD (hh_hash, f->models_by_hash, hash, sizeof m->hash, m);
   DL_APPEND (f->models, m);
   return m;
 }
 
+bool
+fleet_find_model (const struct fleet *f, uint64_t hash, struct str *service,
+                  struct str *model)
+{
+  const struct fleet_model *m;
+
+  HASH_FIND (hh_hash, f->models_by_hash, &hash, sizeof hash, m);
+  if (!m)
+    return false;
+  *service = m->service->name;
+  *model = m->name;
+  return true;
+}
+
 struct fleet_adapter *
 fleet_adapter_get (struct fleet_model *m, struct str name)
 {
@@ -207,6 +224,7 @@
   due_clear (&f->need_changes, &m->need_due);
   DL_DELETE (f->models, m);
   HASH_DEL (m->service->models, m);
+  HASH_DELETE (hh_hash, f->models_by_hash, m);
   free (m->replicas.items);
   free (m->reserved.items);
   free (m->waiters);
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -5,18 +5,19 @@
 
 #include "err.h"
 #include "log.h"
+#include "metrics.h"
 #include "netaddr.h"
 #include "xdrcodec.h"
 
 #define LOG_MODULE "peers"
-#define DATAGRAM_MAX_BYTES 65536
+#define BUFFER_BYTES 65536
 
 struct peers
 {
   uv_udp_t socket;
   peers_receive_fn receive;
   void *ctx;
-  char buffer[DATAGRAM_MAX_BYTES];
+  char buffer[BUFFER_BYTES];
 };
 
 struct str
@@ -92,10 +93,23 @@
   return rc;
 }
 
-struct str
-peers_encode (const struct datagram *d)
+int
+peers_encode (const struct datagram *d, struct str *out)
 {
-  return xdrcodec_encode ((xdrproc_t)xdr_datagram, d);
+  int rc = xdrcodec_encode ((xdrproc_t)xdr_datagram, d, out);
+
+  if (rc == 0 && out->len > PEERS_DATAGRAM_MAX_BYTES)
+    {
+      rc = -EMSGSIZE;
+      str_free (out);
+    }
+  if (rc != 0)
+    {
+      LOG_WARN ("datagram-too-large", "kind=%d limit=%d", (int)d->kind,
+                PEERS_DATAGRAM_MAX_BYTES);
+      metrics_add ("galenagate_datagrams_too_large_total", STR (""), 1);
+    }
+  return rc;
 }
 
 void
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -287,7 +287,8 @@
 }
 
 /* Records the sender of a demand digest. Returns false for a digest older than
-   the last one from the same process. */
+   the last one from the same process, and for a continuation of a digest that
+   was lost. */
 static bool
 update_follower (struct placer *p, struct str from, const entry_digest *d)
 {
@@ -297,6 +298,9 @@
     return true;
   if (d->instance == f->instance && d->sequence <= f->last_sequence)
     return false;
+  if (d->continues
+      && (d->instance != f->instance || d->sequence != f->last_sequence + 1))
+    return false;
   f->instance = d->instance;
   f->last_sequence = d->sequence;
   f->last_digest_ms = clock_ms ();
--- a/src/edge/placer_receive.c
+++ b/src/edge/placer_receive.c
@@ -21,7 +21,8 @@
     .server = d->server,
     .order_count = d->order_count,
     .running = d->running,
-    .models_known = d->placed,
+    .models_known = d->placed && !d->omitted,
+    .models_omitted = d->omitted,
     .models = models,
     .model_count = d->held.held_len,
   };
@@ -152,13 +153,12 @@
   const uint64_t now = clock_ms ();
 
   merge_crashes (p, d->crashes.crashes_val, d->crashes.crashes_len);
-  fleet_begin_digest (p->fleet, from, now);
+  if (!d->continues)
+    fleet_begin_digest (p->fleet, from, now);
   for (u_int i = 0; i < d->demand.demand_len; i++)
     {
       const demand_digest *w = &d->demand.demand_val[i];
-      const struct node_demand demand = {
-        .service = label_to_str (w->service),
-        .model = label_to_str (w->model),
+      struct node_demand demand = {
         .adapter = label_to_str (w->adapter),
         .waiting = w->waiting,
         .running = w->running,
@@ -167,7 +167,11 @@
         .idle_ms = w->idle_ms,
       };
 
-      fleet_add_node_demand (p->fleet, from, &demand, now);
+      /* A model that this node's configuration does not have yet comes again
+         with the next digest. */
+      if (fleet_find_model (p->fleet, w->model, &demand.service,
+                            &demand.model))
+        fleet_add_node_demand (p->fleet, from, &demand, now);
     }
   for (u_int i = 0; i < d->loads.loads_len; i++)
     {
--- a/src/edge/placer_send.c
+++ b/src/edge/placer_send.c
@@ -4,6 +4,9 @@
 
 #include "clock.h"
 #include "err.h"
+#include "log.h"
+
+#define LOG_MODULE "placer"
 
 /* Digests that this node sends: as the holder the state of all servers, and to
    the holder its own demand. */
@@ -34,6 +37,9 @@
    all nodes. */
 #define FULL_BROADCAST_DIVISOR 4
 #define SERVERS_PER_DATAGRAM 4
+/* Bytes of the servers in a datagram; the rest of it is left for the other
+   lists. */
+#define SERVERS_MAX_BYTES (PEERS_DATAGRAM_MAX_BYTES - 16384)
 #define RUNNING_PER_DATAGRAM 80
 #define NODES_PER_DATAGRAM 8
 #define CRASHES_PER_DATAGRAM 32
@@ -51,6 +57,7 @@
   bool whole;    /* the next digest starts a transfer of all servers */
   server_digest servers[SERVERS_PER_DATAGRAM];
   u_int server_count;
+  size_t server_bytes;
   running_digest running[RUNNING_PER_DATAGRAM];
   u_int running_count;
 };
@@ -138,7 +145,8 @@
       placer_apply_holder_digest (p, addr, &d->datagram_u.holder);
       return;
     }
-  bytes = peers_encode (d);
+  if (peers_encode (d, &bytes) != 0)
+    return;
   peers_send (p->peers, addr, bytes);
   charge_link (p, bytes.len + DATAGRAM_HEADER_BYTES);
   str_free (&bytes);
@@ -147,8 +155,10 @@
 static void
 send_to_all (struct placer *p, const struct datagram *d)
 {
-  struct str bytes = peers_encode (d);
+  struct str bytes;
 
+  if (peers_encode (d, &bytes) != 0)
+    return;
   for (struct follower *f = p->followers; f; f = f->hh.next)
     peers_send (p->peers, f->addr, bytes);
   charge_link (p, HASH_COUNT (p->followers)
@@ -199,6 +209,7 @@
   for (u_int i = 0; i < b->server_count; i++)
     free_server_digest (&b->servers[i]);
   b->server_count = 0;
+  b->server_bytes = 0;
   b->running_count = 0;
   b->whole = false;
 }
@@ -208,9 +219,7 @@
 {
   out->adapters.adapters_val
       = xcalloc (r->adapter_count + 1, sizeof *out->adapters.adapters_val);
-  for (size_t i = 0; i < r->adapter_count
-                     && out->adapters.adapters_len < DIGEST_ADAPTERS_MAX;
-       i++)
+  for (size_t i = 0; i < r->adapter_count; i++)
     if (r->adapters[i].ready_ms <= now)
       out->adapters.adapters_val[out->adapters.adapters_len++]
           = label_from_str (r->adapters[i].name);
@@ -239,7 +248,7 @@
                         .running = v->running,
                         .placed = v->confirmed };
   d->held.held_val = xcalloc (v->replica_count + 1, sizeof *d->held.held_val);
-  for (size_t i = 0; i < v->replica_count && i < DIGEST_HELD_MAX; i++)
+  for (size_t i = 0; i < v->replica_count; i++)
     {
       const struct replica *r = &v->replicas[i];
       held_digest *h = &d->held.held_val[d->held.held_len++];
@@ -251,13 +260,51 @@
     }
 }
 
+/* Returns the encoded size of a server, or SIZE_MAX if a list exceeds its
+   bound. */
+static size_t
+encoded_size (const server_digest *d)
+{
+  if (d->held.held_len > DIGEST_HELD_MAX)
+    return SIZE_MAX;
+  for (u_int i = 0; i < d->held.held_len; i++)
+    if (d->held.held_val[i].adapters.adapters_len > DIGEST_ADAPTERS_MAX)
+      return SIZE_MAX;
+  return xdr_sizeof ((xdrproc_t)xdr_server_digest, (void *)d);
+}
+
+/* Fills in a server without its models if they do not fit into a datagram.
+   Returns its encoded size. */
+static size_t
+fill_bounded_server (const struct fleet_view *v, server_digest *d)
+{
+  size_t bytes;
+
+  fill_server (v, clock_ms (), d);
+  bytes = encoded_size (d);
+  if (bytes <= SERVERS_MAX_BYTES)
+    return bytes;
+  LOG_DBG ("server-too-large", "server=%016lx models=%zu", v->hash,
+           v->replica_count);
+  free_server_digest (d);
+  d->held.held_val = NULL;
+  d->held.held_len = 0;
+  d->omitted = true;
+  return encoded_size (d);
+}
+
 static bool
 add_server (void *ctx, const struct fleet_view *v)
 {
   struct digest_builder *b = ctx;
+  server_digest d;
+  const size_t bytes = fill_bounded_server (v, &d);
 
-  fill_server (v, clock_ms (), &b->servers[b->server_count]);
-  if (++b->server_count == SERVERS_PER_DATAGRAM)
+  if (b->server_bytes + bytes > SERVERS_MAX_BYTES)
+    flush_digest (b);
+  b->servers[b->server_count++] = d;
+  b->server_bytes += bytes;
+  if (b->server_count == SERVERS_PER_DATAGRAM)
     flush_digest (b);
   /* A series to a single node is not interrupted. */
   return b->to.len > 0 || !burst_limit_reached (b->placer);
@@ -375,7 +422,8 @@
 struct demand_list
 {
   demand_digest *items;
-  u_int count;
+  size_t count;
+  size_t capacity;
 };
 
 static void
@@ -383,12 +431,13 @@
 {
   struct demand_list *l = ctx;
 
-  if (l->count == DIGEST_DEMAND_MAX)
-    return;
-  l->items = xrealloc (l->items, (l->count + 1) * sizeof *l->items);
+  if (l->count == l->capacity)
+    {
+      l->capacity = l->capacity ? 2 * l->capacity : 64;
+      l->items = xrealloc (l->items, l->capacity * sizeof *l->items);
+    }
   l->items[l->count++] = (demand_digest){
-    .service = label_from_str (i->service),
-    .model = label_from_str (i->model),
+    .model = demand_model_hash (i->service, i->model),
     .adapter = label_from_str (i->adapter),
     .waiting = i->waiting,
     .running = i->running,
@@ -414,6 +463,64 @@
   return true;
 }
 
+/* Returns the number of loads listed. */
+static u_int
+collect_loads (struct placer *p, load_digest *out)
+{
+  struct pool_load_report *loads = xcalloc (DIGEST_LOADS_MAX, sizeof *loads);
+  const size_t n = pool_report_loads (site_pool (p->site), p->demand_sent_ms,
+                                      loads, DIGEST_LOADS_MAX);
+
+  for (size_t i = 0; i < n; i++)
+    out[i] = (load_digest){ .server = loads[i].server,
+                            .running = loads[i].running,
+                            .unreached = loads[i].unreached };
+  free (loads);
+  return (u_int)n;
+}
+
+static void
+send_entry_digest (struct placer *p, const struct datagram *d)
+{
+  struct str bytes;
+
+  if (p->is_holder)
+    {
+      placer_apply_entry_digest (p, edge_settings ()->peer_addr,
+                                 &d->datagram_u.entry);
+      return;
+    }
+  if (p->holder_addr.len == 0 || peers_encode (d, &bytes) != 0)
+    return;
+  peers_send (p->peers, p->holder_addr, bytes);
+  str_free (&bytes);
+}
+
+/* Sends the demand in as many digests as it needs. */
+static void
+send_demand_list (struct placer *p, struct datagram *d,
+                  const struct demand_list *list)
+{
+  entry_digest *e = &d->datagram_u.entry;
+  size_t sent = 0;
+
+  do
+    {
+      const size_t left = list->count - sent;
+
+      e->sequence = ++p->demand_sequence;
+      e->demand.demand_val = list->items + sent;
+      e->demand.demand_len
+          = (u_int)(left < DIGEST_DEMAND_MAX ? left : DIGEST_DEMAND_MAX);
+      send_entry_digest (p, d);
+      sent += e->demand.demand_len;
+      e->continues = true;
+      e->loads.loads_len = 0;
+      e->crashes.crashes_len = 0;
+    }
+  while (sent < list->count);
+}
+
 void
 placer_send_demand (struct placer *p)
 {
@@ -421,42 +528,22 @@
   entry_digest *e = &d.datagram_u.entry;
   struct demand_list list = { 0 };
   crash_digest crashes[CRASHES_PER_DATAGRAM];
-  struct pool_load_report *loads = xcalloc (DIGEST_LOADS_MAX, sizeof *loads);
-  load_digest *load_digests = xcalloc (DIGEST_LOADS_MAX, sizeof *load_digests);
-  size_t n;
+  load_digest *loads = xcalloc (DIGEST_LOADS_MAX, sizeof *loads);
 
   p->demand_sent_ms = clock_ms ();
-  n = pool_report_loads (site_pool (p->site), p->demand_sent_ms, loads,
-                         DIGEST_LOADS_MAX);
-  for (size_t i = 0; i < n; i++)
-    load_digests[i] = (load_digest){ .server = loads[i].server,
-                                     .running = loads[i].running,
-                                     .unreached = loads[i].unreached };
   demand_take (site_demand (p->site), full_demand_due (p), p->demand_sent_ms,
                add_demand, &list);
   e->node = label_from_str (edge_settings ()->node_name);
   e->instance = kernel_instance (p->kernel);
-  e->sequence = ++p->demand_sequence;
   e->store_reachable = p->store_reachable;
   e->missed = p->digests_missed;
-  e->demand.demand_val = list.items;
-  e->demand.demand_len = list.count;
-  e->loads.loads_val = load_digests;
-  e->loads.loads_len = (u_int)n;
+  e->loads.loads_val = loads;
+  e->loads.loads_len = collect_loads (p, loads);
   e->crashes.crashes_val = crashes;
   /* The holder's own lists are for all nodes. */
   if (!p->is_holder)
     e->crashes.crashes_len = collect_crashes (p, QUARANTINE_OWN, crashes);
-  if (p->is_holder)
-    placer_apply_entry_digest (p, edge_settings ()->peer_addr, e);
-  else if (p->holder_addr.len > 0)
-    {
-      struct str bytes = peers_encode (&d);
-
-      peers_send (p->peers, p->holder_addr, bytes);
-      str_free (&bytes);
-    }
+  send_demand_list (p, &d, &list);
   free (list.items);
-  free (load_digests);
   free (loads);
 }
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -273,6 +273,8 @@
   pool_apply_running (p, v->server, v->running);
   if (!v->models_known)
     s->models_known = false;
+  if (v->models_omitted)
+    s->view_received_ms = 0;
   if (!v->models_known || v->order_count < s->order_count)
     return;
   s->models_known = true;
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -41,6 +41,7 @@
  * @running: calls in flight from all nodes, by their latest reports.
  * @models_known: the holder knows which models the server has; otherwise
  * @models is not valid.
+ * @models_omitted: the list is too large to report: the server's entry counts.
  */
 struct pool_view
 {
@@ -48,6 +49,7 @@
   uint64_t order_count;
   uint32_t running;
   bool models_known;
+  bool models_omitted;
   const struct pool_model_info *models;
   size_t model_count;
 };
--- a/tests/e2e_names.c
+++ b/tests/e2e_names.c
@@ -157,8 +157,82 @@
     free (names[i]);
 }
 
+/* Writes the entry of a server that does not run. It has @models models, each
+   with @adapters adapters. */
+static void
+put_foreign_server (const char *service, int models, size_t name_bytes,
+                    int adapters, size_t adapter_bytes)
+{
+  char *model_name = long_name (name_bytes, "");
+  char *adapter_name = long_name (adapter_bytes, "");
+  json_t *held = json_array ();
+
+  for (int i = 0; i < models; i++)
+    {
+      json_t *names = json_array ();
+      struct str model = str_printf ("%s%d", model_name, i);
+
+      for (int j = 0; j < adapters; j++)
+        {
+          struct str adapter = str_printf ("%s%d", adapter_name, j);
+
+          json_array_append_new (names, json_string (adapter.data));
+          str_free (&adapter);
+        }
+      json_array_append_new (held,
+                             json_pack ("{s:s, s:i, s:o}", "name", model.data,
+                                        "version", 1, "adapters", names));
+      str_free (&model);
+    }
+  json_t *spec = json_pack (
+      "{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:o}", "service", service,
+      "address", "127.0.0.1:9", "zone", "a", "version", "v1", "slots", 8,
+      "state", "ready", "seq", 1, "cold_remaining_ms", 0, "models", held);
+  char *text = json_dumps (spec, JSON_COMPACT);
+
+  edgecluster_put_object (&edges, "servers", "foreign", text);
+  free (text);
+  json_decref (spec);
+  free (model_name);
+  free (adapter_name);
+}
+
+/* Guards against a placement holder that ends, or whose digests are lost with
+   all servers in them, because an entry of another writer has long names or
+   many. */
+static void
+test_foreign_entry (void)
+{
+  static const struct
+  {
+    const char *service;
+    int models;
+    size_t name_bytes;
+    int adapters;
+    size_t adapter_bytes;
+  } cases[] = {
+    { "other", 1, 300, 0, 0 },    { "other", 1, 2, 1, 300 },
+    { "other", 400, 2, 0, 0 },    { "other", 1, 2, 2000, 2 },
+    { "other", 1, 2, 250, 250 },  { "other", 40, 2, 250, 200 },
+    { "lm", 200, 300, 1, 300 },   { "lm", 1, 70000, 0, 0 },
+    { "other", 1, 2, 2000, 250 },
+  };
+
+  start (NULL);
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      put_foreign_server (cases[i].service, cases[i].models,
+                          cases[i].name_bytes, cases[i].adapters,
+                          cases[i].adapter_bytes);
+      check_nodes_place (i % 2 == 0 ? "m2" : "m3");
+      check_nodes_place (i % 2 == 0 ? "m4" : "m1");
+    }
+  stop ();
+}
+
 static const struct suite_case cases[] = {
   { "unknown long names", test_unknown },
   { "configured long names", test_configured },
+  { "foreign entry", test_foreign_entry },
 };
 TEST_SUITE ("names", cases)
--- a/tests/e2e_takeover.c
+++ b/tests/e2e_takeover.c
@@ -53,7 +53,7 @@
   d.datagram_u.entry.instance = 1;
   d.datagram_u.entry.sequence = sequence;
   CU_ASSERT_TRUE_FATAL (netaddr_parse (to, &sin));
-  bytes = xdrcodec_encode ((xdrproc_t)xdr_datagram, &d);
+  CU_ASSERT_EQUAL (xdrcodec_encode ((xdrproc_t)xdr_datagram, &d, &bytes), 0);
   sendto (fd, bytes.data, bytes.len, 0, (struct sockaddr *)&sin, sizeof sin);
   str_free (&bytes);
 }
--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -90,7 +90,15 @@
 }
 
 static json_t *
-engine_json (void)
+model_json (const char *name)
+{
+  return json_pack ("{s:s, s:i, s:f, s:i, s:i, s:f, s:f}", "name", name,
+                    "weights_mb", 40, "load_s", 0.1, "adapters", 4,
+                    "adapter_mb", 1, "warm_s", 0.05, "disk_s", 0.05);
+}
+
+static json_t *
+engine_json (const char *const *more_models)
 {
   json_t *models = json_array ();
 
@@ -99,12 +107,10 @@
       char name[8];
 
       snprintf (name, sizeof name, "m%d", i);
-      json_array_append_new (
-          models,
-          json_pack ("{s:s, s:i, s:f, s:i, s:i, s:f, s:f}", "name", name,
-                     "weights_mb", 40, "load_s", 0.1, "adapters", 4,
-                     "adapter_mb", 1, "warm_s", 0.05, "disk_s", 0.05));
+      json_array_append_new (models, model_json (name));
     }
+  for (; more_models && *more_models; more_models++)
+    json_array_append_new (models, model_json (*more_models));
   return json_pack ("{s:i, s:i, s:o, s:i, s:i, s:i}", "slots", 8,
                     "kv_capacity_tokens", 10000, "models", models,
                     "weights_mb", 100, "adapter_slots", 2, "loads_per_s", 50);
@@ -129,9 +135,10 @@
       route_json ("stream3", "streaming", "lm", timeout_ms, 3, true),
       route_json ("whole", "streaming", "lm", timeout_ms, 1, false),
       route_json (marker.data, "idempotent", "plain", timeout_ms, 1, false));
-  json_t *services = json_pack (
-      "[{s:s, s:i}, {s:s, s:i, s:o}]", "name", "plain", "max_connections", 100,
-      "name", "lm", "max_connections", 100, "engine", engine_json ());
+  json_t *services
+      = json_pack ("[{s:s, s:i}, {s:s, s:i, s:o}]", "name", "plain",
+                   "max_connections", 100, "name", "lm", "max_connections",
+                   100, "engine", engine_json (e->more_models));
   json_t *spec = json_pack (
       "{s:I, s:o, s:o, s:{s:i, s:i, s:i, s:i}}", "version",
       (json_int_t)e->version, "routes", routes, "services", services, "limits",
--- a/tests/edgecluster.h
+++ b/tests/edgecluster.h
@@ -19,7 +19,8 @@
 {
   struct cluster *cluster;
   struct cluster_proc *store;
-  uint64_t version; /* of the configuration to write next */
+  uint64_t version;               /* of the configuration to write next */
+  const char *const *more_models; /* of "lm", NULL-terminated; may be NULL */
 };
 
 /** edgecluster_create() - create the cluster and start only its object store.
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -527,23 +527,23 @@
 static bool
 holds (struct str model_header)
 {
-  char model[128];
-  char *slash;
-  json_t *adapters;
+  struct str name = str_dup (model_header);
+  char *model = (char *)name.data;
+  char *slash = model ? strchr (model, '/') : NULL;
+  const json_t *adapters;
+  bool held;
 
-  snprintf (model, sizeof model, "%.*s", (int)model_header.len,
-            model_header.data);
-  slash = strchr (model, '/');
   if (slash)
     *slash = '\0';
-  adapters = json_object_get (models, model);
-  if (!adapters || !slash)
-    return adapters != NULL;
-  for (size_t i = 0; i < json_array_size (adapters); i++)
-    if (strcmp (json_string_value (json_array_get (adapters, i)), slash + 1)
-        == 0)
-      return true;
-  return false;
+  adapters = model ? json_object_get (models, model) : NULL;
+  held = adapters && !slash;
+  for (size_t i = 0; slash && i < json_array_size (adapters); i++)
+    held = held
+           || strcmp (json_string_value (json_array_get (adapters, i)),
+                      slash + 1)
+                  == 0;
+  str_free (&name);
+  return held;
 }
 
 static void
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -324,6 +324,35 @@
   pool_destroy (p);
 }
 
+/* Guards against a node that keeps the last reported models of a server whose
+   list has become too large for the placement holder's digests. */
+static void
+test_models_omitted (void)
+{
+  struct pool *p = pool_create ();
+  struct held_model held = { .name = STR ("new") };
+  struct server_entry e = entry ("i-1", "a", 0, SERVER_READY);
+  const struct pool_view omitted
+      = { .server = str_hash (STR ("i-1"), 0), .models_omitted = true };
+  struct pool_criteria criteria = { .service = STR ("s"),
+                                    .engine = &engine,
+                                    .model = STR ("new"),
+                                    .domain = STR ("a") };
+
+  e.models = &held;
+  e.model_count = 1;
+  add (p, "i-1", "a", 10);
+  hold (p, "i-1", "old", POOL_MODEL_READY, NULL, 1, 20);
+  pool_update (p, &e, 30);
+  choose (p, &criteria, 30, POOL_NO_MODEL);
+  pool_apply_view (p, &omitted, 40);
+  pool_update (p, &e, 50);
+  choose (p, &criteria, 50, POOL_CHOSEN);
+  criteria.model = STR ("old");
+  choose (p, &criteria, 50, POOL_NO_MODEL);
+  pool_destroy (p);
+}
+
 static const struct suite_case cases[] = {
   { "turned away", test_turned_away },
   { "leaving", test_leaving },
@@ -333,6 +362,7 @@
   { "unreadable entry", test_unreadable },
   { "preference", test_preference },
   { "models", test_models },
+  { "models omitted", test_models_omitted },
   { "unreachable server", test_unreachable },
 };
 TEST_SUITE ("pool", cases)
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -111,6 +111,27 @@
   routing_destroy (r);
 }
 
+/* Guards against demand for adapters that clients invent, and against none for
+   one that is configured. */
+static void
+test_adapter_names (void)
+{
+  static const struct
+  {
+    const char *name;
+    bool configured;
+  } cases[] = { { "a1", true },   { "a3", true },
+                { "a0", false },  { "a4", false },
+                { "a01", false }, { "a", false },
+                { "", false },    { "b1", false },
+                { "a1x", false }, { "a99999999999999999999", false } };
+  const struct model_spec m = { .name = STR ("m"), .adapter_count = 3 };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    CU_ASSERT_EQUAL (routing_has_adapter (&m, str_from (cases[i].name)),
+                     cases[i].configured);
+}
+
 /* Guards against a malformed configuration that is applied in part. */
 static void
 test_bad_config (void)
@@ -322,6 +343,7 @@
   { "find", test_find },
   { "split", test_split },
   { "values", test_values },
+  { "adapter names", test_adapter_names },
   { "bad configuration", test_bad_config },
   { "entries", test_entries },
   { "headers", test_headers },
