Do not take the loss of a connection to the store for its outage

Cause: a node reported any failed call as "store lost" and the next answer as "store regained". The pool then used a server without an entry for another 1.9 s, as if entries had expired in an outage of the store. A waiting watch that the store cuts off had the same effect when libcurl did not repeat it.

Change: a failed call is repeated on a new connection, at once if the store closed the previous one. Only if that fails too, or if the node had no answer for longer than a single dead connection explains, the store had an outage, and the pool keeps servers for the grace period.

Ruled out: telling the two apart by other nodes (all lose their connections at the same moment) or by the revision of the removal (it says nothing of the time).

Evidence: the test "own connections lost" fails before for silent connections (the removed server runs the request) and passes now; the test "outage of the store" passes before and after: a server whose entry expired in an outage stays in use.

--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -10,8 +10,8 @@
 /* A server without an entry is remembered for this long, so that an old entry
    can't make a server usable again that is leaving or gone. */
 #define DEPARTED_RETENTION_MS (10 * 60 * 1000)
-/* Time for live servers to write their entries again after the store was
-   unreachable. */
+/* Time for live servers to write their entries again after an outage of the
+   store. */
 #define ENTRY_GRACE_MS 1900
 /* How long a report of the placement holder overrides a server's entry. */
 #define VIEW_VALID_MS 2000
@@ -210,13 +210,13 @@
 pool_remove (struct pool *p, struct str id, uint64_t now_ms)
 {
   struct pool_server *s = find (p, id);
-  const uint64_t grace_end_ms = p->store_regained_ms + ENTRY_GRACE_MS;
+  const uint64_t grace_end_ms = p->outage_ended_ms + ENTRY_GRACE_MS;
 
   if (!s)
     return;
   s->listed = false;
   s->removed_ms = now_ms;
-  s->usable_until_ms = p->store_regained_ms > 0 && now_ms < grace_end_ms
+  s->usable_until_ms = p->outage_ended_ms > 0 && now_ms < grace_end_ms
                            ? grace_end_ms
                            : now_ms;
 }
@@ -231,11 +231,9 @@
 }
 
 void
-pool_set_store_reachable (struct pool *p, bool reachable, uint64_t now_ms)
+pool_store_outage_ended (struct pool *p, uint64_t now_ms)
 {
-  if (reachable && !p->store_reachable)
-    p->store_regained_ms = now_ms;
-  p->store_reachable = reachable;
+  p->outage_ended_ms = now_ms;
 }
 
 static struct pool_server *
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -92,17 +92,15 @@
 /**
  * pool_remove() - the store no longer has an entry for the server.
  *
- * While the store is unreachable, entries of live servers expire too. After
- * such an outage the server stays usable until it had time to write its entry
- * again.
+ * In an outage of the store, entries of live servers expire too. After an
+ * outage the server stays usable until it had time to write its entry again.
  */
 void pool_remove (struct pool *pool, struct str id, uint64_t now_ms);
 /** pool_entry_unreadable() - stop using a server whose entry is not valid,
  * until its next valid entry. */
 void pool_entry_unreadable (struct pool *pool, struct str id);
-/** pool_set_store_reachable() - set whether this node can reach the store. */
-void pool_set_store_reachable (struct pool *pool, bool reachable,
-                               uint64_t now_ms);
+/** pool_store_outage_ended() - the store answers again after an outage. */
+void pool_store_outage_ended (struct pool *pool, uint64_t now_ms);
 /** pool_apply_view() - apply the placement holder's report about a server. */
 void pool_apply_view (struct pool *pool, const struct pool_view *view,
                       uint64_t now_ms);
--- a/src/edge/pool_impl.h
+++ b/src/edge/pool_impl.h
@@ -81,15 +81,14 @@
  * @servers: by id.
  * @servers_by_hash: by the hash of the id.
  * @holder_message_ms: when the last message of the placement holder arrived.
- * @store_regained_ms: when the store became reachable again; 0 before.
+ * @outage_ended_ms: end of the store's last outage; 0 if there was none.
  */
 struct pool
 {
   struct pool_server *servers;
   struct pool_server *servers_by_hash;
   uint64_t holder_message_ms;
-  bool store_reachable;
-  uint64_t store_regained_ms;
+  uint64_t outage_ended_ms;
 };
 
 /* ---- pool.c ---- */
--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -177,10 +177,17 @@
 {
   struct site *s = ctx;
 
-  pool_set_store_reachable (s->pool, reachable, clock_ms ());
   s->listener->reachable (s->ctx, reachable);
 }
 
+static void
+on_outage_ended (void *ctx)
+{
+  struct site *s = ctx;
+
+  pool_store_outage_ended (s->pool, clock_ms ());
+}
+
 static const struct platform_events events = {
   .routing = on_routing,
   .server = on_server,
@@ -188,6 +195,7 @@
   .server_unreadable = on_server_unreadable,
   .servers_listed = on_servers_listed,
   .reachable = on_reachable,
+  .outage_ended = on_outage_ended,
 };
 
 /* ---- quarantine ---- */
--- a/src/http.c
+++ b/src/http.c
@@ -496,11 +496,10 @@
       curl_easy_setopt (e, CURLOPT_REQUEST_TARGET, target.data);
       str_free (&target);
     }
+  if (req->new_connection || req->fresh_connection)
+    curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
   if (req->new_connection)
-    {
-      curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt (e, CURLOPT_FORBID_REUSE, 1L);
-    }
+    curl_easy_setopt (e, CURLOPT_FORBID_REUSE, 1L);
 }
 
 /* Returns the "ip:port" of a URL. */
--- a/src/http.h
+++ b/src/http.h
@@ -20,6 +20,7 @@
  *   empty.
  * @allow_close_delimited: accept a response without a length, whose body ends
  *   when the connection closes.
+ * @fresh_connection: use a new connection, which later calls may use too.
  * @new_connection: use a new connection and close it afterwards. Needed for
  * each call that must not be repeated, because libcurl itself repeats a
  * request if a reused connection closes before the first byte of the response.
@@ -36,6 +37,7 @@
   uint32_t silence_ms;
   uint32_t total_ms;
   bool allow_close_delimited;
+  bool fresh_connection;
   bool new_connection;
 };
 
--- a/tests/standin_objects.c
+++ b/tests/standin_objects.c
@@ -59,10 +59,13 @@
 
 /* @down: answers 503. @silent: does not answer. @lose_answers: stores an
    object but closes the connection without an answer. @stale_revision: last
-   revision that watches with stale_ok see, or 0 if they are up to date. */
+   revision that watches with stale_ok see, or 0 if they are up to date.
+   @silent_until: number of the last connection that is not answered any more.
+ */
 static struct
 {
   uint64_t stale_revision;
+  uint64_t silent_until;
   bool down;
   bool silent;
   bool lose_answers;
@@ -395,6 +398,22 @@
     write_object (req, kind, name);
 }
 
+/* Watches that wait are closed, or are not answered any more and their
+   connections neither. */
+static void
+end_watches (bool close)
+{
+  while (watches)
+    {
+      struct watch *w = watches;
+
+      watches = w->next;
+      if (close)
+        standin_close (w->req);
+      free (w);
+    }
+}
+
 static void
 set_faults (h2o_req_t *req)
 {
@@ -412,6 +431,13 @@
     history_start = revision + 1;
   if (json_is_true (json_object_get (json, "forget")))
     revision++;
+  if (json_is_true (json_object_get (json, "silence_open")))
+    {
+      faults.silent_until = req->conn->id;
+      end_watches (false);
+    }
+  if (json_is_true (json_object_get (json, "cut_watches")))
+    end_watches (true);
   json_decref (json);
   standin_json (req, 200, json_object ());
 }
@@ -431,7 +457,8 @@
                              stale_reads, "writes", writes));
   else if (str_eq (path, STR ("/faults")))
     set_faults (req);
-  else if (faults.silent && !from_test)
+  else if ((faults.silent || req->conn->id <= faults.silent_until)
+           && !from_test)
     return;
   else if (faults.down && !from_test)
     standin_error (req, 503, "down");
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -66,13 +66,12 @@
 }
 
 /* Guards against giving up live servers whose entries expired while the store
-   was unreachable, and against using such servers forever. */
+   had an outage, and against using such servers forever. */
 static void
 test_expired_entries (void)
 {
   struct pool *p = pool_create ();
 
-  pool_set_store_reachable (p, true, 1000);
   add (p, "i-1", "a", 1000);
   add (p, "i-2", "a", 1000);
   pool_remove (p, STR ("i-1"), 60000);
@@ -81,9 +80,8 @@
   choose (p, &plain_criteria, 60000, POOL_NO_SERVER);
 
   add (p, "i-1", "a", 61000);
-  pool_set_store_reachable (p, false, 62000);
   choose (p, &plain_criteria, 69000, POOL_CHOSEN);
-  pool_set_store_reachable (p, true, 70000);
+  pool_store_outage_ended (p, 70000);
   pool_remove (p, STR ("i-1"), 70100);
   choose (p, &plain_criteria, 70100, POOL_CHOSEN);
   choose (p, &plain_criteria, 71500, POOL_CHOSEN);
