Send each call once, also on kept connections

What callers saw: servers were handed more time than was left.

Cause: libcurl repeats a request by itself, POST too, if a reused connection closes before the first byte of the response. The HTTP client avoided that only for calls with a connection of their own. Conditional writes to the store were repeated too, and could conflict with themselves.

Change: the pre-request callback runs before each send; the HTTP client refuses the second one once bytes of the first were sent, and ends the call with -EPIPE, as after any lost answer. The callers treat it as an attempt: counted, logged, within max_attempts and the budget, with what is left of the deadline.

Ruled out: new connections for all calls; they cost more at the servers.

--- a/src/edge/call_start.c
+++ b/src/edge/call_start.c
@@ -52,9 +52,9 @@
   return c->priority > PRIORITY_LOWEST ? PRIORITY_LOWEST : (int)c->priority;
 }
 
-/* libcurl repeats a request by itself if a reused connection closes before the
-   response. And a server may write its rejection of an earlier attempt once
-   more on a kept connection, with the same id. */
+/* A reused connection may close while the request is sent, which a call that
+   must not be repeated can't make up for. And a server may write its rejection
+   of an earlier attempt once more on a kept connection, with the same id. */
 static bool
 needs_new_connection (const struct call *c)
 {
--- a/src/http.c
+++ b/src/http.c
@@ -45,9 +45,11 @@
   uint32_t silence_ms;
   uint32_t total_ms;
   bool allow_close_delimited;
+  bool repeat_if_closed;
   bool head_done;
   bool added_to_multi;
   bool cancelled;
+  bool repeat_refused; /* libcurl was about to send the request once more */
   struct http_call *prev;
   struct http_call *next;
 };
@@ -208,18 +210,23 @@
 /* ---- libcurl callbacks ---- */
 
 /* Runs when the connection is established. This may be much later than
-   http_send(), so the caller confirms that the request is still to be sent. */
+   http_send(), so the caller confirms that the request is still to be sent.
+   Runs again when a reused connection closed before the first byte of the
+   response, because libcurl then repeats the request by itself. */
 static int
 on_prereq (void *ctx, char *remote_ip, char *local_ip, int remote_port,
            int local_port)
 {
-  const struct http_call *c = ctx;
+  struct http_call *c = ctx;
 
   (void)remote_ip;
   (void)local_ip;
   (void)remote_port;
   (void)local_port;
-  return !c->cancelled && c->events->confirm_send (c->ctx)
+  c->repeat_refused = !c->repeat_if_closed && request_sent (c);
+  if (c->cancelled || c->repeat_refused)
+    return CURL_PREREQFUNC_ABORT;
+  return !c->events->confirm_send || c->events->confirm_send (c->ctx)
              ? CURL_PREREQFUNC_OK
              : CURL_PREREQFUNC_ABORT;
 }
@@ -301,7 +308,8 @@
         continue;
       code = error_code (msg->data.result);
       curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, &c);
-      if (code == 0 && !c->allow_close_delimited && !has_body_framing (c))
+      if (c->repeat_refused
+          || (code == 0 && !c->allow_close_delimited && !has_body_framing (c)))
         code = -EPIPE;
       finish (c, code);
     }
@@ -484,11 +492,8 @@
   curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
   curl_easy_setopt (e, CURLOPT_MAXLIFETIME_CONN, (long)CONNECTION_AGE_LIMIT_S);
   curl_easy_setopt (e, CURLOPT_MAXAGE_CONN, (long)CONNECTION_IDLE_LIMIT_S);
-  if (c->events->confirm_send)
-    {
-      curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, on_prereq);
-      curl_easy_setopt (e, CURLOPT_PREREQDATA, c);
-    }
+  curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, on_prereq);
+  curl_easy_setopt (e, CURLOPT_PREREQDATA, c);
   if (req->target.len > 0)
     {
       struct str target = str_dup (req->target);
@@ -534,6 +539,7 @@
   c->silence_ms = req->silence_ms;
   c->total_ms = req->total_ms;
   c->allow_close_delimited = req->allow_close_delimited;
+  c->repeat_if_closed = req->repeat_if_closed;
   uv_timer_init (h->loop, &c->timer);
   c->timer.data = c;
   c->next = h->calls;
--- a/src/http.h
+++ b/src/http.h
@@ -21,9 +21,12 @@
  * @allow_close_delimited: accept a response without a length, whose body ends
  *   when the connection closes.
  * @fresh_connection: use a new connection, which later calls may use too.
- * @new_connection: use a new connection and close it afterwards. Needed for
- * each call that must not be repeated, because libcurl itself repeats a
- * request if a reused connection closes before the first byte of the response.
+ * @repeat_if_closed: send the request once more on a new connection if a
+ *   reused one closes before the first byte of the response. For reads without
+ *   a deadline or a budget only.
+ * @new_connection: use a new connection and close it afterwards. A connection
+ *   that was used before may be closed by the peer while the request is sent,
+ *   and the call is then lost without having been executed.
  */
 struct http_request
 {
@@ -37,6 +40,7 @@
   uint32_t silence_ms;
   uint32_t total_ms;
   bool allow_close_delimited;
+  bool repeat_if_closed;
   bool fresh_connection;
   bool new_connection;
 };
@@ -53,7 +57,8 @@
  * @done: end of the call; runs exactly once unless the call was cancelled or
  *   ended by http_close(). The code of @err is 0 only if the response is
  *   complete. @sent is false only if certainly no byte of the request reached
- *   the peer.
+ *   the peer. Without @repeat_if_closed a request is sent once at most, and
+ *   ends with -EPIPE if its connection closes before the response.
  * @closed: http_close() ended the call. Must only free the context. May be
  * NULL.
  */
--- a/src/placement_target.c
+++ b/src/placement_target.c
@@ -338,6 +338,7 @@
     .method = STR ("GET"),
     .url = url,
     .total_ms = wait_ms + POLL_GRACE_MS,
+    .repeat_if_closed = true,
     .new_connection = t->poll_timed_out,
   };
 
--- a/src/store.c
+++ b/src/store.c
@@ -103,8 +103,9 @@
     .header_count = spec->is_write ? 1 : 0,
     .body = spec->value,
     .total_ms = spec->timeout_ms,
-    /* Keeps libcurl from repeating a write by itself: the repetition would
-       conflict with its own first attempt. */
+    .repeat_if_closed = !spec->is_write,
+    /* A reused connection may close while the write is sent, and its outcome
+       is then unknown. */
     .new_connection = spec->is_write,
   };
   http_send (s->http, &req, &events, r);
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -50,7 +50,8 @@
   { "models", "LIST", "models loaded at startup; - for none", SETTING_STRING,
     FIELD (models), "", 0, 0 },
   { "fault", "WORD",
-    "shed, close, cut, cut-chunks, unsealed, crossed, unframed, error, "
+    "shed, close, close-kept, cut, cut-chunks, unsealed, crossed, unframed, "
+    "error, "
     "unframed-cut, cut-event, cut-end, no-answer, "
     "repeat-refusal, repeat-refusal-unnamed, text-busy, text-lines, "
     "text-empty, events-lines, events-head, leaving, retry-after, "
@@ -77,11 +78,12 @@
 };
 
 static struct options options;
-static json_t *models;  /* name -> list of adapters */
-static json_t *runs;    /* number of executions by attempt ID */
-static json_t *headers; /* of the last call */
-static json_t *ports;   /* caller's port by attempt ID */
-static json_t *orders;  /* accepted orders, oldest first */
+static json_t *models;           /* name -> list of adapters */
+static json_t *runs;             /* number of executions by attempt ID */
+static json_t *headers;          /* of the last call */
+static json_t *ports;            /* caller's port by attempt ID */
+static json_t *used_connections; /* numbers of those that carried a call */
+static json_t *orders;           /* accepted orders, oldest first */
 static json_int_t arrivals;
 static uint32_t calls_executed;
 static uint32_t calls_rejected; /* because of --reject-first */
@@ -767,6 +769,19 @@
                         sizeof CRASHING_PART - 1));
 }
 
+/* Returns true if the connection carried a call before. */
+static bool
+is_reused (const h2o_req_t *req)
+{
+  char number[24];
+  bool used;
+
+  snprintf (number, sizeof number, "%lu", (unsigned long)req->conn->id);
+  used = json_object_get (used_connections, number) != NULL;
+  json_object_set_new (used_connections, number, json_true ());
+  return used;
+}
+
 static void
 serve_call (h2o_req_t *req)
 {
@@ -790,7 +805,8 @@
       repeat_refusal (req);
       if (is_crashing (req))
         standin_run_after (options.delay_ms, crash, req);
-      else if (has_fault ("close"))
+      else if (has_fault ("close")
+               || (is_reused (req) && has_fault ("close-kept")))
         standin_close (req);
       else if (endless_fault ())
         answer_endless (req, endless_fault ());
@@ -845,6 +861,7 @@
   runs = json_object ();
   headers = json_object ();
   ports = json_object ();
+  used_connections = json_object ();
   orders = json_array ();
   if (is_model_server ())
     add_initial_models ();
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,4 +1,5 @@
 #include <errno.h>
+#include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -8,6 +9,7 @@
 #include <netinet/in.h>
 
 #include "http.h"
+#include "platform/objects.h"
 #include "platform/orders.h"
 #include "suite.h"
 
@@ -184,8 +186,163 @@
     }
 }
 
+/* ---- a peer that loses an answer ---- */
+
+#define ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+/* Reads a request whose body has no line feeds. Returns false if the
+   connection was closed before. */
+static bool
+read_request (int fd)
+{
+  char bytes[2048] = "";
+  size_t n = 0;
+
+  while (!strstr (bytes, "\r\n\r\n"))
+    {
+      const ssize_t received = recv (fd, bytes + n, sizeof bytes - n - 1, 0);
+
+      if (received <= 0)
+        return false;
+      n += (size_t)received;
+      bytes[n] = '\0';
+    }
+  return true;
+}
+
+/**
+ * struct losing_peer - answers the first request on a connection, and closes
+ * it after the second one.
+ * @requests: number of requests that it read.
+ */
+struct losing_peer
+{
+  int fd;
+  int requests;
+};
+
+static void *
+run_losing_peer (void *ctx)
+{
+  struct losing_peer *p = ctx;
+  int fd;
+
+  while ((fd = accept (p->fd, NULL, NULL)) >= 0)
+    {
+      for (int i = 0; i < 2 && read_request (fd); i++)
+        {
+          p->requests++;
+          if (i == 0)
+            send (fd, ANSWER, sizeof ANSWER - 1, MSG_NOSIGNAL);
+        }
+      close (fd);
+    }
+  return NULL;
+}
+
+static void
+on_object (void *ctx, struct err err, const struct object *object)
+{
+  struct outcome *e = ctx;
+
+  (void)object;
+  e->done = true;
+  e->code = err.code;
+}
+
+static void
+send_get (struct peer *p, struct outcome *o)
+{
+  static const struct http_events events = { .done = on_done };
+  struct str url = str_printf ("http://" STR_FMT "/", STR_ARG (p->addr));
+  const struct http_request req = { .method = STR ("GET"), .url = url };
+
+  http_send (p->http, &req, &events, o);
+  str_free (&url);
+}
+
+static void
+send_read (struct peer *p, struct outcome *o)
+{
+  struct objects *objects = objects_create (p->http, p->addr);
+
+  objects_read (objects, "leases", "placer", on_object, o);
+  objects_destroy (objects);
+}
+
+static void
+send_confirmed_post (struct peer *p, struct outcome *o)
+{
+  static const struct http_events events
+      = { .confirm_send = is_wanted, .done = on_done };
+  struct str url = str_printf ("http://" STR_FMT "/", STR_ARG (p->addr));
+  const struct http_request req
+      = { .method = STR ("POST"), .url = url, .body = STR ("body") };
+
+  o->wanted = true;
+  http_send (p->http, &req, &events, o);
+  str_free (&url);
+}
+
+static void
+send_write (struct peer *p, struct outcome *o)
+{
+  struct objects *objects = objects_create (p->http, p->addr);
+
+  objects_write (objects, "leases", "placer", 7, STR ("{}"), on_object, o);
+  objects_destroy (objects);
+}
+
+/* Guards against a request that libcurl sends once more by itself after its
+   answer was lost on a kept connection: with the old deadline, beyond the
+   retry budget, or a write that then conflicts with itself. */
+static void
+test_lost_answer (void)
+{
+  static const struct
+  {
+    const char *name;
+    void (*send) (struct peer *p, struct outcome *o);
+    int code;
+    int requests;
+  } cases[] = {
+    { "call", send_get, -EPIPE, 2 },
+    { "confirmed call", send_confirmed_post, -EPIPE, 2 },
+    { "write to the store", send_write, -EINPROGRESS, 2 },
+    /* The answer is not an object. */
+    { "read of the store", send_read, -EBADMSG, 3 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct outcome first = { 0 };
+      struct outcome second = { 0 };
+      struct peer peer;
+      pthread_t thread;
+
+      peer_open (&peer);
+      struct losing_peer losing = { .fd = peer.fd };
+      pthread_create (&thread, NULL, run_losing_peer, &losing);
+      send_get (&peer, &first);
+      while (!first.done)
+        uv_run (&peer.loop, UV_RUN_ONCE);
+      CU_ASSERT_EQUAL (first.code, 0);
+      cases[i].send (&peer, &second);
+      while (!second.done)
+        uv_run (&peer.loop, UV_RUN_ONCE);
+      CU_ASSERT_EQUAL (second.code, cases[i].code);
+      http_close (peer.http);
+      uv_run (&peer.loop, UV_RUN_DEFAULT);
+      shutdown (peer.fd, SHUT_RDWR);
+      pthread_join (thread, NULL);
+      CU_ASSERT_EQUAL (losing.requests, cases[i].requests);
+      peer_close (&peer);
+    }
+}
+
 static const struct suite_case cases[] = {
   { "request that is no longer wanted", test_request },
   { "order that is no longer wanted", test_order },
+  { "lost answer", test_lost_answer },
 };
 TEST_SUITE ("http", cases)
