Do not end a node over a text that is too long for a message

Change: a longer key is refused with 400. A call whose arguments can't be encoded ends with -EMSGSIZE, and so does a reply whose result can't. Of the calls of abort() in these modules two are left: names in a grant are bounded by the lists, and records of claims were decoded with the same bounds.

Evidence: two cases of the test "bad HTTP" end all four nodes before (the other nodes by the retries of the check) and none now; the test "too large" covers calls, replies and copies.

--- a/src/leasecall.c
+++ b/src/leasecall.c
@@ -74,7 +74,8 @@
 {
   struct leasecall *c = handle->data;
 
-  xdr_free (c->type->xdr, (char *)c->p.args);
+  if (c->p.args)
+    xdr_free (c->type->xdr, (char *)c->p.args);
   free ((void *)c->p.args);
   str_free (&c->p.name);
   str_free (&c->p.region);
@@ -93,6 +94,12 @@
 
 static void call_node (struct leasecall *c);
 
+static void
+on_too_large (uv_timer_t *timer)
+{
+  end (timer->data, -EMSGSIZE, STR (""), NULL);
+}
+
 static void
 on_pause (uv_timer_t *timer)
 {
@@ -195,7 +202,10 @@
   uv_timer_init (kernel_loop (p->kernel), &c->pause);
   c->pause.data = c;
   DL_APPEND (p->calls->head, c);
-  call_node (c);
+  if (c->p.args)
+    call_node (c);
+  else
+    uv_timer_start (&c->pause, on_too_large, 0, 0);
 }
 
 void
--- a/src/request.c
+++ b/src/request.c
@@ -22,6 +22,8 @@
 #define LOG_MODULE "request"
 #define CALLER_CHECK_INTERVAL_MS 1000
 #define DEADLINE_MAX_MS 3600000
+/* Bound of a key in the messages between nodes. */
+#define KEY_MAX_BYTES 4096
 /* Maximum time that a response waits for the storage of its outcome. */
 #define OUTCOME_WAIT_MAX_MS 2000
 
@@ -441,6 +443,12 @@
       refuse_early (r, API_NOT_READY, "this node has no configuration yet");
       return NULL;
     }
+  if (r->key.len > KEY_MAX_BYTES)
+    {
+      refuse_early (r, API_INVALID_REQUEST,
+                    "Idempotency-Key is longer than 4096 bytes");
+      return NULL;
+    }
   customer = authenticate (lists, req);
   if (!customer)
     refuse_early (r, API_INVALID_KEY, "the bearer key is not known");
--- a/src/rpcmsg.c
+++ b/src/rpcmsg.c
@@ -66,7 +66,8 @@
   const void *value;
 };
 
-/* Encodes a record: the record mark, a message header and @n values. */
+/* Encodes a record: the record mark, a message header and @n values. Returns
+   an empty record if a value exceeds the bounds of its type. */
 static struct str
 encode_record (struct rpc_msg *msg, const struct xdr_value *values, size_t n)
 {
@@ -83,7 +84,11 @@
   for (size_t i = 0; ok && i < n; i++)
     ok = values[i].xdr (&xdr, (void *)values[i].value);
   if (!ok)
-    abort ();
+    {
+      xdr_destroy (&xdr);
+      free (data);
+      return (struct str){ 0 };
+    }
   const uint32_t len = xdr_getpos (&xdr);
   const uint32_t mark = htonl (LAST_FRAGMENT_BIT | len);
   memcpy (data, &mark, sizeof mark);
@@ -127,9 +132,16 @@
     { codecs[proc][RPCMSG_RESULT].xdr, result },
   };
 
+  struct str record;
+
   init_accepted_reply (&msg, xid, SUCCESS);
   msg.acpted_rply.ar_results.proc = xdr_no_value;
-  return encode_record (&msg, values, err == 0 ? 3 : 2);
+  record = encode_record (&msg, values, err == 0 ? 3 : 2);
+  if (record.len > 0)
+    return record;
+  err = -EMSGSIZE;
+  hint_text = (text){ 0 };
+  return encode_record (&msg, values, 2);
 }
 
 struct str
--- a/src/rpcmsg.h
+++ b/src/rpcmsg.h
@@ -29,10 +29,12 @@
 
 bool rpcmsg_proc_known (uint32_t proc);
 
-/** rpcmsg_call() - encode a call; the record, mark included, is heap-owned. */
+/** rpcmsg_call() - encode a call; the record, mark included, is heap-owned.
+ * Returns an empty record if an argument exceeds the bounds of its type. */
 struct str rpcmsg_call (uint32_t xid, uint32_t proc, const void *args);
 /** rpcmsg_reply() - encode a reply like rpcmsg_call(); @result is used only if
- * @err is 0. */
+ * @err is 0. A result that exceeds the bounds of its type is replaced by the
+ * error -EMSGSIZE. */
 struct str rpcmsg_reply (uint32_t xid, uint32_t proc, int err, struct str hint,
                          const void *result);
 /** rpcmsg_version_mismatch() - encode a reply that rejects a call because of
--- a/src/scheduler_client.c
+++ b/src/scheduler_client.c
@@ -183,6 +183,9 @@
   q->scheduler = s;
   q->args = xdrcodec_copy ((xdrproc_t)xdr_grant_args, &with_entry,
                            sizeof (struct grant_args));
+  /* The lists bound all names in it. */
+  if (!q->args)
+    abort ();
   q->key
       = sched_key_make (s, STR_TEXT (args->service), STR_TEXT (args->model));
   q->key.region = str_dup (q->key.region);
--- a/src/scheduler_release.c
+++ b/src/scheduler_release.c
@@ -7,8 +7,10 @@
 
 #include "clock.h"
 #include "err.h"
+#include "log.h"
 #include "xdrcodec.h"
 
+#define LOG_MODULE "scheduler"
 #define CALL_TIMEOUT_MS 5000
 /* A scheduler that was paused for longer than this has been replaced, and its
    grants expire without a release. */
@@ -103,13 +105,19 @@
   const struct str id = STR_TEXT (args->attempt_id);
   const char *dash = id.len > 0 ? memchr (id.data, '-', id.len) : NULL;
   struct pending_release *r;
+  struct release_args *copy;
 
   if (!dash || s->stopped)
     return;
+  copy = xdrcodec_copy ((xdrproc_t)xdr_release_args, args, sizeof *copy);
+  if (!copy)
+    {
+      LOG_ERR ("release-too-large", "attempt=" STR_FMT, STR_ARG (id));
+      return;
+    }
   r = xcalloc (1, sizeof *r);
   r->scheduler = s;
-  r->args = xdrcodec_copy ((xdrproc_t)xdr_release_args, args,
-                           sizeof (struct release_args));
+  r->args = copy;
   r->granter = str_dup ((struct str){ id.data, (size_t)(dash - id.data) });
   r->give_up_ms = clock_ms () + RESEND_FOR_MS;
   DL_APPEND (s->releases, r);
--- a/src/xdrcodec.c
+++ b/src/xdrcodec.c
@@ -31,7 +31,7 @@
   XDR x;
 
   if (xdrcodec_encode (xdr, value, &bytes) != 0)
-    abort ();
+    return NULL;
   copy = xcalloc (1, size);
   xdrmem_create (&x, (char *)bytes.data, (u_int)bytes.len, XDR_DECODE);
   if (!xdr (&x, copy))
--- a/src/xdrcodec.h
+++ b/src/xdrcodec.h
@@ -16,6 +16,6 @@
  */
 int xdrcodec_encode (xdrproc_t xdr, const void *value, struct str *out);
 /** xdrcodec_copy() - deep copy of a struct of @size bytes; release it with
- * xdr_free() and then free(). A value that exceeds the bounds of its type ends
- * the process. */
+ * xdr_free() and then free(). Returns NULL if the value exceeds the bounds of
+ * its type. */
 void *xdrcodec_copy (xdrproc_t xdr, const void *value, size_t size);
--- a/tests/e2e_input.c
+++ b/tests/e2e_input.c
@@ -157,6 +157,12 @@
       0, "\r\n" },
     { "HTTP/2 garbage", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 4096, "" },
     { "HTTP/2 cut", "PRI * HTTP/2.0\r\n\r\nSM\r\n", 0, "" },
+    { "long idempotency key",
+      "POST /services/stage/release HTTP/1.1\r\nHost: x\r\n" AUTHORIZATION
+      "Content-Length: 2\r\nIdempotency-Key: ",
+      5000, "\r\n\r\n{}" },
+    { "long key to explain", "GET /admin/explain?customer=opera&key=", 5000,
+      " HTTP/1.1\r\nHost: x\r\n\r\n" },
     { "pipelined",
       "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n" POST_CHAT CHAT_LENGTH, 77,
       POST_CHAT "Content-Length: 0\r\n\r\n"
--- a/tests/test_rpcmsg.c
+++ b/tests/test_rpcmsg.c
@@ -1,9 +1,11 @@
 #include "rpcmsg.h"
 
 #include <errno.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "suite.h"
+#include "xdrcodec.h"
 
 static struct str
 without_mark (struct str record)
@@ -112,10 +114,39 @@
   str_free (&record);
 }
 
+/* Guards against a process that ends because a text of a client or of a server
+   exceeds the bounds of a message. */
+static void
+test_too_large (void)
+{
+  char *key = malloc (5000);
+  struct rpcmsg msg;
+  struct str hint;
+  struct str body;
+
+  memset (key, 'k', 5000);
+  const struct lookup_args args
+      = { .key = TEXT_STR (((struct str){ key, 5000 })) };
+  const struct claim_res res
+      = { .content_type = TEXT_STR (((struct str){ key, 5000 })) };
+  struct str record = rpcmsg_reply (9, PEER_LOOKUP, 0, STR (""), &res);
+
+  CU_ASSERT_EQUAL (rpcmsg_call (7, PEER_LOOKUP, &args).len, 0);
+  CU_ASSERT_PTR_NULL (
+      xdrcodec_copy ((xdrproc_t)xdr_lookup_args, &args, sizeof args));
+  CU_ASSERT_EQUAL (
+      rpcmsg_decode_header (without_mark (record), &msg, &hint, &body), 0);
+  CU_ASSERT_EQUAL (msg.err, -EMSGSIZE);
+  str_free (&hint);
+  str_free (&record);
+  free (key);
+}
+
 static const struct suite_case cases[] = {
   { "call round trip", test_call },
   { "reply round trip", test_reply },
   { "truncated and altered records", test_bad_records },
   { "version mismatch", test_mismatch },
+  { "too large", test_too_large },
 };
 TEST_SUITE ("rpcmsg", cases)
