Bound what a faulty server can make a node keep of a response

Report of another operator: bytes without end filled the memory of the calling machine. Calls of clients were bounded here (128 KiB of a head, 256 KiB of a body that can't be the answer, tested by "endless responses"). Answers to the placement holder's reports and orders, and bodies that the node profile collects, were bounded by 32 MiB each only: 64 reports may be in flight, which is 2 GiB on a host with 384 MB.

--- a/src/http.c
+++ b/src/http.c
@@ -24,8 +24,12 @@
 #define CONNECTIONS_KEPT 512
 /* A response with a larger head ends the call. */
 #define HEAD_MAX_BYTES (128 * 1024)
-/* A collected body that is larger ends the call. */
+/* A collected body that is larger ends the call, unless the request sets
+   another limit. */
 #define COLLECTED_MAX_BYTES (32 * 1024 * 1024)
+/* Bound of all collected bodies together. Beyond it, the call with the largest
+   one ends. */
+#define COLLECTED_TOTAL_MAX_BYTES (128 * 1024 * 1024)
 
 struct http_call
 {
@@ -38,6 +42,7 @@
   struct str peer;
   struct str body; /* of the request */
   struct buf collected;
+  size_t collected_max_bytes;
   size_t head_bytes;
   char error_text[CURL_ERROR_SIZE];
   uint64_t started_ms;
@@ -50,6 +55,7 @@
   bool added_to_multi;
   bool cancelled;
   bool repeat_refused; /* libcurl was about to send the request once more */
+  bool too_large;      /* its body was given up */
   struct http_call *prev;
   struct http_call *next;
 };
@@ -62,6 +68,7 @@
   uv_timer_t deferred; /* adds calls outside libcurl callbacks */
   CURLM *multi;
   struct http_call *calls;
+  size_t collected_bytes; /* of all calls */
   bool in_curl;
   bool closing;
 };
@@ -127,6 +134,7 @@
   unlink_call (c);
   str_free (&c->peer);
   str_free (&c->body);
+  c->http->collected_bytes -= c->collected.len;
   buf_free (&c->collected);
   uv_close ((uv_handle_t *)&c->timer, free_call);
 }
@@ -166,6 +174,7 @@
   const int status = status_of (c);
   struct buf body = c->collected;
 
+  c->http->collected_bytes -= c->collected.len;
   c->collected = (struct buf){ 0 };
   if (code != 0)
     LOG_DBG ("call-failed", LOG_E_FMT " status=%d detail=\"%s\"",
@@ -183,7 +192,10 @@
 {
   struct http_call *c = timer->data;
 
-  finish (c, c->cancelled ? 0 : -ETIMEDOUT);
+  if (c->too_large)
+    finish (c, -EMSGSIZE);
+  else
+    finish (c, c->cancelled ? 0 : -ETIMEDOUT);
 }
 
 /* Starts the timer for the limit that ends first, or ends the call if it has
@@ -251,6 +263,44 @@
   return c->cancelled ? 0 : len;
 }
 
+/* Makes room for a part of a collected body by giving up the largest one.
+   Returns false if this is the call's own. */
+static bool
+shed_largest (struct http_call *c, size_t part_bytes)
+{
+  struct http *h = c->http;
+  struct http_call *largest = c;
+
+  if (h->collected_bytes + part_bytes <= COLLECTED_TOTAL_MAX_BYTES)
+    return true;
+  for (struct http_call *i = h->calls; i; i = i->next)
+    if (i->collected.len > largest->collected.len)
+      largest = i;
+  LOG_WARN ("body-given-up", "peer=" STR_FMT " bytes=%zu total=%zu",
+            STR_ARG (largest->peer), largest->collected.len,
+            h->collected_bytes);
+  largest->too_large = true;
+  h->collected_bytes -= largest->collected.len;
+  buf_free (&largest->collected);
+  if (largest == c)
+    return false;
+  /* libcurl doesn't allow removing a handle in its callbacks. */
+  uv_timer_start (&largest->timer, on_call_timer, 0, 0);
+  return true;
+}
+
+/* Returns false if the body is too large. */
+static bool
+collect (struct http_call *c, struct str part)
+{
+  if (c->too_large || c->collected.len + part.len > c->collected_max_bytes
+      || !shed_largest (c, part.len))
+    return false;
+  buf_append (&c->collected, part);
+  c->http->collected_bytes += part.len;
+  return true;
+}
+
 static size_t
 on_data (char *data, size_t size, size_t n, void *ctx)
 {
@@ -262,10 +312,8 @@
     return 0;
   if (c->events->data)
     c->events->data (c->ctx, c, part);
-  else if (c->collected.len + part.len > COLLECTED_MAX_BYTES)
+  else if (!collect (c, part))
     return 0;
-  else
-    buf_append (&c->collected, part);
   return c->cancelled ? 0 : part.len;
 }
 
@@ -308,8 +356,11 @@
         continue;
       code = error_code (msg->data.result);
       curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, &c);
-      if (c->repeat_refused
-          || (code == 0 && !c->allow_close_delimited && !has_body_framing (c)))
+      if (c->too_large)
+        code = -EMSGSIZE;
+      else if (c->repeat_refused
+               || (code == 0 && !c->allow_close_delimited
+                   && !has_body_framing (c)))
         code = -EPIPE;
       finish (c, code);
     }
@@ -540,6 +591,9 @@
   c->total_ms = req->total_ms;
   c->allow_close_delimited = req->allow_close_delimited;
   c->repeat_if_closed = req->repeat_if_closed;
+  c->collected_max_bytes = req->collected_max_bytes > 0
+                               ? req->collected_max_bytes
+                               : COLLECTED_MAX_BYTES;
   uv_timer_init (h->loop, &c->timer);
   c->timer.data = c;
   c->next = h->calls;
--- a/src/http.h
+++ b/src/http.h
@@ -18,6 +18,8 @@
  * @total_ms: limit for the whole call; 0 means none.
  * @target: request target sent as it is, instead of the URL's path; may be
  *   empty.
+ * @collected_max_bytes: limit for a collected body; 0 means 32 MiB. A larger
+ *   one ends the call with -EMSGSIZE.
  * @allow_close_delimited: accept a response without a length, whose body ends
  *   when the connection closes.
  * @fresh_connection: use a new connection, which later calls may use too.
@@ -39,6 +41,7 @@
   uint32_t connect_ms;
   uint32_t silence_ms;
   uint32_t total_ms;
+  size_t collected_max_bytes;
   bool allow_close_delimited;
   bool repeat_if_closed;
   bool fresh_connection;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -70,7 +70,7 @@
 
   p->fd = socket (AF_INET, SOCK_STREAM, 0);
   CU_ASSERT_EQUAL_FATAL (bind (p->fd, (struct sockaddr *)&sin, len), 0);
-  CU_ASSERT_EQUAL_FATAL (listen (p->fd, 1), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (p->fd, 8), 0);
   CU_ASSERT_EQUAL_FATAL (getsockname (p->fd, (struct sockaddr *)&sin, &len),
                          0);
   p->addr = str_printf ("127.0.0.1:%d", ntohs (sin.sin_port));
@@ -261,6 +261,18 @@
   str_free (&url);
 }
 
+static void
+send_get_close_delimited (struct peer *p, struct outcome *o)
+{
+  static const struct http_events events = { .done = on_done };
+  struct str url = str_printf ("http://" STR_FMT "/", STR_ARG (p->addr));
+  const struct http_request req
+      = { .method = STR ("GET"), .url = url, .allow_close_delimited = true };
+
+  http_send (p->http, &req, &events, o);
+  str_free (&url);
+}
+
 static void
 send_read (struct peer *p, struct outcome *o)
 {
@@ -340,9 +352,163 @@
     }
 }
 
+/* ---- a peer whose response never ends ---- */
+
+#define ENDLESS_HEAD "HTTP/1.1 200 OK\r\n\r\n"
+#define ENDLESS_PART_BYTES 65536
+#define ENDLESS_SOCKET_BYTES (256 * 1024)
+/* Reports that a node may request at a time, and the memory of the smallest
+   host in MB. */
+#define REPORTS_IN_FLIGHT 64
+#define HOST_MEMORY_MB 384
+
+/**
+ * struct endless_peer - a thread that serves one connection.
+ * @pause_after: bytes after which it sends nothing more until the client
+ *   closes the connection; 0 for never.
+ * @sent: bytes that the client took.
+ */
+struct endless_peer
+{
+  int fd;
+  size_t pause_after;
+  size_t sent;
+};
+
+static void *
+run_endless_peer (void *ctx)
+{
+  static const int socket_bytes = ENDLESS_SOCKET_BYTES;
+  static char part[ENDLESS_PART_BYTES];
+  struct endless_peer *p = ctx;
+  const int fd = accept (p->fd, NULL, NULL);
+  ssize_t n = sizeof ENDLESS_HEAD - 1;
+
+  setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &socket_bytes, sizeof socket_bytes);
+  if (read_request (fd))
+    n = send (fd, ENDLESS_HEAD, sizeof ENDLESS_HEAD - 1, MSG_NOSIGNAL);
+  while (n > 0)
+    {
+      p->sent += (size_t)n;
+      if (p->pause_after > 0 && p->sent >= p->pause_after)
+        n = recv (fd, part, 1, 0);
+      else
+        n = send (fd, part, sizeof part, MSG_NOSIGNAL);
+    }
+  close (fd);
+  return NULL;
+}
+
+static void
+on_report (void *ctx, const struct server_report *report)
+{
+  struct outcome *e = ctx;
+
+  e->done = true;
+  e->code = report ? 0 : -EMSGSIZE;
+}
+
+static void
+get_report (struct peer *p, struct outcome *o)
+{
+  report_get (p->http, p->addr, STR ("s1"), on_report, o);
+}
+
+static void
+send_order (struct peer *p, struct outcome *o)
+{
+  static const struct order_events events
+      = { .confirm_send = is_wanted, .done = on_order_done };
+  const struct order order = { .kind = ORDER_LOAD,
+                               .model = STR ("m1"),
+                               .server_address = p->addr,
+                               .server_id = STR ("s1"),
+                               .holder = STR ("node") };
+
+  o->wanted = true;
+  o->code = -EMSGSIZE;
+  order_send (p->http, &order, &events, o);
+}
+
+/* Guards against a faulty server that fills the memory of the placement holder
+   with a response that never ends. */
+static void
+test_endless_body (void)
+{
+  static const struct
+  {
+    const char *name;
+    void (*send) (struct peer *p, struct outcome *o);
+  } cases[] = {
+    { "report", get_report },
+    { "order", send_order },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct outcome outcome = { 0 };
+      struct peer peer;
+      pthread_t thread;
+
+      peer_open (&peer);
+      struct endless_peer endless = { .fd = peer.fd };
+      pthread_create (&thread, NULL, run_endless_peer, &endless);
+      cases[i].send (&peer, &outcome);
+      while (!outcome.done)
+        uv_run (&peer.loop, UV_RUN_ONCE);
+      http_close (peer.http);
+      uv_run (&peer.loop, UV_RUN_DEFAULT);
+      pthread_join (thread, NULL);
+      CU_ASSERT_EQUAL (outcome.code, -EMSGSIZE);
+      CU_ASSERT (endless.sent
+                 < (size_t)HOST_MEMORY_MB * 1024 * 1024 / REPORTS_IN_FLIGHT);
+      peer_close (&peer);
+    }
+}
+
+/* Guards against many faulty servers that together fill the memory of a node,
+   each with a response below the limit of a single one. */
+static void
+test_endless_bodies (void)
+{
+  enum
+  {
+    CALLS = 6,
+  };
+  struct outcome outcomes[CALLS] = { 0 };
+  struct endless_peer peers[CALLS];
+  pthread_t threads[CALLS];
+  struct peer peer;
+  int ended = 0;
+
+  peer_open (&peer);
+  for (int i = 0; i < CALLS; i++)
+    {
+      peers[i] = (struct endless_peer){ .fd = peer.fd,
+                                        .pause_after = 30 * 1024 * 1024 };
+      pthread_create (&threads[i], NULL, run_endless_peer, &peers[i]);
+      send_get_close_delimited (&peer, &outcomes[i]);
+    }
+  while (ended == 0)
+    {
+      uv_run (&peer.loop, UV_RUN_ONCE);
+      for (int i = 0; i < CALLS; i++)
+        ended += outcomes[i].done;
+    }
+  for (int i = 0; i < CALLS; i++)
+    CU_ASSERT_EQUAL (outcomes[i].code, outcomes[i].done ? -EMSGSIZE : 0);
+  http_close (peer.http);
+  uv_run (&peer.loop, UV_RUN_DEFAULT);
+  for (int i = 0; i < CALLS; i++)
+    pthread_join (threads[i], NULL);
+  peer_close (&peer);
+}
+
 static const struct suite_case cases[] = {
   { "request that is no longer wanted", test_request },
   { "order that is no longer wanted", test_order },
   { "lost answer", test_lost_answer },
+  { "endless body", test_endless_body },
+  { "endless bodies at a time", test_endless_bodies },
 };
 TEST_SUITE ("http", cases)
