Take a response whose head was cut for no response

Report of another operator: a server stopped within the head of its answer and closed, and clients got a 200 with an empty or short body, framed as whole.

Cause here: libcurl reports success if the connection closes within the head, as soon as the status line has arrived. The HTTP client then looked for a length only: a cut head with "Content-Length: 0", a status 204 or a caller that accepts bodies without a length passed as complete. In the profile `galenagate node` such an answer reached the caller. The profile for the platform was not affected, because it looks at the head once it has ended.

Change: a call without the end of a head has no response (-EPIPE).

Evidence: the test "cut head" has 16 places to stop in; seven of them count as a complete response before, none now. Cut heads on routes that may be repeated, on others and on streams are in the tests "bad responses" and "streams"; these pass before too.

--- a/src/http.c
+++ b/src/http.c
@@ -341,6 +341,16 @@
          || http_header (c, "Transfer-Encoding").len > 0;
 }
 
+/* Returns the code of a call that libcurl ended with success. It does so too
+   if the connection closes within the head. */
+static int
+check_complete (const struct http_call *c)
+{
+  if (!c->head_done)
+    return -EPIPE;
+  return c->allow_close_delimited || has_body_framing (c) ? 0 : -EPIPE;
+}
+
 static void
 finish_completed (struct http *h)
 {
@@ -358,10 +368,10 @@
       curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, &c);
       if (c->too_large)
         code = -EMSGSIZE;
-      else if (c->repeat_refused
-               || (code == 0 && !c->allow_close_delimited
-                   && !has_body_framing (c)))
+      else if (c->repeat_refused)
         code = -EPIPE;
+      else if (code == 0)
+        code = check_complete (c);
       finish (c, code);
     }
 }
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -50,7 +50,8 @@
   { "models", "LIST", "models loaded at startup; - for none", SETTING_STRING,
     FIELD (models), "", 0, 0 },
   { "fault", "WORD",
-    "shed, close, close-kept, cut, cut-chunks, unsealed, crossed, unframed, "
+    "shed, close, close-kept, cut, cut-head, cut-head-length, cut-chunks, "
+    "unsealed, crossed, unframed, "
     "error, "
     "unframed-cut, cut-event, cut-end, no-answer, "
     "repeat-refusal, repeat-refusal-unnamed, text-busy, text-lines, "
@@ -274,6 +275,22 @@
   standin_run_after (1, close_connection, req);
 }
 
+/* Closes the connection before the empty line that ends the head. */
+static void
+cut_head (h2o_req_t *req)
+{
+  char id[64];
+  struct str text = str_printf (
+      "HTTP/1.1 200 OK\r\nX-Galenagate-Attempt-Id: %s\r\n"
+      "X-Galenagate-Server-Seal: " SEAL "\r\n%s",
+      response_attempt_id (req, id, sizeof id),
+      has_fault ("cut-head-length") ? "Content-Length: 0\r\n" : "");
+
+  send_raw_text (req, text.data);
+  str_free (&text);
+  standin_run_after (1, close_connection, req);
+}
+
 /* ---- large bodies ---- */
 
 #define BODY_PART_BYTES 16384
@@ -808,6 +825,8 @@
       else if (has_fault ("close")
                || (is_reused (req) && has_fault ("close-kept")))
         standin_close (req);
+      else if (has_fault ("cut-head") || has_fault ("cut-head-length"))
+        cut_head (req);
       else if (endless_fault ())
         answer_endless (req, endless_fault ());
       else if (is_model_server () && options.body_kb == 0
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include <pthread.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -352,6 +353,77 @@
     }
 }
 
+/* ---- a peer that stops in a response ---- */
+
+struct cutting_peer
+{
+  int fd;
+  const char *text; /* that it sends before it closes the connection */
+};
+
+static void *
+run_cutting_peer (void *ctx)
+{
+  const struct cutting_peer *p = ctx;
+  const int fd = accept (p->fd, NULL, NULL);
+
+  if (read_request (fd))
+    send (fd, p->text, strlen (p->text), MSG_NOSIGNAL);
+  close (fd);
+  return NULL;
+}
+
+/* Guards against a response whose head was cut that is taken for a complete
+   one with an empty or short body. */
+static void
+test_cut_head (void)
+{
+#define STATUS_LINE "HTTP/1.1 200 OK\r\n"
+  static const struct
+  {
+    const char *text;
+    int code;
+  } cases[] = {
+    { "", -EPIPE },
+    { "HTTP/1.1 2", -EPIPE },
+    { "HTTP/1.1 200 OK", -EPIPE },
+    { STATUS_LINE, -EPIPE },
+    { STATUS_LINE "Server-Leav", -EPIPE },
+    { STATUS_LINE "Server-Leaving: 1\r\n", -EPIPE },
+    { STATUS_LINE "Retry-After: 1", -EPIPE },
+    { STATUS_LINE "Content-Length: 2\r\n", -EPIPE },
+    { STATUS_LINE "Content-Length: 0\r\n", -EPIPE },
+    { STATUS_LINE "Transfer-Encoding: chunked\r\n", -EPIPE },
+    { "HTTP/1.1 204 No Content\r\n", -EPIPE },
+    { "HTTP/1.1 100 Continue\r\n\r\n", -EPIPE },
+    { "HTTP/1.1 100 Continue\r\n\r\n" STATUS_LINE, -EPIPE },
+    { STATUS_LINE "Content-Length: 2\r\n\r\n{", -EPIPE },
+    { STATUS_LINE "Content-Length: 2\r\n\r\n{}", 0 },
+    { STATUS_LINE "\r\n{}", 0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct outcome outcome = { 0 };
+      struct peer peer;
+      pthread_t thread;
+
+      peer_open (&peer);
+      struct cutting_peer cutting = { peer.fd, cases[i].text };
+      pthread_create (&thread, NULL, run_cutting_peer, &cutting);
+      send_get_close_delimited (&peer, &outcome);
+      while (!outcome.done)
+        uv_run (&peer.loop, UV_RUN_ONCE);
+      CU_ASSERT_EQUAL (outcome.code, cases[i].code);
+      if (outcome.code != cases[i].code)
+        fprintf (stderr, "after \"%s\": %d\n", cases[i].text, outcome.code);
+      http_close (peer.http);
+      uv_run (&peer.loop, UV_RUN_DEFAULT);
+      pthread_join (thread, NULL);
+      peer_close (&peer);
+    }
+}
+
 /* ---- a peer whose response never ends ---- */
 
 #define ENDLESS_HEAD "HTTP/1.1 200 OK\r\n\r\n"
@@ -508,6 +580,7 @@
   { "request that is no longer wanted", test_request },
   { "order that is no longer wanted", test_order },
   { "lost answer", test_lost_answer },
+  { "cut head", test_cut_head },
   { "endless body", test_endless_body },
   { "endless bodies at a time", test_endless_bodies },
 };
