Answer what still runs when the grace period of a stop ends

Report of another operator: in a planned stop, requests that came late in the grace period were taken and passed on, and cut at its end with no answer, among them requests that may run once.

Cause here: at the end of the grace period the process exited and closed the connections of all calls that servers still worked on. Besides, new connections were accepted for 2.7 s whatever the grace period was, which is longer than a grace period of 3 s leaves for calls.

Change: 0.5 s before SIGKILL each call without a response is answered 504 (its outcome is unknown); the process exits 0.3 s before SIGKILL. Nodes accept connections for a third of the grace period, 2.7 s at most, as before with 8 s. A begun stream is still cut, since only that says that it is not complete.

Evidence: the test "unanswered requests" (taken before and after SIGTERM, grace periods of 2, 3 and 4 s, once, repeatable and stream) gets an empty reply in all six cases before, and 504 now.

--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -36,8 +36,10 @@
  * @first: head of the list of calls, in order of arrival.
  * @open_count: length of the list.
  * @client_check_due_ms: when client_check_timer should fire next.
- * @drain_end_ms: beyond this time a call waits for a server only if its
+ * @wait_end_ms: beyond this time a call waits for a server only if its
  *   response has started. UINT64_MAX while the node isn't draining.
+ * @calls_end_ms: beyond this time calls without a response are ended.
+ *   UINT64_MAX while the node isn't draining.
  */
 struct call_table
 {
@@ -54,7 +56,8 @@
   struct service_budget_entry *service_budgets;
   uint64_t random_state;
   uint64_t client_check_due_ms;
-  uint64_t drain_end_ms;
+  uint64_t wait_end_ms;
+  uint64_t calls_end_ms;
 };
 
 /* How a call ended, for logs and metrics. */
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -416,20 +416,40 @@
     }
 }
 
+/* Answers the calls that servers still run. Without it their connections would
+   be closed without an answer when the process exits. */
+static void
+end_unanswered (struct call_table *calls)
+{
+  struct call *next;
+
+  for (struct call *c = calls->first; c; c = next)
+    {
+      next = c->next;
+      if (c->response_started)
+        continue;
+      call_cancel_attempts (c);
+      call_fail (c, STATUS_GATEWAY_TIMEOUT, "node-stops");
+    }
+}
+
 static void
 on_wait_check (uv_timer_t *timer)
 {
   struct call_table *calls = timer->data;
 
   dispatch_waiting (calls);
-  if (clock_ms () >= calls->drain_end_ms)
+  if (clock_ms () >= calls->wait_end_ms)
     refuse_waiting (calls);
+  if (clock_ms () >= calls->calls_end_ms)
+    end_unanswered (calls);
 }
 
 void
-call_table_drain (struct call_table *calls, uint32_t remaining_ms)
+call_table_drain (struct call_table *calls, uint32_t wait_ms, uint32_t end_ms)
 {
-  calls->drain_end_ms = clock_ms () + remaining_ms;
+  calls->wait_end_ms = clock_ms () + wait_ms;
+  calls->calls_end_ms = clock_ms () + end_ms;
 }
 
 static void
@@ -458,7 +478,8 @@
     .window_ms = (uint32_t)(s->retry_window_s * 1000),
   };
   calls->random_state = clock_us ();
-  calls->drain_end_ms = UINT64_MAX;
+  calls->wait_end_ms = UINT64_MAX;
+  calls->calls_end_ms = UINT64_MAX;
   uv_timer_init (calls->loop, &calls->wait_timer);
   uv_timer_init (calls->loop, &calls->client_check_timer);
   calls->wait_timer.data = calls;
--- a/src/edge/call_table.h
+++ b/src/edge/call_table.h
@@ -18,12 +18,16 @@
 /** call_table_accept() - take over a client's request. Every request gets a
  * response, also one that is rejected. */
 void call_table_accept (struct call_table *calls, h2o_req_t *req);
-/** call_table_drain() - limit the waiting time of calls before shutdown.
- * @remaining_ms: from now on. After that, calls that still wait for a server
- *   are refused, unless their response has started, and so are new ones that
- *   would have to wait.
+/**
+ * call_table_drain() - limit the time of calls before shutdown.
+ * @wait_ms: from now on. After that, calls that still wait for a server are
+ *   refused, unless their response has started, and so are new ones that would
+ *   have to wait.
+ * @end_ms: from now on. After that, calls without a response are answered that
+ *   their outcome is unknown. The process exits soon after.
  */
-void call_table_drain (struct call_table *calls, uint32_t remaining_ms);
+void call_table_drain (struct call_table *calls, uint32_t wait_ms,
+                       uint32_t end_ms);
 /** call_table_open_count() - number of calls whose response is not complete.
  */
 size_t call_table_open_count (const struct call_table *calls);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -8,8 +8,6 @@
 #include "settings.h"
 
 #define LOG_MODULE "edge"
-/* Part of the grace period that is reserved for sending the last answers. */
-#define GRACE_RESERVE_MS 500
 #define FIELD(f) .offset = offsetof (struct edge_settings, f)
 
 static const struct setting edge_setting_list[] = {
@@ -73,7 +71,7 @@
 static int
 run_kernel (void)
 {
-  const double drain_limit_ms = current.grace_s * 1000 - GRACE_RESERVE_MS;
+  const double drain_limit_ms = current.grace_s * 1000 - EDGE_EXIT_RESERVE_MS;
   struct kernel *k
       = kernel_create (PROFILE_EDGE, NULL, (uint32_t)drain_limit_ms);
   uv_signal_t reload;
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -6,6 +6,9 @@
 #include "log.h"
 #include "str.h"
 
+/* The node exits this long before SIGKILL, whatever still runs. */
+#define EDGE_EXIT_RESERVE_MS 300
+
 /** struct edge_settings - validated settings of "galenagate edge". */
 struct edge_settings
 {
--- a/src/edge/front.c
+++ b/src/edge/front.c
@@ -17,9 +17,14 @@
    second apart, have failed. Streams accepted later than 3 s after SIGTERM
    could not end within the grace period. */
 #define DRAIN_LISTEN_MS 2700
+/* Likewise, at most this part of the grace period. */
+#define LISTEN_SHARE 0.34
 /* Part of the grace period for which calls may wait for a server. The rest is
    left for calls that run. */
 #define WAIT_SHARE 0.5
+/* Time between the end of unanswered calls and the exit, in which their
+   answers are sent. */
+#define LAST_ANSWERS_MS 200
 /* Connections are kept open this much longer than clients may leave them idle,
    so that a request does not race with the close. */
 #define IDLE_SLACK_MS 1000
@@ -166,10 +171,15 @@
   struct front *f = (struct front *)plugin;
 
   const double grace_ms = edge_settings ()->grace_s * 1000;
+  const double listen_ms = grace_ms * LISTEN_SHARE;
 
   httpd_announce_close (f->clients);
-  call_table_drain (f->calls, (uint32_t)(grace_ms * WAIT_SHARE));
-  uv_timer_start (&f->drain_timer, stop_listening, DRAIN_LISTEN_MS, 0);
+  call_table_drain (
+      f->calls, (uint32_t)(grace_ms * WAIT_SHARE),
+      (uint32_t)(grace_ms - EDGE_EXIT_RESERVE_MS - LAST_ANSWERS_MS));
+  uv_timer_start (
+      &f->drain_timer, stop_listening,
+      listen_ms < DRAIN_LISTEN_MS ? (uint64_t)listen_ms : DRAIN_LISTEN_MS, 0);
 }
 
 static void
