--- a/tests/e2e_silence.c
+++ b/tests/e2e_silence.c
@@ -114,8 +114,33 @@
     }
 }
 
+static bool
+watch_was_short (void *ctx)
+{
+  const json_int_t *limit_ms = ctx;
+
+  return cluster_json_int (edges.store, "/counts", "shortest_wait_ms")
+         <= *limit_ms;
+}
+
+/* Guards against a view that is older than contact-ms, because a watch on a
+   silent connection was started only after a pause that follows changes. */
+static void
+test_watch_after_pause (void)
+{
+  /* Of contact-ms, 3000, watches wait 2190; the pause is 800 at most. */
+  json_int_t limit_ms = 2190 - 800;
+
+  start ();
+  edgecluster_configure (&edges, 5000);
+  CU_ASSERT_TRUE (
+      cluster_poll_until (watch_was_short, &limit_ms, WAIT_TIMEOUT_MS));
+  edgecluster_destroy (&edges);
+}
+
 static const struct suite_case cases[] = {
   { "own connections lost", test_own_connections },
   { "outage of the store", test_outage },
+  { "watch after a pause", test_watch_after_pause },
 };
 TEST_SUITE ("silence", cases)
--- a/tests/standin_objects.c
+++ b/tests/standin_objects.c
@@ -56,6 +56,7 @@
 static json_int_t reads;
 static json_int_t stale_reads;
 static json_int_t writes;
+static json_int_t shortest_wait_ms = INT32_MAX; /* of all watches */
 
 /* @down: answers 503. @silent: does not answer. @lose_answers: stores an
    object but closes the connection without an answer. @stale_revision: last
@@ -267,11 +268,14 @@
 watch_kind (h2o_req_t *req, const char *kind, uint64_t since)
 {
   struct watch *w = xcalloc (1, sizeof *w);
+  const json_int_t wait_ms = (json_int_t)standin_query_u64 (req, "wait_ms", 0);
 
   w->req = req;
   snprintf (w->kind, sizeof w->kind, "%s", kind);
   w->since = since;
-  w->deadline_ms = clock_ms () + standin_query_u64 (req, "wait_ms", 0);
+  w->deadline_ms = clock_ms () + wait_ms;
+  if (wait_ms < shortest_wait_ms)
+    shortest_wait_ms = wait_ms;
   w->stale_ok = standin_query (req, "stale_ok").len > 0;
   stale_reads += w->stale_ok;
   w->next = watches;
@@ -453,8 +457,9 @@
 
   if (str_eq (path, STR ("/counts")))
     standin_json (req, 200,
-                  json_pack ("{s:I, s:I, s:I}", "reads", reads, "stale_reads",
-                             stale_reads, "writes", writes));
+                  json_pack ("{s:I, s:I, s:I, s:I}", "reads", reads,
+                             "stale_reads", stale_reads, "writes", writes,
+                             "shortest_wait_ms", shortest_wait_ms));
   else if (str_eq (path, STR ("/faults")))
     set_faults (req);
   else if ((faults.silent || req->conn->id <= faults.silent_until)
