Put the demand of a call into a file of its own

The bound of a datagram is one constant for its names and its bytes. A server whose models do not fit into a datagram is logged as a warning, because nodes then learn of its models later. No other change of behaviour; the suites names, edge, silence, lost, stop and pool pass.

--- a/src/bus.c
+++ b/src/bus.c
@@ -389,21 +389,20 @@
   uv_timer_init (kernel_loop (b->kernel), &c->timer);
   c->timer.data = c;
   c->timeout_err = link || local ? -ETIMEDOUT : -ECONNREFUSED;
-  const struct str record
-      = link || local ? rpcmsg_call (c->xid, proc, args) : (struct str){ 0 };
+  struct str record = { 0 };
 
-  if (record.len == 0)
+  if (link || local)
+    record = rpcmsg_call (c->xid, proc, args);
+  if ((link || local) && record.len == 0)
     {
-      if (link || local)
-        {
-          LOG_ERR ("call-too-large", "peer=" STR_FMT " proc=%u", STR_ARG (to),
-                   proc);
-          c->timeout_err = -EMSGSIZE;
-        }
-      uv_timer_start (&c->timer, on_call_timeout, 0, 0);
-      return;
+      LOG_ERR ("call-too-large", "peer=" STR_FMT " proc=%u", STR_ARG (to),
+               proc);
+      c->timeout_err = -EMSGSIZE;
     }
-  uv_timer_start (&c->timer, on_call_timeout, timeout_ms, 0);
+  uv_timer_start (&c->timer, on_call_timeout, record.len > 0 ? timeout_ms : 0,
+                  0);
+  if (record.len == 0)
+    return;
   if (local)
     queue_local (b, record);
   else
--- a/src/bus.h
+++ b/src/bus.h
@@ -13,10 +13,10 @@
  * bus_reply_fn - receive the outcome of a call; runs once per bus_call().
  * @err: 0, or a negative errno value: -ETIMEDOUT (the procedure may have run),
  *   -ECONNREFUSED (it did not run), -EPIPE (connection lost, it may have run),
- *   -EPROTONOSUPPORT (protocol version mismatch), -EMSGSIZE (an argument or
- * the result is too large), -EBADMSG (the result cannot be decoded),
- * -ECANCELED (the bus is stopping), or the error that the handler passed to
- * bus_fail().
+ *   -EPROTONOSUPPORT (protocol version mismatch), -EBADMSG (the result cannot
+ *   be decoded), -EMSGSIZE (the arguments or the result are too large),
+ *   -ECANCELED (the bus is stopping), or the error that the handler passed to
+ *   bus_fail().
  * @hint: text that the handler passed to bus_fail(), else empty; valid until
  *   return.
  * @result: decoded result (a struct of peer.h), or NULL after an error; freed
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -310,6 +310,12 @@
 void call_server_replaced (struct call_table *calls,
                            struct pool_server *server);
 
+/* ---- call_demand.c ---- */
+
+/** call_attach_demand() - count the call for its model and its adapter, if the
+ * configuration has them and it does not count for them yet. */
+void call_attach_demand (struct call *call, const struct engine_spec *engine);
+
 /* ---- call_table.c ---- */
 
 /** call_wait_deadline_ms() - when the call stops waiting for a server. Before
--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -13,7 +13,7 @@
 extern "C" {
 #endif
 
-#define DIGEST_LABEL_MAX 65507
+#define DIGEST_BYTES_MAX 65507
 
 typedef struct {
 	u_int label_len;
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -4,9 +4,10 @@
  * nodes.
  */
 
-/* Names have no bound of their own: the limit is what a datagram carries. */
-const DIGEST_LABEL_MAX = 65507;
-typedef opaque label<DIGEST_LABEL_MAX>;
+/* What UDP over IPv4 carries in a datagram. Names have no other bound. */
+const DIGEST_BYTES_MAX = 65507;
+
+typedef opaque label<DIGEST_BYTES_MAX>;
 
 /* Bounds of the lists. A datagram that exceeds one is rejected as malformed,
    because the memory for a list is allocated before its elements are decoded.
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -10,7 +10,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->label_val, (u_int *) &objp->label_len, DIGEST_LABEL_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->label_val, (u_int *) &objp->label_len, DIGEST_BYTES_MAX))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -98,7 +98,7 @@
 {
   int rc = xdrcodec_encode ((xdrproc_t)xdr_datagram, d, out);
 
-  if (rc == 0 && out->len > PEERS_DATAGRAM_MAX_BYTES)
+  if (rc == 0 && out->len > DIGEST_BYTES_MAX)
     {
       rc = -EMSGSIZE;
       str_free (out);
@@ -106,7 +106,7 @@
   if (rc != 0)
     {
       LOG_WARN ("datagram-too-large", "kind=%d limit=%d", (int)d->kind,
-                PEERS_DATAGRAM_MAX_BYTES);
+                DIGEST_BYTES_MAX);
       metrics_add ("galenagate_datagrams_too_large_total", STR (""), 1);
     }
   return rc;
--- a/src/edge/peers.h
+++ b/src/edge/peers.h
@@ -19,14 +19,12 @@
 /** peers_listen() - bind the socket and start to receive. @addr is "ip:port".
  * Returns 0 or a negative errno value. */
 int peers_listen (struct peers *peers, struct str addr);
-/* What UDP over IPv4 carries in a datagram. */
-#define PEERS_DATAGRAM_MAX_BYTES 65507
-
 /**
  * peers_encode() - encode a datagram once for any number of receivers.
  * @out: the bytes; free them with str_free().
  *
- * Returns 0, or -EMSGSIZE after logging a datagram that is too large to send.
+ * Returns 0, or -EMSGSIZE after logging a datagram that is larger than
+ * DIGEST_BYTES_MAX.
  */
 int peers_encode (const struct datagram *datagram, struct str *out);
 /** peers_send() - send a datagram encoded by peers_encode(), without waiting.
--- a/src/edge/placer_send.c
+++ b/src/edge/placer_send.c
@@ -39,7 +39,7 @@
 #define SERVERS_PER_DATAGRAM 4
 /* Bytes of the servers in a datagram; the rest of it is left for the other
    lists. */
-#define SERVERS_MAX_BYTES (PEERS_DATAGRAM_MAX_BYTES - 16384)
+#define SERVERS_MAX_BYTES (DIGEST_BYTES_MAX - 16384)
 #define RUNNING_PER_DATAGRAM 80
 #define NODES_PER_DATAGRAM 8
 #define CRASHES_PER_DATAGRAM 32
@@ -284,8 +284,8 @@
   bytes = encoded_size (d);
   if (bytes <= SERVERS_MAX_BYTES)
     return bytes;
-  LOG_DBG ("server-too-large", "server=%016lx models=%zu", v->hash,
-           v->replica_count);
+  LOG_WARN ("server-too-large", "server=%016lx models=%zu", v->hash,
+            v->replica_count);
   free_server_digest (d);
   d->held.held_val = NULL;
   d->held.held_len = 0;
