Log the beginning of long names only

A log line has 2,048 bytes. The lines of a call name its model before what became of it, so that the result of a call for a model with a long name was not in the log. Names of models and adapters in the lines of calls and orders are cut after 256 bytes.

--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -185,8 +185,8 @@
   " adapter=" STR_FMT
 #define CALL_LOG_ARG(c)                                                       \
   STR_ARG ((c)->meta.client_attempt_id), STR_ARG ((c)->route_name),           \
-      STR_ARG ((c)->service), STR_ARG ((c)->meta.model),                      \
-      STR_ARG ((c)->meta.adapter)
+      STR_ARG ((c)->service), LOG_NAME_ARG ((c)->meta.model),                 \
+      LOG_NAME_ARG ((c)->meta.adapter)
 
 /* ---- call_send.c ---- */
 
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -188,8 +188,8 @@
       " need=%s weights=%s for=" STR_FMT " waiting=%u running=%u"
       " rate=%.2f replicas=%u target=%u order_count=%lu fence=%lu",
       STR_ARG (r->server_id), order->kind == ORDER_LOAD ? "load" : "unload",
-      STR_ARG (order->model), STR_ARG (order->adapter), why->need,
-      why->weights, STR_ARG (why->for_model), why->waiting, why->running,
+      LOG_NAME_ARG (order->model), LOG_NAME_ARG (order->adapter), why->need,
+      why->weights, LOG_NAME_ARG (why->for_model), why->waiting, why->running,
       why->rate, why->replicas, why->target, order->order_count, order->fence);
   order_send (p->http, order, &order_events, r);
 }
--- a/src/log.h
+++ b/src/log.h
@@ -36,6 +36,12 @@
 void log_line (enum log_level level, const char *module, const char *event,
                const char *fmt, ...) __attribute__ ((format (printf, 4, 5)));
 
+/* Arguments of STR_FMT for a name that may be longer than a log line: only its
+   beginning is logged, so that the fields behind it are not lost. */
+#define LOG_NAME_MAX_BYTES 256
+#define LOG_NAME_ARG(s)                                                       \
+  (int)((s).len < LOG_NAME_MAX_BYTES ? (s).len : LOG_NAME_MAX_BYTES), (s).data
+
 #define LOG_DBG(event, ...)                                                   \
   log_line (LOG_LEVEL_DEBUG, LOG_MODULE, event, __VA_ARGS__)
 #define LOG_INFO(event, ...)                                                  \
--- a/src/rpcmsg.c
+++ b/src/rpcmsg.c
@@ -131,7 +131,6 @@
     { (xdrproc_t)xdr_text, &hint_text },
     { codecs[proc][RPCMSG_RESULT].xdr, result },
   };
-
   struct str record;
 
   init_accepted_reply (&msg, xid, SUCCESS);
--- a/tests/e2e_names.c
+++ b/tests/e2e_names.c
@@ -120,8 +120,9 @@
   stop ();
 }
 
-/* Guards against a model of the configuration that is not served, or that is
-   confused with another one, because its name is long. */
+/* Guards against a model of the configuration that is not served, that is
+   confused with another one, or whose calls the log does not show to their
+   end, because its name is long. */
 static void
 test_configured (void)
 {
@@ -147,6 +148,9 @@
         CU_ASSERT_EQUAL (
             ask_for (nodes[j], asked.data, id.data, CALL_TIMEOUT_MS), 200);
         CU_ASSERT_EQUAL (edgecluster_run_count (servers[1], id.data), 1);
+        const char *const words[]
+            = { "event=call", id.data, "end=served", NULL };
+        CU_ASSERT_TRUE (edgecluster_wait_logged (nodes[j], words));
         str_free (&id);
         str_free (&asked);
         free (name);
