--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 GENERATED = src/peer_xdr.c src/edge/digest_xdr.c
 LIB_SRC = $(filter-out src/main.c,$(wildcard src/*.c src/*/*.c platform/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
-UNIT_SRC = $(wildcard tests/test_*.c) tests/fleetsim.c \
+UNIT_SRC = $(wildcard tests/test_*.c) tests/fleetsim.c tests/httppeer.c \
   tests/referenceplan.c tests/suite.c
 E2E_SRC = $(wildcard tests/e2e_*.c) $(wildcard tests/cluster*.c) tests/edgecluster.c tests/suite.c
 STANDINS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/standin_*.c))
--- /dev/null
+++ b/tests/test_httpfaults.c
@@ -0,0 +1,381 @@
+#include <errno.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "httppeer.h"
+#include "platform/objects.h"
+#include "suite.h"
+
+/* Peers that lose answers, stop within them, or never end them. */
+
+/* ---- a peer that loses an answer ---- */
+
+#define ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+/**
+ * struct losing_peer - answers the first request on a connection, and closes
+ * it after the second one.
+ * @requests: number of requests that it read.
+ */
+struct losing_peer
+{
+  int fd;
+  int requests;
+};
+
+static void *
+run_losing_peer (void *ctx)
+{
+  struct losing_peer *p = ctx;
+  int fd;
+
+  while ((fd = accept (p->fd, NULL, NULL)) >= 0)
+    {
+      for (int i = 0; i < 2 && peer_read_request (fd); i++)
+        {
+          p->requests++;
+          if (i == 0)
+            send (fd, ANSWER, sizeof ANSWER - 1, MSG_NOSIGNAL);
+        }
+      close (fd);
+    }
+  return NULL;
+}
+
+static void
+on_object (void *ctx, struct err err, const struct object *object)
+{
+  struct peer_outcome *e = ctx;
+
+  (void)object;
+  e->done = true;
+  e->code = err.code;
+}
+
+static void
+send_get (struct peer *p, struct peer_outcome *o)
+{
+  static const struct http_events events = { .done = peer_on_done };
+  struct str url = str_printf ("http://" STR_FMT "/", STR_ARG (p->addr));
+  const struct http_request req = { .method = STR ("GET"), .url = url };
+
+  http_send (p->http, &req, &events, o);
+  str_free (&url);
+}
+
+static void
+send_get_close_delimited (struct peer *p, struct peer_outcome *o)
+{
+  static const struct http_events events = { .done = peer_on_done };
+  struct str url = str_printf ("http://" STR_FMT "/", STR_ARG (p->addr));
+  const struct http_request req
+      = { .method = STR ("GET"), .url = url, .allow_close_delimited = true };
+
+  http_send (p->http, &req, &events, o);
+  str_free (&url);
+}
+
+static void
+send_read (struct peer *p, struct peer_outcome *o)
+{
+  struct objects *objects = objects_create (p->http, p->addr);
+
+  objects_read (objects, "leases", "placer", on_object, o);
+  objects_destroy (objects);
+}
+
+static void
+send_confirmed_post (struct peer *p, struct peer_outcome *o)
+{
+  static const struct http_events events
+      = { .confirm_send = peer_is_wanted, .done = peer_on_done };
+  struct str url = str_printf ("http://" STR_FMT "/", STR_ARG (p->addr));
+  const struct http_request req
+      = { .method = STR ("POST"), .url = url, .body = STR ("body") };
+
+  o->wanted = true;
+  http_send (p->http, &req, &events, o);
+  str_free (&url);
+}
+
+static void
+send_write (struct peer *p, struct peer_outcome *o)
+{
+  struct objects *objects = objects_create (p->http, p->addr);
+
+  objects_write (objects, "leases", "placer", 7, STR ("{}"), on_object, o);
+  objects_destroy (objects);
+}
+
+/* Guards against a request that libcurl sends once more by itself after its
+   answer was lost on a kept connection: with the old deadline, beyond the
+   retry budget, or a write that then conflicts with itself. */
+static void
+test_lost_answer (void)
+{
+  static const struct
+  {
+    const char *name;
+    void (*send) (struct peer *p, struct peer_outcome *o);
+    int code;
+    int requests;
+  } cases[] = {
+    { "call", send_get, -EPIPE, 2 },
+    { "confirmed call", send_confirmed_post, -EPIPE, 2 },
+    { "write to the store", send_write, -EINPROGRESS, 2 },
+    /* The answer is not an object. */
+    { "read of the store", send_read, -EBADMSG, 3 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct peer_outcome first = { 0 };
+      struct peer_outcome second = { 0 };
+      struct peer peer;
+      pthread_t thread;
+
+      peer_open (&peer);
+      struct losing_peer losing = { .fd = peer.fd };
+      pthread_create (&thread, NULL, run_losing_peer, &losing);
+      send_get (&peer, &first);
+      peer_run_until (&peer, &first.done);
+      CU_ASSERT_EQUAL (first.code, 0);
+      cases[i].send (&peer, &second);
+      peer_run_until (&peer, &second.done);
+      CU_ASSERT_EQUAL (second.code, cases[i].code);
+      peer_stop (&peer);
+      shutdown (peer.fd, SHUT_RDWR);
+      pthread_join (thread, NULL);
+      CU_ASSERT_EQUAL (losing.requests, cases[i].requests);
+      peer_close (&peer);
+    }
+}
+
+/* ---- a peer that stops in a response ---- */
+
+struct cutting_peer
+{
+  int fd;
+  const char *text; /* that it sends before it closes the connection */
+};
+
+static void *
+run_cutting_peer (void *ctx)
+{
+  const struct cutting_peer *p = ctx;
+  const int fd = accept (p->fd, NULL, NULL);
+
+  if (peer_read_request (fd))
+    send (fd, p->text, strlen (p->text), MSG_NOSIGNAL);
+  close (fd);
+  return NULL;
+}
+
+/* Guards against a response whose head was cut that is taken for a complete
+   one with an empty or short body. */
+static void
+test_cut_head (void)
+{
+#define STATUS_LINE "HTTP/1.1 200 OK\r\n"
+  static const struct
+  {
+    const char *text;
+    int code;
+  } cases[] = {
+    { "", -EPIPE },
+    { "HTTP/1.1 2", -EPIPE },
+    { "HTTP/1.1 200 OK", -EPIPE },
+    { STATUS_LINE, -EPIPE },
+    { STATUS_LINE "Server-Leav", -EPIPE },
+    { STATUS_LINE "Server-Leaving: 1\r\n", -EPIPE },
+    { STATUS_LINE "Retry-After: 1", -EPIPE },
+    { STATUS_LINE "Content-Length: 2\r\n", -EPIPE },
+    { STATUS_LINE "Content-Length: 0\r\n", -EPIPE },
+    { STATUS_LINE "Transfer-Encoding: chunked\r\n", -EPIPE },
+    { "HTTP/1.1 204 No Content\r\n", -EPIPE },
+    { "HTTP/1.1 100 Continue\r\n\r\n", -EPIPE },
+    { "HTTP/1.1 100 Continue\r\n\r\n" STATUS_LINE, -EPIPE },
+    { STATUS_LINE "Content-Length: 2\r\n\r\n{", -EPIPE },
+    { STATUS_LINE "Content-Length: 2\r\n\r\n{}", 0 },
+    { STATUS_LINE "\r\n{}", 0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct peer_outcome outcome = { 0 };
+      struct peer peer;
+      pthread_t thread;
+
+      peer_open (&peer);
+      struct cutting_peer cutting = { peer.fd, cases[i].text };
+      pthread_create (&thread, NULL, run_cutting_peer, &cutting);
+      send_get_close_delimited (&peer, &outcome);
+      peer_run_until (&peer, &outcome.done);
+      CU_ASSERT_EQUAL (outcome.code, cases[i].code);
+      if (outcome.code != cases[i].code)
+        fprintf (stderr, "after \"%s\": %d\n", cases[i].text, outcome.code);
+      peer_stop (&peer);
+      pthread_join (thread, NULL);
+      peer_close (&peer);
+    }
+}
+
+/* ---- a peer whose response never ends ---- */
+
+#define ENDLESS_HEAD "HTTP/1.1 200 OK\r\n\r\n"
+#define ENDLESS_PART_BYTES 65536
+#define ENDLESS_SOCKET_BYTES (256 * 1024)
+/* Reports that a node may request at a time, and the memory of the smallest
+   host in MB. */
+#define REPORTS_IN_FLIGHT 64
+#define HOST_MEMORY_MB 384
+
+/**
+ * struct endless_peer - a thread that serves one connection.
+ * @pause_after: bytes after which it sends nothing more until the client
+ *   closes the connection; 0 for never.
+ * @sent: bytes that the client took.
+ */
+struct endless_peer
+{
+  int fd;
+  size_t pause_after;
+  size_t sent;
+};
+
+static void *
+run_endless_peer (void *ctx)
+{
+  static const int socket_bytes = ENDLESS_SOCKET_BYTES;
+  static char part[ENDLESS_PART_BYTES];
+  struct endless_peer *p = ctx;
+  const int fd = accept (p->fd, NULL, NULL);
+  ssize_t n = sizeof ENDLESS_HEAD - 1;
+
+  setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &socket_bytes, sizeof socket_bytes);
+  if (peer_read_request (fd))
+    n = send (fd, ENDLESS_HEAD, sizeof ENDLESS_HEAD - 1, MSG_NOSIGNAL);
+  while (n > 0)
+    {
+      p->sent += (size_t)n;
+      if (p->pause_after > 0 && p->sent >= p->pause_after)
+        n = recv (fd, part, 1, 0);
+      else
+        n = send (fd, part, sizeof part, MSG_NOSIGNAL);
+    }
+  close (fd);
+  return NULL;
+}
+
+static void
+on_report (void *ctx, const struct server_report *report)
+{
+  struct peer_outcome *e = ctx;
+
+  e->done = true;
+  e->code = report ? 0 : -EMSGSIZE;
+}
+
+static void
+get_report (struct peer *p, struct peer_outcome *o)
+{
+  report_get (p->http, p->addr, STR ("s1"), on_report, o);
+}
+
+static void
+send_order (struct peer *p, struct peer_outcome *o)
+{
+  static const struct order_events events
+      = { .confirm_send = peer_is_wanted, .done = peer_on_order_done };
+  const struct order order = { .kind = ORDER_LOAD,
+                               .model = STR ("m1"),
+                               .server_address = p->addr,
+                               .server_id = STR ("s1"),
+                               .holder = STR ("node") };
+
+  o->wanted = true;
+  o->code = -EMSGSIZE;
+  order_send (p->http, &order, &events, o);
+}
+
+/* Guards against a faulty server that fills the memory of the placement holder
+   with a response that never ends. */
+static void
+test_endless_body (void)
+{
+  static const struct
+  {
+    const char *name;
+    void (*send) (struct peer *p, struct peer_outcome *o);
+  } cases[] = {
+    { "report", get_report },
+    { "order", send_order },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct peer_outcome outcome = { 0 };
+      struct peer peer;
+      pthread_t thread;
+
+      peer_open (&peer);
+      struct endless_peer endless = { .fd = peer.fd };
+      pthread_create (&thread, NULL, run_endless_peer, &endless);
+      cases[i].send (&peer, &outcome);
+      peer_run_until (&peer, &outcome.done);
+      peer_stop (&peer);
+      pthread_join (thread, NULL);
+      CU_ASSERT_EQUAL (outcome.code, -EMSGSIZE);
+      CU_ASSERT (endless.sent
+                 < (size_t)HOST_MEMORY_MB * 1024 * 1024 / REPORTS_IN_FLIGHT);
+      peer_close (&peer);
+    }
+}
+
+/* Guards against many faulty servers that together fill the memory of a node,
+   each with a response below the limit of a single one. */
+static void
+test_endless_bodies (void)
+{
+  enum
+  {
+    CALLS = 6,
+  };
+  struct peer_outcome outcomes[CALLS] = { 0 };
+  struct endless_peer peers[CALLS];
+  pthread_t threads[CALLS];
+  struct peer peer;
+  int ended = 0;
+
+  peer_open (&peer);
+  for (int i = 0; i < CALLS; i++)
+    {
+      peers[i] = (struct endless_peer){ .fd = peer.fd,
+                                        .pause_after = 30 * 1024 * 1024 };
+      pthread_create (&threads[i], NULL, run_endless_peer, &peers[i]);
+      send_get_close_delimited (&peer, &outcomes[i]);
+    }
+  while (ended == 0)
+    {
+      uv_run (&peer.loop, UV_RUN_ONCE);
+      for (int i = 0; i < CALLS; i++)
+        ended += outcomes[i].done;
+    }
+  for (int i = 0; i < CALLS; i++)
+    CU_ASSERT_EQUAL (outcomes[i].code, outcomes[i].done ? -EMSGSIZE : 0);
+  peer_stop (&peer);
+  for (int i = 0; i < CALLS; i++)
+    pthread_join (threads[i], NULL);
+  peer_close (&peer);
+}
+
+static const struct suite_case cases[] = {
+  { "lost answer", test_lost_answer },
+  { "cut head", test_cut_head },
+  { "endless body", test_endless_body },
+  { "endless bodies at a time", test_endless_bodies },
+};
+TEST_SUITE ("httpfaults", cases)
