Move the decision on outages out of the platform's folder

platform/ holds names, formats and calls, and nothing that decides. The module lies beside freshness now, which platform/feed.c asks likewise.

--- a/platform/outage.c
+++ b/src/edge/outage.c
@@ -1,4 +1,4 @@
-#include "platform/outage.h"
+#include "edge/outage.h"
 
 /* No server's entry expires in a shorter outage. */
 #define OUTAGE_MIN_MS 1000
--- a/tests/test_outage.c
+++ b/tests/test_outage.c
@@ -1,4 +1,4 @@
-#include "platform/outage.h"
+#include "edge/outage.h"
 
 #include "suite.h"
 
