--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -17,6 +17,7 @@
 
 /* A node that has sent no digest for this long is no longer counted. */
 #define NODE_SILENT_MS 2000
+#define CRASHES_PER_DATAGRAM 32
 /* Bound on the followers, and on the known nodes. */
 #define NODES_MAX 512
 /* A new holder ignores nodes that no holder has mentioned for this long. */
@@ -99,8 +100,15 @@
  * digests' share of the link does not allow more yet.
  */
 bool placer_broadcast (struct placer *p);
+
+/* ---- placer_demand.c ---- */
+
 /** placer_send_demand() - send this node's demand to the holder. */
 void placer_send_demand (struct placer *p);
+/** placer_collect_crashes() - list crashes of servers for a digest. Returns
+ * their number. */
+u_int placer_collect_crashes (struct placer *p, enum quarantine_scope scope,
+                              crash_digest out[CRASHES_PER_DATAGRAM]);
 
 /* ---- placer_receive.c ---- */
 
