--- a/src/edge/call_table.h
+++ b/src/edge/call_table.h
@@ -23,8 +23,8 @@
  * @wait_ms: from now on. After that, calls that still wait for a server are
  *   refused, unless their response has started, and so are new ones that would
  *   have to wait.
- * @end_ms: from now on. After that, calls without a response are answered that
- *   their outcome is unknown. The process exits soon after.
+ * @end_ms: from now on. After that, calls without a response are answered with
+ *   504, because their outcome is unknown. The process exits soon after.
  */
 void call_table_drain (struct call_table *calls, uint32_t wait_ms,
                        uint32_t end_ms);
--- a/src/http.h
+++ b/src/http.h
@@ -28,7 +28,7 @@
  *   a deadline or a budget only.
  * @new_connection: use a new connection and close it afterwards. A connection
  *   that was used before may be closed by the peer while the request is sent,
- *   and the call is then lost without having been executed.
+ *   and whether the call was executed is then unknown.
  */
 struct http_request
 {
--- a/tests/e2e_names.c
+++ b/tests/e2e_names.c
@@ -7,7 +7,7 @@
 #include "suite.h"
 
 /* Names of models and adapters of any length, from clients, from the
-   configuration and from servers. No page bounds them. */
+   configuration and from servers. Their length has no limit. */
 
 #define NODES 2
 #define CLIENT_LEAVES_MS 1000
