Take a call that fails on its own new connection for an outage

What callers could see: after an outage of 2.5 s, live servers whose entries had expired in it were not used until their entries were back.

Cause: the placement holder noticed the outage and the nodes replaced their watches in it, so that the first failed call was the replaced one.

Change: a replaced watch opens a connection, and a call that fails on a connection that it opened shows an outage. That the repetition fails needs no rule of its own any more, because it opens a connection too.

The test "short outage of the store" fails before and passes now.

--- a/src/edge/outage.c
+++ b/src/edge/outage.c
@@ -7,24 +7,25 @@
 #define REPEAT_MAX_MS 500
 
 void
-outage_call_failed (struct outage *o, uint64_t since_ms)
+outage_call_failed (struct outage *o, uint64_t since_ms,
+                    bool on_new_connection)
 {
   if (o->failures == 0)
     o->since_ms = since_ms;
   o->failures++;
+  o->new_connection_failed = o->new_connection_failed || on_new_connection;
 }
 
 bool
 outage_ended (struct outage *o, uint32_t call_max_ms, uint64_t now_ms)
 {
   const uint64_t lasted_ms = now_ms - o->since_ms;
-  const uint32_t failures = o->failures;
+  const struct outage ended = *o;
 
-  o->failures = 0;
-  if (failures == 0)
+  *o = (struct outage){ 0 };
+  if (ended.failures == 0)
     return false;
-  /* The repetition of the first failed call was made on a new connection. */
-  if (failures > 1)
+  if (ended.new_connection_failed)
     return lasted_ms >= OUTAGE_MIN_MS;
   return lasted_ms > call_max_ms + REPEAT_MAX_MS;
 }
--- a/src/edge/outage.h
+++ b/src/edge/outage.h
@@ -11,6 +11,7 @@
  * struct outage - what the failed calls of a feed say about the store.
  * @failures: failed calls since the last answer.
  * @since_ms: since when the store may not have answered; with @failures.
+ * @new_connection_failed: one of them had opened its connection.
  *
  * Zero-initialise it.
  */
@@ -18,12 +19,15 @@
 {
   uint32_t failures;
   uint64_t since_ms;
+  bool new_connection_failed;
 };
 
 /** outage_call_failed() - record a failed call.
  * @since_ms: end of the connection, or start of the call if it got no answer
- *   in time. */
-void outage_call_failed (struct outage *o, uint64_t since_ms);
+ *   in time.
+ * @on_new_connection: the call had opened its connection. */
+void outage_call_failed (struct outage *o, uint64_t since_ms,
+                         bool on_new_connection);
 /**
  * outage_ended() - record an answer.
  * @call_max_ms: after this time a call without an answer ends.
--- a/src/http.c
+++ b/src/http.c
@@ -641,6 +641,15 @@
   return c->head_bytes > 0;
 }
 
+bool
+http_opened_connection (const struct http_call *c)
+{
+  long opened = 0;
+
+  curl_easy_getinfo (c->easy, CURLINFO_NUM_CONNECTS, &opened);
+  return opened > 0;
+}
+
 struct str
 http_header (const struct http_call *c, const char *name)
 {
--- a/src/http.h
+++ b/src/http.h
@@ -92,6 +92,9 @@
 /** http_response_started() - returns true once a byte of the response has
  * arrived. */
 bool http_response_started (const struct http_call *call);
+/** http_opened_connection() - returns true if the call opened its connection,
+ * and false if it reused one. */
+bool http_opened_connection (const struct http_call *call);
 /** http_header() - value of a response header by case-insensitive name; empty
  * if there is none. */
 struct str http_header (const struct http_call *call, const char *name);
--- a/tests/e2e_silence.c
+++ b/tests/e2e_silence.c
@@ -114,6 +114,35 @@
     }
 }
 
+/* Guards against the same failure in an outage that ends before a node has
+   seen two calls fail. The placement holder notices that the store does not
+   answer, and the node replaces its call. */
+static void
+test_short_outage (void)
+{
+  static const char *const replaced[] = { "event=stale-view", NULL };
+  static const char *const removed[] = { "event=server-removed", NULL };
+  struct cluster_proc *follower;
+
+  start ();
+  follower = cluster_edge (edges.cluster, "a",
+                           CLUSTER_FLAGS ("--log-level", "debug"));
+  CU_ASSERT_TRUE_FATAL (cluster_ready (edges.cluster));
+  wait_for_read ();
+  wait_for_read ();
+  edgecluster_set_faults (&edges, "{\"silent\":true}");
+  CU_ASSERT_TRUE (edgecluster_wait_logged (follower, replaced));
+  edgecluster_delete_object (&edges, "servers", server->name);
+  edgecluster_set_faults (&edges, "{}");
+  CU_ASSERT_TRUE (edgecluster_wait_logged (follower, removed));
+
+  struct cluster_reply r
+      = edgecluster_call (follower, "GET", "/plain/x", "id-short", NULL, NULL);
+  CU_ASSERT_EQUAL (r.status, 200);
+  cluster_reply_free (&r);
+  edgecluster_destroy (&edges);
+}
+
 static bool
 watch_was_short (void *ctx)
 {
@@ -141,6 +170,7 @@
 static const struct suite_case cases[] = {
   { "own connections lost", test_own_connections },
   { "outage of the store", test_outage },
+  { "short outage of the store", test_short_outage },
   { "watch after a pause", test_watch_after_pause },
 };
 TEST_SUITE ("silence", cases)
