--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -102,6 +102,10 @@
  * struct call - one client request; a client's retry is a call of its own.
  * Strings point into the h2o request, which outlives the call, unless the call
  * owns them.
+ * @client_address: IPv4 address of the client, in network byte order; 0 if the
+ *   client has none.
+ * @content_fingerprint: the same for all requests with this method, target and
+ *   body.
  * @fingerprint: the same when the client sends the request again.
  * @part_fingerprints: of the shared parts of its prompt, as in @meta.
  * @route_name, @service: owned by the call.
@@ -142,6 +146,8 @@
   struct str method;
   struct str request_target;
   struct str body;
+  uint32_t client_address;
+  uint64_t content_fingerprint;
   uint64_t fingerprint;
   uint64_t part_fingerprints[PROMPT_PARTS_MAX];
   struct str route_name;
@@ -287,9 +293,8 @@
 
 /* ---- call_crash.c ---- */
 
-/** call_fingerprint() - set the fingerprints of a call.
- * @client: any number that stays the same for a client. */
-void call_fingerprint (struct call *call, uint64_t client);
+/** call_fingerprint() - set the fingerprints of a call. */
+void call_fingerprint (struct call *call);
 /** call_quarantined() - returns the fingerprint of what crashes servers, the
  * request or a part of its prompt; 0 if neither does. */
 uint64_t call_quarantined (const struct call *call);
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -158,7 +158,7 @@
 }
 
 /* Returns the client's IPv4 address without the port, 0 for other families. */
-static uint64_t
+static uint32_t
 client_address (h2o_req_t *req)
 {
   struct sockaddr_storage addr = { 0 };
@@ -182,7 +182,8 @@
   c->method = iovec_view (req->input.method);
   c->request_target = iovec_view (req->input.path);
   c->body = iovec_view (req->entity);
-  call_fingerprint (c, client_address (req));
+  c->client_address = client_address (req);
+  call_fingerprint (c);
   c->caller = caller_create (req, on_client_left, c);
   link_call (c);
   return c;
