Know a request that crashes servers whoever sends it

Cause: the fingerprint of a request held its client's address. The same request came from 17 addresses, so 17 records counted to three each. An address is no caller: many hosts send for one, and balancers and NAT change it. Ruled out by the log: another body each time (one content on 15 of 15 crashed servers), lost records (those that reached three crashes were refused on all nodes).

The fingerprint is now method, target and body.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -381,11 +381,11 @@
   join_parts (&c->meta, &parts);
   LOG_INFO (
       "attempt-failed",
-      "id=" STR_FMT " fingerprint=%016lx content=%016lx client=%08x"
+      "id=" STR_FMT " fingerprint=%016lx client=%08x"
       " parts=" STR_FMT " server=" STR_FMT
       " outcome=%s status=%d timed_out=%d response_started=%d " LOG_E_FMT,
       STR_ARG (c->meta.client_attempt_id), c->fingerprint,
-      c->content_fingerprint, ntohl (c->client_address), STR_ARG (parts),
+      ntohl (c->client_address), STR_ARG (parts),
       STR_ARG (pool_server_id (a->server)), forward_outcome_name (r->outcome),
       r->status, r->timed_out, r->response_started, LOG_E_ARG (r->err));
   buf_free (&parts);
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -103,10 +103,9 @@
  * Strings point into the h2o request, which outlives the call, unless the call
  * owns them.
  * @client_address: IPv4 address of the client, in network byte order; 0 if the
- *   client has none.
- * @content_fingerprint: the same for all requests with this method, target and
- *   body.
- * @fingerprint: the same when the client sends the request again.
+ *   client has none. For logs.
+ * @fingerprint: the same whenever the request is sent again, also by another
+ *   client.
  * @part_fingerprints: of the shared parts of its prompt, as in @meta.
  * @route_name, @service: owned by the call.
  * @config_version: version of the configuration that routed the call; 0 if
@@ -147,7 +146,6 @@
   struct str request_target;
   struct str body;
   uint32_t client_address;
-  uint64_t content_fingerprint;
   uint64_t fingerprint;
   uint64_t part_fingerprints[PROMPT_PARTS_MAX];
   struct str route_name;
--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -71,10 +71,9 @@
 }
 
 uint64_t
-quarantine_fingerprint (uint64_t client, struct str method, struct str target,
-                        struct str body)
+quarantine_fingerprint (struct str method, struct str target, struct str body)
 {
-  return str_hash (body, str_hash (target, str_hash (method, client)));
+  return str_hash (body, str_hash (target, str_hash (method, 0)));
 }
 
 uint64_t
--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -80,10 +80,11 @@
 void quarantine_observe (struct quarantine *quarantine,
                          quarantine_change_fn fn, void *ctx);
 
-/** quarantine_fingerprint() - hash that is the same when a client sends a
- * request again. @client: any number that stays the same for a client. */
-uint64_t quarantine_fingerprint (uint64_t client, struct str method,
-                                 struct str target, struct str body);
+/** quarantine_fingerprint() - hash that is the same whenever the request is
+ * sent again. A client's address is no part of it: one caller sends from many
+ * hosts, and a load balancer or NAT changes the address. */
+uint64_t quarantine_fingerprint (struct str method, struct str target,
+                                 struct str body);
 /** quarantine_part_fingerprint() - hash of the id of a part of a prompt. */
 uint64_t quarantine_part_fingerprint (struct str part);
 /** quarantine_server_hash() - hash of one start of a server. */
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -577,6 +577,15 @@
 cluster_http (const struct cluster_proc *p, const char *method,
               const char *path, const char *const *headers, const char *body,
               uint32_t timeout_ms)
+{
+  return cluster_http_from (p, NULL, method, path, headers, body, timeout_ms);
+}
+
+struct cluster_reply
+cluster_http_from (const struct cluster_proc *p, const char *source,
+                   const char *method, const char *path,
+                   const char *const *headers, const char *body,
+                   uint32_t timeout_ms)
 {
   struct cluster_reply r = { 0 };
   struct curl_slist *list = curl_slist_append (NULL, "Expect:");
@@ -596,6 +605,8 @@
   curl_easy_setopt (curl, CURLOPT_HEADERDATA, &r.headers);
   if (body)
     curl_easy_setopt (curl, CURLOPT_POSTFIELDS, body);
+  if (source)
+    curl_easy_setopt (curl, CURLOPT_INTERFACE, source);
   r.error = curl_easy_perform (curl);
   curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &r.status);
   curl_easy_cleanup (curl);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -175,6 +175,13 @@
                                    const char *method, const char *path,
                                    const char *const *headers,
                                    const char *body, uint32_t timeout_ms);
+/** cluster_http_from() - likewise from the loopback address @source; NULL for
+ * the default one. */
+struct cluster_reply cluster_http_from (const struct cluster_proc *p,
+                                        const char *source, const char *method,
+                                        const char *path,
+                                        const char *const *headers,
+                                        const char *body, uint32_t timeout_ms);
 /**
  * cluster_header() - value of a response header, or empty if absent.
  * @name: compared without regard to case.
--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -217,6 +217,18 @@
                        EDGE_CALL_TIMEOUT_MS);
 }
 
+struct cluster_reply
+edgecluster_call_from (const struct cluster_proc *edge, const char *source,
+                       const char *method, const char *path, const char *id,
+                       const char *body)
+{
+  struct call_headers h;
+
+  set_call_headers (&h, id, NULL);
+  return cluster_http_from (edge, source, method, path, h.lines, body,
+                            EDGE_CALL_TIMEOUT_MS);
+}
+
 struct cluster_reply
 edgecluster_call_for (const struct cluster_proc *edge, const char *method,
                       const char *path, const char *id, const char *body,
--- a/tests/edgecluster.h
+++ b/tests/edgecluster.h
@@ -58,6 +58,13 @@
                                        const char *method, const char *path,
                                        const char *id, const char *model,
                                        const char *body);
+/** edgecluster_call_from() - likewise, without a model, from a client at the
+ * loopback address @source. */
+struct cluster_reply edgecluster_call_from (const struct cluster_proc *edge,
+                                            const char *source,
+                                            const char *method,
+                                            const char *path, const char *id,
+                                            const char *body);
 /** edgecluster_call_for() - likewise, from a client that leaves after
  * @timeout_ms. */
 struct cluster_reply edgecluster_call_for (const struct cluster_proc *edge,
