Let a completion here clear crashes that other nodes tell of

Since a request is known whoever sends it, nodes count crashes beside requests that many clients send alike. A node that had completed such a request since the crashes, but had seen none of them itself, counted them all the same when others told of them: only for parts of prompts a later completion was looked up.

Both kinds now follow one rule, and the node that counted is told. Unit `quarantine` completed here fails before and passes.

--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -279,18 +279,16 @@
   return false;
 }
 
-/* Returns the completion that shows that a part is not the cause of a crash;
-   NULL if there is none. */
+/* Returns the completion that shows that the subject is not the cause of a
+   crash; NULL if there is none. */
 static const struct completion *
 find_proof (const struct quarantine *q, const struct crash_record *crash,
             uint64_t at_ms)
 {
   const struct completion *done = find_completion (q, crash->fingerprint);
 
-  return done && crash->kind == QUARANTINE_PART
-                 && at_ms <= cleared_until (crash->kind, done->at_ms)
-             ? done
-             : NULL;
+  return done && at_ms <= cleared_until (crash->kind, done->at_ms) ? done
+                                                                   : NULL;
 }
 
 /* Stores a crash. Of a part with all crashes that are kept explained by the
@@ -331,13 +329,13 @@
 
 void
 quarantine_add_crash (struct quarantine *q, const struct crash_record *record,
-                      uint64_t now_ms)
+                      uint64_t at_ms)
 {
   const struct crash crash
-      = { record->server, record->next_part, now_ms, .own = true };
+      = { record->server, record->next_part, at_ms, .own = true };
 
-  if (!find_proof (q, record, now_ms))
-    add_crash (q, record, &crash, now_ms);
+  if (!find_proof (q, record, at_ms))
+    add_crash (q, record, &crash, at_ms);
 }
 
 /* Another node counts a crash that a completion here clears: tells it. */
--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -109,9 +109,10 @@
  */
 void quarantine_completed (struct quarantine *quarantine, uint64_t fingerprint,
                            uint64_t now_ms);
-/** quarantine_add_crash() - record a crash. The same crash counts once. */
+/** quarantine_add_crash() - record a crash at the time @at_ms, unless this
+ * node knows of a later completion. The same crash counts once. */
 void quarantine_add_crash (struct quarantine *quarantine,
-                           const struct crash_record *crash, uint64_t now_ms);
+                           const struct crash_record *crash, uint64_t at_ms);
 /** quarantine_merge() - record what another node tells. Repeated evidence
  * changes nothing. */
 void quarantine_merge (struct quarantine *quarantine,
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -361,6 +361,26 @@
   quarantine_destroy (b);
 }
 
+/* Guards against refusing a request that this node has completed since the
+   crashes that other nodes tell of. */
+static void
+test_completed_here (void)
+{
+  struct quarantine *a = quarantine_create ();
+  struct quarantine *b = quarantine_create ();
+  const uint64_t told_ms = START_MS + 1000;
+
+  add_crashes (a, 3);
+  quarantine_completed (b, REQUEST, START_MS + 500);
+  send_reports (a, QUARANTINE_OWN, b, told_ms, told_ms + 1000);
+  CU_ASSERT_FALSE (quarantine_contains (b, REQUEST, told_ms + 1000));
+  /* The other node learns of the completion. */
+  send_reports (b, QUARANTINE_ALL, a, told_ms + 1000, told_ms + 2000);
+  CU_ASSERT_FALSE (quarantine_contains (a, REQUEST, told_ms + 2000));
+  quarantine_destroy (a);
+  quarantine_destroy (b);
+}
+
 static const struct suite_case cases[] = {
   { "others complete", test_others_complete },
   { "completed once", test_completed_once },
@@ -372,5 +392,6 @@
   { "listed in turn", test_listed_in_turn },
   { "heard late", test_heard_late },
   { "completion shared", test_completion_shared },
+  { "completed here", test_completed_here },
 };
 TEST_SUITE ("quarantine", cases)
