Date a crash by the break of the attempt, not by its notice

A server's crash is often known only when its successor registers, seconds later. It was dated by then, so a completion of the same request on another server in between did not clear it: a sound request that ran on three servers when they crashed together was refused, although it was completed 0.2 s later.

The crash now has the time at which the attempt broke off. Unit `quarantine` completed before notice fails before and passes.

--- a/src/edge/quarantine_suspects.c
+++ b/src/edge/quarantine_suspects.c
@@ -111,7 +111,8 @@
   {
     if (s->crash.server != server)
       continue;
-    quarantine_add_crash (q, &s->crash, now_ms);
+    /* A completion since then shows that another request crashed it. */
+    quarantine_add_crash (q, &s->crash, s->broke_off_ms);
     forget_suspect (q, s);
   }
   return true;
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -212,6 +212,24 @@
     check_history (&histories[i]);
 }
 
+/* Guards against refusing a sound request that ran on three servers when they
+   crashed, and was completed by another one before the crashes were noticed.
+ */
+static void
+test_completed_before_notice (void)
+{
+  static const struct history h = { { { BREAKS_OFF, 1, 0 },
+                                      { BREAKS_OFF, 2, 0 },
+                                      { BREAKS_OFF, 3, 0 },
+                                      { COMPLETES, 0, 200 },
+                                      { CRASH_SEEN, 1, 3000 },
+                                      { CRASH_SEEN, 2, 1500 },
+                                      { CRASH_SEEN, 3, 1500 } },
+                                    false };
+
+  check_history (&h);
+}
+
 /* ---- reports to other nodes ---- */
 
 #define BYSTANDERS 100
@@ -388,6 +406,7 @@
   { "noticed early", test_noticed_early },
   { "others break off", test_others_break },
   { "not refused", test_not_refused },
+  { "completed before notice", test_completed_before_notice },
   { "worst listed first", test_worst_listed_first },
   { "listed in turn", test_listed_in_turn },
   { "heard late", test_heard_late },
