Decode tenants, their keys and the keys of calls

The configuration may list tenants and the keys that their clients send. Decode Authorization of a call, and let call_headers() leave it out together with the client's X-Galenagate-Tenant.

--- a/src/edge/topology.c
+++ b/src/edge/topology.c
@@ -42,6 +42,7 @@
       str_free (&r->services[i].name);
       engine_destroy (r->services[i].engine);
     }
+  tenants_destroy (r->tenants);
   free (r->routes);
   free (r->services);
   free (r);
--- a/src/edge/topology.h
+++ b/src/edge/topology.h
@@ -4,6 +4,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "edge/tenants.h"
 #include "str.h"
 
 /* Routes, services and servers as the platform describes them. All strings are
@@ -33,6 +34,7 @@
  * @priority: 0 is the most urgent.
  * @resumable: a broken stream may be resumed at another server after the last
  *   event received.
+ * @allow_anonymous: calls need no key of a tenant.
  */
 struct route
 {
@@ -46,6 +48,7 @@
   uint32_t max_attempts;
   uint32_t priority;
   bool resumable;
+  bool allow_anonymous;
   struct route_target *targets;
   size_t target_count;
 };
@@ -104,7 +107,11 @@
   uint32_t idle_ms;
 };
 
-/** struct routing - one version of the operators' configuration. */
+/**
+ * struct routing - one version of the operators' configuration.
+ * @tenants: NULL if the configuration has no list of tenants; calls need no
+ *   key then.
+ */
 struct routing
 {
   uint64_t version;
@@ -113,6 +120,7 @@
   struct service *services;
   size_t service_count;
   struct client_limits limits;
+  struct tenants *tenants;
 };
 
 void routing_destroy (struct routing *routing);
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -155,6 +155,186 @@
     CU_ASSERT_PTR_NULL (decode (cases[i]));
 }
 
+static struct routing *
+decode_tenants (const char *tenants)
+{
+  struct str text = str_printf (
+      "{\"version\":7,\"routes\":[{\"name\":\"a\",\"hostname\":\"h\","
+      "\"path_prefix\":\"/\",\"route_type\":\"idempotent\","
+      "\"service\":\"s\",\"allow_anonymous\":true}],\"services\":[],"
+      "\"tenants\":%s}",
+      tenants);
+  struct routing *r = decode (text.data);
+
+  str_free (&text);
+  return r;
+}
+
+/* Guards against values of a tenant decoded from the wrong member, and against
+   taking a configuration without tenants for one with an empty list. */
+static void
+test_tenants (void)
+{
+  struct routing *r = decode_tenants (
+      "[{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\",\"k1\"],"
+      "\"priority\":0,\"unit\":\"tokens\",\"plain_tokens\":150,"
+      "\"rate_per_s\":2000.5,\"burst\":9000},"
+      "{\"name\":\"t2\",\"api_keys\":[\"k3\"],\"unit\":null}]");
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (r);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (r->tenants);
+  const struct tenant *a = tenants_find (r->tenants, STR ("k2"));
+  const struct tenant *b = tenants_find (r->tenants, STR ("k3"));
+  CU_ASSERT_PTR_NOT_NULL_FATAL (a);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (b);
+  CU_ASSERT_PTR_EQUAL (tenants_find (r->tenants, STR ("k1")), a);
+  CU_ASSERT (str_eq (a->name, STR ("t1")));
+  CU_ASSERT_TRUE (a->has_priority && a->priority == 0 && a->quota.by_tokens
+                  && a->quota.plain_tokens == 150
+                  && a->quota.rate_per_s == 2000.5 && a->quota.burst == 9000);
+  CU_ASSERT_TRUE (!b->has_priority && !b->quota.by_tokens
+                  && b->quota.rate_per_s == 0);
+  CU_ASSERT_TRUE (r->routes[0].allow_anonymous);
+  routing_destroy (r);
+  r = decode_tenants ("[]");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (r);
+  CU_ASSERT_TRUE (r->tenants && tenants_count (r->tenants) == 0);
+  routing_destroy (r);
+  r = decode (config);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (r);
+  CU_ASSERT_PTR_NULL (r->tenants);
+  CU_ASSERT_FALSE (r->routes[0].allow_anonymous);
+  routing_destroy (r);
+}
+
+#define NAME_64                                                               \
+  "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+#define NAME_256 NAME_64 NAME_64 NAME_64 NAME_64
+#define KEY_4096                                                              \
+  NAME_256 NAME_256 NAME_256 NAME_256 NAME_256 NAME_256 NAME_256 NAME_256     \
+      NAME_256 NAME_256 NAME_256 NAME_256 NAME_256 NAME_256 NAME_256 NAME_256
+
+/* Guards against a version that is applied although one of its tenants is
+   malformed, and against refusing one at the limits. */
+static void
+test_tenant_limits (void)
+{
+  static const struct
+  {
+    const char *tenants;
+    bool valid;
+  } cases[] = {
+    { "[{\"name\":\"" NAME_256 "\",\"api_keys\":[\"" KEY_4096 "\"]}]", true },
+    { "[{\"name\":\"t\",\"api_keys\":[]}]", true },
+    { "[{\"name\":\"!~\\\"\",\"api_keys\":[\"k k\"]}]", true },
+    { "[{\"name\":\"" NAME_256 "x\",\"api_keys\":[]}]", false },
+    { "[{\"name\":\"t\",\"api_keys\":[\"" KEY_4096 "x\"]}]", false },
+    { "[{\"name\":\"t\",\"api_keys\":[\"\"]}]", false },
+    { "[{\"name\":\"t\",\"api_keys\":[7]}]", false },
+    { "[{\"name\":\"t\",\"api_keys\":\"k\"}]", false },
+    { "[{\"api_keys\":[\"k\"]}]", false },
+    { "[{\"name\":\"\",\"api_keys\":[\"k\"]}]", false },
+    { "[{\"name\":7,\"api_keys\":[\"k\"]}]", false },
+    { "[{\"name\":\"a b\",\"api_keys\":[\"k\"]}]", false },
+    { "[{\"name\":\"a\\r\\nb\",\"api_keys\":[\"k\"]}]", false },
+    { "[{\"name\":\"\\u00e9\",\"api_keys\":[\"k\"]}]", false },
+    { "[{\"name\":\"t\",\"api_keys\":[\"k\"]},"
+      "{\"name\":\"u\",\"api_keys\":[\"k\"]}]",
+      false },
+    { "[{\"name\":\"t\",\"api_keys\":[\"k\"]},"
+      "{\"name\":\"t\",\"api_keys\":[\"l\"]}]",
+      false },
+    { "[{\"name\":\"t\",\"priority\":-1}]", false },
+    { "[{\"name\":\"t\",\"priority\":\"1\"}]", false },
+    { "[{\"name\":\"t\",\"rate_per_s\":-0.5}]", false },
+    { "[{\"name\":\"t\",\"rate_per_s\":\"9\"}]", false },
+    { "[{\"name\":\"t\",\"burst\":-1}]", false },
+    { "[{\"name\":\"t\",\"plain_tokens\":[]}]", false },
+    { "[{\"name\":\"t\",\"unit\":\"bytes\"}]", false },
+    { "[{\"name\":\"t\",\"unit\":1}]", false },
+    { "[7]", false },
+    { "{}", false },
+    { "null", false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct routing *r = decode_tenants (cases[i].tenants);
+
+      CU_ASSERT_EQUAL (r != NULL, cases[i].valid);
+      routing_destroy (r);
+    }
+}
+
+/* Guards against a key that is read from another scheme, and against calls
+   with two keys that pass with one of them. */
+static void
+test_bearer (void)
+{
+  static const struct
+  {
+    const char *first;
+    const char *second; /* NULL: none */
+    const char *key;
+    bool differ;
+  } cases[] = {
+    { "Bearer k1", NULL, "k1", false },
+    { "bEARER   k1 ", NULL, "k1", false },
+    { "Bearer k1", "Bearer k1", "k1", false },
+    { "Bearer k1", "Bearer k2", "k2", true },
+    { "Bearer k1", "Basic k1", "", true },
+    { "Bearer k1, k2", NULL, "k1, k2", false },
+    { "Basic k1", NULL, "", false },
+    { "Bearerk1", NULL, "", false },
+    { "Bearer", NULL, "", false },
+    { "Bearer ", NULL, "", false },
+    { "", NULL, "", false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      const struct http_field fields[]
+          = { { STR ("authorization"), str_from (cases[i].first) },
+              { STR ("AUTHORIZATION"), str_from (cases[i].second) } };
+      struct call_meta meta;
+
+      call_meta_read (fields, cases[i].second ? 2 : 1, &meta);
+      CU_ASSERT (str_eq (meta.bearer_key, str_from (cases[i].key)));
+      CU_ASSERT_EQUAL (meta.keys_differ, cases[i].differ);
+    }
+}
+
+/* Guards against a cost of 0 for a call whose tokens can't be read. */
+static void
+test_has_tokens (void)
+{
+  static const struct
+  {
+    const char *value;
+    bool readable;
+  } cases[] = {
+    { "1460,80", true },
+    { "0,0", true },
+    { "1460", false },
+    { "1460,", false },
+    { ",80", false },
+    { "", false },
+    { "-1,80", false },
+    { "a,80", false },
+    { "99999999999999999999,1", false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      const struct http_field field
+          = { STR ("X-Galenagate-Token-Usage"), str_from (cases[i].value) };
+      struct call_meta meta;
+
+      call_meta_read (&field, 1, &meta);
+      CU_ASSERT_EQUAL (meta.has_tokens, cases[i].readable);
+    }
+}
+
 /* Guards against entries that were not written by a server but are decoded as
    servers. */
 static void
@@ -273,6 +453,48 @@
     str_free (&lines[i]);
 }
 
+/* Guards against a key that reaches a server, against a client that sets its
+   tenant itself, and against dropping both where calls need no key. */
+static void
+test_credentials (void)
+{
+  static const struct http_field fields[] = {
+    { { "authorization", 13 }, { "Bearer k", 8 } },
+    { { "AUTHORIZATION", 13 }, { "Bearer k", 8 } },
+    { { "x-galenagate-tenant", 19 }, { "t2", 2 } },
+    { { "X-GALENAGATE-TENANT", 19 }, { "t3", 2 } },
+  };
+  static const struct
+  {
+    bool omit;
+    const char *tenant;
+    size_t kept;
+    const char *line; /* NULL: none */
+  } cases[] = {
+    { true, "t1", 0, "X-Galenagate-Tenant: t1" },
+    { true, "", 0, NULL },
+    { false, "", 4, NULL },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      const struct call_extra_headers extra
+          = { .server_id = STR ("i-1"),
+              .priority = -1,
+              .omit_credentials = cases[i].omit,
+              .tenant = str_from (cases[i].tenant) };
+      struct str lines[CALL_HEADERS_MAX];
+      const size_t n = call_headers (fields, 4, &extra, lines);
+
+      /* The deadline and the expected instance are always added. */
+      CU_ASSERT_EQUAL (n, cases[i].kept + 2 + (cases[i].line != NULL));
+      if (cases[i].line)
+        CU_ASSERT_TRUE (has_line (lines, n, cases[i].line));
+      for (size_t j = 0; j < n; j++)
+        str_free (&lines[j]);
+    }
+}
+
 /* Guards against taking a prompt's own part for a shared one, and against
    values that are cut off or longer than the list. */
 static void
@@ -345,8 +567,13 @@
   { "values", test_values },
   { "adapter names", test_adapter_names },
   { "bad configuration", test_bad_config },
+  { "tenants", test_tenants },
+  { "tenant limits", test_tenant_limits },
+  { "bearer", test_bearer },
+  { "has tokens", test_has_tokens },
   { "entries", test_entries },
   { "headers", test_headers },
+  { "credentials", test_credentials },
   { "prompt parts", test_prompt_parts },
   { "retry after", test_retry_after },
 };
