Require the key of a tenant for calls, if the configuration has tenants

A call without a known key gets 401 after its route was found, unless the route allows anonymous calls. The tenant's name goes to the server, its priority overrides the route's, and its name is part of the crash fingerprint, so that one tenant's requests don't lead to refusing another's. A call of which nothing reached a server is checked again before it is dispatched under a newer configuration. Without tenants fingerprints stay the same.

--- a/src/edge/call_crash.c
+++ b/src/edge/call_crash.c
@@ -64,8 +64,8 @@
 void
 call_fingerprint (struct call *c)
 {
-  c->fingerprint
-      = quarantine_fingerprint (c->method, c->request_target, c->body);
+  c->fingerprint = quarantine_fingerprint (c->tenant, c->method,
+                                           c->request_target, c->body);
   for (size_t i = 0; i < c->meta.shared_part_count; i++)
     c->part_fingerprints[i]
         = quarantine_part_fingerprint (c->meta.shared_parts[i]);
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -35,6 +35,7 @@
  * struct call_table - all calls of this node.
  * @first: head of the list of calls, in order of arrival.
  * @open_count: length of the list.
+ * @routing_count: configurations received so far.
  * @client_check_due_ms: when client_check_timer should fire next.
  * @wait_end_ms: beyond this time a call waits for a server only if its
  *   response has started. UINT64_MAX while the node isn't draining.
@@ -52,6 +53,7 @@
   struct call *first;
   struct call *last;
   size_t open_count;
+  uint64_t routing_count;
   struct retries_limits retry_limits;
   struct service_budget_entry *service_budgets;
   uint64_t random_state;
@@ -107,7 +109,11 @@
  * @fingerprint: the same whenever the request is sent again, also by another
  *   client.
  * @part_fingerprints: of the shared parts of its prompt, as in @meta.
- * @route_name, @service: owned by the call.
+ * @route_name, @service, @tenant: owned by the call; @tenant is empty without
+ *   one.
+ * @has_tenants: the configuration has tenants, so that the client's key is not
+ *   sent to the server.
+ * @routing_count: that of the calls when @tenant was determined.
  * @config_version: version of the configuration that routed the call; 0 if
  *   there was none.
  * @response_deadline_ms: the response is sent by this time, a little before
@@ -150,6 +156,9 @@
   uint64_t part_fingerprints[PROMPT_PARTS_MAX];
   struct str route_name;
   struct str service;
+  struct str tenant;
+  bool has_tenants;
+  uint64_t routing_count;
   uint64_t config_version;
   enum call_kind kind;
   uint32_t latency_objective_ms;
@@ -185,12 +194,12 @@
 
 /* Fields that the log lines of a call start with. */
 #define CALL_LOG_FMT                                                          \
-  "id=" STR_FMT " route=" STR_FMT " service=" STR_FMT " model=" STR_FMT       \
-  " adapter=" STR_FMT
+  "id=" STR_FMT " tenant=" STR_FMT " route=" STR_FMT " service=" STR_FMT      \
+  " model=" STR_FMT " adapter=" STR_FMT
 #define CALL_LOG_ARG(c)                                                       \
-  STR_ARG ((c)->meta.client_attempt_id), STR_ARG ((c)->route_name),           \
-      STR_ARG ((c)->service), LOG_NAME_ARG ((c)->meta.model),                 \
-      LOG_NAME_ARG ((c)->meta.adapter)
+  STR_ARG ((c)->meta.client_attempt_id), STR_ARG ((c)->tenant),               \
+      STR_ARG ((c)->route_name), STR_ARG ((c)->service),                      \
+      LOG_NAME_ARG ((c)->meta.model), LOG_NAME_ARG ((c)->meta.adapter)
 
 /* ---- call_send.c ---- */
 
@@ -289,9 +298,21 @@
  */
 void call_drop (struct call *call, const char *reason);
 
+/* ---- call_tenant.c ---- */
+
+/** call_identify() - find the tenant by the key of the call, and set what
+ * depends on it: tenant, priority and fingerprints. Returns false if the call
+ * was closed because it needs a key that the configuration has. */
+bool call_identify (struct call *call, const struct routing *routing,
+                    const struct route *route);
+/** call_identify_again() - likewise, if a configuration came since and nothing
+ * of the call was sent to a server. */
+bool call_identify_again (struct call *call);
+
 /* ---- call_crash.c ---- */
 
-/** call_fingerprint() - set the fingerprints of a call. */
+/** call_fingerprint() - set the fingerprints of a call whose tenant is known.
+ */
 void call_fingerprint (struct call *call);
 /** call_quarantined() - returns the fingerprint of what crashes servers, the
  * request or a part of its prompt; 0 if neither does. */
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -117,6 +117,8 @@
   enum pool_result result;
   uint64_t subject;
 
+  if (!call_identify_again (c))
+    return;
   if (call_ms_until (c->response_deadline_ms) < ATTEMPT_MIN_MS)
     {
       call_give_up (c, 0, "no-time-left");
--- a/src/edge/call_start.c
+++ b/src/edge/call_start.c
@@ -72,6 +72,8 @@
     .server_id = pool_server_id (server),
     .priority = request_priority (c),
     .last_event_id = resume_event_id (c),
+    .omit_credentials = c->has_tenants,
+    .tenant = c->tenant,
   };
   const size_t count = call_headers (c->fields, c->field_count, &stamp, lines);
   const struct forward_spec spec = {
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -71,6 +71,7 @@
 
   str_free (&c->route_name);
   str_free (&c->service);
+  str_free (&c->tenant);
   free (c);
 }
 
@@ -183,7 +184,6 @@
   c->request_target = iovec_view (req->input.path);
   c->body = iovec_view (req->entity);
   c->client_address = client_address (req);
-  call_fingerprint (c);
   c->caller = caller_create (req, on_client_left, c);
   link_call (c);
   return c;
@@ -203,12 +203,14 @@
   return ms - REFUSAL_RESERVE_MS;
 }
 
-/* A call may ask for a model that only a later configuration has. */
+/* A call may ask for a model that only a later configuration has. Keys of
+   waiting calls are checked again when the calls are dispatched next. */
 static void
 on_routing (void *ctx, const void *snapshot)
 {
-  const struct call_table *calls = ctx;
+  struct call_table *calls = ctx;
 
+  calls->routing_count++;
   for (struct call *c = calls->first; c; c = c->next)
     {
       const struct service *s = routing_service (snapshot, c->service);
@@ -228,7 +230,6 @@
   c->latency_objective_ms = r->latency_objective_ms;
   c->event_gap_ms = r->event_gap_ms;
   c->max_attempts = r->max_attempts;
-  c->priority = r->priority;
   c->resumable = r->resumable;
   if (c->meta.deadline_ms > 0 && c->meta.deadline_ms < wait_ms)
     wait_ms = c->meta.deadline_ms;
@@ -267,6 +268,8 @@
       call_deny (c, STATUS_NOT_FOUND, "no-route");
       return;
     }
+  if (!call_identify (c, routing, route))
+    return;
   if (c->meta.client_attempt_id.len == 0)
     {
       call_deny (c, STATUS_BAD_REQUEST, "no-attempt-id");
--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -71,9 +71,13 @@
 }
 
 uint64_t
-quarantine_fingerprint (struct str method, struct str target, struct str body)
+quarantine_fingerprint (struct str tenant, struct str method,
+                        struct str target, struct str body)
 {
-  return str_hash (body, str_hash (target, str_hash (method, 0)));
+  /* Fingerprints without a tenant stay as older nodes compute them. */
+  const uint64_t seed = tenant.len > 0 ? str_hash (tenant, 0) : 0;
+
+  return str_hash (body, str_hash (target, str_hash (method, seed)));
 }
 
 uint64_t
--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -82,9 +82,10 @@
 
 /** quarantine_fingerprint() - hash that is the same whenever the request is
  * sent again. A client's address is no part of it: one caller sends from many
- * hosts, and a load balancer or NAT changes the address. */
-uint64_t quarantine_fingerprint (struct str method, struct str target,
-                                 struct str body);
+ * hosts, and a load balancer or NAT changes the address.
+ * @tenant: name of the tenant; empty without one. */
+uint64_t quarantine_fingerprint (struct str tenant, struct str method,
+                                 struct str target, struct str body);
 /** quarantine_part_fingerprint() - hash of the id of a part of a prompt. */
 uint64_t quarantine_part_fingerprint (struct str part);
 /** quarantine_server_hash() - hash of one start of a server. */
--- a/tests/test_crashers.c
+++ b/tests/test_crashers.c
@@ -56,30 +56,35 @@
   quarantine_destroy (c);
 }
 
-/* Guards against counting the crashes of different requests together. */
+/* Guards against counting the crashes of different requests together, or of
+   the same request of different tenants. */
 static void
 test_fingerprint (void)
 {
   static const struct
   {
+    const char *tenant;
     const char *method;
     const char *target;
     const char *body;
   } requests[] = {
-    { "GET", "/a", "" },   { "POST", "/a", "" },    { "GET", "/b", "" },
-    { "GET", "/a?x", "" }, { "GET", "/a", "body" }, { "GET", "/a", "bodz" },
+    { "", "GET", "/a", "" },       { "", "POST", "/a", "" },
+    { "", "GET", "/b", "" },       { "", "GET", "/a?x", "" },
+    { "", "GET", "/a", "body" },   { "", "GET", "/a", "bodz" },
+    { "t1", "GET", "/a", "" },     { "t2", "GET", "/a", "" },
+    { "t1", "GET", "/a", "body" }, { "t2", "GET", "/a", "body" },
   };
   const size_t count = sizeof requests / sizeof *requests;
 
   for (size_t i = 0; i < count; i++)
     for (size_t j = 0; j < count; j++)
       CU_ASSERT_EQUAL (
-          quarantine_fingerprint (str_from (requests[i].method),
-                                  str_from (requests[i].target),
-                                  str_from (requests[i].body))
-              == quarantine_fingerprint (str_from (requests[j].method),
-                                         str_from (requests[j].target),
-                                         str_from (requests[j].body)),
+          quarantine_fingerprint (
+              str_from (requests[i].tenant), str_from (requests[i].method),
+              str_from (requests[i].target), str_from (requests[i].body))
+              == quarantine_fingerprint (
+                  str_from (requests[j].tenant), str_from (requests[j].method),
+                  str_from (requests[j].target), str_from (requests[j].body)),
           i == j);
 }
 
