--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -128,13 +128,14 @@
 {
   struct str marker = str_printf ("v%lu", e->version);
   json_t *routes = json_pack (
-      "[o, o, o, o, o, o]",
+      "[o, o, o, o, o, o, o]",
       route_json ("plain", "idempotent", "plain", timeout_ms, 2, false),
       route_json ("once", "non_idempotent", "plain", timeout_ms, 1, false),
       route_json ("stream", "streaming", "lm", timeout_ms, 2, true),
       route_json ("stream3", "streaming", "lm", timeout_ms, 3, true),
       route_json ("whole", "streaming", "lm", timeout_ms, 1, false),
-      route_json (marker.data, "idempotent", "plain", timeout_ms, 1, false));
+      route_json (marker.data, "idempotent", "plain", timeout_ms, 1, false),
+      route_json ("open", "idempotent", "plain", timeout_ms, 1, false));
   json_t *services
       = json_pack ("[{s:s, s:i}, {s:s, s:i, s:o}]", "name", "plain",
                    "max_connections", 100, "name", "lm", "max_connections",
@@ -144,6 +145,11 @@
       (json_int_t)e->version, "routes", routes, "services", services, "limits",
       "max_header_bytes", 16384, "max_body_bytes", 1048576,
       "header_timeout_ms", 3000, "idle_timeout_ms", (int)idle_timeout_ms);
+
+  json_object_set_new (json_array_get (routes, json_array_size (routes) - 1),
+                       "allow_anonymous", json_true ());
+  if (e->tenants)
+    json_object_set_new (spec, "tenants", json_loads (e->tenants, 0, NULL));
   char *text = json_dumps (spec, 0);
 
   str_free (&marker);
--- a/tests/edgecluster.h
+++ b/tests/edgecluster.h
@@ -11,7 +11,8 @@
    /stream/  a resumable stream, 2 attempts
    /stream3/ a resumable stream, 3 attempts
    /whole/   a stream that must not be resumed
-   /vN/      idempotent, 1 attempt; only in version N of the configuration */
+   /vN/      idempotent, 1 attempt; only in version N of the configuration
+   /open/    idempotent, 1 attempt, needs no key */
 
 #define EDGE_CALL_TIMEOUT_MS 8000
 
@@ -21,6 +22,7 @@
   struct cluster_proc *store;
   uint64_t version;               /* of the configuration to write next */
   const char *const *more_models; /* of "lm", NULL-terminated; may be NULL */
+  const char *tenants;            /* JSON list; NULL for none */
 };
 
 /** edgecluster_create() - create the cluster and start only its object store.
--- a/tests/test_tenants.c
+++ b/tests/test_tenants.c
@@ -63,7 +63,7 @@
   CU_ASSERT_PTR_EQUAL (tenants_by_name (t, STR ("b")), b);
   CU_ASSERT_PTR_NULL (tenants_by_name (t, STR ("x")));
   CU_ASSERT_PTR_NULL (tenants_by_name (t, STR ("")));
-  CU_ASSERT_TRUE (a->has_priority && a->priority == 3
+  CU_ASSERT_TRUE (a && a->has_priority && a->priority == 3
                   && a->quota.rate_per_s == 2.5);
   CU_ASSERT_EQUAL (tenants_count (t), 2);
   tenants_destroy (t);
