Move the token bucket of the quotas to a module of its own

The quotas of tenants need the same arithmetic with costs other than one, fractional rates and debts.

--- a/src/quota.c
+++ b/src/quota.c
@@ -101,9 +101,6 @@
         return a;
     }
   quota_refill (b, now_ms);
-  const uint64_t full = (uint64_t)limits->burst * TOKEN_UNITS;
-  if (b->tokens > full)
-    b->tokens = full;
   return quota_take_token (b, id, now_ms);
 }
 
--- a/src/quota_bucket.c
+++ b/src/quota_bucket.c
@@ -45,20 +45,8 @@
 void
 quota_refill (struct bucket *b, uint64_t now_ms)
 {
-  const uint64_t full = (uint64_t)b->limits.burst * TOKEN_UNITS;
-
-  if (now_ms <= b->refilled_ms)
-    return;
-  const uint64_t passed_ms = now_ms - b->refilled_ms;
-  /* After more seconds than the burst any rate has filled the bucket; the
-     product below could overflow. */
-  if (passed_ms / 1000 > b->limits.burst)
-    b->tokens = b->limits.requests_per_s > 0 ? full : b->tokens;
-  else
-    b->tokens += passed_ms * b->limits.requests_per_s;
-  if (b->tokens > full)
-    b->tokens = full;
-  b->refilled_ms = now_ms;
+  tokenbucket_refill (&b->tokens, b->limits.requests_per_s, b->limits.burst,
+                      now_ms);
 }
 
 void
@@ -112,18 +100,14 @@
   if (l->in_flight > 0 && HASH_COUNT (b->holds) >= l->in_flight)
     return (struct quota_decision){ .code = QUOTA_IN_FLIGHT,
                                     .retry_after_ms = 1000 };
-  if (l->requests_per_s > 0 && b->tokens < TOKEN_UNITS)
-    {
-      const uint64_t missing = TOKEN_UNITS - b->tokens;
-      uint64_t wait_ms = (missing + l->requests_per_s - 1) / l->requests_per_s;
-
-      if (b->refilled_ms > now_ms)
-        wait_ms += b->refilled_ms - now_ms;
-      return (struct quota_decision){ .code = QUOTA_RATE,
-                                      .retry_after_ms = (uint32_t)wait_ms };
-    }
+  if (l->requests_per_s > 0 && !tokenbucket_holds (&b->tokens, 1))
+    return (struct quota_decision){
+      .code = QUOTA_RATE,
+      .retry_after_ms = (uint32_t)tokenbucket_wait_ms (
+          &b->tokens, l->requests_per_s, 1, now_ms),
+    };
   if (l->requests_per_s > 0)
-    b->tokens -= TOKEN_UNITS;
+    tokenbucket_charge (&b->tokens, 1);
   if (l->in_flight > 0)
     quota_set_hold (b, id, now_ms + QUOTA_HOLD_TTL_MS);
   return a;
@@ -143,6 +127,6 @@
   if (!b->started)
     return true;
   quota_refill (b, now_ms);
-  return b->tokens >= (uint64_t)b->limits.burst * TOKEN_UNITS
+  return tokenbucket_holds (&b->tokens, b->limits.burst)
          || b->limits.requests_per_s == 0;
 }
--- a/src/quota_handover.c
+++ b/src/quota_handover.c
@@ -41,8 +41,7 @@
   const uint64_t node_ms = node_settled_ms (q);
 
   b->started = true;
-  b->tokens = 0;
-  b->refilled_ms = refilled_ms;
+  b->tokens = (struct tokenbucket){ .refilled_ms = refilled_ms };
   b->settled_ms = settled_ms > node_ms ? settled_ms : node_ms;
 }
 
@@ -103,7 +102,7 @@
       state.known = b->started;
       if (b->started)
         quota_refill (b, now_ms);
-      state.tokens = b->tokens;
+      state.tokens = (uint64_t)b->tokens.level;
       state.holds = xcalloc (HASH_COUNT (b->holds) + 1, sizeof *state.holds);
       HASH_ITER (hh, b->holds, h, next)
       {
@@ -147,8 +146,8 @@
   start_empty (q, b, since_ms, settled_ms);
   if (state->known)
     {
-      b->tokens = state->tokens;
-      b->refilled_ms = now_ms;
+      b->tokens.level = (double)state->tokens;
+      b->tokens.refilled_ms = now_ms;
       b->settled_ms = now_ms + state->settling_ms;
     }
   drop_transfer (q, customer);
--- a/src/quota_impl.h
+++ b/src/quota_impl.h
@@ -5,10 +5,9 @@
 #include <uthash.h>
 
 #include "quota.h"
+#include "tokenbucket.h"
 
 #define VIEWS_MAX 16
-/* Units of bucket::tokens for one request; 1 ms at 1 request/s adds 1 unit. */
-#define TOKEN_UNITS 1000
 
 /** struct hold - a request in flight; expires unless renewed. */
 struct hold
@@ -19,11 +18,9 @@
 };
 
 /** struct bucket - token bucket and requests in flight of a customer.
- * @started: @tokens and the times are set; before that only @holds is used.
+ * @started: @tokens and @settled_ms are set; before that only @holds is used.
  * @ownership_lost: another node became owner at @ownership_lost_ms.
- * @tokens: thousandths of a request; see TOKEN_UNITS.
- * @refilled_ms: time up to which tokens were added; may lie in the future,
- *   then none are added until it has passed.
+ * @tokens: one unit per request.
  * @settled_ms: time from which on @holds is complete.
  */
 struct bucket
@@ -33,8 +30,7 @@
   bool started;
   bool ownership_lost;
   uint64_t ownership_lost_ms;
-  uint64_t tokens;
-  uint64_t refilled_ms;
+  struct tokenbucket tokens;
   uint64_t settled_ms;
   uint64_t last_take_ms;
   struct hold *holds;
