--- a/src/edge/quotaowner.h
+++ b/src/edge/quotaowner.h
@@ -72,12 +72,12 @@
 /**
  * quotaowner_draw() - give units of a tenant to a node.
  * @node: name of the node.
- * @instance: changes when the node's process starts anew.
+ * @instance: changes when the node's process starts anew; draw numbers are
+ *   compared within an instance.
  * @spec: the tenant's limit by the owner's configuration; rate_per_s must be
  *   above 0. A lower limit than at the last draw takes effect at once.
- * @out: the answer. A draw number that the node used last for this tenant
- *   gets its former answer and takes nothing; an older one, or one of an
- *   older instance, gets nothing.
+ * @out: the answer. The draw number that was used last for this tenant gets
+ *   its former answer and takes nothing; an older one gets nothing.
  */
 void quotaowner_draw (struct quotaowner *owner, struct str node,
                       uint64_t instance, const struct quota_spec *spec,
@@ -88,6 +88,6 @@
 void quotaowner_tick (struct quotaowner *owner, uint64_t now_ms);
 /** quotaowner_bucket_count() - Returns the number of buckets in memory. */
 size_t quotaowner_bucket_count (const struct quotaowner *owner);
-/** quotaowner_record_count() - Returns the number of records of nodes and of
- * their draws in memory. */
+/** quotaowner_record_count() - Returns the number of answers in memory, one
+ * for each node's process and tenant. */
 size_t quotaowner_record_count (const struct quotaowner *owner);
