--- a/src/edge/quotashare.h
+++ b/src/edge/quotashare.h
@@ -43,7 +43,6 @@
   uint32_t cost;
   uint32_t priority;
   uint64_t ordinal;
-  uint64_t drawn_for; /* number of the draw that asks for it; 0 for none */
   bool decided;
   bool granted;
   uint32_t retry_after_ms;
