Use kept connections for calls that may run at most once

Such a call now uses a kept connection that was idle for less than the server's Keep-Alive timeout minus 1 s, or 1 s without one. It avoids connections that carried a refusal, which a server may write again, or a stream of a server that states no timeout, which some servers close right after the stream. A close that arrives after the first byte was accepted by the own kernel stays a 502.

The test "connection reuse" asserted that such calls have a connection of their own. It now asserts that they share one, that a server that closes it gets each call once (counted at the server) and the call 502, and that a server that states 1 s gets a new one. The stand-in told the connection of its repeated refusal by an address that a later connection may have; it now uses its number.

--- a/src/edge/call_start.c
+++ b/src/edge/call_start.c
@@ -52,15 +52,6 @@
   return c->priority > PRIORITY_LOWEST ? PRIORITY_LOWEST : (int)c->priority;
 }
 
-/* A reused connection may close while the request is sent, which a call that
-   must not be repeated can't make up for. And a server may write its rejection
-   of an earlier attempt once more on a kept connection, with the same id. */
-static bool
-needs_new_connection (const struct call *c)
-{
-  return !call_repeatable (c) || c->rejections > 0;
-}
-
 void
 call_start_attempt (struct call *c, struct pool_server *server,
                     bool uses_retry_budget)
@@ -87,7 +78,10 @@
     .last_event_id = c->last_event_id,
     .first_event_timeout_ms = call_first_event_timeout (c),
     .gap_timeout_ms = call_event_gap_timeout (c),
-    .new_connection = needs_new_connection (c),
+    /* A server may write its rejection of an earlier attempt once more on a
+       kept connection, with the same id. */
+    .fresh_connection = c->rejections > 0,
+    .run_once = !call_repeatable (c),
   };
 
   call_set_waiting (c, false);
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -130,6 +130,17 @@
   http_cancel (call);
 }
 
+/* Returns true if a later request on the connection may be lost: a server may
+   write its refusal once more, in front of the next response, and may close
+   the connection soon after a stream. */
+static bool
+is_connection_doubtful (const struct forward *f, const struct http_call *call,
+                        const struct answer_meta *meta)
+{
+  return meta->not_executed
+         || (f->stream && http_header (call, "Keep-Alive").len == 0);
+}
+
 static void
 on_head (void *ctx, struct http_call *call, int status)
 {
@@ -141,6 +152,8 @@
   f->status = status;
   answer_meta_read (call, status, &meta);
   f->forwardable = meta.sealed && !meta.encoded;
+  if (is_connection_doubtful (f, call, &meta))
+    http_distrust_connection (call);
   /* A response without the call's id may belong to an earlier call on the
      connection. */
   if (str_eq (meta.id, f->call_id))
@@ -298,7 +311,8 @@
     .body = spec->body,
     .connect_ms = SERVER_CONNECT_MS,
     .allow_close_delimited = true,
-    .new_connection = spec->new_connection,
+    .fresh_connection = spec->fresh_connection,
+    .run_once = spec->run_once,
   };
 
   f->events = events;
--- a/src/edge/forward.h
+++ b/src/edge/forward.h
@@ -25,7 +25,8 @@
  * @first_event_timeout_ms: limit for the first event, or for a body until it
  *   is complete or forwarded in parts; 0 for none.
  * @gap_timeout_ms: limit for the pause between events; 0 for none.
- * @new_connection: send the call on a connection of its own.
+ * @fresh_connection: send the call on a new connection.
+ * @run_once: the call must not run a second time.
  */
 struct forward_spec
 {
@@ -41,7 +42,8 @@
   uint64_t last_event_id;
   uint32_t first_event_timeout_ms;
   uint32_t gap_timeout_ms;
-  bool new_connection;
+  bool fresh_connection;
+  bool run_once;
 };
 
 enum forward_outcome
--- a/src/http.c
+++ b/src/http.c
@@ -8,8 +8,11 @@
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <unistd.h>
 
 #include "clock.h"
+#include "connsockets.h"
+#include "keepalive.h"
 #include "log.h"
 
 #define LOG_MODULE "http"
@@ -44,6 +47,7 @@
   struct buf collected;
   size_t collected_max_bytes;
   size_t head_bytes;
+  curl_socket_t fd; /* of the connection that the call uses */
   char error_text[CURL_ERROR_SIZE];
   uint64_t started_ms;
   uint64_t last_received_ms;
@@ -51,10 +55,13 @@
   uint32_t total_ms;
   bool allow_close_delimited;
   bool repeat_if_closed;
+  bool run_once;
   bool head_done;
   bool added_to_multi;
   bool cancelled;
   bool repeat_refused; /* libcurl was about to send the request once more */
+  bool unusable;       /* the kept connection can't be used */
+  bool sent_before;    /* bytes were sent on an earlier connection */
   bool too_large;      /* its body was given up */
   struct http_call *prev;
   struct http_call *next;
@@ -67,6 +74,8 @@
   uv_timer_t timer;
   uv_timer_t deferred; /* adds calls outside libcurl callbacks */
   CURLM *multi;
+  struct keepalive *keepalive;
+  struct connsockets *sockets;
   struct http_call *calls;
   size_t collected_bytes; /* of all calls */
   bool in_curl;
@@ -162,7 +171,7 @@
   long bytes = 0;
 
   curl_easy_getinfo (c->easy, CURLINFO_REQUEST_SIZE, &bytes);
-  return bytes > 0;
+  return c->sent_before || bytes > 0;
 }
 
 /* Logs a failure, calls done(), and frees the call. */
@@ -221,6 +230,35 @@
 
 /* ---- libcurl callbacks ---- */
 
+/* Returns true if the peer neither closed the connection nor sent bytes that
+   were not read. */
+static bool
+is_idle (curl_socket_t fd)
+{
+  char byte;
+
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+/* Looks at the call's connection after it was chosen and before the first byte
+   is sent. Returns false if it is a kept one that must not be used. libcurl
+   itself checks only whether it was closed, and earlier. */
+static bool
+check_connection (struct http_call *c, const struct connaddress *address)
+{
+  struct connsockets *sockets = c->http->sockets;
+
+  if (http_opened_connection (c))
+    {
+      connsockets_add (sockets, address, c->fd);
+      return true;
+    }
+  c->fd = connsockets_find (sockets, address);
+  return c->fd >= 0 && is_idle (c->fd)
+         && !(c->run_once && connsockets_distrusted (sockets, c->fd));
+}
+
 /* Runs when the connection is established. This may be much later than
    http_send(), so the caller confirms that the request is still to be sent.
    Runs again when a reused connection closed before the first byte of the
@@ -230,17 +268,19 @@
            int local_port)
 {
   struct http_call *c = ctx;
+  const struct connaddress address = { remote_ip, remote_port, local_port };
 
-  (void)remote_ip;
   (void)local_ip;
-  (void)remote_port;
-  (void)local_port;
   c->repeat_refused = !c->repeat_if_closed && request_sent (c);
   if (c->cancelled || c->repeat_refused)
     return CURL_PREREQFUNC_ABORT;
-  return !c->events->confirm_send || c->events->confirm_send (c->ctx)
-             ? CURL_PREREQFUNC_OK
-             : CURL_PREREQFUNC_ABORT;
+  if (c->events->confirm_send && !c->events->confirm_send (c->ctx))
+    return CURL_PREREQFUNC_ABORT;
+  c->unusable = !check_connection (c, &address);
+  if (!c->unusable)
+    return CURL_PREREQFUNC_OK;
+  curl_easy_setopt (c->easy, CURLOPT_FORBID_REUSE, 1L);
+  return CURL_PREREQFUNC_ABORT;
 }
 
 static size_t
@@ -257,6 +297,8 @@
   if (len <= 2 && (data[0] == '\r' || data[0] == '\n') && status_of (c) >= 200)
     {
       c->head_done = true;
+      keepalive_learn (c->http->keepalive, c->peer,
+                       http_header (c, "Keep-Alive"));
       if (c->events->head)
         c->events->head (c->ctx, c, status_of (c));
     }
@@ -321,14 +363,24 @@
 on_socket_created (void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
   const unsigned user_timeout_ms = USER_TIMEOUT_MS;
+  struct http_call *c = ctx;
 
-  (void)ctx;
   (void)purpose;
+  c->fd = fd;
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
               sizeof user_timeout_ms);
   return CURL_SOCKOPT_OK;
 }
 
+static int
+on_socket_closing (void *ctx, curl_socket_t fd)
+{
+  const struct http *h = ctx;
+
+  connsockets_remove (h->sockets, fd);
+  return close (fd);
+}
+
 /* Returns true if the head tells where the body ends. A body that ends when
    the connection closes can't be distinguished from a truncated one. */
 static bool
@@ -351,6 +403,19 @@
   return c->allow_close_delimited || has_body_framing (c) ? 0 : -EPIPE;
 }
 
+/* Starts the call anew on a new connection, after nothing of it was sent on a
+   kept one. */
+static void
+use_new_connection (struct http_call *c)
+{
+  c->unusable = false;
+  c->sent_before = request_sent (c);
+  curl_multi_remove_handle (c->http->multi, c->easy);
+  curl_easy_setopt (c->easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt (c->easy, CURLOPT_FORBID_REUSE, 0L);
+  curl_multi_add_handle (c->http->multi, c->easy);
+}
+
 static void
 finish_completed (struct http *h)
 {
@@ -366,6 +431,11 @@
         continue;
       code = error_code (msg->data.result);
       curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, &c);
+      if (c->unusable && !c->cancelled)
+        {
+          use_new_connection (c);
+          continue;
+        }
       if (c->too_large)
         code = -EMSGSIZE;
       else if (c->repeat_refused)
@@ -532,6 +602,26 @@
   curl_easy_setopt (c->easy, CURLOPT_HTTPHEADER, c->headers);
 }
 
+/* Chooses between a kept connection and a new one. */
+static void
+set_connection (struct http_call *c, const struct http_request *req)
+{
+  const uint32_t limit_s
+      = keepalive_idle_limit_s (c->http->keepalive, c->peer);
+  long age_s = CONNECTION_IDLE_LIMIT_S;
+
+  /* libcurl compares the whole seconds that a connection was idle, so 0 allows
+     all times below 1 s. */
+  if (req->run_once && limit_s <= CONNECTION_IDLE_LIMIT_S)
+    age_s = limit_s > 0 ? (long)limit_s - 1 : 0;
+  curl_easy_setopt (c->easy, CURLOPT_MAXAGE_CONN, age_s);
+  if (req->new_connection || req->fresh_connection
+      || (req->run_once && limit_s == 0))
+    curl_easy_setopt (c->easy, CURLOPT_FRESH_CONNECT, 1L);
+  if (req->new_connection)
+    curl_easy_setopt (c->easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
 static void
 set_options (struct http_call *c, const struct http_request *req)
 {
@@ -549,10 +639,12 @@
   curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_data);
   curl_easy_setopt (e, CURLOPT_WRITEDATA, c);
   curl_easy_setopt (e, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
+  curl_easy_setopt (e, CURLOPT_SOCKOPTDATA, c);
+  curl_easy_setopt (e, CURLOPT_CLOSESOCKETFUNCTION, on_socket_closing);
+  curl_easy_setopt (e, CURLOPT_CLOSESOCKETDATA, c->http);
   curl_easy_setopt (e, CURLOPT_TCP_KEEPALIVE, 1L);
   curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
   curl_easy_setopt (e, CURLOPT_MAXLIFETIME_CONN, (long)CONNECTION_AGE_LIMIT_S);
-  curl_easy_setopt (e, CURLOPT_MAXAGE_CONN, (long)CONNECTION_IDLE_LIMIT_S);
   curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, on_prereq);
   curl_easy_setopt (e, CURLOPT_PREREQDATA, c);
   if (req->target.len > 0)
@@ -562,10 +654,7 @@
       curl_easy_setopt (e, CURLOPT_REQUEST_TARGET, target.data);
       str_free (&target);
     }
-  if (req->new_connection || req->fresh_connection)
-    curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
-  if (req->new_connection)
-    curl_easy_setopt (e, CURLOPT_FORBID_REUSE, 1L);
+  set_connection (c, req);
 }
 
 /* Returns the "ip:port" of a URL. */
@@ -601,6 +690,7 @@
   c->total_ms = req->total_ms;
   c->allow_close_delimited = req->allow_close_delimited;
   c->repeat_if_closed = req->repeat_if_closed;
+  c->run_once = req->run_once;
   c->collected_max_bytes = req->collected_max_bytes > 0
                                ? req->collected_max_bytes
                                : COLLECTED_MAX_BYTES;
@@ -635,6 +725,12 @@
     release_call (c);
 }
 
+void
+http_distrust_connection (struct http_call *c)
+{
+  connsockets_distrust (c->http->sockets, c->fd);
+}
+
 bool
 http_response_started (const struct http_call *c)
 {
@@ -681,6 +777,8 @@
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   h->loop = loop;
+  h->keepalive = keepalive_create ();
+  h->sockets = connsockets_create ();
   h->multi = curl_multi_init ();
   curl_multi_setopt (h->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
   curl_multi_setopt (h->multi, CURLMOPT_SOCKETDATA, h);
@@ -715,6 +813,8 @@
 void
 http_destroy (struct http *h)
 {
+  keepalive_destroy (h->keepalive);
+  connsockets_destroy (h->sockets);
   free (h);
 }
 
--- a/src/http.h
+++ b/src/http.h
@@ -23,6 +23,9 @@
  * @allow_close_delimited: accept a response without a length, whose body ends
  *   when the connection closes.
  * @fresh_connection: use a new connection, which later calls may use too.
+ * @run_once: use a kept connection only as long as the peer certainly has not
+ *   closed it for being idle, because a request that was sent on a closed
+ *   connection can't be repeated.
  * @repeat_if_closed: send the request once more on a new connection if a
  *   reused one closes before the first byte of the response. For reads without
  *   a deadline or a budget only.
@@ -45,6 +48,7 @@
   bool allow_close_delimited;
   bool repeat_if_closed;
   bool fresh_connection;
+  bool run_once;
   bool new_connection;
 };
 
@@ -89,6 +93,9 @@
 /** http_cancel() - end a call at once and close its connection. No callback
  * follows. */
 void http_cancel (struct http_call *call);
+/** http_distrust_connection() - keep later calls with @run_once off the call's
+ * connection. For use in head(). */
+void http_distrust_connection (struct http_call *call);
 /** http_response_started() - returns true once a byte of the response has
  * arrived. */
 bool http_response_started (const struct http_call *call);
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -462,31 +462,41 @@
   edgecluster_destroy (&edges);
 }
 
-/* Guards against a new connection for each call, and against reusing a
-   connection for a call that must run at most once: the HTTP library resends a
-   request on its own when a reused connection closes. */
+/* Guards against a new connection for each call, and against a call that runs
+   twice because the server closes the kept connection that it was sent on. */
 static void
 test_connection_reuse (void)
 {
   static const struct
   {
     const char *path;
+    const char *fault;
     bool reused;
-  } cases[] = { { "/plain/x", true }, { "/once/x", false } };
+    int status;
+    int runs;
+  } cases[] = {
+    { "/plain/x", NULL, true, 200, 1 },
+    { "/once/x", NULL, true, 200, 1 },
+    { "/once/x", "close-kept", true, 502, 1 },
+    { "/once/x", "short-keep-alive", false, 200, 1 },
+  };
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
     {
+      const char *const flags[] = { "--fault", cases[i].fault, NULL };
       struct cluster_proc *server;
-      struct cluster_proc *edge
-          = start_with_one_server ("plain", NULL, &server);
+      struct cluster_proc *edge = start_with_one_server (
+          "plain", cases[i].fault ? flags : NULL, &server);
+      struct cluster_reply r
+          = edgecluster_call (edge, "POST", cases[i].path, "id-a", NULL, "x");
 
-      for (int j = 0; j < 2; j++)
-        {
-          struct cluster_reply r = edgecluster_call (
-              edge, "POST", cases[i].path, j ? "id-b" : "id-a", NULL, "x");
-          CU_ASSERT_EQUAL (r.status, 200);
-          cluster_reply_free (&r);
-        }
+      CU_ASSERT_EQUAL (r.status, 200);
+      cluster_reply_free (&r);
+      r = edgecluster_call (edge, "POST", cases[i].path, "id-b", NULL, "x");
+      CU_ASSERT_EQUAL (r.status, cases[i].status);
+      cluster_reply_free (&r);
+      CU_ASSERT_EQUAL (edgecluster_run_count (server, "id-a"), 1);
+      CU_ASSERT_EQUAL (edgecluster_run_count (server, "id-b"), cases[i].runs);
       CU_ASSERT_TRUE (server_counter (server, "ports/id-a") > 0);
       CU_ASSERT_EQUAL (server_counter (server, "ports/id-a")
                            == server_counter (server, "ports/id-b"),
--- a/tests/httppeer.c
+++ b/tests/httppeer.c
@@ -23,11 +23,11 @@
   struct peer_outcome *e = ctx;
 
   (void)call;
-  (void)status;
   (void)body;
   e->done = true;
   e->sent = sent;
   e->code = err.code;
+  e->status = status;
 }
 
 void
--- a/tests/httppeer.h
+++ b/tests/httppeer.h
@@ -17,6 +17,7 @@
   bool done;
   bool sent;
   int code;
+  int status;
   enum order_result result;
 };
 
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -50,8 +50,8 @@
   { "models", "LIST", "models loaded at startup; - for none", SETTING_STRING,
     FIELD (models), "", 0, 0 },
   { "fault", "WORD",
-    "shed, close, close-kept, cut, cut-head, cut-head-length, cut-chunks, "
-    "unsealed, crossed, unframed, "
+    "shed, close, close-kept, short-keep-alive, cut, cut-head, "
+    "cut-head-length, cut-chunks, unsealed, crossed, unframed, "
     "error, "
     "unframed-cut, cut-event, cut-end, no-answer, "
     "repeat-refusal, repeat-refusal-unnamed, text-busy, text-lines, "
@@ -395,6 +395,8 @@
     }
   if (has_fault ("leaving"))
     standin_add_header (req, "Server-Leaving", STR ("1"));
+  if (has_fault ("short-keep-alive"))
+    standin_add_header (req, "Keep-Alive", STR ("timeout=1"));
   if (!has_fault ("unsealed"))
     standin_add_header (req, "X-Galenagate-Server-Seal", STR (SEAL));
   standin_add_header (req, "X-Galenagate-Attempt-Id",
@@ -580,7 +582,7 @@
 
 /* ---- refusals that are written twice ---- */
 
-static const h2o_conn_t *refused_conn; /* of the refused request */
+static uint64_t refused_conn; /* id of the refused request's connection */
 static char refused_id[64];
 
 static bool
@@ -597,7 +599,7 @@
 
   if (!repeats_refusal () || refused_conn)
     return false;
-  refused_conn = req->conn;
+  refused_conn = req->conn->id;
   snprintf (refused_id, sizeof refused_id, "%.*s", (int)id.len, id.data);
   return true;
 }
@@ -607,8 +609,7 @@
 static void
 repeat_refusal (h2o_req_t *req)
 {
-  /* A new connection may have the address of the former one. */
-  if (!repeats_refusal () || req->conn != refused_conn
+  if (!repeats_refusal () || req->conn->id != refused_conn
       || standin_conn_requests (req) < 2)
     return;
   send_raw_text (req, "HTTP/1.1 503 Full\r\nX-Galenagate-Not-Executed: 1\r\n"
--- a/tests/test_httpfaults.c
+++ b/tests/test_httpfaults.c
@@ -1,10 +1,13 @@
 #include <errno.h>
 #include <pthread.h>
+#include <semaphore.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "err.h"
 #include "httppeer.h"
 #include "platform/objects.h"
 #include "suite.h"
@@ -154,6 +157,271 @@
     }
 }
 
+/* ---- ends of a kept connection ---- */
+
+#define HEAD_OK "HTTP/1.1 200 OK\r\n"
+#define KEPT_9_S "Keep-Alive: timeout=9\r\n"
+#define LARGE_BODY_BYTES (16 * 1024 * 1024)
+#define IDLE_PAST_DEFAULT_MS 1100
+
+enum kept_end_time
+{
+  END_IDLE,      /* before the second request */
+  END_AT_SEND,   /* once the connection was chosen for the second request */
+  END_AFTER_READ /* after the second request */
+};
+
+/**
+ * struct kept_end - how a peer ends a connection on which it answered once.
+ * @field: of the first response, besides its length.
+ * @text: what it sends before the end; NULL to send nothing and keep the
+ *   connection open.
+ * @reset: close with a reset.
+ * @large: the second request has a large body, which the peer doesn't read.
+ * @idle_ms: idle time before the second request.
+ * @code: expected of the second request.
+ * @runs: how often the peer receives the second request.
+ */
+struct kept_end
+{
+  const char *name;
+  enum kept_end_time time;
+  const char *field;
+  const char *text;
+  bool reset;
+  bool large;
+  unsigned idle_ms;
+  int code;
+  int runs;
+};
+
+/* ctx of the peer's thread and of the second request's callbacks. */
+struct kept_peer
+{
+  struct peer_outcome outcome; /* first member; of the second request */
+  const struct kept_end *end;
+  int fd;
+  int runs;
+  int kept_runs; /* on the first connection */
+  int connections;
+  bool end_begun;
+  sem_t may_end;
+  sem_t ended;
+};
+
+static void
+end_connection (struct kept_peer *p, int fd)
+{
+  static const struct linger linger = { .l_onoff = 1 };
+
+  if (p->end->text)
+    {
+      send (fd, p->end->text, strlen (p->end->text), MSG_NOSIGNAL);
+      if (p->end->reset)
+        setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+      close (fd);
+    }
+  sem_post (&p->ended);
+}
+
+static void
+answer (int fd, const char *field)
+{
+  char text[256];
+  const int n = snprintf (text, sizeof text,
+                          HEAD_OK "%sContent-Length: 2\r\n\r\n{}", field);
+
+  send (fd, text, (size_t)n, MSG_NOSIGNAL);
+}
+
+/* Serves the first connection. */
+static int
+serve_kept (struct kept_peer *p, int fd)
+{
+  if (!peer_read_request (fd))
+    return fd;
+  answer (fd, p->end->field);
+  if (p->end->time != END_AFTER_READ)
+    sem_wait (&p->may_end);
+  else if (peer_read_request (fd))
+    {
+      p->runs++;
+      p->kept_runs++;
+    }
+  end_connection (p, fd);
+  return p->end->text ? -1 : fd;
+}
+
+/* Reads until the client closes, so that no unread byte causes a reset. */
+static void
+drain (int fd)
+{
+  static char bytes[65536];
+
+  while (recv (fd, bytes, sizeof bytes, 0) > 0)
+    ;
+}
+
+static void *
+run_kept_peer (void *ctx)
+{
+  struct kept_peer *p = ctx;
+  int kept = -1;
+  int fd;
+
+  while ((fd = accept (p->fd, NULL, NULL)) >= 0)
+    {
+      if (p->connections++ == 0)
+        {
+          kept = serve_kept (p, fd);
+          continue;
+        }
+      if (peer_read_request (fd))
+        {
+          p->runs++;
+          answer (fd, "");
+          shutdown (fd, SHUT_WR);
+          drain (fd);
+        }
+      close (fd);
+    }
+  if (kept >= 0)
+    close (kept);
+  return NULL;
+}
+
+static void
+let_end (struct kept_peer *p)
+{
+  sem_post (&p->may_end);
+  sem_wait (&p->ended);
+  p->end_begun = true;
+}
+
+static bool
+end_at_send (void *ctx)
+{
+  struct kept_peer *p = ctx;
+
+  if (p->end->time == END_AT_SEND && !p->end_begun)
+    let_end (p);
+  return true;
+}
+
+static void
+send_run_once (struct peer *p, struct kept_peer *kept)
+{
+  static const struct http_events events
+      = { .confirm_send = end_at_send, .done = peer_on_done };
+  const size_t len = kept->end->large ? LARGE_BODY_BYTES : 4;
+  char *body = xcalloc (1, len);
+  struct str url = str_printf ("http://" STR_FMT "/", STR_ARG (p->addr));
+  const struct http_request req = {
+    .method = STR ("POST"), .url = url, .body = { body, len }, .run_once = true
+  };
+
+  http_send (p->http, &req, &events, kept);
+  str_free (&url);
+  free (body);
+}
+
+static void
+end_kept_connection (const struct kept_end *end)
+{
+  struct peer_outcome first = { 0 };
+  struct kept_peer kept = { .end = end };
+  struct peer peer;
+  pthread_t thread;
+
+  peer_open (&peer);
+  kept.fd = peer.fd;
+  sem_init (&kept.may_end, 0, 0);
+  sem_init (&kept.ended, 0, 0);
+  pthread_create (&thread, NULL, run_kept_peer, &kept);
+  send_get (&peer, &first);
+  peer_run_until (&peer, &first.done);
+  CU_ASSERT_EQUAL (first.code, 0);
+  if (end->time == END_IDLE)
+    let_end (&kept);
+  usleep (end->idle_ms * 1000);
+  send_run_once (&peer, &kept);
+  peer_run_until (&peer, &kept.outcome.done);
+  peer_stop (&peer);
+  shutdown (peer.fd, SHUT_RDWR);
+  pthread_join (thread, NULL);
+  CU_ASSERT_EQUAL (kept.outcome.code, end->code);
+  CU_ASSERT_EQUAL (kept.runs, end->runs);
+  /* The kept connection is used unless it ended before. */
+  CU_ASSERT_EQUAL (kept.kept_runs, end->time == END_AFTER_READ);
+  /* Only a request of which certainly nothing was sent counts as not run. */
+  CU_ASSERT (kept.outcome.sent);
+  if (end->code == 0)
+    CU_ASSERT_EQUAL (kept.outcome.status, 200);
+  if (kept.outcome.code != end->code || kept.runs != end->runs)
+    fprintf (stderr, "%s: code %d runs %d\n", end->name, kept.outcome.code,
+             kept.runs);
+  sem_destroy (&kept.may_end);
+  sem_destroy (&kept.ended);
+  peer_close (&peer);
+}
+
+/* Guards against a call that runs twice because it was sent on a kept
+   connection that ends, and against one that fails because the server closed
+   an idle connection. */
+static void
+test_kept_connection (void)
+{
+  static const struct kept_end ends[] = {
+    { "closed while idle", END_IDLE, "", "", .runs = 1 },
+    { "reset while idle", END_IDLE, "", "", .reset = true, .runs = 1 },
+    { "408 while idle", END_IDLE, "",
+      "HTTP/1.1 408 Late\r\nConnection: close\r\n\r\n", .runs = 1 },
+    { "refusal while idle", END_IDLE, "",
+      "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", .runs = 1 },
+    { "cut refusal while idle", END_IDLE, "", "HTTP/1.1 5", .runs = 1 },
+    { "said to close", END_IDLE, "Connection: close\r\n", NULL, .runs = 1 },
+    /* A kept connection would get no answer. */
+    { "stated 1 s", END_IDLE, "Keep-Alive: timeout=1\r\n", NULL, .runs = 1 },
+    { "idle for 1 s", END_IDLE, "", NULL, .idle_ms = IDLE_PAST_DEFAULT_MS,
+      .runs = 1 },
+    { "stated 2 s, idle for 1 s", END_IDLE, "Keep-Alive: timeout=2\r\n", NULL,
+      .idle_ms = IDLE_PAST_DEFAULT_MS, .runs = 1 },
+    { "closed at send", END_AT_SEND, "", "", .runs = 1 },
+    { "408 at send", END_AT_SEND, "",
+      "HTTP/1.1 408 Late\r\nConnection: close\r\n\r\n", .runs = 1 },
+    { "reset at send", END_AT_SEND, "", "", .reset = true, .runs = 1 },
+    { "reset at send, large", END_AT_SEND, "", "", .reset = true,
+      .large = true, .runs = 1 },
+    { "closed at send, large", END_AT_SEND, "", "", .large = true, .runs = 1 },
+    { "lost answer", END_AFTER_READ, KEPT_9_S, "", .code = -EPIPE, .runs = 1 },
+    { "lost answer, reset", END_AFTER_READ, KEPT_9_S, "", .reset = true,
+      .code = -EPIPE, .runs = 1 },
+    { "reset within the request", END_AFTER_READ, KEPT_9_S, "", .reset = true,
+      .large = true, .code = -EPIPE, .runs = 1 },
+    { "closed within the request", END_AFTER_READ, KEPT_9_S, "", .large = true,
+      .code = -EPIPE, .runs = 1 },
+    { "cut status line", END_AFTER_READ, KEPT_9_S, "HTTP/1.1 2",
+      .code = -EPIPE, .runs = 1 },
+    { "cut head", END_AFTER_READ, KEPT_9_S, HEAD_OK "Content-Len",
+      .code = -EPIPE, .runs = 1 },
+    { "cut head after 100", END_AFTER_READ, KEPT_9_S,
+      "HTTP/1.1 100 Continue\r\n\r\n", .code = -EPIPE, .runs = 1 },
+    { "cut body", END_AFTER_READ, KEPT_9_S,
+      HEAD_OK "Content-Length: 2\r\n\r\n{", .code = -EPIPE, .runs = 1 },
+    { "cut body, reset", END_AFTER_READ, KEPT_9_S,
+      HEAD_OK "Content-Length: 2\r\n\r\n{", .reset = true, .code = -EPIPE,
+      .runs = 1 },
+    { "cut chunk", END_AFTER_READ, KEPT_9_S,
+      HEAD_OK "Transfer-Encoding: chunked\r\n\r\n5\r\nab", .code = -EPIPE,
+      .runs = 1 },
+    { "whole answer", END_AFTER_READ, KEPT_9_S,
+      HEAD_OK "Content-Length: 2\r\n\r\n{}", .runs = 1 },
+  };
+
+  for (size_t i = 0; i < sizeof ends / sizeof *ends; i++)
+    end_kept_connection (&ends[i]);
+}
+
 /* ---- a peer that stops in a response ---- */
 
 struct cutting_peer
@@ -374,6 +642,7 @@
 
 static const struct suite_case cases[] = {
   { "lost answer", test_lost_answer },
+  { "ends of a kept connection", test_kept_connection },
   { "cut head", test_cut_head },
   { "endless body", test_endless_body },
   { "endless bodies at a time", test_endless_bodies },
