Offer waiting calls to servers by priority, time left and work

Waiting calls were walked once for each priority, and within one they were offered to servers by arrival, so that a call with little time left was refused behind patient ones.

waitorder is the order: begun streams, then by priority, raised by one level after half of the time to wait and by two after three quarters, then by time left, then by tokens. A check walks the calls once and fills a heap; it asks once per model or adapter whose servers are full. A call that arrives while others wait for the full servers of its model or adapter joins them, and the end of a call there starts a check at once.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -75,9 +75,13 @@
 static void
 end_attempt (struct call_attempt *a)
 {
+  const struct demand_item *queue = call_queue (a->call);
+
   pool_call_ended (a->server);
   call_add_running_demand (a->call, -1);
   a->forward = NULL;
+  if (queue && queue->full_waiting > 0)
+    call_check_waiting (a->call->calls);
 }
 
 static void
--- a/src/edge/call_demand.c
+++ b/src/edge/call_demand.c
@@ -50,3 +50,19 @@
         count_for (c, c->adapter_demand);
     }
 }
+
+struct demand_item *
+call_queue (const struct call *c)
+{
+  return c->adapter_demand ? c->adapter_demand : c->model_demand;
+}
+
+void
+call_set_full (struct call *c, bool full)
+{
+  if (c->full_demand)
+    c->full_demand->full_waiting--;
+  c->full_demand = full ? call_queue (c) : NULL;
+  if (c->full_demand)
+    c->full_demand->full_waiting++;
+}
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -15,6 +15,7 @@
 #include "edge/pool.h"
 #include "edge/retries.h"
 #include "edge/site.h"
+#include "edge/waitorder.h"
 #include "platform/callheaders.h"
 
 #define CALL_HEADER_FIELDS_MAX 110
@@ -35,6 +36,8 @@
  * struct call_table - all calls of this node.
  * @first: head of the list of calls, in order of arrival.
  * @open_count: length of the list.
+ * @order: of the waiting calls; empty but during a check of them.
+ * @check_number: of the last check of waiting calls.
  * @client_check_due_ms: when client_check_timer should fire next.
  * @wait_end_ms: beyond this time a call waits for a server only if its
  *   response has started. UINT64_MAX while the node isn't draining.
@@ -52,6 +55,8 @@
   struct call *first;
   struct call *last;
   size_t open_count;
+  struct waitorder *order;
+  uint64_t check_number;
   struct retries_limits retry_limits;
   struct service_budget_entry *service_budgets;
   uint64_t random_state;
@@ -124,6 +129,7 @@
  * @reached_server: an earlier attempt may have reached a server.
  * @waiting: the call waits for a server; no attempt is in flight.
  * @wait_reason: why it waits.
+ * @full_demand: what it counts for in @full_waiting; NULL if it does not.
  * @server: of the attempt that ended last, NULL if it was cancelled; for logs.
  * @avoided_server: server of the last attempt that failed or was rejected.
  *   Others are preferred; before @avoided_until_ms it is not used at all.
@@ -168,6 +174,7 @@
   bool reached_server;
   bool waiting;
   enum pool_result wait_reason;
+  struct demand_item *full_demand;
   bool response_started;
   uint64_t last_event_id;
   char last_event_id_text[24];
@@ -318,6 +325,12 @@
 /** call_attach_demand() - count the call for its model and its adapter, if the
  * configuration has them and it does not count for them yet. */
 void call_attach_demand (struct call *call, const struct engine_spec *engine);
+/** call_queue() - demand item of the calls that need the same servers: of the
+ * call's adapter, or of its model. NULL if there is none. */
+struct demand_item *call_queue (const struct call *call);
+/** call_set_full() - set whether the call counts as waiting because all
+ * servers are full. */
+void call_set_full (struct call *call, bool full);
 
 /* ---- call_table.c ---- */
 
@@ -327,6 +340,9 @@
 uint64_t call_wait_deadline_ms (const struct call *call);
 /** call_set_waiting() - set call->waiting and update the demand counters. */
 void call_set_waiting (struct call *call, bool waiting);
+/** call_check_waiting() - check the waiting calls in the next iteration of the
+ * event loop. */
+void call_check_waiting (struct call_table *calls);
 /** call_close() - log, count and free a call. */
 void call_close (struct call *call, enum call_end end, int status,
                  const char *reason);
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -82,7 +82,7 @@
 
 static void
 wait_for_server (struct call *c, const struct pool_criteria *criteria,
-                 enum pool_result result)
+                 enum pool_result result, bool full)
 {
   const uint32_t ready_in = ready_time (c, criteria, result);
 
@@ -94,6 +94,7 @@
                                             : "model-loads-too-late");
       return;
     }
+  call_set_full (c, full);
   if (c->waiting && c->wait_reason == result)
     return;
   call_set_waiting (c, true);
@@ -108,14 +109,49 @@
     kernel_publish (c->calls->kernel, TOPIC_DEMAND, NULL, NULL);
 }
 
+/* Returns true if the call has to wait for the next check of waiting calls,
+   because others already wait for the same servers, and a more urgent one of
+   them may come first. */
+static bool
+must_queue (const struct call *c)
+{
+  const struct demand_item *queue = call_queue (c);
+
+  return !c->waiting && !c->response_started && queue
+         && queue->full_waiting > 0;
+}
+
+/* Returns POOL_CHOSEN only if the call may be sent to the server now.
+   @full: all servers that could run the call are full. */
+static enum pool_result
+choose_server (const struct call *c, const struct pool_criteria *criteria,
+               struct pool_server **server, bool *full)
+{
+  struct call_table *calls = c->calls;
+  struct demand_item *queue = call_queue (c);
+  enum pool_result result = POOL_FULL;
+
+  if (!must_queue (c))
+    result
+        = pool_choose (site_pool (calls->site), criteria, clock_ms (), server);
+  *full = result == POOL_FULL;
+  if (*full && queue)
+    queue->full_check = calls->check_number;
+  if (result == POOL_CHOSEN
+      && (call_avoids (c, *server)
+          || (c->response_started && clock_ms () < c->repeat_after_ms)))
+    return POOL_FULL;
+  return result;
+}
+
 void
 call_dispatch (struct call *c)
 {
-  struct call_table *calls = c->calls;
   const struct pool_criteria criteria = call_criteria (c);
   struct pool_server *server;
   enum pool_result result;
   uint64_t subject;
+  bool full;
 
   if (call_ms_until (c->response_deadline_ms) < ATTEMPT_MIN_MS)
     {
@@ -130,12 +166,7 @@
       call_give_up (c, QUARANTINE_RETRY_AFTER_MS, "crashes-servers");
       return;
     }
-  result
-      = pool_choose (site_pool (calls->site), &criteria, clock_ms (), &server);
-  if (result == POOL_CHOSEN
-      && (call_avoids (c, server)
-          || (c->response_started && clock_ms () < c->repeat_after_ms)))
-    result = POOL_FULL;
+  result = choose_server (c, &criteria, &server, &full);
   /* For calls that keep waiting, the client check timer does this. */
   if ((result == POOL_CHOSEN || !c->waiting)
       && caller_disconnected (c->caller))
@@ -147,11 +178,11 @@
     call_start_attempt (c, server, c->reached_server);
   else if (c->response_started)
     /* A cut can't be taken back, and each of these conditions may pass. */
-    wait_for_server (c, &criteria, result);
+    wait_for_server (c, &criteria, result, full);
   else if (result == POOL_CHOSEN)
     call_give_up (c, 0, "retry-budget");
   else if (result == POOL_NO_SERVER)
     call_give_up (c, 0, "no-server");
   else
-    wait_for_server (c, &criteria, result);
+    wait_for_server (c, &criteria, result, full);
 }
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -88,6 +88,8 @@
 {
   const uint32_t change = waiting ? 1 : UINT32_MAX; /* wraps to -1 */
 
+  if (!waiting)
+    call_set_full (c, false);
   if (waiting == c->waiting)
     return;
   c->waiting = waiting;
@@ -317,42 +319,49 @@
     }
 }
 
-/* Returns the order of a waiting call: begun ones first, because they can't be
-   refused any more, then by priority. */
-static uint32_t
-dispatch_rank (const struct call *c)
+static void
+add_to_order (struct call *c, uint64_t now)
 {
-  return c->response_started ? 0 : c->priority + 1;
+  const struct waitorder_call entry = {
+    .begun = c->response_started,
+    .priority = c->priority,
+    .arrival_ms = c->arrival_ms,
+    .deadline_ms = call_wait_deadline_ms (c),
+    .work = c->meta.prompt_tokens + c->meta.output_tokens,
+    .ref = c,
+  };
+
+  waitorder_add (c->calls->order, &entry, now);
+}
+
+/* Returns true if all servers were full for an earlier call of this check that
+   needs the same ones. */
+static bool
+finds_servers_full (const struct call *c)
+{
+  const struct demand_item *queue = call_queue (c);
+
+  return c->wait_reason == POOL_FULL && !c->response_started && queue
+         && queue->full_check == c->calls->check_number;
 }
 
-/* Dispatches calls of a lower rank first, and the oldest first among calls of
-   the same rank. */
 static void
 dispatch_waiting (struct call_table *calls)
 {
-  uint32_t rank = 0;
-  uint32_t next_rank;
+  const uint64_t now = clock_ms ();
+  struct call *c;
 
-  do
+  for (c = calls->first; c; c = c->next)
+    if (c->waiting)
+      add_to_order (c, now);
+  calls->check_number++;
+  while ((c = waitorder_pop (calls->order)))
     {
-      struct call *next;
-
-      next_rank = UINT32_MAX;
-      for (struct call *c = calls->first; c; c = next)
-        {
-          next = c->next;
-          if (!c->waiting)
-            continue;
-          if (clock_ms () >= call_wait_deadline_ms (c))
-            call_give_up (c, 0, "waited-too-long");
-          else if (dispatch_rank (c) == rank)
-            call_dispatch (c);
-          else if (dispatch_rank (c) > rank && dispatch_rank (c) < next_rank)
-            next_rank = dispatch_rank (c);
-        }
-      rank = next_rank;
+      if (clock_ms () >= call_wait_deadline_ms (c))
+        call_give_up (c, 0, "waited-too-long");
+      else if (!finds_servers_full (c))
+        call_dispatch (c);
     }
-  while (next_rank != UINT32_MAX);
 }
 
 static void
@@ -404,14 +413,18 @@
   calls->calls_end_ms = clock_ms () + end_ms;
 }
 
+void
+call_check_waiting (struct call_table *calls)
+{
+  /* Several changes in one loop iteration cause one check in the next. */
+  uv_timer_start (&calls->wait_timer, on_wait_check, 0, WAIT_CHECK_MS);
+}
+
 static void
 on_pool_changed (void *ctx, const void *snapshot)
 {
-  struct call_table *calls = ctx;
-
   (void)snapshot;
-  /* Several changes in one loop iteration cause one check in the next. */
-  uv_timer_start (&calls->wait_timer, on_wait_check, 0, WAIT_CHECK_MS);
+  call_check_waiting (ctx);
 }
 
 struct call_table *
@@ -429,6 +442,7 @@
     .slack = s->retry_slack,
     .window_ms = (uint32_t)(s->retry_window_s * 1000),
   };
+  calls->order = waitorder_create ();
   calls->random_state = clock_us ();
   calls->wait_end_ms = UINT64_MAX;
   calls->calls_end_ms = UINT64_MAX;
@@ -476,5 +490,6 @@
     str_free (&r->service);
     free (r);
   }
+  waitorder_destroy (calls->order);
   free (calls);
 }
--- a/src/edge/demand.h
+++ b/src/edge/demand.h
@@ -17,6 +17,9 @@
  * struct demand_item - demand for a model, or for an adapter of it.
  * @adapter: empty for the model itself.
  * @waiting: queued calls.
+ * @full_waiting: those that wait because all servers are full.
+ * @full_check: number of the check of waiting calls that found all servers
+ *   full.
  * @running: calls in flight at servers.
  * @arrivals: calls since the last demand_take().
  * @rate: calls per second, decaying with the time constant DEMAND_RATE_MS; as
@@ -29,6 +32,8 @@
   struct str model;
   struct str adapter;
   uint32_t waiting;
+  uint32_t full_waiting;
+  uint64_t full_check;
   uint32_t running;
   uint32_t arrivals;
   double rate;
