Refuse calls at once that wait far too long for full servers

A call behind more calls than the servers can run before its deadline was refused only at the deadline, so that its client lost the time to go elsewhere.

Each check of waiting calls now compares the time until enough places become free with the time that a call has left, and refuses it with that time if it is twice as long. The rate is observed per model or adapter, only while calls wait for its full servers (else it would show the demand), from 8 completions on, and anew after a check that came 250 ms late, which may be a pause of the process. A call that may have run is not refused.

There is no end-to-end test of its own, as it would depend on times.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -75,7 +75,7 @@
 static void
 end_attempt (struct call_attempt *a)
 {
-  const struct demand_item *queue = call_queue (a->call);
+  struct demand_item *queue = call_queue (a->call);
 
   pool_call_ended (a->server);
   call_add_running_demand (a->call, -1);
@@ -84,12 +84,25 @@
     call_check_waiting (a->call->calls);
 }
 
+/* The attempt has left a place at its server. */
+static void
+record_free_place (const struct call_attempt *a)
+{
+  struct demand_item *queue = call_queue (a->call);
+
+  if (queue)
+    drainrate_completed (&queue->drain, clock_ms ());
+}
+
 static void
 cancel_attempt (struct call_attempt *a)
 {
   /* The server may go on with the call and crash. */
   if (a->sent_ms > 0)
-    call_record_suspect (a);
+    {
+      call_record_suspect (a);
+      record_free_place (a);
+    }
   forward_cancel (a->forward);
   end_attempt (a);
 }
@@ -407,6 +420,8 @@
   count_attempt (c, r->outcome);
   if (r->outcome != FORWARD_ANSWERED)
     log_failed_attempt (a, r);
+  if (r->outcome == FORWARD_ANSWERED || r->outcome == FORWARD_BROKEN)
+    record_free_place (a);
   switch (r->outcome)
     {
     case FORWARD_ANSWERED:
--- a/src/edge/call_demand.c
+++ b/src/edge/call_demand.c
@@ -1,5 +1,6 @@
 #include "edge/call_impl.h"
 
+#include "clock.h"
 #include "platform/routingcodec.h"
 
 /* The demand for models and adapters that a call counts for. */
@@ -63,6 +64,6 @@
   if (c->full_demand)
     c->full_demand->full_waiting--;
   c->full_demand = full ? call_queue (c) : NULL;
-  if (c->full_demand)
-    c->full_demand->full_waiting++;
+  if (c->full_demand && c->full_demand->full_waiting++ == 0)
+    drainrate_start (&c->full_demand->drain, clock_ms ());
 }
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -38,6 +38,9 @@
  * @open_count: length of the list.
  * @order: of the waiting calls; empty but during a check of them.
  * @check_number: of the last check of waiting calls.
+ * @check_ms: when it began.
+ * @resumed_ms: when the last late check began. What was observed before may be
+ *   distorted by a pause of the process.
  * @client_check_due_ms: when client_check_timer should fire next.
  * @wait_end_ms: beyond this time a call waits for a server only if its
  *   response has started. UINT64_MAX while the node isn't draining.
@@ -57,6 +60,8 @@
   size_t open_count;
   struct waitorder *order;
   uint64_t check_number;
+  uint64_t check_ms;
+  uint64_t resumed_ms;
   struct retries_limits retry_limits;
   struct service_budget_entry *service_budgets;
   uint64_t random_state;
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -29,6 +29,12 @@
 #define EVENT_WAIT_GAP_FACTOR 8
 /* Time for a refusal to reach the client before it abandons the stream. */
 #define REFUSAL_RESERVE_MS 100
+/* A call is refused early if it would have to wait for this many times the
+   time that it has: places become free unevenly, and models may get more
+   servers. */
+#define VAIN_WAIT_FACTOR 2
+/* Longest Retry-After of such a call. */
+#define READY_IN_MAX_MS 60000
 #define STATUS_BAD_REQUEST 400
 #define STATUS_NOT_FOUND 404
 
@@ -331,6 +337,8 @@
     .ref = c,
   };
 
+  if (c->full_demand)
+    c->full_demand->ahead = 0;
   waitorder_add (c->calls->order, &entry, now);
 }
 
@@ -345,23 +353,73 @@
          && queue->full_check == c->calls->check_number;
 }
 
+/* Returns true if the calls ahead of a call that waits for full servers take
+   far longer than it can wait.
+   @ready_in_ms: estimated time until it could be sent. */
+static bool
+waits_in_vain (const struct call *c, uint64_t *ready_in_ms)
+{
+  const struct demand_item *queue = c->full_demand;
+  const uint64_t now = clock_ms ();
+
+  return queue && c->possible_runs == 0
+         && queue->drain.start_ms >= c->calls->resumed_ms
+         && drainrate_time_for (&queue->drain, queue->ahead + 1, now,
+                                ready_in_ms)
+         && *ready_in_ms
+                > call_ms_until (call_wait_deadline_ms (c)) * VAIN_WAIT_FACTOR;
+}
+
+static void
+count_ahead (struct call *c)
+{
+  struct demand_item *queue = c->full_demand;
+
+  if (!c->waiting || !queue)
+    return;
+  if (queue->drain.start_ms < c->calls->resumed_ms)
+    drainrate_start (&queue->drain, clock_ms ());
+  queue->ahead++;
+}
+
+static void
+dispatch_or_refuse (struct call *c)
+{
+  uint64_t ready_in_ms;
+
+  if (clock_ms () >= call_wait_deadline_ms (c))
+    call_give_up (c, 0, "waited-too-long");
+  else if (!finds_servers_full (c))
+    call_dispatch (c);
+  else if (waits_in_vain (c, &ready_in_ms))
+    call_give_up (c,
+                  ready_in_ms < READY_IN_MAX_MS ? (uint32_t)ready_in_ms
+                                                : READY_IN_MAX_MS,
+                  "queue-too-long");
+  count_ahead (c);
+}
+
+static void
+begin_check (struct call_table *calls, uint64_t now)
+{
+  calls->check_number++;
+  if (now > calls->check_ms + LOOP_LATE_LOG_MS)
+    calls->resumed_ms = now;
+  calls->check_ms = now;
+}
+
 static void
 dispatch_waiting (struct call_table *calls)
 {
   const uint64_t now = clock_ms ();
   struct call *c;
 
+  begin_check (calls, now);
   for (c = calls->first; c; c = c->next)
     if (c->waiting)
       add_to_order (c, now);
-  calls->check_number++;
   while ((c = waitorder_pop (calls->order)))
-    {
-      if (clock_ms () >= call_wait_deadline_ms (c))
-        call_give_up (c, 0, "waited-too-long");
-      else if (!finds_servers_full (c))
-        call_dispatch (c);
-    }
+    dispatch_or_refuse (c);
 }
 
 static void
--- a/src/edge/demand.h
+++ b/src/edge/demand.h
@@ -3,6 +3,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "edge/drainrate.h"
 #include "str.h"
 
 /* Demand of this node's calls for models and adapters. Does no I/O and reads
@@ -20,6 +21,8 @@
  * @full_waiting: those that wait because all servers are full.
  * @full_check: number of the check of waiting calls that found all servers
  *   full.
+ * @ahead: calls that this check left waiting.
+ * @drain: how fast places become free, while @full_waiting is above 0.
  * @running: calls in flight at servers.
  * @arrivals: calls since the last demand_take().
  * @rate: calls per second, decaying with the time constant DEMAND_RATE_MS; as
@@ -34,6 +37,8 @@
   uint32_t waiting;
   uint32_t full_waiting;
   uint64_t full_check;
+  uint32_t ahead;
+  struct drainrate drain;
   uint32_t running;
   uint32_t arrivals;
   double rate;
