--- a/src/edge/call_demand.c
+++ b/src/edge/call_demand.c
@@ -1,5 +1,6 @@
 #include "edge/call_impl.h"
 
+#include "clock.h"
 #include "platform/routingcodec.h"
 
 /* The demand for models and adapters that a call counts for. */
@@ -50,3 +51,19 @@
         count_for (c, c->adapter_demand);
     }
 }
+
+struct demand_item *
+call_queue (const struct call *c)
+{
+  return c->adapter_demand ? c->adapter_demand : c->model_demand;
+}
+
+void
+call_set_full (struct call *c, bool full)
+{
+  if (c->full_demand)
+    c->full_demand->full_waiting--;
+  c->full_demand = full ? call_queue (c) : NULL;
+  if (c->full_demand && c->full_demand->full_waiting++ == 0)
+    drainrate_start (&c->full_demand->drain, clock_ms ());
+}
