Offer waiting calls that can still be in time before late ones

Within a priority, waiting calls were ordered by the time until they stop waiting. When servers are full for long, that serves calls that have missed their latency objective already, and those that could meet it miss it too. Late calls now come after them; they lose less by waiting longer.

Unit waitorder late last.

--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -336,6 +336,7 @@
     .priority = c->priority,
     .arrival_ms = c->arrival_ms,
     .deadline_ms = call_wait_deadline_ms (c),
+    .objective_ms = c->arrival_ms + c->latency_objective_ms,
     .work = c->meta.prompt_tokens + c->meta.output_tokens,
     .ref = c,
   };
--- a/src/edge/waitorder.c
+++ b/src/edge/waitorder.c
@@ -10,7 +10,8 @@
 struct entry
 {
   uint32_t level; /* 0 for begun calls */
-  uint64_t deadline_ms;
+  bool late;
+  uint64_t due_ms;
   uint64_t work;
   uint64_t number; /* in the order of adding */
   void *ref;
@@ -52,13 +53,30 @@
   return c->priority > raised ? c->priority - raised : 0;
 }
 
+static bool
+has_missed_objective (const struct waitorder_call *c, uint64_t now_ms)
+{
+  return !c->begun && c->objective_ms > 0 && now_ms >= c->objective_ms;
+}
+
+/* Returns the time by which the call should get a server. */
+static uint64_t
+due_ms (const struct waitorder_call *c, uint64_t now_ms)
+{
+  return c->begun || c->objective_ms == 0 || has_missed_objective (c, now_ms)
+             ? c->deadline_ms
+             : c->objective_ms;
+}
+
 static bool
 is_before (const struct entry *a, const struct entry *b)
 {
   if (a->level != b->level)
     return a->level < b->level;
-  if (a->deadline_ms != b->deadline_ms)
-    return a->deadline_ms < b->deadline_ms;
+  if (a->late != b->late)
+    return b->late;
+  if (a->due_ms != b->due_ms)
+    return a->due_ms < b->due_ms;
   if (a->work != b->work)
     return a->work < b->work;
   return a->number < b->number;
@@ -98,7 +116,8 @@
   o->count++;
   o->entries[i] = (struct entry){
     .level = c->begun ? 0 : waitorder_level (c, now_ms) + 1,
-    .deadline_ms = c->deadline_ms,
+    .late = has_missed_objective (c, now_ms),
+    .due_ms = due_ms (c, now_ms),
     .work = c->work,
     .number = o->added++,
     .ref = c->ref,
--- a/src/edge/waitorder.h
+++ b/src/edge/waitorder.h
@@ -10,8 +10,10 @@
    more, then calls by priority. A call that has waited for more than half of
    its time counts one priority level higher, and for more than three quarters,
    two levels, so that urgent calls don't starve patient ones. Within a level,
-   calls with less time left come first, then those with less work, then those
-   added first. */
+   calls that can still meet their latency objective come before late ones,
+   which lose less by waiting longer. Then calls with less time left come
+   first, until the objective or, if they are late, until they stop waiting;
+   then those with less work, then those added first. */
 
 /**
  * struct waitorder_call - a waiting call.
@@ -19,6 +21,7 @@
  * @priority: 0 is the most urgent.
  * @arrival_ms: when it arrived.
  * @deadline_ms: when it stops waiting.
+ * @objective_ms: when it misses its latency objective; 0 for none.
  * @work: prompt and output tokens; 0 if not known.
  * @ref: the caller's.
  */
@@ -28,6 +31,7 @@
   uint32_t priority;
   uint64_t arrival_ms;
   uint64_t deadline_ms;
+  uint64_t objective_ms;
   uint64_t work;
   void *ref;
 };
--- a/tests/test_waitorder.c
+++ b/tests/test_waitorder.c
@@ -38,14 +38,14 @@
 test_order (void)
 {
   static const struct waitorder_call calls[] = {
-    { false, 2, 0, 1000, 0, "patient" },
-    { false, 1, 0, 2000, 0, "urgent, much time" },
-    { false, 1, 0, 1000, 9, "urgent, more work" },
-    { false, 1, 0, 1000, 5, "urgent" },
-    { false, 1, 0, 1000, 5, "urgent, later" },
-    { true, 9, 0, 9000, 0, "begun" },
-    { true, 0, 0, 9999, 0, "begun, much time" },
-    { false, 0, 0, 9999, 0, "most urgent" },
+    { false, 2, 0, 1000, 0, 0, "patient" },
+    { false, 1, 0, 2000, 0, 0, "urgent, much time" },
+    { false, 1, 0, 1000, 0, 9, "urgent, more work" },
+    { false, 1, 0, 1000, 0, 5, "urgent" },
+    { false, 1, 0, 1000, 0, 5, "urgent, later" },
+    { true, 9, 0, 9000, 0, 0, "begun" },
+    { true, 0, 0, 9999, 0, 0, "begun, much time" },
+    { false, 0, 0, 9999, 0, 0, "most urgent" },
   };
   static const char *const expected[] = {
     "begun",         "begun, much time",  "most urgent",       "urgent",
@@ -61,6 +61,31 @@
   waitorder_destroy (o);
 }
 
+/* Guards against serving calls that are late already while others, which could
+   still meet their latency objective, become late as well. */
+static void
+test_late_last (void)
+{
+  static const struct waitorder_call calls[] = {
+    { false, 1, 0, 1200, 400, 0, "late, little time" },
+    { false, 1, 0, 2000, 400, 0, "late" },
+    { false, 1, 300, 2300, 700, 0, "in time" },
+    { false, 1, 400, 2400, 800, 0, "in time, later" },
+    { false, 0, 0, 2000, 400, 0, "late, more urgent" },
+    { true, 1, 0, 2000, 400, 0, "begun" },
+  };
+  static const char *const expected[]
+      = { "begun",          "late, more urgent", "in time",
+          "in time, later", "late, little time", "late" };
+  struct waitorder *o = waitorder_create ();
+
+  for (size_t i = 0; i < sizeof calls / sizeof *calls; i++)
+    waitorder_add (o, &calls[i], 500);
+  for (size_t i = 0; i < sizeof expected / sizeof *expected; i++)
+    CU_ASSERT_STRING_EQUAL ((const char *)waitorder_pop (o), expected[i]);
+  waitorder_destroy (o);
+}
+
 /* Guards against a heap that loses calls or their order beyond its first size.
  */
 static void
@@ -267,9 +292,8 @@
 }
 
 static const struct suite_case cases[] = {
-  { "level", test_level },
-  { "order", test_order },
-  { "many calls", test_many },
+  { "late last", test_late_last }, { "level", test_level },
+  { "order", test_order },         { "many calls", test_many },
   { "loads", test_loads },
 };
 TEST_SUITE ("waitorder", cases)
