Add datagrams for draws and credits of quotas

The tenants' quotas are to hold over all nodes. Nodes draw credit from the placement holder over the peers' socket, which the placer owns, so it passes these datagrams on to one listener. A draw is passed on only while the node may act as the holder, and a credit only if no later holder is known. Datagrams of an unknown kind were taken as demand; each kind has its own case now.

--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -27,6 +27,7 @@
 #define DIGEST_NODES_MAX 64
 #define DIGEST_RUNNING_MAX 256
 #define DIGEST_SERVERS_MAX 64
+#define DIGEST_QUOTA_MAX 64
 
 struct demand_digest {
 	u_quad_t model;
@@ -144,9 +145,46 @@
 };
 typedef struct holder_digest holder_digest;
 
+struct quota_draw_item {
+	u_quad_t tenant;
+	u_quad_t number;
+	u_int wanted_now;
+	u_int wanted_ahead;
+};
+typedef struct quota_draw_item quota_draw_item;
+
+struct quota_draw_digest {
+	label node;
+	u_quad_t instance;
+	struct {
+		u_int draws_len;
+		quota_draw_item *draws_val;
+	} draws;
+};
+typedef struct quota_draw_digest quota_draw_digest;
+
+struct quota_credit_item {
+	u_quad_t tenant;
+	u_quad_t number;
+	u_int given;
+	u_int retry_after_ms;
+};
+typedef struct quota_credit_item quota_credit_item;
+
+struct quota_credit_digest {
+	u_quad_t fence;
+	struct {
+		u_int credits_len;
+		quota_credit_item *credits_val;
+	} credits;
+};
+typedef struct quota_credit_digest quota_credit_digest;
+
 enum datagram_kind {
 	DATAGRAM_ENTRY = 8,
 	DATAGRAM_HOLDER = 9,
+	DATAGRAM_QUOTA_DRAW = 10,
+	DATAGRAM_QUOTA_CREDIT = 11,
 };
 typedef enum datagram_kind datagram_kind;
 
@@ -155,6 +193,8 @@
 	union {
 		entry_digest entry;
 		holder_digest holder;
+		quota_draw_digest quota_draw;
+		quota_credit_digest quota_credit;
 	} datagram_u;
 };
 typedef struct datagram datagram;
@@ -172,6 +212,10 @@
 extern  bool_t xdr_server_digest (XDR *, server_digest*);
 extern  bool_t xdr_running_digest (XDR *, running_digest*);
 extern  bool_t xdr_holder_digest (XDR *, holder_digest*);
+extern  bool_t xdr_quota_draw_item (XDR *, quota_draw_item*);
+extern  bool_t xdr_quota_draw_digest (XDR *, quota_draw_digest*);
+extern  bool_t xdr_quota_credit_item (XDR *, quota_credit_item*);
+extern  bool_t xdr_quota_credit_digest (XDR *, quota_credit_digest*);
 extern  bool_t xdr_datagram_kind (XDR *, datagram_kind*);
 extern  bool_t xdr_datagram (XDR *, datagram*);
 
@@ -186,6 +230,10 @@
 extern bool_t xdr_server_digest ();
 extern bool_t xdr_running_digest ();
 extern bool_t xdr_holder_digest ();
+extern bool_t xdr_quota_draw_item ();
+extern bool_t xdr_quota_draw_digest ();
+extern bool_t xdr_quota_credit_item ();
+extern bool_t xdr_quota_credit_digest ();
 extern bool_t xdr_datagram_kind ();
 extern bool_t xdr_datagram ();
 
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -20,6 +20,7 @@
 const DIGEST_NODES_MAX = 64;
 const DIGEST_RUNNING_MAX = 256;
 const DIGEST_SERVERS_MAX = 64;
+const DIGEST_QUOTA_MAX = 64;
 
 /* Demand of one node for a model or for one of its adapters. */
 struct demand_digest
@@ -114,12 +115,48 @@
   server_digest servers<DIGEST_SERVERS_MAX>; /* servers that changed or are due for a refresh */
 };
 
+/* Units of a tenant's quota that a node wants. */
+struct quota_draw_item
+{
+  unsigned hyper tenant; /* hash of its name */
+  unsigned hyper number; /* increases by one with each draw of the process for the tenant */
+  unsigned int wanted_now;   /* units that calls wait for */
+  unsigned int wanted_ahead; /* units for calls to come */
+};
+
+/* From a node to the holder. A draw is repeated with the same number until it
+   is answered. */
+struct quota_draw_digest
+{
+  label node;
+  unsigned hyper instance; /* start time of the node's process */
+  quota_draw_item draws<DIGEST_QUOTA_MAX>;
+};
+
+/* Units that the holder gives for a draw. */
+struct quota_credit_item
+{
+  unsigned hyper tenant;
+  unsigned hyper number; /* of the draw */
+  unsigned int given;
+  unsigned int retry_after_ms; /* until the units that are missing are available; 0: none is */
+};
+
+/* The holder's answer to a draw digest. */
+struct quota_credit_digest
+{
+  unsigned hyper fence;
+  quota_credit_item credits<DIGEST_QUOTA_MAX>;
+};
+
 /* A changed digest gets a new number; nodes that do not know it ignore the
    datagram. */
 enum datagram_kind
 {
   DATAGRAM_ENTRY = 8,
-  DATAGRAM_HOLDER = 9
+  DATAGRAM_HOLDER = 9,
+  DATAGRAM_QUOTA_DRAW = 10,
+  DATAGRAM_QUOTA_CREDIT = 11
 };
 
 union datagram switch (datagram_kind kind)
@@ -128,4 +165,8 @@
   entry_digest entry;
 case DATAGRAM_HOLDER:
   holder_digest holder;
+case DATAGRAM_QUOTA_DRAW:
+  quota_draw_digest quota_draw;
+case DATAGRAM_QUOTA_CREDIT:
+  quota_credit_digest quota_credit;
 };
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -365,6 +365,66 @@
 	return TRUE;
 }
 
+bool_t
+xdr_quota_draw_item (XDR *xdrs, quota_draw_item *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->tenant))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wanted_now))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wanted_ahead))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_quota_draw_digest (XDR *xdrs, quota_draw_digest *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_label (xdrs, &objp->node))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->instance))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->draws.draws_val, (u_int *) &objp->draws.draws_len, DIGEST_QUOTA_MAX,
+		sizeof (quota_draw_item), (xdrproc_t) xdr_quota_draw_item))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_quota_credit_item (XDR *xdrs, quota_credit_item *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->tenant))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->given))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_quota_credit_digest (XDR *xdrs, quota_credit_digest *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->credits.credits_val, (u_int *) &objp->credits.credits_len, DIGEST_QUOTA_MAX,
+		sizeof (quota_credit_item), (xdrproc_t) xdr_quota_credit_item))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_datagram_kind (XDR *xdrs, datagram_kind *objp)
 {
@@ -391,6 +451,14 @@
 		 if (!xdr_holder_digest (xdrs, &objp->datagram_u.holder))
 			 return FALSE;
 		break;
+	case DATAGRAM_QUOTA_DRAW:
+		 if (!xdr_quota_draw_digest (xdrs, &objp->datagram_u.quota_draw))
+			 return FALSE;
+		break;
+	case DATAGRAM_QUOTA_CREDIT:
+		 if (!xdr_quota_credit_digest (xdrs, &objp->datagram_u.quota_credit))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -327,25 +327,44 @@
     }
 }
 
+static void
+on_holder_digest (struct placer *p, struct str from, const holder_digest *d)
+{
+  if (p->is_holder && d->fence > p->fence)
+    step_down (p, p->fence, "successor");
+  if (!p->is_holder)
+    placer_apply_holder_digest (p, from, d);
+}
+
+static void
+on_entry_digest (struct placer *p, struct str from, const entry_digest *d)
+{
+  if (!p->is_holder || !update_follower (p, from, d))
+    return;
+  placer_apply_entry_digest (p, from, d);
+  run_placement_soon (p);
+}
+
 static void
 on_datagram (void *ctx, struct str from, const struct datagram *d)
 {
   struct placer *p = ctx;
 
-  if (d->kind == DATAGRAM_HOLDER)
+  switch (d->kind)
     {
-      if (p->is_holder && d->datagram_u.holder.fence > p->fence)
-        step_down (p, p->fence, "successor");
-      if (!p->is_holder)
-        placer_apply_holder_digest (p, from, &d->datagram_u.holder);
+    case DATAGRAM_ENTRY:
+      on_entry_digest (p, from, &d->datagram_u.entry);
+      return;
+    case DATAGRAM_HOLDER:
+      on_holder_digest (p, from, &d->datagram_u.holder);
+      return;
+    case DATAGRAM_QUOTA_DRAW:
+      placer_apply_quota_draw (p, from, &d->datagram_u.quota_draw);
+      return;
+    case DATAGRAM_QUOTA_CREDIT:
+      placer_apply_quota_credit (p, &d->datagram_u.quota_credit);
       return;
     }
-  if (!p->is_holder)
-    return;
-  if (!update_follower (p, from, &d->datagram_u.entry))
-    return;
-  placer_apply_entry_digest (p, from, &d->datagram_u.entry);
-  run_placement_soon (p);
 }
 
 static void
@@ -410,6 +429,7 @@
           && (p->is_holder || now > p->holder_seen_ms + HOLDER_SILENT_MS));
   holderlease_step (p->lease);
   update_holder_role (p);
+  placer_quota_step (p);
   check_staleness (p, now);
   if (now >= p->demand_sent_ms + DEMAND_INTERVAL_MS)
     placer_send_demand (p);
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -10,6 +10,7 @@
 #include "edge/nodecount.h"
 #include "edge/peers.h"
 #include "edge/placer.h"
+#include "edge/placer_quota.h"
 #include "edge/quarantine_store.h"
 #include "edge/site.h"
 #include "http.h"
@@ -85,6 +86,10 @@
   struct follower *followers;
   struct known_node *known_nodes; /* a new holder announces itself to them */
   size_t next_follower; /* index of the first one for the next digest's list */
+  const struct placer_quota_listener *quota_listener;
+  void *quota_ctx;
+  uint64_t quota_fence;     /* of the last term that the listener was told */
+  uint64_t quota_active_ms; /* when this node was last seen active as holder */
 };
 
 /* ---- placer_send.c ---- */
@@ -119,6 +124,19 @@
 void placer_apply_entry_digest (struct placer *p, struct str from,
                                 const entry_digest *digest);
 
+/* ---- placer_quota.c ---- */
+
+/** placer_quota_step() - tell the listener of a new term, while this node is
+ * active as the holder. Called at each tick. */
+void placer_quota_step (struct placer *p);
+/** placer_apply_quota_draw() - pass a draw on if this node may answer it. */
+void placer_apply_quota_draw (struct placer *p, struct str from,
+                              const quota_draw_digest *draw);
+/** placer_apply_quota_credit() - pass a credit on unless a later holder is
+ * known. */
+void placer_apply_quota_credit (struct placer *p,
+                                const quota_credit_digest *credit);
+
 /* ---- placer.c ---- */
 
 /** placer_is_active() - Returns true if this node may send orders: it holds
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -35,6 +35,7 @@
   RANK_PLATFORM,
   RANK_SITE,
   RANK_PLACER,
+  RANK_QUOTA,
   RANK_ENTRY,
 };
 
