Send the cost of the first call with a draw, and tell of the nodes

The owner of the buckets gives whole multiples of what a call costs, so a draw carries it. The owner and the shares need to know how many nodes there are and how many of them are in touch with the holder, which the placer knows; it tells its listener at each tick. Gaps in which the holder did not run are found by the owner itself.

--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -149,6 +149,7 @@
 	u_quad_t tenant;
 	u_quad_t number;
 	u_int wanted_now;
+	u_int step;
 	u_int wanted_ahead;
 };
 typedef struct quota_draw_item quota_draw_item;
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -121,6 +121,7 @@
   unsigned hyper tenant; /* hash of its name */
   unsigned hyper number; /* increases by one with each draw of the process for the tenant */
   unsigned int wanted_now;   /* units that calls wait for */
+  unsigned int step;         /* units that the first of them waits for */
   unsigned int wanted_ahead; /* units for calls to come */
 };
 
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -376,6 +376,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wanted_now))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wanted_ahead))
 		 return FALSE;
 	return TRUE;
--- a/src/edge/placer_impl.h
+++ b/src/edge/placer_impl.h
@@ -88,8 +88,7 @@
   size_t next_follower; /* index of the first one for the next digest's list */
   const struct placer_quota_listener *quota_listener;
   void *quota_ctx;
-  uint64_t quota_fence;     /* of the last term that the listener was told */
-  uint64_t quota_active_ms; /* when this node was last seen active as holder */
+  uint64_t quota_fence; /* of the last term that the listener was told */
 };
 
 /* ---- placer_send.c ---- */
@@ -126,8 +125,8 @@
 
 /* ---- placer_quota.c ---- */
 
-/** placer_quota_step() - tell the listener of a new term, while this node is
- * active as the holder. Called at each tick. */
+/** placer_quota_step() - tell the listener of a new term and of the nodes.
+ * Called at each tick. */
 void placer_quota_step (struct placer *p);
 /** placer_apply_quota_draw() - pass a draw on if this node may answer it. */
 void placer_apply_quota_draw (struct placer *p, struct str from,
--- a/src/edge/placer_quota.c
+++ b/src/edge/placer_quota.c
@@ -1,13 +1,10 @@
 #include "edge/placer_impl.h"
 
 #include "clock.h"
-#include "log.h"
 
-#define LOG_MODULE "placer"
-/* Nodes that get no answer use their fallbacks after 120 ms. A holder that did
-   not run for longer than this begins its buckets anew, because what they
-   would be refilled by meanwhile may have been used by the fallbacks. */
-#define ACTIVE_GAP_MS 200
+/* A node sends its demand every 250 ms; one that sent none for this long uses
+   its fallback. */
+#define NODE_OUT_OF_TOUCH_MS 700
 
 void
 placer_quota_listen (struct placer *p,
@@ -17,27 +14,41 @@
   p->quota_ctx = ctx;
 }
 
-bool
-placer_quota_holder_known (const struct placer *p)
+static uint32_t
+nodes_in_touch (const struct placer *p)
 {
-  return p->is_holder ? placer_is_active (p) : p->holder_addr.len > 0;
+  const uint64_t now = clock_ms ();
+  uint32_t n = 1;
+
+  for (const struct follower *f = p->followers; f; f = f->hh.next)
+    n += now <= f->last_digest_ms + NODE_OUT_OF_TOUCH_MS;
+  return n;
+}
+
+static void
+begin_term (struct placer *p)
+{
+  if (p->quota_fence == p->fence)
+    return;
+  p->quota_fence = p->fence;
+  p->quota_listener->term (p->quota_ctx);
 }
 
 void
 placer_quota_step (struct placer *p)
 {
-  const uint64_t now = clock_ms ();
+  const bool active = placer_is_active (p);
+  const struct placer_quota_nodes nodes = {
+    .count = placer_node_count (p),
+    .reached = active ? nodes_in_touch (p) : 0,
+    .holder_known = active || (!p->is_holder && p->holder_addr.len > 0),
+  };
 
-  if (!placer_is_active (p) || !p->quota_listener)
+  if (!p->quota_listener)
     return;
-  if (p->quota_fence != p->fence || now > p->quota_active_ms + ACTIVE_GAP_MS)
-    {
-      LOG_INFO ("quota-term", "fence=%lu inactive_ms=%lu", p->fence,
-                p->quota_fence == p->fence ? now - p->quota_active_ms : 0);
-      p->quota_listener->term (p->quota_ctx);
-    }
-  p->quota_fence = p->fence;
-  p->quota_active_ms = now;
+  if (active)
+    begin_term (p);
+  p->quota_listener->tick (p->quota_ctx, &nodes);
 }
 
 void
@@ -46,8 +57,7 @@
 {
   if (!placer_is_active (p) || !p->quota_listener)
     return;
-  /* The tick may be later than the draw after the process was stopped. */
-  placer_quota_step (p);
+  begin_term (p);
   p->quota_listener->draw (p->quota_ctx, from, d);
 }
 
--- a/src/edge/placer_quota.h
+++ b/src/edge/placer_quota.h
@@ -11,16 +11,31 @@
    holder's credits. A holder's own draws and credits for them are passed on in
    memory. */
 
+/**
+ * struct placer_quota_nodes - what the placer knows of the nodes.
+ * @count: as placer_node_count(); 0 when it is not known.
+ * @reached: nodes in touch with this one, itself included; 0 unless this node
+ *   may answer draws.
+ * @holder_known: draws can be sent to a holder.
+ */
+struct placer_quota_nodes
+{
+  uint32_t count;
+  uint32_t reached;
+  bool holder_known;
+};
+
 /**
  * struct placer_quota_listener - callbacks.
- * @term: this node became the holder with a new fence, or resumes after a time
- *   in which it may not have answered.
+ * @term: this node became the holder with a new fence.
+ * @tick: called every 50 ms.
  * @draw: a node draws; called only while this node may answer it.
  * @credit: the holder answered a draw; its fence is the highest one known.
  */
 struct placer_quota_listener
 {
   void (*term) (void *ctx);
+  void (*tick) (void *ctx, const struct placer_quota_nodes *nodes);
   void (*draw) (void *ctx, struct str from, const quota_draw_digest *draw);
   void (*credit) (void *ctx, const quota_credit_digest *credit);
 };
@@ -30,8 +45,6 @@
 void placer_quota_listen (struct placer *placer,
                           const struct placer_quota_listener *listener,
                           void *ctx);
-/** placer_quota_holder_known() - Returns true if draws can be sent. */
-bool placer_quota_holder_known (const struct placer *placer);
 /** placer_quota_draw() - send a draw to the holder, if one is known. Sets the
  * node and the instance. */
 void placer_quota_draw (struct placer *placer, quota_draw_digest *draw);
