--- a/src/edge/tenants.c
+++ b/src/edge/tenants.c
@@ -113,3 +113,11 @@
 {
   return HASH_COUNT (t->by_name);
 }
+
+void
+tenants_each (const struct tenants *t,
+              void (*fn) (void *ctx, const struct tenant *tenant), void *ctx)
+{
+  for (const struct tenant_entry *e = t->by_name; e; e = e->hh.next)
+    fn (ctx, &e->tenant);
+}
--- a/src/edge/tenants.h
+++ b/src/edge/tenants.h
@@ -58,3 +58,7 @@
 const struct tenant *tenants_by_name (const struct tenants *tenants,
                                       struct str name);
 size_t tenants_count (const struct tenants *tenants);
+/** tenants_each() - call @fn for each tenant. */
+void tenants_each (const struct tenants *tenants,
+                   void (*fn) (void *ctx, const struct tenant *tenant),
+                   void *ctx);
