Charge calls to the quota of their tenant before they are dispatched

A call over its tenant's quota is refused with 429 and the time after which it would pass. A call that waits for credit does not count as demand and is not in the wait queue. What a call was charged is given back if it is refused without having run, or if its client left before an attempt was started. Calls without a tenant, and those of tenants without a limit, are dispatched as before.

--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -15,6 +15,7 @@
 #include "edge/pool.h"
 #include "edge/retries.h"
 #include "edge/site.h"
+#include "edge/tenantquota.h"
 #include "platform/callheaders.h"
 
 #define CALL_HEADER_FIELDS_MAX 110
@@ -47,6 +48,7 @@
   struct kernel *kernel;
   struct site *site;
   struct http *http;
+  struct tenantquota *quota;
   uv_loop_t *loop;
   uv_timer_t wait_timer;
   uv_timer_t client_check_timer;
@@ -114,6 +116,10 @@
  * @has_tenants: the configuration has tenants, so that the client's key is not
  *   sent to the server.
  * @routing_count: that of the calls when @tenant was determined.
+ * @cost: units of its tenant's quota, if the tenant has a limit.
+ * @awaits_quota: the quota has not been decided on. The call does not count as
+ *   demand yet.
+ * @charged: @cost was charged to the tenant of @quota_wait.
  * @config_version: version of the configuration that routed the call; 0 if
  *   there was none.
  * @response_deadline_ms: the response is sent by this time, a little before
@@ -159,6 +165,10 @@
   struct str tenant;
   bool has_tenants;
   uint64_t routing_count;
+  struct tenantquota_wait quota_wait;
+  uint32_t cost;
+  bool awaits_quota;
+  bool charged;
   uint64_t config_version;
   enum call_kind kind;
   uint32_t latency_objective_ms;
@@ -274,6 +284,9 @@
  */
 void call_refuse (struct call *call, uint32_t retry_after_ms,
                   const char *reason);
+/** call_refuse_quota() - close a call that was not executed because its tenant
+ * used up its quota, with 429 and a Retry-After header. */
+void call_refuse_quota (struct call *call, uint32_t retry_after_ms);
 /** call_fail() - close a call that may have been executed, with 502 or 504; a
  * response that has already started is truncated. */
 void call_fail (struct call *call, int status, const char *reason);
@@ -309,6 +322,15 @@
  * of the call was sent to a server. */
 bool call_identify_again (struct call *call);
 
+/* ---- call_quota.c ---- */
+
+/** call_charge() - charge the call to the quota of its tenant, and admit it at
+ * once or later, or refuse it. */
+void call_charge (struct call *call, const struct routing *routing);
+/** call_end_charge() - stop waiting for the quota, and give back what was
+ * charged if the call did not run. */
+void call_end_charge (struct call *call, enum call_end end);
+
 /* ---- call_crash.c ---- */
 
 /** call_fingerprint() - set the fingerprints of a call whose tenant is known.
@@ -348,6 +370,8 @@
 uint64_t call_wait_deadline_ms (const struct call *call);
 /** call_set_waiting() - set call->waiting and update the demand counters. */
 void call_set_waiting (struct call *call, bool waiting);
+/** call_admit() - count a new call as demand and send it to a server. */
+void call_admit (struct call *call);
 /** call_close() - log, count and free a call. */
 void call_close (struct call *call, enum call_end end, int status,
                  const char *reason);
--- a/src/edge/call_response.c
+++ b/src/edge/call_response.c
@@ -7,6 +7,7 @@
    routes are usually available again after about this time. */
 #define RETRY_AFTER_DEFAULT_MS 500
 #define STATUS_UNAVAILABLE 503
+#define STATUS_TOO_MANY_REQUESTS 429
 
 static const struct str text_type = { "text/plain", 10 };
 
@@ -19,11 +20,22 @@
   str_free (&body);
 }
 
-void
-call_refuse (struct call *c, uint32_t retry_after_ms, const char *reason)
+static void
+refuse (struct call *c, int status, uint32_t retry_after_ms,
+        const char *reason)
 {
   char text[24];
 
+  snprintf (text, sizeof text, "%u.%03u", retry_after_ms / 1000,
+            retry_after_ms % 1000);
+  caller_add_header (c->caller, "retry-after", str_from (text));
+  send_reason (c, status, reason);
+  call_close (c, CALL_END_REFUSED, status, reason);
+}
+
+void
+call_refuse (struct call *c, uint32_t retry_after_ms, const char *reason)
+{
   if (c->response_started)
     {
       call_fail (c, STATUS_UNAVAILABLE, reason);
@@ -31,11 +43,13 @@
     }
   if (retry_after_ms == 0)
     retry_after_ms = RETRY_AFTER_DEFAULT_MS;
-  snprintf (text, sizeof text, "%u.%03u", retry_after_ms / 1000,
-            retry_after_ms % 1000);
-  caller_add_header (c->caller, "retry-after", str_from (text));
-  send_reason (c, STATUS_UNAVAILABLE, reason);
-  call_close (c, CALL_END_REFUSED, STATUS_UNAVAILABLE, reason);
+  refuse (c, STATUS_UNAVAILABLE, retry_after_ms, reason);
+}
+
+void
+call_refuse_quota (struct call *c, uint32_t retry_after_ms)
+{
+  refuse (c, STATUS_TOO_MANY_REQUESTS, retry_after_ms, "quota");
 }
 
 void
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -102,6 +102,7 @@
 call_close (struct call *c, enum call_end end, int status, const char *reason)
 {
   call_record_end (c, end, status, reason);
+  call_end_charge (c, end);
   call_set_waiting (c, false);
   unlink_call (c);
   caller_release (c->caller);
@@ -114,7 +115,8 @@
 on_client_left (void *ctx)
 {
   struct call *c = ctx;
-  const char *reason = c->waiting ? "left-waiting" : "left-running";
+  const char *reason
+      = c->waiting || c->awaits_quota ? "left-waiting" : "left-running";
 
   call_cancel_attempts (c);
   call_drop (c, reason);
@@ -215,13 +217,13 @@
     {
       const struct service *s = routing_service (snapshot, c->service);
 
-      if (s && s->engine)
+      if (s && s->engine && !c->awaits_quota)
         call_attach_demand (c, s->engine);
     }
 }
 
 static void
-apply_route (struct call *c, const struct route *r, const struct service *s)
+apply_route (struct call *c, const struct route *r)
 {
   uint64_t wait_ms = r->timeout_ms;
 
@@ -243,8 +245,16 @@
   str_u64 (c->meta.last_event_id, &c->last_event_id);
   uv_timer_start (&c->timer, on_deadline,
                   c->response_deadline_ms - c->arrival_ms, 0);
-  if (s->engine)
-    call_attach_demand (c, s->engine);
+}
+
+void
+call_admit (struct call *c)
+{
+  const struct pool_criteria criteria = call_criteria (c);
+
+  if (criteria.engine)
+    call_attach_demand (c, criteria.engine);
+  call_dispatch (c);
 }
 
 void
@@ -253,7 +263,6 @@
   struct call *c = create_call (calls, req);
   const struct routing *routing = site_routing (calls->site);
   const struct route *route;
-  const struct service *service;
 
   if (!routing)
     {
@@ -277,14 +286,13 @@
     }
   c->service
       = str_dup (route_pick (route, random_next (&calls->random_state)));
-  service = routing_service (routing, c->service);
-  if (!service)
+  if (!routing_service (routing, c->service))
     {
       call_refuse (c, 0, "no-service");
       return;
     }
-  apply_route (c, route, service);
-  call_dispatch (c);
+  apply_route (c, route);
+  call_charge (c, routing);
 }
 
 /* ---- timers ---- */
@@ -426,6 +434,7 @@
   calls->kernel = kernel;
   calls->site = site_get (kernel);
   calls->http = http_get (kernel);
+  calls->quota = tenantquota_get (kernel);
   calls->loop = kernel_loop (kernel);
   calls->retry_limits = (struct retries_limits){
     .ratio = s->retry_ratio,
