--- a/tests/test_quotahistory.c
+++ b/tests/test_quotahistory.c
@@ -15,7 +15,10 @@
 #define STEP_MS 2
 #define TRAFFIC_MS 5000 /* empty buckets have refilled by then */
 #define FAILURE_MS 14000
-#define HOT_MS (FAILURE_MS - 500)
+/* The load grows before the failure by this time, times 1 to 3 by the seed:
+   the bucket is empty, or not yet. */
+#define LEAD_MS 500
+#define LEADS 3
 #define USUAL_LOAD 0.5
 #define LAST_CALL_MS 29500 /* later, no call may still wait */
 #define END_MS 30000
@@ -83,6 +86,7 @@
   enum failure failure;
   uint32_t nodes;
   uint64_t random;
+  uint64_t hot_ms;
   uint64_t now;
   struct node node[NODES_MAX];
   struct quotaowner *owner; /* NULL while there is none */
@@ -239,14 +243,14 @@
   free (p);
 }
 
-/* Part of the limit that the calls of a tenant cost. Before a failure its
-   bucket is full, and runs empty in the same window. */
+/* Part of the limit that the calls of a tenant cost. Its bucket is full until
+   shortly before a failure, and runs empty in the same window. */
 static double
 load_at (const struct history *h)
 {
   const bool hot = h->failure == HOT || h->failure == ALL_START;
 
-  if (hot || (h->failure != CALM && h->now >= HOT_MS))
+  if (hot || (h->failure != CALM && h->now >= h->hot_ms))
     return USUAL_LOAD * 7;
   return USUAL_LOAD;
 }
@@ -412,6 +416,7 @@
 
   h->failure = failures[failure].failure;
   h->nodes = nodes;
+  h->hot_ms = FAILURE_MS - LEAD_MS * (1 + seed % LEADS);
   h->random = seed * 1000003 + nodes;
   run_history (h);
   for (uint32_t t = 0; t < TENANTS; t++)
