Bound the memory and connections of clients of galenagate edge

h2o buffers request bodies whole, so a crowd of clients that stop within a body, or many whole ones that wait for a server, grew the process without limit. Each read of a connection is now counted, at most 64 KB at a time, and beyond the budget (--client-memory-mb) the unfinished request that holds most is closed. A whole request beyond three quarters of the budget gets 503.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -1,5 +1,6 @@
 #include "edge/edge.h"
 
+#include <malloc.h>
 #include <signal.h>
 #include <stddef.h>
 
@@ -8,6 +9,9 @@
 #include "settings.h"
 
 #define LOG_MODULE "edge"
+/* Larger buffers go back to the system when they are freed. By default glibc
+   raises this limit, and the buffers of clients then stay in the heap. */
+#define MMAP_THRESHOLD_BYTES (128 * 1024)
 #define FIELD(f) .offset = offsetof (struct edge_settings, f)
 
 static const struct setting edge_setting_list[] = {
@@ -45,6 +49,13 @@
     SETTING_NUMBER, FIELD (retry_slack), "10", 0, 100000 },
   { "load-window-s", "S", "time over which loads are counted", SETTING_NUMBER,
     FIELD (load_window_s), "5", 1, 60 },
+  { "client-memory-mb", "MB",
+    "memory for requests and responses of clients; 0: a quarter of the "
+    "machine's memory, at least 32",
+    SETTING_U32, FIELD (client_memory_mb), "0", 0, 1048576 },
+  { "max-clients", "N",
+    "connections of clients; 0: half of the descriptor limit", SETTING_U32,
+    FIELD (max_clients), "0", 0, 1048576 },
   { "fenced", "BOOL", "servers refuse orders with an old fencing token",
     SETTING_BOOL, FIELD (fenced), "false", 0, 0 },
 };
@@ -102,6 +113,7 @@
   rc = EXIT_FAILED;
   if (log_start_stdout (current.log_level, current.node_name.data) != 0)
     goto out;
+  mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
   rc = run_kernel ();
   log_stop ();
 
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -29,6 +29,8 @@
   double retry_window_s; /* window in which retries are counted */
   double retry_slack;    /* retries that all nodes may make beyond the ratio */
   double load_window_s;  /* window in which loads are counted */
+  uint32_t client_memory_mb; /* budget of what clients hold; 0 for default */
+  uint32_t max_clients;      /* connections of clients; 0 for default */
   bool fenced; /* servers refuse orders with an outdated fencing token */
 };
 
--- a/src/edge/front.c
+++ b/src/edge/front.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <sys/resource.h>
 
 #include "caller.h"
 #include "edge/call_table.h"
@@ -8,6 +9,7 @@
 #include "httpd.h"
 #include "kernel.h"
 #include "log.h"
+#include "memaccount.h"
 #include "metrics.h"
 
 #define BODY_LIMIT_DEFAULT (4 * 1024 * 1024)
@@ -28,6 +30,12 @@
 /* Connections are kept open this much longer than clients may leave them idle,
    so that a request does not race with the close. */
 #define IDLE_SLACK_MS 1000
+#define MB ((size_t)1024 * 1024)
+/* Defaults: parts of the machine's memory and of the descriptors that clients
+   may take. The rest is for servers, other nodes and the kernel. */
+#define MEMORY_SHARE 4
+#define MEMORY_MIN_MB 32
+#define CLIENT_SHARE 2
 
 /* The HTTP servers for clients, readiness checks and metrics. */
 struct front
@@ -90,6 +98,32 @@
   return 0;
 }
 
+static size_t
+client_memory_bytes (void)
+{
+  size_t mb = edge_settings ()->client_memory_mb;
+
+  if (mb == 0)
+    {
+      mb = uv_get_total_memory () / MB / MEMORY_SHARE;
+      mb = mb > MEMORY_MIN_MB ? mb : MEMORY_MIN_MB;
+    }
+  return mb * MB;
+}
+
+static size_t
+max_clients (void)
+{
+  struct rlimit limit;
+
+  if (edge_settings ()->max_clients > 0)
+    return edge_settings ()->max_clients;
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0
+      || limit.rlim_cur == RLIM_INFINITY)
+    return 0;
+  return limit.rlim_cur / CLIENT_SHARE;
+}
+
 static void
 on_routing (void *ctx, const void *snapshot)
 {
@@ -98,6 +132,7 @@
   const struct httpd_options options = {
     .body_limit_bytes = l->body_bytes > 0 ? l->body_bytes : BODY_LIMIT_DEFAULT,
     .idle_timeout_ms = l->idle_ms > 0 ? l->idle_ms + IDLE_SLACK_MS : 0,
+    .max_clients = max_clients (),
   };
 
   httpd_set_options (f->clients, &options);
@@ -108,8 +143,10 @@
 static struct plugin *
 create (struct kernel *kernel)
 {
-  static const struct httpd_options options
-      = { .body_limit_bytes = BODY_LIMIT_DEFAULT };
+  const struct httpd_options options = {
+    .body_limit_bytes = BODY_LIMIT_DEFAULT,
+    .max_clients = max_clients (),
+  };
   struct front *f = xcalloc (1, sizeof *f);
   uv_loop_t *loop = kernel_loop (kernel);
 
@@ -117,6 +154,7 @@
   f->kernel = kernel;
   f->site = site_get (kernel);
   f->calls = call_table_create (kernel);
+  memaccount_set_budget (memaccount_clients (), client_memory_bytes ());
   f->clients = httpd_create (loop, &options, on_client_request, f);
   f->readiness = httpd_create (loop, &options, on_readiness_check, f);
   f->metrics = httpd_create (loop, &options, on_metrics, f);
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -8,6 +8,7 @@
 #include "clock.h"
 #include "err.h"
 #include "log.h"
+#include "memaccount.h"
 #include "metrics.h"
 #include "netaddr.h"
 
@@ -17,10 +18,32 @@
 #define IDLE_CHECK_MS 500
 /* A request that takes longer to arrive is not answered. */
 #define REQUEST_ARRIVAL_MAX_MS 60000
+/* Bytes received before the memory is counted again. */
+#define READ_MAX_BYTES (64 * 1024)
+/* Whole requests take at most this part of the budget, so that others can
+   still arrive. */
+#define WHOLE_SHARE_NUM 3
+#define WHOLE_SHARE_DEN 4
+/* A whole request holds its body and the copy that is sent to a server. */
+#define BODY_COPIES 2
+/* Smaller requests are never refused for lack of memory. */
+#define SMALL_BODY_BYTES (16 * 1024)
+/* Part of the received bytes of an HTTP/2 request that is not its body. */
+#define HTTP2_HEAD_BYTES 1024
+/* Retry-After of a request that is refused for lack of memory; bodies that
+   take the memory are usually gone by then. */
+#define MEMORY_RETRY_AFTER "1"
 
 /**
  * struct client - connection of a client.
  * @sock: h2o's socket on @tcp.
+ * @alloc_cb, @read_cb: h2o's callbacks, which observe() replaces.
+ * @http1_read: h2o's callback for HTTP/1.1; another one means HTTP/2.
+ * @memory: unfinished requests.
+ * @http2_bytes: received bytes that belong to no whole request.
+ * @requests: requests in progress.
+ * @idle: in the list of connections without a request in progress.
+ * @unobserved: in the list of connections to observe once h2o reads again.
  * @input_bytes: received bytes of a request that was not complete at the last
  *   check; 0 if no request had begun.
  * @active_ms: when the connection last received a part of a request or had a
@@ -36,9 +59,34 @@
   struct client *next;
   size_t input_bytes;
   uint64_t active_ms;
+  uv_alloc_cb alloc_cb;
+  uv_read_cb read_cb;
+  h2o_socket_cb http1_read;
+  struct memholder memory;
+  size_t http2_bytes;
+  size_t requests;
+  h2o_linklist_t idle;
+  h2o_linklist_t unobserved;
   bool http2;
+  bool closed;
+};
+
+/**
+ * struct request_slot - a whole request, until h2o frees it.
+ * @client: NULL once it is closed.
+ */
+struct request_slot
+{
+  struct client *client;
+  struct memholder memory;
 };
 
+/**
+ * struct httpd - server.
+ * @idle: connections without a request in progress, the one that was active
+ *   last first.
+ * @unobserved: connections that h2o may read again without observe().
+ */
 struct httpd
 {
   h2o_globalconf_t config;
@@ -48,6 +96,11 @@
   uv_timer_t idle_timer;
   uint32_t idle_timeout_ms;
   struct client *clients;
+  uv_prepare_t prepare;
+  h2o_linklist_t idle;
+  h2o_linklist_t unobserved;
+  size_t client_count;
+  size_t max_clients; /* 0 for no limit */
   bool listening;
   bool closed;
   httpd_request_fn fn;
@@ -60,6 +113,99 @@
   struct httpd *httpd;
 };
 
+static void observe (struct client *c);
+
+static void
+move_to_front (h2o_linklist_t *list, h2o_linklist_t *node)
+{
+  if (h2o_linklist_is_linked (node))
+    h2o_linklist_unlink (node);
+  h2o_linklist_insert (list->next, node);
+}
+
+static void
+unlink_node (h2o_linklist_t *node)
+{
+  if (h2o_linklist_is_linked (node))
+    h2o_linklist_unlink (node);
+}
+
+static void
+count_limit (const char *reason)
+{
+  struct str labels = str_printf ("reason=\"%s\"", reason);
+
+  metrics_add ("galenagate_client_limits_total", labels, 1);
+  str_free (&labels);
+}
+
+/* ---- requests ---- */
+
+/* h2o frees requests of a closed connection before or after on_socket_closed()
+   runs; the client itself is freed later than both. */
+static void
+on_request_disposed (void *ptr)
+{
+  struct request_slot *slot = ptr;
+  struct client *c = slot->client;
+
+  memaccount_release (memaccount_clients (), &slot->memory);
+  c->requests--;
+  if (c->closed)
+    return;
+  if (c->requests == 0)
+    move_to_front (&c->httpd->idle, &c->idle);
+  /* h2o now starts to read with its own callbacks. */
+  if (!c->http2)
+    move_to_front (&c->httpd->unobserved, &c->unobserved);
+}
+
+static void
+track_request (struct client *c, h2o_req_t *req)
+{
+  struct request_slot *slot
+      = h2o_mem_alloc_shared (&req->pool, sizeof *slot, on_request_disposed);
+  const size_t whole_bytes = req->entity.len + HTTP2_HEAD_BYTES;
+
+  *slot = (struct request_slot){ .client = c };
+  c->requests++;
+  unlink_node (&c->idle);
+  c->http2_bytes
+      = c->http2_bytes > whole_bytes ? c->http2_bytes - whole_bytes : 0;
+  memaccount_charge (memaccount_clients (), &c->memory, MEM_UNFINISHED,
+                     c->http2 ? c->http2_bytes : 0);
+  memaccount_charge (memaccount_clients (), &slot->memory, MEM_WHOLE,
+                     req->entity.len * BODY_COPIES);
+}
+
+/* Returns true if whole requests hold more than their part of the budget. */
+static bool
+lacks_memory (const h2o_req_t *req)
+{
+  const struct memaccount *a = memaccount_clients ();
+  const size_t own_bytes = req->entity.len * BODY_COPIES;
+  const size_t whole_bytes = memaccount_class_total (a, MEM_WHOLE);
+
+  return req->entity.len > SMALL_BODY_BYTES && whole_bytes > own_bytes
+         && whole_bytes
+                > memaccount_budget (a) / WHOLE_SHARE_DEN * WHOLE_SHARE_NUM;
+}
+
+static void
+refuse_for_memory (h2o_req_t *req)
+{
+  LOG_INFO ("request-refused", "reason=client-memory bytes=%zu held=%zu",
+            req->entity.len, memaccount_total (memaccount_clients ()));
+  count_limit ("body-refused");
+  req->res.status = 503;
+  req->res.reason = "Service Unavailable";
+  req->res.content_length = 0;
+  h2o_add_header_by_str (&req->pool, &req->res.headers,
+                         H2O_STRLIT ("retry-after"), 0, NULL,
+                         H2O_STRLIT (MEMORY_RETRY_AFTER));
+  h2o_send_inline (req, NULL, 0);
+}
+
 static int
 on_request (h2o_handler_t *base, h2o_req_t *req)
 {
@@ -69,6 +215,12 @@
 
   c->http2 = req->version >= 0x200;
   c->active_ms = clock_ms ();
+  track_request (c, req);
+  if (lacks_memory (req))
+    {
+      refuse_for_memory (req);
+      return 0;
+    }
   return d->fn (d->ctx, req);
 }
 
@@ -85,6 +237,11 @@
 {
   struct client *c = ctx;
 
+  c->closed = true;
+  c->httpd->client_count--;
+  memaccount_release (memaccount_clients (), &c->memory);
+  unlink_node (&c->idle);
+  unlink_node (&c->unobserved);
   if (c->prev)
     c->prev->next = c->next;
   else
@@ -93,20 +250,156 @@
     c->next->prev = c->prev;
 }
 
+/* Closes a connection at once, as h2o does after a read error. While h2o does
+   not read from it, the next write fails and h2o closes it then. */
+static void
+close_client (struct client *c)
+{
+  memaccount_release (memaccount_clients (), &c->memory);
+  if (h2o_socket_is_reading (c->sock))
+    c->sock->_cb.read (c->sock, "closed by a limit");
+  else
+    shutdown (h2o_socket_get_fd (c->sock), SHUT_RDWR);
+}
+
+static void
+close_for_limit (struct client *c, const char *reason)
+{
+  LOG_INFO ("close", "cause=%s held=%zu total=%zu clients=%zu", reason,
+            c->memory.bytes, memaccount_total (memaccount_clients ()),
+            c->httpd->client_count);
+  count_limit (reason);
+  close_client (c);
+}
+
+static void
+give_way (struct memholder *memory)
+{
+  close_for_limit (H2O_STRUCT_FROM_MEMBER (struct client, memory, memory),
+                   "client-memory");
+}
+
+/* ---- memory of unfinished requests ---- */
+
+/* While h2o reads no further and no request is in progress, it writes an error
+   response and frees the memory only afterwards. */
+static void
+charge_input (struct client *c)
+{
+  const enum memclass class = h2o_socket_is_reading (c->sock) ? MEM_UNFINISHED
+                                                              : MEM_WHOLE;
+
+  if (c->http2)
+    memaccount_charge (memaccount_clients (), &c->memory, class,
+                       c->http2_bytes);
+  else if (c->requests == 0)
+    memaccount_charge (memaccount_clients (), &c->memory, class,
+                       c->sock->input->size);
+}
+
+static void
+on_client_alloc (uv_handle_t *handle, size_t suggested_bytes, uv_buf_t *buf)
+{
+  const struct client *c = (struct client *)handle;
+
+  c->alloc_cb (handle, suggested_bytes, buf);
+  if (buf->len > READ_MAX_BYTES)
+    buf->len = READ_MAX_BYTES;
+}
+
+/* Lets h2o process what was received, then counts what it still holds. */
+static void
+on_client_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+  struct client *c = (struct client *)stream;
+
+  if (n > 0 && h2o_linklist_is_linked (&c->idle))
+    move_to_front (&c->httpd->idle, &c->idle);
+  c->read_cb (stream, n, buf);
+  if (c->closed)
+    return;
+  c->http2 = c->http2
+             || (h2o_socket_is_reading (c->sock)
+                 && c->sock->_cb.read != c->http1_read);
+  if (c->http2 && n > 0)
+    c->http2_bytes += (size_t)n;
+  charge_input (c);
+  observe (c);
+  memaccount_enforce (memaccount_clients ());
+}
+
+/* Counts what a connection receives. h2o sets its own callbacks whenever it
+   starts to read; while it doesn't read, the connection is checked again. */
+static void
+observe (struct client *c)
+{
+  if (!h2o_socket_is_reading (c->sock))
+    {
+      if (c->requests == 0)
+        move_to_front (&c->httpd->unobserved, &c->unobserved);
+      else
+        unlink_node (&c->unobserved);
+      return;
+    }
+  unlink_node (&c->unobserved);
+  if (c->tcp.read_cb == on_client_read)
+    return;
+  c->alloc_cb = c->tcp.alloc_cb;
+  c->read_cb = c->tcp.read_cb;
+  c->tcp.alloc_cb = on_client_alloc;
+  c->tcp.read_cb = on_client_read;
+}
+
+/* Runs before each wait for input. */
+static void
+on_prepare (uv_prepare_t *handle)
+{
+  struct httpd *d = handle->data;
+  h2o_linklist_t *next;
+
+  for (h2o_linklist_t *i = d->unobserved.next; i != &d->unobserved; i = next)
+    {
+      struct client *c = H2O_STRUCT_FROM_MEMBER (struct client, unobserved, i);
+
+      next = i->next;
+      charge_input (c);
+      observe (c);
+    }
+  memaccount_enforce (memaccount_clients ());
+}
+
+/* Closes the connections that have been idle for longest while there are too
+   many. */
+static void
+limit_clients (struct httpd *d)
+{
+  if (d->max_clients > 0 && d->client_count > d->max_clients
+      && !h2o_linklist_is_empty (&d->idle))
+    close_for_limit (
+        H2O_STRUCT_FROM_MEMBER (struct client, idle, d->idle.prev),
+        "max-clients");
+}
+
 static void
 accept_client (struct httpd *d, struct client *c)
 {
   uv_tcp_nodelay (&c->tcp, 1);
   c->httpd = d;
   c->active_ms = clock_ms ();
+  c->memory.give_way = give_way;
   c->next = d->clients;
   if (d->clients)
     d->clients->prev = c;
   d->clients = c;
+  d->client_count++;
+  move_to_front (&d->idle, &c->idle);
   c->sock = h2o_uv_socket_create ((uv_stream_t *)&c->tcp, free_client);
   c->sock->on_close.cb = on_socket_closed;
   c->sock->on_close.data = c;
   h2o_accept (&d->accept, c->sock);
+  c->http1_read = c->sock->_cb.read;
+  observe (c);
+  limit_clients (d);
 }
 
 static void
@@ -216,6 +509,11 @@
   d->listener.data = d;
   uv_timer_init (loop, &d->idle_timer);
   d->idle_timer.data = d;
+  h2o_linklist_init_anchor (&d->idle);
+  h2o_linklist_init_anchor (&d->unobserved);
+  d->max_clients = options->max_clients;
+  uv_prepare_init (loop, &d->prepare);
+  d->prepare.data = d;
   return d;
 }
 
@@ -237,6 +535,7 @@
       return rc;
     }
   d->listening = true;
+  uv_prepare_start (&d->prepare, on_prepare);
   uv_timer_start (&d->idle_timer, on_idle_timer, IDLE_CHECK_MS, IDLE_CHECK_MS);
   LOG_INFO ("listen", "http_addr=" STR_FMT, STR_ARG (addr));
   return 0;
@@ -246,6 +545,7 @@
 httpd_set_options (struct httpd *d, const struct httpd_options *options)
 {
   d->config.max_request_entity_size = options->body_limit_bytes;
+  d->max_clients = options->max_clients;
   /* Once the server is closed, idle connections are closed at once: keeps the
      timeout that close_idle_connections() has set. */
   if (!d->closed)
@@ -282,6 +582,7 @@
   d->closed = true;
   uv_close ((uv_handle_t *)&d->listener, NULL);
   uv_close ((uv_handle_t *)&d->idle_timer, NULL);
+  uv_unref ((uv_handle_t *)&d->prepare);
   h2o_context_request_shutdown (&d->context);
   close_idle_connections (d);
 }
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -16,11 +16,14 @@
  * @body_limit_bytes: larger request bodies are rejected with status 413.
  * @idle_timeout_ms: a connection on which no request is in progress is closed
  * if nothing arrives for this time; 0 for the default.
+ * @max_clients: beyond this number, the connection that has been idle for
+ * longest is closed; 0 for no limit.
  */
 struct httpd_options
 {
   size_t body_limit_bytes;
   uint32_t idle_timeout_ms;
+  size_t max_clients;
 };
 
 typedef int (*httpd_request_fn) (void *ctx, h2o_req_t *req);
--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -142,7 +142,8 @@
   json_t *spec = json_pack (
       "{s:I, s:o, s:o, s:{s:i, s:i, s:i, s:i}}", "version",
       (json_int_t)e->version, "routes", routes, "services", services, "limits",
-      "max_header_bytes", 16384, "max_body_bytes", 1048576,
+      "max_header_bytes", 16384, "max_body_bytes",
+      e->max_body_bytes > 0 ? (int)e->max_body_bytes : 1048576,
       "header_timeout_ms", 3000, "idle_timeout_ms", (int)idle_timeout_ms);
   char *text = json_dumps (spec, 0);
 
--- a/tests/edgecluster.h
+++ b/tests/edgecluster.h
@@ -20,6 +20,7 @@
   struct cluster *cluster;
   struct cluster_proc *store;
   uint64_t version;               /* of the configuration to write next */
+  uint32_t max_body_bytes;        /* limit of requests; 0 for 1 MiB */
   const char *const *more_models; /* of "lm", NULL-terminated; may be NULL */
 };
 
