Read a server no faster than the client of galenagate edge

Up to 4 MB were kept for each response that its client did not read, without a limit for all of them, and a client that was slower than the server was cut. Unsent bytes are now charged to the account of clients' memory. From 3 MB on, 512 KB while memory is short, the transfer from the server is paused, without limits for silence, until the client has read. Beyond the budget the response that holds most is closed, one whose client has stopped reading first. A client that reads nothing for 0.5 s while calls wait for a full server is closed, because its paused call keeps the server from them.

--- a/src/caller.c
+++ b/src/caller.c
@@ -5,13 +5,26 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include "clock.h"
 #include "err.h"
 #include "log.h"
+#include "memaccount.h"
 #include "metrics.h"
+#include "tcpinfo.h"
 
 #define LOG_MODULE "caller"
 /* A caller with more unsent data than this reads too slowly. */
 #define UNSENT_LIMIT_BYTES (4 * 1024 * 1024)
+/* From this much unsent data on, the server is read no further; it is read
+   again when less than DRAINED_BYTES is left. The larger limit applies while
+   clients take less than half of the memory for them, because a response that
+   is read to its end frees its server. */
+#define FULL_BYTES (3 * 1024 * 1024)
+#define FULL_SHORT_BYTES (512 * 1024)
+#define DRAINED_BYTES (128 * 1024)
+/* A caller that acknowledges no byte of unsent data for this long has stopped
+   reading. */
+#define STALLED_MS 500
 
 struct caller
 {
@@ -19,8 +32,12 @@
   h2o_req_t *req;            /* NULL after h2o has freed it */
   void (*on_disconnect) (void *ctx);
   void *ctx;
-  struct buf pending; /* not yet passed to h2o */
-  struct buf sending; /* in use by h2o until it calls proceed */
+  struct buf pending;      /* not yet passed to h2o */
+  struct buf sending;      /* in use by h2o until it calls proceed */
+  struct memholder memory; /* of both */
+  void (*on_drained) (void *ctx);
+  uint64_t acked_bytes; /* as of the last check */
+  uint64_t progress_ms; /* when it last grew, or nothing was unsent */
   bool send_in_progress;
   bool response_ended;
   bool complete;
@@ -35,6 +52,7 @@
 {
   if (c->req || !c->released)
     return;
+  memaccount_release (memaccount_clients (), &c->memory);
   buf_free (&c->pending);
   buf_free (&c->sending);
   free (c);
@@ -116,6 +134,62 @@
   shutdown (connection_fd (c), SHUT_WR);
 }
 
+/* ---- memory of responses ---- */
+
+static size_t
+unsent_bytes (const struct caller *c)
+{
+  return c->pending.len + (c->send_in_progress ? c->sending.len : 0);
+}
+
+static bool
+is_stalled (const struct caller *c)
+{
+  return unsent_bytes (c) > 0 && clock_ms () - c->progress_ms >= STALLED_MS;
+}
+
+static void
+charge_unsent (struct caller *c)
+{
+  memaccount_charge (memaccount_clients (), &c->memory,
+                     is_stalled (c) ? MEM_STALLED : MEM_READING,
+                     unsent_bytes (c));
+}
+
+/* Closes the connection. h2o frees what it still sends when its write fails,
+   in the next iteration of the event loop. */
+static void
+close_connection (struct caller *c)
+{
+  memaccount_release (memaccount_clients (), &c->memory);
+  buf_free (&c->pending);
+  if (c->req)
+    shutdown (connection_fd (c), SHUT_RDWR);
+}
+
+static void
+count_cut (const struct caller *c)
+{
+  LOG_INFO ("close", "cause=response-memory held=%zu total=%zu unread_ms=%lu",
+            c->memory.bytes, memaccount_total (memaccount_clients ()),
+            clock_ms () - c->progress_ms);
+  metrics_add ("galenagate_client_limits_total",
+               STR ("reason=\"response-memory\""), 1);
+}
+
+static void
+give_way (struct memholder *memory)
+{
+  struct caller *c = H2O_STRUCT_FROM_MEMBER (struct caller, memory, memory);
+
+  count_cut (c);
+  close_connection (c);
+  if (c->req)
+    notify_disconnect (c);
+}
+
+/* ---- sending ---- */
+
 /* Passes the pending bytes, or the end of the response, to h2o. */
 static void
 send_pending (struct caller *c)
@@ -143,11 +217,22 @@
   h2o_send (c->req, &vec, 1, H2O_SEND_STATE_IN_PROGRESS);
 }
 
+/* h2o has sent the last part. */
 static void
 on_proceed (h2o_generator_t *generator, h2o_req_t *req)
 {
+  struct caller *c = (struct caller *)generator;
+  void (*on_drained) (void *) = c->on_drained;
+
   (void)req;
-  send_pending ((struct caller *)generator);
+  c->progress_ms = clock_ms ();
+  c->send_in_progress = false;
+  send_pending (c);
+  charge_unsent (c);
+  if (!on_drained || c->closed || unsent_bytes (c) > DRAINED_BYTES)
+    return;
+  c->on_drained = NULL;
+  on_drained (c->ctx);
 }
 
 struct caller *
@@ -160,6 +245,8 @@
   *slot = c;
   c->generator.proceed = on_proceed;
   c->generator.stop = on_stop;
+  c->memory.give_way = give_way;
+  c->progress_ms = clock_ms ();
   c->req = req;
   c->on_disconnect = on_disconnect;
   c->ctx = ctx;
@@ -171,9 +258,33 @@
 caller_release (struct caller *c)
 {
   c->released = true;
+  c->on_drained = NULL;
   free_if_unused (c);
 }
 
+bool
+caller_stalled (struct caller *c)
+{
+  uint64_t acked_bytes;
+
+  if (c->memory.bytes == 0 || c->closed || !c->req)
+    return false;
+  acked_bytes = tcpinfo_acked_bytes (connection_fd (c));
+  if (acked_bytes != c->acked_bytes)
+    c->progress_ms = clock_ms ();
+  c->acked_bytes = acked_bytes;
+  charge_unsent (c);
+  return is_stalled (c);
+}
+
+void
+caller_abort (struct caller *c)
+{
+  c->on_disconnect = NULL;
+  c->closed = true;
+  close_connection (c);
+}
+
 bool
 caller_disconnected (const struct caller *c)
 {
@@ -235,6 +346,8 @@
     return;
   set_response_head (c, status, content_type);
   c->req->res.content_length = body.len;
+  /* h2o copies the body and keeps it until it is sent. */
+  memaccount_charge (memaccount_clients (), &c->memory, MEM_READING, body.len);
   h2o_send_inline (c->req, body.data, body.len);
 }
 
@@ -250,12 +363,31 @@
 bool
 caller_write (struct caller *c, struct str part)
 {
+  if (c->closed || !c->req)
+    return true;
   buf_append (&c->pending, part);
   if (!c->send_in_progress)
-    send_pending (c);
+    {
+      c->progress_ms = clock_ms ();
+      send_pending (c);
+    }
+  charge_unsent (c);
   return c->pending.len <= UNSENT_LIMIT_BYTES;
 }
 
+bool
+caller_full (struct caller *c, void (*on_drained) (void *ctx))
+{
+  const struct memaccount *a = memaccount_clients ();
+  const bool memory_short = memaccount_total (a) > memaccount_budget (a) / 2;
+
+  if (c->closed
+      || unsent_bytes (c) <= (memory_short ? FULL_SHORT_BYTES : FULL_BYTES))
+    return false;
+  c->on_drained = on_drained;
+  return true;
+}
+
 void
 caller_end_response (struct caller *c, bool complete)
 {
--- a/src/caller.h
+++ b/src/caller.h
@@ -27,6 +27,15 @@
  * request, so only this check detects that such a caller has disconnected.
  */
 bool caller_disconnected (const struct caller *caller);
+/**
+ * caller_stalled() - returns true if the caller has stopped reading its
+ * response. Call it regularly: a caller that has stopped is closed before
+ * others when memory is short.
+ */
+bool caller_stalled (struct caller *caller);
+/** caller_abort() - close the connection at once; on_disconnect does not run.
+ */
+void caller_abort (struct caller *caller);
 /** caller_add_header() - add a header, before the response is started. */
 void caller_add_header (struct caller *caller, const char *name,
                         struct str value);
@@ -50,6 +59,12 @@
  * aborted.
  */
 bool caller_write (struct caller *caller, struct str part);
+/**
+ * caller_full() - returns true if the caller reads more slowly than the
+ * response arrives, and the server should be read no further.
+ * @on_drained: runs once when the caller has read most of what is unsent.
+ */
+bool caller_full (struct caller *caller, void (*on_drained) (void *ctx));
 /**
  * caller_end_response() - end a streamed response.
  * @complete: false makes it visible to the caller that the response was cut.
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -163,6 +163,16 @@
   c->last_part_ms = now;
 }
 
+static void
+on_caller_drained (void *ctx)
+{
+  struct call *c = ctx;
+
+  for (size_t i = 0; i < CALL_ATTEMPTS_IN_FLIGHT_MAX; i++)
+    if (c->attempts[i].forward)
+      forward_resume (c->attempts[i].forward);
+}
+
 static void
 on_part (void *ctx, struct str part, uint64_t last_event_id)
 {
@@ -173,7 +183,11 @@
   c->last_event_id = last_event_id;
   record_gap (c);
   if (caller_write (c->caller, part))
-    return;
+    {
+      if (caller_full (c->caller, on_caller_drained))
+        forward_pause (a->forward);
+      return;
+    }
   call_cancel_attempts (c);
   call_fail (c, STATUS_BAD_GATEWAY, "client-reads-too-slowly");
 }
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -302,18 +302,33 @@
               calls->open_count);
 }
 
+/* The client reads nothing, and its call keeps a server from others. */
+static void
+abort_stalled (struct call *c)
+{
+  call_cancel_attempts (c);
+  caller_abort (c->caller);
+  call_fail (c, STATUS_BAD_GATEWAY, "client-reads-too-slowly");
+}
+
 static void
 on_client_check (uv_timer_t *timer)
 {
   struct call_table *calls = timer->data;
   struct call *next;
+  size_t waiting_count = 0;
 
   record_loop_lateness (calls);
+  for (const struct call *c = calls->first; c; c = c->next)
+    waiting_count += c->waiting && c->wait_reason == POOL_FULL;
   for (struct call *c = calls->first; c; c = next)
     {
       next = c->next;
       if (caller_disconnected (c->caller))
         on_client_left (c);
+      else if (caller_stalled (c->caller) && call_in_flight (c)
+               && waiting_count > 0)
+        abort_stalled (c);
     }
 }
 
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -26,6 +26,7 @@
   bool malformed;   /* data that can't be part of the call's response */
   bool timed_out;
   bool finished;
+  bool paused;
   int status;
   uint64_t last_event_id;
   uint32_t gap_timeout_ms;
@@ -181,6 +182,15 @@
   return f->last_event_id > 0 && !f->response_started;
 }
 
+static void
+restart_silence (struct forward *f)
+{
+  if (f->gap_timeout_ms > 0 && !f->paused)
+    uv_timer_start (&f->timer, on_silence, f->gap_timeout_ms, 0);
+  else
+    uv_timer_stop (&f->timer);
+}
+
 static bool
 on_event (void *ctx, const struct sse_event *event)
 {
@@ -204,10 +214,7 @@
   f->events->part (f->ctx, event->raw, f->last_event_id);
   if (f->finished)
     return false;
-  if (f->gap_timeout_ms > 0)
-    uv_timer_start (&f->timer, on_silence, f->gap_timeout_ms, 0);
-  else
-    uv_timer_stop (&f->timer);
+  restart_silence (f);
   return true;
 }
 
@@ -325,3 +332,24 @@
   http_cancel (f->call);
   release (f);
 }
+
+void
+forward_pause (struct forward *f)
+{
+  if (f->finished || f->paused)
+    return;
+  f->paused = true;
+  uv_timer_stop (&f->timer);
+  http_pause (f->call);
+}
+
+void
+forward_resume (struct forward *f)
+{
+  if (f->finished || !f->paused)
+    return;
+  f->paused = false;
+  if (f->stream)
+    restart_silence (f);
+  http_resume (f->call);
+}
--- a/src/edge/forward.h
+++ b/src/edge/forward.h
@@ -105,3 +105,7 @@
 /** forward_cancel() - cancel the attempt and close its connection, so that the
  * server stops working on it. No callback follows. */
 void forward_cancel (struct forward *forward);
+/** forward_pause() - read no more of the response until forward_resume(), and
+ * let no limit for silence pass meanwhile. */
+void forward_pause (struct forward *forward);
+void forward_resume (struct forward *forward);
--- a/src/http.c
+++ b/src/http.c
@@ -54,6 +54,7 @@
   bool head_done;
   bool added_to_multi;
   bool cancelled;
+  bool paused;
   bool repeat_refused; /* libcurl was about to send the request once more */
   bool too_large;      /* its body was given up */
   struct http_call *prev;
@@ -207,6 +208,8 @@
   const uint64_t now_ms = clock_ms ();
   uint64_t end_ms = UINT64_MAX;
 
+  if (c->paused)
+    c->last_received_ms = now_ms;
   if (c->total_ms > 0)
     end_ms = c->started_ms + c->total_ms;
   if (c->silence_ms > 0 && c->last_received_ms + c->silence_ms < end_ms)
@@ -635,6 +638,35 @@
     release_call (c);
 }
 
+/* libcurl may call back when it resumes, and calls that end then must not be
+   removed until it returns. */
+static void
+set_paused (struct http_call *c, bool paused)
+{
+  struct http *h = c->http;
+  const bool in_curl = h->in_curl;
+
+  if (c->paused == paused || c->cancelled || !c->added_to_multi)
+    return;
+  c->paused = paused;
+  c->last_received_ms = clock_ms ();
+  h->in_curl = true;
+  curl_easy_pause (c->easy, paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+  h->in_curl = in_curl;
+}
+
+void
+http_pause (struct http_call *c)
+{
+  set_paused (c, true);
+}
+
+void
+http_resume (struct http_call *c)
+{
+  set_paused (c, false);
+}
+
 bool
 http_response_started (const struct http_call *c)
 {
--- a/src/http.h
+++ b/src/http.h
@@ -89,6 +89,11 @@
 /** http_cancel() - end a call at once and close its connection. No callback
  * follows. */
 void http_cancel (struct http_call *call);
+/** http_pause() - read no more of the response until http_resume(). Meanwhile
+ * the limit for silence does not apply. A part that was already received may
+ * still follow after http_resume(). */
+void http_pause (struct http_call *call);
+void http_resume (struct http_call *call);
 /** http_response_started() - returns true once a byte of the response has
  * arrived. */
 bool http_response_started (const struct http_call *call);
--- a/tests/e2e_crowds.c
+++ b/tests/e2e_crowds.c
@@ -30,6 +30,9 @@
 #define STALL_MS 1000
 #define BURST_BYTES (64 * 1024)
 #define RECEIVE_BUFFER_BYTES 4096
+/* An ordinary client reads about half as fast as a server sends. */
+#define ORDINARY_BYTES (24 * 1024 * 1024)
+#define PACED_BYTES 16384
 
 #define HEAD                                                                  \
   " HTTP/1.1\r\nHost: test.example\r\nX-Galenagate-Deadline-Ms: 8000\r\n"     \
@@ -321,6 +324,46 @@
                                 .clients = CROWD_MAX });
 }
 
+static void
+test_slow_readers (void)
+{
+  check_crowd ("slow readers",
+               &(struct crowd){ .head = "GET /plain/x" HEAD "\r\n",
+                                .clients = 60,
+                                .body_kb = "16384" });
+}
+
+/* Guards against a client that is cut because its server sends faster than it
+   reads. */
+static void
+test_ordinary_reader (void)
+{
+  const struct crowd x = { .head = "GET /plain/x" HEAD "\r\n",
+                           .clients = 0,
+                           .body_kb = "24576" };
+  struct crowd_fixture *f = start_fixture (&x);
+  const int fd = connect_client (f->edge, true);
+  static char bytes[16384];
+  size_t received = 0;
+  ssize_t n;
+
+  CU_ASSERT_EQUAL (send (fd, x.head, strlen (x.head), MSG_NOSIGNAL),
+                   (ssize_t)strlen (x.head));
+  while (received < ORDINARY_BYTES
+         && (n = recv (fd, bytes, sizeof bytes, 0)) > 0)
+    {
+      received += (size_t)n;
+      if (received / PACED_BYTES != (received - (size_t)n) / PACED_BYTES)
+        poll (NULL, 0, 2);
+    }
+  CU_ASSERT_TRUE (received >= ORDINARY_BYTES);
+  printf ("ordinary reader: %zu bytes, peak %ld MB\n", received,
+          peak_memory_kb (f->edge) / 1024);
+  close (fd);
+  edgecluster_destroy (&f->edges);
+  free (f);
+}
+
 static const struct suite_case cases[] = {
   { "large chunks", test_large_chunks },
   { "one-byte chunks", test_small_chunks },
@@ -330,5 +373,7 @@
   { "over the limit, sent", test_over_limit },
   { "whole bodies", test_whole },
   { "half a head", test_half_head },
+  { "slow readers", test_slow_readers },
+  { "ordinary reader", test_ordinary_reader },
 };
 TEST_SUITE ("crowds", cases)
