--- a/tests/e2e_crowds.c
+++ b/tests/e2e_crowds.c
@@ -316,6 +316,60 @@
                                 .delay_ms = "1000" });
 }
 
+/* ---- HTTP/2 ---- */
+
+#define FRAME_DATA 0
+#define FRAME_HEADERS 1
+#define FRAME_SETTINGS 4
+#define FLAG_END_HEADERS 4
+#define HTTP2_STREAMS 60
+#define HTTP2_FRAMES 13 /* of each stream; fit into its window of 256 KB */
+#define HTTP2_FRAME_BYTES 16384
+
+static void
+add_frame (struct buf *out, char type, char flags, uint32_t stream,
+           struct str payload)
+{
+  const char head[] = { (char)(payload.len >> 16),
+                        (char)(payload.len >> 8),
+                        (char)payload.len,
+                        type,
+                        flags,
+                        0,
+                        0,
+                        (char)(stream >> 8),
+                        (char)stream };
+
+  buf_append (out, (struct str){ head, sizeof head });
+  buf_append (out, payload);
+}
+
+/* Guards against a connection that holds as many bodies as it has streams:
+   each client begins 60 of them and ends none. */
+static void
+test_http2 (void)
+{
+  static const char data[HTTP2_FRAME_BYTES];
+  struct buf bytes = { 0 };
+
+  buf_append (&bytes, STR ("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"));
+  add_frame (&bytes, FRAME_SETTINGS, 0, 0, (struct str){ 0 });
+  for (uint32_t i = 0; i < HTTP2_STREAMS; i++)
+    {
+      /* POST, http, :path, :authority; see RFC 7541, appendix A. */
+      add_frame (&bytes, FRAME_HEADERS, FLAG_END_HEADERS, 2 * i + 1,
+                 STR ("\x83\x86\x04\x08/plain/x\x01\x0ctest.example"));
+      for (int n = 0; n < HTTP2_FRAMES; n++)
+        add_frame (&bytes, FRAME_DATA, 0, 2 * i + 1,
+                   (struct str){ data, sizeof data });
+    }
+  check_crowd ("HTTP/2", &(struct crowd){ .head = "",
+                                          .pattern = buf_str (&bytes),
+                                          .bytes = bytes.len,
+                                          .clients = 12 });
+  buf_free (&bytes);
+}
+
 static void
 test_half_head (void)
 {
@@ -372,6 +426,7 @@
   { "over the limit, announced", test_announced },
   { "over the limit, sent", test_over_limit },
   { "whole bodies", test_whole },
+  { "HTTP/2", test_http2 },
   { "half a head", test_half_head },
   { "slow readers", test_slow_readers },
   { "ordinary reader", test_ordinary_reader },
