End a response whose connection was closed after its last write

caller.c closes a connection by shutting its socket down, and relied on the write in progress to fail. If the kernel had already taken all of its bytes, the write succeeded, h2o asked for the next part, and on_proceed() sent nothing because the caller was closed. h2o then kept the connection for ever: its descriptor, the request's body in the account of client memory, and the request that a node which stops waits for. This happens to a client that gives way for lack of memory while it reads, and to a stalled one that reads on just when its call is aborted. on_proceed() now ends such a response, so that the next write fails and h2o closes the connection.

--- a/src/caller.c
+++ b/src/caller.c
@@ -217,6 +217,15 @@
   h2o_send (c->req, &vec, 1, H2O_SEND_STATE_IN_PROGRESS);
 }
 
+/* Ends a response whose connection was closed after the kernel had taken the
+   last part. h2o waits for the next one otherwise, and never closes it. */
+static void
+end_closed (struct caller *c)
+{
+  c->send_in_progress = true;
+  h2o_send (c->req, NULL, 0, H2O_SEND_STATE_ERROR);
+}
+
 /* h2o has sent the last part. */
 static void
 on_proceed (h2o_generator_t *generator, h2o_req_t *req)
@@ -225,10 +234,15 @@
   void (*on_drained) (void *) = NULL;
 
   (void)req;
+  if (c->closed)
+    {
+      end_closed (c);
+      return;
+    }
   c->progress_ms = clock_ms ();
   c->send_in_progress = false;
   charge_unsent (c);
-  if (!c->closed && !c->response_ended && unsent_bytes (c) <= DRAINED_BYTES)
+  if (!c->response_ended && unsent_bytes (c) <= DRAINED_BYTES)
     {
       on_drained = c->on_drained;
       c->on_drained = NULL;
--- /dev/null
+++ b/tests/test_caller.c
@@ -0,0 +1,131 @@
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include "caller.h"
+#include "httpd.h"
+#include "memaccount.h"
+#include "suite.h"
+
+/* Responses to a client in this process. */
+
+#define TICK_MS 10
+#define TICKS_MAX 300
+/* Fits into the socket buffers, so that the kernel takes it at once. */
+#define PART_BYTES (32 * 1024)
+
+struct server
+{
+  uv_loop_t loop;
+  uv_timer_t ticker;
+  struct httpd *httpd;
+  struct sockaddr_in sin;
+  struct caller *caller;
+  size_t requests;
+  bool disconnected;
+};
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  (void)timer;
+}
+
+static void
+start_server (struct server *s, httpd_request_fn fn)
+{
+  const struct httpd_options options = { .body_limit_bytes = PART_BYTES };
+  socklen_t len = sizeof s->sin;
+  const int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  signal (SIGPIPE, SIG_IGN); /* as the program does */
+  s->sin = (struct sockaddr_in){ .sin_family = AF_INET,
+                                 .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&s->sin, len), 0);
+  getsockname (fd, (struct sockaddr *)&s->sin, &len);
+  close (fd);
+  struct str addr = str_printf ("127.0.0.1:%d", ntohs (s->sin.sin_port));
+  uv_loop_init (&s->loop);
+  uv_timer_init (&s->loop, &s->ticker);
+  uv_timer_start (&s->ticker, on_tick, TICK_MS, TICK_MS);
+  s->httpd = httpd_create (&s->loop, &options, fn, s);
+  CU_ASSERT_EQUAL_FATAL (httpd_listen (s->httpd, addr), 0);
+  str_free (&addr);
+}
+
+static int
+connect_client (const struct server *s)
+{
+  const int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  CU_ASSERT_EQUAL_FATAL (
+      connect (fd, (const struct sockaddr *)&s->sin, sizeof s->sin), 0);
+  return fd;
+}
+
+static void
+send_bytes (int fd, struct str bytes)
+{
+  CU_ASSERT_EQUAL (send (fd, bytes.data, bytes.len, 0), (ssize_t)bytes.len);
+}
+
+/* ---- memory of responses ---- */
+
+/* Ends the response as a call does when its client has left. */
+static void
+on_disconnect (void *ctx)
+{
+  struct server *s = ctx;
+
+  s->disconnected = true;
+  caller_end_response (s->caller, false);
+  caller_release (s->caller);
+}
+
+/* Starts a response while there is no memory for it. */
+static int
+respond_without_memory (void *ctx, h2o_req_t *req)
+{
+  static const char part[PART_BYTES];
+  struct server *s = ctx;
+
+  s->requests++;
+  s->caller = caller_create (req, on_disconnect, s);
+  caller_start_response (s->caller, 200, STR ("text/plain"));
+  caller_write (s->caller, (struct str){ part, sizeof part });
+  memaccount_set_budget (memaccount_clients (), 1);
+  return 0;
+}
+
+/* Guards against a request that is kept for ever, because its connection was
+   closed for lack of memory after the kernel took the last part of the
+   response. The descriptor and the request's body were never freed, and a
+   node that stops waited for the request. */
+static void
+test_closed_while_sent (void)
+{
+  static struct server s;
+  const size_t count = caller_count ();
+
+  start_server (&s, respond_without_memory);
+  const int fd = connect_client (&s);
+  send_bytes (fd, STR ("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+  for (int i = 0;
+       i < TICKS_MAX && (s.requests == 0 || caller_count () > count); i++)
+    uv_run (&s.loop, UV_RUN_ONCE);
+  memaccount_set_budget (memaccount_clients (), SIZE_MAX);
+  CU_ASSERT_EQUAL (s.requests, 1);
+  CU_ASSERT_TRUE (s.disconnected);
+  CU_ASSERT_EQUAL (caller_count (), count);
+  CU_ASSERT_EQUAL (memaccount_total (memaccount_clients ()), 0);
+  close (fd);
+  httpd_close (s.httpd);
+}
+
+static const struct suite_case cases[] = {
+  { "closed while sent", test_closed_while_sent },
+};
+TEST_SUITE ("caller", cases)
