Count no bytes of HTTP/2 requests that have ended

The bytes that an HTTP/2 connection received were added to the account of unfinished requests after h2o had processed them, but those of whole requests are subtracted while it does. A connection thus kept up to 64 KB of its last read counted while it was idle. A head counted as 1 KB, so that longer ones (a key may have 4,096 bytes, and clients do not let the server index it) added up until the connection was closed as the largest holder, with all calls on it. Bytes are now added before they are processed, and a head counts as what its fields have, up to 8 KB, plus what frames a body.

The new case of the unit suite caller sends 20 requests on a connection with keys of 200, 1,000 and 3,000 bytes: bytes were left in the account in all three cases (42,001 for keys of 3,000 bytes), and none are now.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -28,8 +28,13 @@
 #define BODY_COPIES 2
 /* Smaller requests are never refused for lack of memory. */
 #define SMALL_BODY_BYTES (16 * 1024)
-/* Part of the received bytes of an HTTP/2 request that is not its body. */
-#define HTTP2_HEAD_BYTES 1024
+/* Received bytes of an HTTP/2 request that are not its body: at most these of
+   the head, each field with its lengths, a frame header for so many bytes of
+   the body, and frames that control the connection. */
+#define HTTP2_HEAD_MAX_BYTES ((size_t)8 * 1024)
+#define HTTP2_FIELD_BYTES 8
+#define HTTP2_BODY_PER_FRAMING 64
+#define HTTP2_CONTROL_BYTES 256
 /* Retry-After of a request that is refused for lack of memory; bodies that
    take the memory are usually gone by then. */
 #define MEMORY_RETRY_AFTER "1"
@@ -160,12 +165,30 @@
     move_to_front (&c->httpd->unobserved, &c->unobserved);
 }
 
+/* Returns about how many bytes were received for a request. A head that is
+   counted as smaller than it was would remain in the account until the
+   connection is closed, and at last be the cause of that. */
+static size_t
+http2_request_bytes (const h2o_req_t *req)
+{
+  size_t head
+      = req->input.method.len + req->input.authority.len + req->input.path.len;
+
+  for (size_t i = 0; i < req->headers.size; i++)
+    head += req->headers.entries[i].name->len
+            + req->headers.entries[i].value.len + HTTP2_FIELD_BYTES;
+  if (head > HTTP2_HEAD_MAX_BYTES)
+    head = HTTP2_HEAD_MAX_BYTES;
+  return HTTP2_CONTROL_BYTES + head + req->entity.len
+         + req->entity.len / HTTP2_BODY_PER_FRAMING;
+}
+
 static void
 track_request (struct client *c, h2o_req_t *req)
 {
   struct request_slot *slot
       = h2o_mem_alloc_shared (&req->pool, sizeof *slot, on_request_disposed);
-  const size_t whole_bytes = req->entity.len + HTTP2_HEAD_BYTES;
+  const size_t whole_bytes = http2_request_bytes (req);
 
   *slot = (struct request_slot){ .client = c };
   c->requests++;
@@ -315,14 +338,18 @@
 
   if (n > 0 && h2o_linklist_is_linked (&c->idle))
     move_to_front (&c->httpd->idle, &c->idle);
+  /* Before h2o reads the bytes, because requests that end in them are then
+     subtracted. */
+  if (n > 0)
+    c->http2_bytes += (size_t)n;
   c->read_cb (stream, n, buf);
   if (c->closed)
     return;
   c->http2 = c->http2
              || (h2o_socket_is_reading (c->sock)
                  && c->sock->_cb.read != c->http1_read);
-  if (c->http2 && n > 0)
-    c->http2_bytes += (size_t)n;
+  if (!c->http2)
+    c->http2_bytes = 0;
   charge_input (c);
   observe (c);
   memaccount_enforce (memaccount_clients ());
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -125,7 +125,98 @@
   httpd_close (s.httpd);
 }
 
+/* ---- HTTP/2 ---- */
+
+#define HTTP2_REQUESTS 20
+#define FRAME_HEADERS 1
+#define FRAME_SETTINGS 4
+#define FLAG_END_STREAM 1
+#define FLAG_END_HEADERS 4
+
+static void
+add_frame (struct buf *out, char type, char flags, char stream,
+           struct str payload)
+{
+  const char head[] = { (char)(payload.len >> 16),
+                        (char)(payload.len >> 8),
+                        (char)payload.len,
+                        type,
+                        flags,
+                        0,
+                        0,
+                        0,
+                        stream };
+
+  buf_append (out, (struct str){ head, sizeof head });
+  buf_append (out, payload);
+}
+
+/* Appends a POST with a key that the client does not let the server index; see
+   RFC 7541, sections 5.1, 6.2.3 and appendix A. */
+static void
+add_request (struct buf *out, char stream, size_t key_bytes)
+{
+  const size_t rest = key_bytes - 127;
+  const char len[] = { 0x7f, (char)(rest % 128 + 128), (char)(rest / 128) };
+  struct buf head = { 0 };
+
+  buf_append (&head, STR ("\x83\x86\x84\x01\x01z\x1f\x08"));
+  buf_append (&head, (struct str){ len, sizeof len });
+  for (size_t i = 0; i < key_bytes; i++)
+    buf_append (&head, STR ("k"));
+  add_frame (out, FRAME_HEADERS, FLAG_END_STREAM | FLAG_END_HEADERS, stream,
+             buf_str (&head));
+  buf_free (&head);
+}
+
+static int
+respond (void *ctx, h2o_req_t *req)
+{
+  struct server *s = ctx;
+
+  s->requests++;
+  req->res.status = 200;
+  h2o_send_inline (req, NULL, 0);
+  return 0;
+}
+
+/* Sends requests in one piece and waits until all are answered. */
+static void
+check_heads (struct server *s, size_t key_bytes)
+{
+  const int fd = connect_client (s);
+  struct buf bytes = { 0 };
+
+  s->requests = 0;
+  buf_append (&bytes, STR ("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"));
+  add_frame (&bytes, FRAME_SETTINGS, 0, 0, (struct str){ 0 });
+  for (int i = 0; i < HTTP2_REQUESTS; i++)
+    add_request (&bytes, (char)(2 * i + 1), key_bytes);
+  send_bytes (fd, buf_str (&bytes));
+  for (int i = 0; i < TICKS_MAX && s->requests < HTTP2_REQUESTS; i++)
+    uv_run (&s->loop, UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (s->requests, HTTP2_REQUESTS);
+  CU_ASSERT_EQUAL (memaccount_total (memaccount_clients ()), 0);
+  buf_free (&bytes);
+  close (fd);
+}
+
+/* Guards against a connection that is closed as if it held memory, because
+   the bytes of requests that have ended still count. */
+static void
+test_http2_heads (void)
+{
+  static struct server s;
+  static const size_t key_bytes[] = { 200, 1000, 3000 };
+
+  start_server (&s, respond);
+  for (size_t i = 0; i < sizeof key_bytes / sizeof *key_bytes; i++)
+    check_heads (&s, key_bytes[i]);
+  httpd_close (s.httpd);
+}
+
 static const struct suite_case cases[] = {
   { "closed while sent", test_closed_while_sent },
+  { "HTTP/2 heads", test_http2_heads },
 };
 TEST_SUITE ("caller", cases)
