Close HTTP/2 connections that give way while their client does not read

A client that has to give way for lack of memory was closed as after a read error. For HTTP/2, h2o then waits for the write in progress, which never ends if the client does not read. The connection kept its descriptor, its requests and the unfinished bodies, of which the account no longer knew. close_client() now also shuts the socket down unless h2o has closed it, so that the write fails.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -273,15 +273,16 @@
     c->next->prev = c->prev;
 }
 
-/* Closes a connection at once, as h2o does after a read error. While h2o does
-   not read from it, the next write fails and h2o closes it then. */
+/* Closes a connection as h2o does after a read error. While h2o does not read
+   from it, and for HTTP/2 while a write is in progress, h2o closes it when the
+   next or that write fails. */
 static void
 close_client (struct client *c)
 {
   memaccount_release (memaccount_clients (), &c->memory);
   if (h2o_socket_is_reading (c->sock))
     c->sock->_cb.read (c->sock, "closed by a limit");
-  else
+  if (!c->closed)
     shutdown (h2o_socket_get_fd (c->sock), SHUT_RDWR);
 }
 
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -1,4 +1,5 @@
 #include <signal.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -215,8 +216,81 @@
   httpd_close (s.httpd);
 }
 
+#define FRAME_DATA 0
+#define FRAME_WINDOW_UPDATE 8
+#define UNREAD_BYTES (8 * 1024 * 1024)
+#define UPLOAD_BYTES 16384
+
+static void
+on_disposed (void *slot)
+{
+  struct server *s = *(struct server **)slot;
+
+  s->disconnected = true;
+}
+
+/* Sends more than a client that does not read takes. */
+static int
+respond_at_length (void *ctx, h2o_req_t *req)
+{
+  struct server *s = ctx;
+  struct server **slot
+      = h2o_mem_alloc_shared (&req->pool, sizeof *slot, on_disposed);
+  char *body = h2o_mem_alloc_pool (&req->pool, UNREAD_BYTES);
+
+  memset (body, 0, UNREAD_BYTES);
+
+  *slot = s;
+  s->requests++;
+  req->res.status = 200;
+  h2o_send_inline (req, body, UNREAD_BYTES);
+  return 0;
+}
+
+static void
+run_ticks (struct server *s, int ticks)
+{
+  while (ticks-- > 0 && !s->disconnected)
+    uv_run (&s->loop, UV_RUN_ONCE);
+}
+
+/* Guards against a connection that is to be closed for lack of memory, but
+   keeps what it holds, uncounted, because its client does not read. */
+static void
+test_http2_unread (void)
+{
+  static struct server s;
+  static const char upload[UPLOAD_BYTES];
+  struct buf bytes = { 0 };
+
+  start_server (&s, respond_at_length);
+  const int fd = connect_client (&s);
+  buf_append (&bytes, STR ("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"));
+  /* A window of 2 GB for each stream and for the connection. */
+  add_frame (&bytes, FRAME_SETTINGS, 0, 0, STR ("\0\x04\x7f\xff\xff\xff"));
+  add_frame (&bytes, FRAME_WINDOW_UPDATE, 0, 0, STR ("\x7f\xff\0\0"));
+  add_request (&bytes, 1, 200);
+  send_bytes (fd, buf_str (&bytes));
+  run_ticks (&s, 20);
+  CU_ASSERT_EQUAL (s.requests, 1);
+  buf_reset (&bytes);
+  add_frame (&bytes, FRAME_HEADERS, FLAG_END_HEADERS, 3,
+             STR ("\x83\x86\x84\x01\x01z"));
+  add_frame (&bytes, FRAME_DATA, 0, 3, (struct str){ upload, sizeof upload });
+  memaccount_set_budget (memaccount_clients (), UPLOAD_BYTES / 2);
+  send_bytes (fd, buf_str (&bytes));
+  run_ticks (&s, TICKS_MAX);
+  memaccount_set_budget (memaccount_clients (), SIZE_MAX);
+  CU_ASSERT_TRUE (s.disconnected);
+  CU_ASSERT_EQUAL (memaccount_total (memaccount_clients ()), 0);
+  buf_free (&bytes);
+  close (fd);
+  httpd_close (s.httpd);
+}
+
 static const struct suite_case cases[] = {
   { "closed while sent", test_closed_while_sent },
   { "HTTP/2 heads", test_http2_heads },
+  { "HTTP/2 unread", test_http2_unread },
 };
 TEST_SUITE ("caller", cases)
