--- a/src/keepalive.c
+++ b/src/keepalive.c
@@ -2,7 +2,6 @@
 
 #include <stdbool.h>
 #include <stdlib.h>
-#include <string.h>
 #include <strings.h>
 
 #include <uthash.h>
@@ -51,30 +50,6 @@
   free (k);
 }
 
-static struct str
-trim (struct str s)
-{
-  while (s.len > 0 && (s.data[0] == ' ' || s.data[0] == '\t'))
-    s = (struct str){ s.data + 1, s.len - 1 };
-  while (s.len > 0 && (s.data[s.len - 1] == ' ' || s.data[s.len - 1] == '\t'))
-    s.len--;
-  return s;
-}
-
-/* Cuts the part before @separator off @rest. */
-static struct str
-next_part (struct str *rest, char separator)
-{
-  const char *end
-      = rest->len > 0 ? memchr (rest->data, separator, rest->len) : NULL;
-  const struct str part
-      = { rest->data, end ? (size_t)(end - rest->data) : rest->len };
-  const size_t used = end ? part.len + 1 : part.len;
-
-  *rest = (struct str){ rest->data + used, rest->len - used };
-  return trim (part);
-}
-
 /* Reads "timeout=5, max=100". Returns false if it states no timeout. */
 static bool
 read_timeout (struct str field, uint32_t *out)
@@ -84,12 +59,13 @@
 
   while (field.len > 0)
     {
-      struct str param = next_part (&field, ',');
-      const struct str key = next_part (&param, '=');
+      struct str value_text;
+      const struct str param = str_split (field, ',', &field);
+      const struct str key = str_trim (str_split (param, '=', &value_text));
 
       if (key.len != name.len
           || strncasecmp (key.data, name.data, name.len) != 0
-          || !str_u64 (trim (param), &value))
+          || !str_u64 (str_trim (value_text), &value))
         continue;
       *out = value < UINT32_MAX ? (uint32_t)value : UINT32_MAX;
       return true;
--- a/src/str.c
+++ b/src/str.c
@@ -121,6 +121,34 @@
   return true;
 }
 
+struct str
+str_split (struct str s, char separator, struct str *rest)
+{
+  const char *at = s.len > 0 ? memchr (s.data, separator, s.len) : NULL;
+
+  *rest = (struct str){ 0 };
+  if (!at)
+    return s;
+  *rest = (struct str){ at + 1, s.len - (size_t)(at + 1 - s.data) };
+  return (struct str){ s.data, (size_t)(at - s.data) };
+}
+
+static bool
+is_blank (char c)
+{
+  return c == ' ' || c == '\t';
+}
+
+struct str
+str_trim (struct str s)
+{
+  while (s.len > 0 && is_blank (s.data[0]))
+    s = (struct str){ s.data + 1, s.len - 1 };
+  while (s.len > 0 && is_blank (s.data[s.len - 1]))
+    s.len--;
+  return s;
+}
+
 uint64_t
 str_hash (struct str s, uint64_t seed)
 {
--- a/src/str.h
+++ b/src/str.h
@@ -42,6 +42,11 @@
 bool str_u64 (struct str s, uint64_t *out);
 /** str_is_hex() - Returns true if @s is exactly @len lower-case hex digits. */
 bool str_is_hex (struct str s, size_t len);
+/** str_split() - view of the part before the first @separator. @rest is set to
+ * the part after it; empty without a separator. */
+struct str str_split (struct str s, char separator, struct str *rest);
+/** str_trim() - view without spaces and tabs at both ends. */
+struct str str_trim (struct str s);
 /** str_hash() - 64-bit xxhash. */
 uint64_t str_hash (struct str s, uint64_t seed);
 
