Keep one copy of the quota's burst minimum and retry bounds

quotaowner.c and quotashare.c each raised a burst below one unit to one and limited Retry-After to the same bounds, and call_quota.c repeated the upper bound as a constant of its own. quota_burst(), quota_retry_after_ms() and QUOTA_RETRY_MAX_MS now serve all. No behaviour changes. The unit suites quotaowner, quotashare, quotahistory, quota and tokenbucket pass.

--- a/src/edge/call_quota.c
+++ b/src/edge/call_quota.c
@@ -3,8 +3,6 @@
 #include "log.h"
 
 #define LOG_MODULE "call"
-/* Retry-After of a call that costs more than can be counted. */
-#define NEVER_RETRY_AFTER_MS 60000
 
 /* The charge of a call to the quota of its tenant. A call is charged once,
    whatever the number of its attempts. */
@@ -69,7 +67,7 @@
 call_charge (struct call *c, const struct routing *routing)
 {
   static const struct tenantquota_decision never
-      = { .retry_after_ms = NEVER_RETRY_AFTER_MS,
+      = { .retry_after_ms = QUOTA_RETRY_MAX_MS,
           .source = QUOTA_SOURCE_LIMIT,
           .credit_age_ms = UINT64_MAX };
   const struct quota_spec *limit = find_limit (c, routing);
--- a/src/edge/quotaowner.c
+++ b/src/edge/quotaowner.c
@@ -90,6 +90,21 @@
   o->advanced_ms = now_ms;
 }
 
+double
+quota_burst (const struct quota_spec *s)
+{
+  return s->burst < 1 ? 1 : s->burst;
+}
+
+uint32_t
+quota_retry_after_ms (double wait_ms)
+{
+  if (wait_ms <= QUOTA_RETRY_MIN_MS)
+    return QUOTA_RETRY_MIN_MS;
+  return wait_ms < QUOTA_RETRY_MAX_MS ? (uint32_t)ceil (wait_ms)
+                                      : QUOTA_RETRY_MAX_MS;
+}
+
 struct quotaowner *
 quotaowner_create (uint64_t now_ms)
 {
@@ -194,17 +209,10 @@
 
 /* ---- buckets ---- */
 
-/* At least one unit, or nothing would ever pass. */
-static double
-burst_of (const struct quota_spec *s)
-{
-  return s->burst < 1 ? 1 : s->burst;
-}
-
 static void
 refill (const struct quotaowner *o, struct owner_bucket *b)
 {
-  tokenbucket_refill (&b->bucket, b->spec.rate_per_s, burst_of (&b->spec),
+  tokenbucket_refill (&b->bucket, b->spec.rate_per_s, quota_burst (&b->spec),
                       (uint64_t)o->refill_ms);
 }
 
@@ -236,7 +244,7 @@
 static uint32_t
 units_now (const struct owner_bucket *b, const struct quota_draw *d)
 {
-  const double burst = burst_of (&b->spec);
+  const double burst = quota_burst (&b->spec);
   const uint32_t step
       = d->step == 0 || d->step > d->wanted_now ? d->wanted_now : d->step;
 
@@ -254,8 +262,8 @@
 static uint32_t
 units_ahead (const struct owner_bucket *b, const struct quota_draw *d)
 {
-  const double spare
-      = tokenbucket_units (&b->bucket) - AHEAD_RESERVE * burst_of (&b->spec);
+  const double spare = tokenbucket_units (&b->bucket)
+                       - AHEAD_RESERVE * quota_burst (&b->spec);
 
   if (spare < 1)
     return 0;
@@ -271,10 +279,7 @@
       = tokenbucket_wait_ms (&b->bucket, b->spec.rate_per_s, rest, refill_ms);
   const double steady_ms = (double)wait_ms / o->pace;
 
-  if (steady_ms <= QUOTA_RETRY_MIN_MS)
-    return QUOTA_RETRY_MIN_MS;
-  return steady_ms < QUOTA_RETRY_MAX_MS ? (uint32_t)ceil (steady_ms)
-                                        : QUOTA_RETRY_MAX_MS;
+  return quota_retry_after_ms (steady_ms);
 }
 
 static void
@@ -338,7 +343,7 @@
 
       refill (o, b);
       /* One that is not full holds less than a new one would. */
-      if (tokenbucket_holds (&b->bucket, burst_of (&b->spec)))
+      if (tokenbucket_holds (&b->bucket, quota_burst (&b->spec)))
         free_bucket (o, b);
       else
         due_set (&o->bucket_expiries, d, now_ms + BUCKET_IDLE_MS);
--- a/src/edge/quotaowner.h
+++ b/src/edge/quotaowner.h
@@ -54,6 +54,13 @@
   uint32_t retry_after_ms;
 };
 
+/** quota_burst() - Returns the units that a bucket may save up: at least one,
+ * or no call would ever pass. */
+double quota_burst (const struct quota_spec *spec);
+/** quota_retry_after_ms() - Returns a wait, rounded up and limited to the
+ * bounds of retry_after_ms. */
+uint32_t quota_retry_after_ms (double wait_ms);
+
 struct quotaowner;
 
 struct quotaowner *quotaowner_create (uint64_t now_ms);
--- a/src/edge/quotashare.c
+++ b/src/edge/quotashare.c
@@ -408,14 +408,6 @@
 
 /* ---- fallback ---- */
 
-static uint32_t
-clamp_retry (uint64_t wait_ms)
-{
-  if (wait_ms < QUOTA_RETRY_MIN_MS)
-    return QUOTA_RETRY_MIN_MS;
-  return wait_ms < QUOTA_RETRY_MAX_MS ? (uint32_t)wait_ms : QUOTA_RETRY_MAX_MS;
-}
-
 static double
 fallback_rate (const struct quotashare *s, const struct share_tenant *t)
 {
@@ -468,7 +460,8 @@
       return true;
     }
   const uint64_t wait_ms = tokenbucket_wait_ms (&t->fallback, rate, 0, now_ms);
-  *retry_after_ms = clamp_retry (wait_ms < UINT64_MAX ? wait_ms + 1 : wait_ms);
+  /* The level must be above 0, so the wait is 1 ms longer. */
+  *retry_after_ms = quota_retry_after_ms ((double)wait_ms + 1);
   return false;
 }
 
@@ -498,9 +491,7 @@
 static bool
 can_never_pass (const struct quota_spec *spec, uint32_t cost)
 {
-  const double burst = spec->burst < 1 ? 1 : spec->burst;
-
-  return cost > burst + spec->rate_per_s;
+  return cost > quota_burst (spec) + spec->rate_per_s;
 }
 
 /* Returns true if a call is to be decided without the owner. */
