Use the usual terms in the account of client memory

Holders were said to give way and to be withdrawn; they are evicted and removed from the heap. caller_full() read like a plain query although it registers a callback, so it is caller_await_drain() now.

--- a/src/caller.c
+++ b/src/caller.c
@@ -168,7 +168,7 @@
 }
 
 static void
-count_cut (const struct caller *c)
+report_eviction (const struct caller *c)
 {
   LOG_INFO ("close", "cause=response-memory held=%zu total=%zu unread_ms=%lu",
             c->memory.bytes, memaccount_total (memaccount_clients ()),
@@ -178,11 +178,11 @@
 }
 
 static void
-give_way (struct memholder *memory)
+evict (struct memholder *memory)
 {
   struct caller *c = H2O_STRUCT_FROM_MEMBER (struct caller, memory, memory);
 
-  count_cut (c);
+  report_eviction (c);
   close_connection (c);
   if (c->req)
     notify_disconnect (c);
@@ -249,7 +249,7 @@
   *slot = c;
   c->generator.proceed = on_proceed;
   c->generator.stop = on_stop;
-  c->memory.give_way = give_way;
+  c->memory.evict = evict;
   c->progress_ms = clock_ms ();
   c->req = req;
   c->on_disconnect = on_disconnect;
@@ -386,7 +386,7 @@
 }
 
 bool
-caller_full (struct caller *c, void (*on_drained) (void *ctx))
+caller_await_drain (struct caller *c, void (*on_drained) (void *ctx))
 {
   const struct memaccount *a = memaccount_clients ();
   const bool memory_short = memaccount_total (a) > memaccount_budget (a) / 2;
--- a/src/caller.h
+++ b/src/caller.h
@@ -33,8 +33,8 @@
  * others when memory is short.
  */
 bool caller_stalled (struct caller *caller);
-/** caller_paused() - returns true if caller_full() returned true and the
- * caller has not read enough since. */
+/** caller_paused() - returns true if caller_await_drain() returned true and
+ * the caller has not read enough since. */
 bool caller_paused (const struct caller *caller);
 /** caller_abort() - close the connection at once; on_disconnect does not run.
  */
@@ -63,11 +63,14 @@
  */
 bool caller_write (struct caller *caller, struct str part);
 /**
- * caller_full() - returns true if the caller reads more slowly than the
- * response arrives, and the server should be read no further.
- * @on_drained: runs once when the caller has read most of what is unsent.
+ * caller_await_drain() - returns true if the caller reads more slowly than
+ * the response arrives, and the server should be read no further until
+ * @on_drained.
+ * @on_drained: runs once when the caller has read most of what is unsent; not
+ *   called if the function returned false.
  */
-bool caller_full (struct caller *caller, void (*on_drained) (void *ctx));
+bool caller_await_drain (struct caller *caller,
+                         void (*on_drained) (void *ctx));
 /**
  * caller_end_response() - end a streamed response.
  * @complete: false makes it visible to the caller that the response was cut.
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -201,7 +201,7 @@
   record_gap (c);
   if (caller_write (c->caller, part))
     {
-      if (caller_full (c->caller, on_caller_drained))
+      if (caller_await_drain (c->caller, on_caller_drained))
         forward_pause (a->forward);
       return;
     }
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -273,7 +273,7 @@
 }
 
 static void
-give_way (struct memholder *memory)
+evict (struct memholder *memory)
 {
   close_for_limit (H2O_STRUCT_FROM_MEMBER (struct client, memory, memory),
                    "client-memory");
@@ -386,7 +386,7 @@
   uv_tcp_nodelay (&c->tcp, 1);
   c->httpd = d;
   c->active_ms = clock_ms ();
-  c->memory.give_way = give_way;
+  c->memory.evict = evict;
   c->next = d->clients;
   if (d->clients)
     d->clients->prev = c;
--- a/src/memaccount.c
+++ b/src/memaccount.c
@@ -8,7 +8,7 @@
 #define READING_DIVISOR 4
 #define PLACES_MIN 64
 
-/* @heap: the holders that may give way, from place 1; the first one is at
+/* @heap: the holders that may be evicted, from place 1; the first one is at
    place 1 and no holder precedes the one at half its place. */
 struct memaccount
 {
@@ -65,7 +65,7 @@
 }
 
 static void
-put (struct memaccount *a, struct memholder *h, size_t place)
+set_place (struct memaccount *a, struct memholder *h, size_t place)
 {
   a->heap[place] = h;
   h->place = place;
@@ -78,10 +78,10 @@
 
   while (place > 1 && weight (a->heap[place / 2]) < weight (h))
     {
-      put (a, a->heap[place / 2], place);
+      set_place (a, a->heap[place / 2], place);
       place /= 2;
     }
-  put (a, h, place);
+  set_place (a, h, place);
 }
 
 static void
@@ -98,10 +98,10 @@
         child++;
       if (weight (a->heap[child]) <= weight (h))
         break;
-      put (a, a->heap[child], place);
+      set_place (a, a->heap[child], place);
       place = child;
     }
-  put (a, h, place);
+  set_place (a, h, place);
 }
 
 static void
@@ -112,18 +112,18 @@
       a->places = a->places > 0 ? a->places * 2 : PLACES_MIN;
       a->heap = xrealloc (a->heap, a->places * sizeof *a->heap);
     }
-  put (a, h, ++a->count);
+  set_place (a, h, ++a->count);
   move_up (a, h);
 }
 
 static void
-withdraw (struct memaccount *a, struct memholder *h)
+remove_from_heap (struct memaccount *a, struct memholder *h)
 {
   struct memholder *last = a->heap[a->count--];
 
   if (last != h)
     {
-      put (a, last, h->place);
+      set_place (a, last, h->place);
       move_up (a, last);
       move_down (a, last);
     }
@@ -144,7 +144,7 @@
   h->class = class;
   h->bytes = bytes;
   if (h->place > 0 && !ranked)
-    withdraw (a, h);
+    remove_from_heap (a, h);
   else if (h->place > 0)
     {
       move_up (a, h);
@@ -185,7 +185,7 @@
     {
       struct memholder *h = a->heap[1];
 
-      h->give_way (h);
+      h->evict (h);
       /* Ends the loop even if the owner frees nothing. */
       if (a->count > 0 && a->heap[1] == h)
         memaccount_release (a, h);
--- a/src/memaccount.h
+++ b/src/memaccount.h
@@ -4,13 +4,14 @@
 #include <stddef.h>
 
 /* Account of the memory that is held for clients, with a budget. It only
-   counts; whoever charges it makes holders give way while it is over budget.
-   Each change costs time logarithmic in the number of holders. */
+   counts; whoever charges it calls memaccount_enforce() to evict holders while
+   it is over budget. Each change costs time logarithmic in the number of
+   holders. */
 
 /* What a holder's memory is for. */
 enum memclass
 {
-  MEM_WHOLE,      /* a request that is executed: never gives way */
+  MEM_WHOLE,      /* a request that is executed: never evicted */
   MEM_READING,    /* a response to a client that reads */
   MEM_STALLED,    /* a response to a client that has stopped reading */
   MEM_UNFINISHED, /* a request that is still arriving */
@@ -20,14 +21,14 @@
 /**
  * struct memholder - holder of memory; part of the struct that it belongs to.
  * Zero-initialize it.
- * @give_way: frees the memory and releases the holder. Set by the owner.
+ * @evict: frees the memory and releases the holder. Set by the owner.
  */
 struct memholder
 {
   enum memclass class;
   size_t bytes;
   size_t place; /* in the heap, from 1; 0 if it isn't there */
-  void (*give_way) (struct memholder *holder);
+  void (*evict) (struct memholder *holder);
 };
 
 struct memaccount;
@@ -48,12 +49,12 @@
 size_t memaccount_class_total (const struct memaccount *account,
                                enum memclass class);
 /**
- * memaccount_first() - the holder that gives way first; NULL if there is none.
+ * memaccount_first() - the holder to be evicted first; NULL if there is none.
  *
  * It is the one that holds most. A client that reads counts for a quarter of
  * what it holds, because it is about to free it.
  */
 struct memholder *memaccount_first (const struct memaccount *account);
-/** memaccount_enforce() - make holders give way until the account is within
+/** memaccount_enforce() - evict holders until the account is within
  * its budget or none is left. */
 void memaccount_enforce (struct memaccount *account);
--- a/tests/test_memaccount.c
+++ b/tests/test_memaccount.c
@@ -11,7 +11,7 @@
 static struct memaccount *account;
 
 static void
-give_way (struct memholder *h)
+evict (struct memholder *h)
 {
   memaccount_release (account, h);
 }
@@ -97,7 +97,7 @@
         {
           struct memholder *h = &holders[rand_r (&state) % HOLDERS];
 
-          h->give_way = give_way;
+          h->evict = evict;
           if (rand_r (&state) % 4 == 0)
             memaccount_release (account, h);
           else
