--- a/src/connsockets.c
+++ b/src/connsockets.c
@@ -12,7 +12,7 @@
 {
   int fd;
   struct str key;
-  bool distrusted;
+  bool unreliable;
   UT_hash_handle hh;
 };
 
@@ -131,18 +131,18 @@
 }
 
 void
-connsockets_distrust (struct connsockets *s, int fd)
+connsockets_mark_unreliable (struct connsockets *s, int fd)
 {
   struct entry *e = find_by_fd (s, fd);
 
   if (e)
-    e->distrusted = true;
+    e->unreliable = true;
 }
 
 bool
-connsockets_distrusted (const struct connsockets *s, int fd)
+connsockets_is_unreliable (const struct connsockets *s, int fd)
 {
   const struct entry *e = find_by_fd (s, fd);
 
-  return e && e->distrusted;
+  return e && e->unreliable;
 }
--- a/src/connsockets.h
+++ b/src/connsockets.h
@@ -32,7 +32,7 @@
  * not known. */
 int connsockets_find (const struct connsockets *sockets,
                       const struct connaddress *address);
-/** connsockets_distrust() - mark a connection on which a later request may be
- * lost. */
-void connsockets_distrust (struct connsockets *sockets, int fd);
-bool connsockets_distrusted (const struct connsockets *sockets, int fd);
+/** connsockets_mark_unreliable() - mark a connection on which a later request
+ * may be lost. */
+void connsockets_mark_unreliable (struct connsockets *sockets, int fd);
+bool connsockets_is_unreliable (const struct connsockets *sockets, int fd);
--- a/src/edge/forward.c
+++ b/src/edge/forward.c
@@ -135,8 +135,9 @@
    write its refusal once more, in front of the next response, and may close
    the connection soon after a stream. */
 static bool
-is_connection_doubtful (const struct forward *f, const struct http_call *call,
-                        const struct answer_meta *meta)
+is_connection_unreliable (const struct forward *f,
+                          const struct http_call *call,
+                          const struct answer_meta *meta)
 {
   return meta->not_executed
          || (f->stream && http_header (call, "Keep-Alive").len == 0);
@@ -153,8 +154,8 @@
   f->status = status;
   answer_meta_read (call, status, &meta);
   f->forwardable = meta.sealed && !meta.encoded;
-  if (is_connection_doubtful (f, call, &meta))
-    http_distrust_connection (call);
+  if (is_connection_unreliable (f, call, &meta))
+    http_mark_connection_unreliable (call);
   /* A response without the call's id may belong to an earlier call on the
      connection. */
   if (str_eq (meta.id, f->call_id))
--- a/src/http.c
+++ b/src/http.c
@@ -259,7 +259,7 @@
     }
   c->fd = connsockets_find (sockets, address);
   return c->fd >= 0 && is_idle (c->fd)
-         && !(c->run_once && connsockets_distrusted (sockets, c->fd));
+         && !(c->run_once && connsockets_is_unreliable (sockets, c->fd));
 }
 
 /* Runs when the connection is established. This may be much later than
@@ -729,9 +729,9 @@
 }
 
 void
-http_distrust_connection (struct http_call *c)
+http_mark_connection_unreliable (struct http_call *c)
 {
-  connsockets_distrust (c->http->sockets, c->fd);
+  connsockets_mark_unreliable (c->http->sockets, c->fd);
 }
 
 /* libcurl may call back when it resumes, and calls that end then must not be
--- a/src/http.h
+++ b/src/http.h
@@ -93,9 +93,9 @@
 /** http_cancel() - end a call at once and close its connection. No callback
  * follows. */
 void http_cancel (struct http_call *call);
-/** http_distrust_connection() - keep later calls with @run_once off the call's
- * connection. For use in head(). */
-void http_distrust_connection (struct http_call *call);
+/** http_mark_connection_unreliable() - keep later calls with @run_once off the
+ * call's connection. For use in head(). */
+void http_mark_connection_unreliable (struct http_call *call);
 /** http_pause() - read no more of the response until http_resume(). Meanwhile
  * the limit for silence does not apply. A part that was already received may
  * still follow after http_resume(). */
