--- a/src/edge/call_quota.c
+++ b/src/edge/call_quota.c
@@ -95,7 +95,7 @@
 /* Returns true if the call ended without having run. A call whose client left
    was possibly run once an attempt was started. */
 static bool
-ended_unrun (const struct call *c, enum call_end end)
+ended_without_running (const struct call *c, enum call_end end)
 {
   switch (end)
     {
@@ -119,7 +119,7 @@
   if (c->awaits_quota)
     tenantquota_cancel (c->calls->quota, &c->quota_wait);
   c->awaits_quota = false;
-  if (c->charged && ended_unrun (c, end))
+  if (c->charged && ended_without_running (c, end))
     tenantquota_refund (c->calls->quota, c->quota_wait.tenant_hash, c->cost);
   c->charged = false;
 }
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -32,7 +32,7 @@
 /* A call is refused early if it would have to wait for this many times the
    time that it has: places become free unevenly, and models may get more
    servers. */
-#define VAIN_WAIT_FACTOR 2
+#define EARLY_REFUSAL_FACTOR 2
 /* Longest Retry-After of such a call. */
 #define READY_IN_MAX_MS 60000
 #define STATUS_BAD_REQUEST 400
@@ -385,7 +385,7 @@
    far longer than it can wait.
    @ready_in_ms: estimated time until it could be sent. */
 static bool
-waits_in_vain (const struct call *c, uint64_t *ready_in_ms)
+cannot_be_served_in_time (const struct call *c, uint64_t *ready_in_ms)
 {
   const struct demand_item *queue = c->full_demand;
   const uint64_t now = clock_ms ();
@@ -394,8 +394,8 @@
          && queue->drain.start_ms >= c->calls->resumed_ms
          && drainrate_time_for (&queue->drain, queue->ahead + 1, now,
                                 ready_in_ms)
-         && *ready_in_ms
-                > call_ms_until (call_wait_deadline_ms (c)) * VAIN_WAIT_FACTOR;
+         && *ready_in_ms > call_ms_until (call_wait_deadline_ms (c))
+                               * EARLY_REFUSAL_FACTOR;
 }
 
 static void
@@ -419,7 +419,7 @@
     call_give_up (c, 0, "waited-too-long");
   else if (!finds_servers_full (c))
     call_dispatch (c);
-  else if (waits_in_vain (c, &ready_in_ms))
+  else if (cannot_be_served_in_time (c, &ready_in_ms))
     call_give_up (c,
                   ready_in_ms < READY_IN_MAX_MS ? (uint32_t)ready_in_ms
                                                 : READY_IN_MAX_MS,
--- a/src/edge/drainrate.h
+++ b/src/edge/drainrate.h
@@ -7,7 +7,7 @@
    calls wait for full servers. Otherwise completions show how many calls
    arrive and not how many the servers can run. */
 
-/* Fewer completions tell nothing. */
+/* Completions needed for an estimate. */
 #define DRAINRATE_COMPLETIONS_MIN 8
 /* What was observed earlier weighs half after this time. */
 #define DRAINRATE_WINDOW_MS 10000
--- a/src/edge/placer_quota.c
+++ b/src/edge/placer_quota.c
@@ -4,7 +4,7 @@
 
 /* A node sends its demand every 250 ms; one that sent none for this long uses
    its fallback. */
-#define NODE_OUT_OF_TOUCH_MS 700
+#define NODE_UNREACHABLE_MS 700
 
 void
 placer_quota_listen (struct placer *p,
@@ -15,13 +15,13 @@
 }
 
 static uint32_t
-nodes_in_touch (const struct placer *p)
+count_reachable_nodes (const struct placer *p)
 {
   const uint64_t now = clock_ms ();
   uint32_t n = 1;
 
   for (const struct follower *f = p->followers; f; f = f->hh.next)
-    n += now <= f->last_digest_ms + NODE_OUT_OF_TOUCH_MS;
+    n += now <= f->last_digest_ms + NODE_UNREACHABLE_MS;
   return n;
 }
 
@@ -40,7 +40,7 @@
   const bool active = placer_is_active (p);
   const struct placer_quota_nodes nodes = {
     .count = placer_node_count (p),
-    .reached = active ? nodes_in_touch (p) : 0,
+    .reached = active ? count_reachable_nodes (p) : 0,
     .holder_known = active || (!p->is_holder && p->holder_addr.len > 0),
   };
 
--- a/src/edge/placer_quota.h
+++ b/src/edge/placer_quota.h
@@ -14,7 +14,7 @@
 /**
  * struct placer_quota_nodes - what the placer knows of the nodes.
  * @count: as placer_node_count(); 0 when it is not known.
- * @reached: nodes in touch with this one, itself included; 0 unless this node
+ * @reached: nodes that reach this one, itself included; 0 unless this node
  *   may answer draws.
  * @holder_known: draws can be sent to a holder.
  */
--- a/src/edge/quotaowner.h
+++ b/src/edge/quotaowner.h
@@ -67,12 +67,12 @@
 void quotaowner_destroy (struct quotaowner *owner);
 /**
  * quotaowner_set_nodes() - tell how many nodes there are.
- * @nodes: nodes of the deployment, in touch or not; the count that the nodes
+ * @nodes: nodes of the deployment, reachable or not; the count that the nodes
  *   pass to quotashare_set_nodes().
- * @reached: of these, nodes in touch with the owner, itself included.
+ * @reached: of these, nodes that reach the owner, itself included.
  *
  * The others are taken to use their fallback; the buckets refill slower by
- * what these fallbacks may give. Before the first call all are in touch.
+ * what these fallbacks may give. Before the first call all count as reachable.
  */
 void quotaowner_set_nodes (struct quotaowner *owner, uint32_t nodes,
                            uint32_t reached, uint64_t now_ms);
--- a/src/edge/quotashare.c
+++ b/src/edge/quotashare.c
@@ -17,8 +17,8 @@
 #define ANSWER_TIMEOUT_MS 120
 /* In the fallback, a draw is sent this often while there are calls. */
 #define PROBE_INTERVAL_MS 250
-/* A draw that timed out longer ago says nothing of the owner, so calls wait
-   for a draw again. */
+/* A draw that timed out longer ago doesn't show that the owner is still
+   unavailable, so calls wait for a draw again. */
 #define TIMEOUT_VALID_MS 1000
 /* Unused credit expires, because another node may need it. */
 #define CREDIT_TTL_MS 1000
@@ -496,8 +496,8 @@
 
 /* Returns true if a call is to be decided without the owner. */
 static bool
-owner_is_away (const struct quotashare *s, const struct share_tenant *t,
-               uint64_t now_ms)
+owner_is_unavailable (const struct quotashare *s, const struct share_tenant *t,
+                      uint64_t now_ms)
 {
   if (!s->owner_known)
     return true;
@@ -558,7 +558,7 @@
         request_draw (s, t, now_ms);
       return QUOTASHARE_GRANTED;
     }
-  if (owner_is_away (s, t, now_ms))
+  if (owner_is_unavailable (s, t, now_ms))
     {
       *source = QUOTA_SOURCE_FALLBACK;
       return decide_without_owner (s, t, cost, retry_after_ms, now_ms);
--- a/src/edge/quotashare.h
+++ b/src/edge/quotashare.h
@@ -116,7 +116,7 @@
                         const struct quota_credit *credit, uint64_t now_ms);
 /**
  * quotashare_set_nodes() - tell what is known of the other nodes.
- * @nodes: nodes of the deployment, in touch or not; the fallback's rate is
+ * @nodes: nodes of the deployment, reachable or not; the fallback's rate is
  *   divided by it.
  * @owner_known: false sends calls to the fallback at once.
  */
--- a/src/edge/tenants.h
+++ b/src/edge/tenants.h
@@ -26,7 +26,7 @@
 /**
  * struct tenant - an owner of keys.
  * @name: owned by the tenants.
- * @priority: goes before the route's if @has_priority; 0 is the most urgent.
+ * @priority: overrides the route's if @has_priority; 0 is the most urgent.
  */
 struct tenant
 {
--- a/src/edge/waitorder.h
+++ b/src/edge/waitorder.h
@@ -9,7 +9,7 @@
    Calls whose response has begun come first, because they can't be refused any
    more, then calls by priority. A call that has waited for more than half of
    its time counts one priority level higher, and for more than three quarters,
-   two levels, so that urgent calls don't starve patient ones. Within a level,
+   two levels, so that urgent calls don't starve others. Within a level,
    calls that can still meet their latency objective come before late ones,
    which lose less by waiting longer. Then calls with less time left come
    first, until the objective or, if they are late, until they stop waiting;
