--- a/src/connsockets.c
+++ b/src/connsockets.c
@@ -1,7 +1,6 @@
 #include "connsockets.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 #include <uthash.h>
 
@@ -80,15 +79,12 @@
 make_room (struct connsockets *s, int fd)
 {
   const size_t count = ((size_t)fd + 1) * 2;
-  struct entry **grown;
 
   if ((size_t)fd < s->fd_count)
     return;
-  grown = xcalloc (count, sizeof (struct entry *));
-  if (s->fd_count > 0)
-    memcpy (grown, s->by_fd, s->fd_count * sizeof *grown);
-  free (s->by_fd);
-  s->by_fd = grown;
+  s->by_fd = xrealloc (s->by_fd, count * sizeof (struct entry *));
+  for (size_t i = s->fd_count; i < count; i++)
+    s->by_fd[i] = NULL;
   s->fd_count = count;
 }
 
--- a/src/edge/waitorder.c
+++ b/src/edge/waitorder.c
@@ -94,16 +94,10 @@
 static void
 make_room (struct waitorder *o)
 {
-  struct entry *grown;
-
   if (o->count < o->capacity)
     return;
   o->capacity = o->capacity > 0 ? o->capacity * 2 : CAPACITY_MIN;
-  grown = xcalloc (o->capacity, sizeof *grown);
-  for (size_t i = 0; i < o->count; i++)
-    grown[i] = o->entries[i];
-  free (o->entries);
-  o->entries = grown;
+  o->entries = xrealloc (o->entries, o->capacity * sizeof *o->entries);
 }
 
 void
