--- a/src/edge/call_start.c
+++ b/src/edge/call_start.c
@@ -52,22 +52,12 @@
   return c->priority > PRIORITY_LOWEST ? PRIORITY_LOWEST : (int)c->priority;
 }
 
-void
-call_start_attempt (struct call *c, struct pool_server *server,
-                    bool uses_retry_budget)
+/* The result borrows from the call, the server and @lines. */
+static struct forward_spec
+make_spec (const struct call *c, const struct pool_server *server,
+           const struct str *lines, size_t count)
 {
-  struct call_attempt *a = unused_attempt (c);
-  struct str lines[CALL_HEADERS_MAX];
-  const struct call_extra_headers stamp = {
-    .deadline_ms = call_ms_until (c->client_deadline_ms),
-    .server_id = pool_server_id (server),
-    .priority = request_priority (c),
-    .last_event_id = resume_event_id (c),
-    .omit_credentials = c->has_tenants,
-    .tenant = c->tenant,
-  };
-  const size_t count = call_headers (c->fields, c->field_count, &stamp, lines);
-  const struct forward_spec spec = {
+  return (struct forward_spec){
     .address = pool_server_address (server),
     .method = c->method,
     .request_target = c->request_target,
@@ -85,6 +75,24 @@
     .fresh_connection = c->rejections > 0,
     .run_once = !call_repeatable (c),
   };
+}
+
+void
+call_start_attempt (struct call *c, struct pool_server *server,
+                    bool uses_retry_budget)
+{
+  struct call_attempt *a = unused_attempt (c);
+  struct str lines[CALL_HEADERS_MAX];
+  const struct call_extra_headers stamp = {
+    .deadline_ms = call_ms_until (c->client_deadline_ms),
+    .server_id = pool_server_id (server),
+    .priority = request_priority (c),
+    .last_event_id = resume_event_id (c),
+    .omit_credentials = c->has_tenants,
+    .tenant = c->tenant,
+  };
+  const size_t count = call_headers (c->fields, c->field_count, &stamp, lines);
+  const struct forward_spec spec = make_spec (c, server, lines, count);
 
   call_set_waiting (c, false);
   log_send (c, server);
