--- a/src/connsockets.c
+++ b/src/connsockets.c
@@ -1,7 +1,6 @@
 #include "connsockets.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 #include <uthash.h>
 
@@ -12,7 +11,7 @@
 {
   int fd;
   struct str key;
-  bool distrusted;
+  bool unreliable;
   UT_hash_handle hh;
 };
 
@@ -80,15 +79,12 @@
 make_room (struct connsockets *s, int fd)
 {
   const size_t count = ((size_t)fd + 1) * 2;
-  struct entry **grown;
 
   if ((size_t)fd < s->fd_count)
     return;
-  grown = xcalloc (count, sizeof (struct entry *));
-  if (s->fd_count > 0)
-    memcpy (grown, s->by_fd, s->fd_count * sizeof *grown);
-  free (s->by_fd);
-  s->by_fd = grown;
+  s->by_fd = xrealloc (s->by_fd, count * sizeof (struct entry *));
+  for (size_t i = s->fd_count; i < count; i++)
+    s->by_fd[i] = NULL;
   s->fd_count = count;
 }
 
@@ -131,18 +127,18 @@
 }
 
 void
-connsockets_distrust (struct connsockets *s, int fd)
+connsockets_mark_unreliable (struct connsockets *s, int fd)
 {
   struct entry *e = find_by_fd (s, fd);
 
   if (e)
-    e->distrusted = true;
+    e->unreliable = true;
 }
 
 bool
-connsockets_distrusted (const struct connsockets *s, int fd)
+connsockets_is_unreliable (const struct connsockets *s, int fd)
 {
   const struct entry *e = find_by_fd (s, fd);
 
-  return e && e->distrusted;
+  return e && e->unreliable;
 }
--- a/src/edge/quotaowner.h
+++ b/src/edge/quotaowner.h
@@ -54,18 +54,25 @@
   uint32_t retry_after_ms;
 };
 
+/** quota_burst() - Returns the units that a bucket may save up: at least one,
+ * or no call would ever pass. */
+double quota_burst (const struct quota_spec *spec);
+/** quota_retry_after_ms() - Returns a wait, rounded up and limited to the
+ * bounds of retry_after_ms. */
+uint32_t quota_retry_after_ms (double wait_ms);
+
 struct quotaowner;
 
 struct quotaowner *quotaowner_create (uint64_t now_ms);
 void quotaowner_destroy (struct quotaowner *owner);
 /**
  * quotaowner_set_nodes() - tell how many nodes there are.
- * @nodes: nodes of the deployment, in touch or not; the count that the nodes
+ * @nodes: nodes of the deployment, reachable or not; the count that the nodes
  *   pass to quotashare_set_nodes().
- * @reached: of these, nodes in touch with the owner, itself included.
+ * @reached: of these, nodes that reach the owner, itself included.
  *
  * The others are taken to use their fallback; the buckets refill slower by
- * what these fallbacks may give. Before the first call all are in touch.
+ * what these fallbacks may give. Before the first call all count as reachable.
  */
 void quotaowner_set_nodes (struct quotaowner *owner, uint32_t nodes,
                            uint32_t reached, uint64_t now_ms);
