Cut a stalled reader only for calls that wait for the same model

A response that is paused for its client was cut after 0.5 s without progress whenever any call of the node waited for a full server, also one of another model or service, which gains nothing by it. Found in review; e2e crowds slow readers covers the case that is kept.

--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -321,6 +321,18 @@
               calls->open_count);
 }
 
+/* Returns true if calls wait for full servers that could run this one. */
+static bool
+others_wait_for_servers_of (const struct call *c)
+{
+  for (const struct call *other = c->calls->first; other; other = other->next)
+    if (other->waiting && other->wait_reason == POOL_FULL
+        && str_eq (other->service, c->service)
+        && str_eq (other->meta.model, c->meta.model))
+      return true;
+  return false;
+}
+
 /* The client reads nothing, and its call keeps a server from others. */
 static void
 abort_stalled (struct call *c)
@@ -335,11 +347,8 @@
 {
   struct call_table *calls = timer->data;
   struct call *next;
-  size_t waiting_count = 0;
 
   record_loop_lateness (calls);
-  for (const struct call *c = calls->first; c; c = c->next)
-    waiting_count += c->waiting && c->wait_reason == POOL_FULL;
   for (struct call *c = calls->first; c; c = next)
     {
       next = c->next;
@@ -347,7 +356,7 @@
         on_client_left (c);
       /* A small response may be held up by the network only. */
       else if (caller_stalled (c->caller) && caller_paused (c->caller)
-               && call_in_flight (c) && waiting_count > 0)
+               && call_in_flight (c) && others_wait_for_servers_of (c))
         abort_stalled (c);
     }
 }
