--- a/src/caller.c
+++ b/src/caller.c
@@ -18,12 +18,13 @@
 /* From this much unsent data on, the server is read no further; it is read
    again when less than DRAINED_BYTES is left. The larger limit applies while
    clients take less than half of the memory for them, because a response that
-   is read to its end frees its server. */
+   is read to its end frees its server. It leaves room below UNSENT_LIMIT_BYTES
+   for parts that are on their way when the server is paused. */
 #define FULL_BYTES (3 * 1024 * 1024)
 #define FULL_SHORT_BYTES (512 * 1024)
 #define DRAINED_BYTES (128 * 1024)
 /* A caller that acknowledges no byte of unsent data for this long has stopped
-   reading. */
+   reading. A lost packet is sent again sooner. */
 #define STALLED_MS 500
 
 struct caller
--- a/src/edge/quotashare.c
+++ b/src/edge/quotashare.c
@@ -10,10 +10,12 @@
 #include "random.h"
 #include "tokenbucket.h"
 
-/* A draw is repeated after this time, twice. */
+/* A draw is repeated after this time, twice. An answer takes a round trip
+   between failure domains, a few ms. */
 #define REPEAT_MS 40
 #define SENDS_MAX 3
-/* Time after which a call without an answer is decided by the fallback. */
+/* Time after which a call without an answer is decided by the fallback: all
+   sends had their time, and most latency objectives can still be met. */
 #define ANSWER_TIMEOUT_MS 120
 /* In the fallback, a draw is sent this often while there are calls. */
 #define PROBE_INTERVAL_MS 250
