--- a/review/standin-2/kit.c
+++ b/review/standin-2/kit.c
@@ -35,6 +35,8 @@
 static struct timespec start_time;
 static int store_port;
 static int node_ready_ports[NODES];
+static int node_metrics_ports[NODES];
+static int node_peer_ports[NODES];
 static pid_t children[CHILDREN_MAX];
 static int child_count;
 static const char *const zones[] = { "gulf-a", "gulf-b", "gulf-c" };
@@ -315,6 +317,26 @@
   return pid;
 }
 
+static bool
+has_ended (pid_t pid)
+{
+  if (waitpid (pid, NULL, WNOHANG) != pid)
+    return false;
+  for (int i = 0; i < child_count; i++)
+    if (children[i] == pid)
+      {
+        children[i] = children[--child_count];
+        break;
+      }
+  return true;
+}
+
+bool
+node_ended (int i)
+{
+  return has_ended (nodes[i].pid);
+}
+
 void
 stop_all (void)
 {
@@ -436,15 +458,11 @@
   setenv (name, text, 1);
 }
 
-static void
-start_node (int i)
+void
+restart_node (int i)
 {
-  const int metrics = free_port ();
-  const int peer = free_port ();
-  char name[16];
+  char name[32];
 
-  nodes[i].front = free_port ();
-  node_ready_ports[i] = free_port ();
   nodes[i].pid = start_child ();
   if (nodes[i].pid > 0)
     return;
@@ -455,8 +473,8 @@
   snprintf (name, sizeof name, "node-%d", i + 1);
   set_address ("GALENAGATE_FRONT_ADDR", nodes[i].front);
   set_address ("GALENAGATE_READY_ADDR", node_ready_ports[i]);
-  set_address ("GALENAGATE_METRICS_ADDR", metrics);
-  set_address ("GALENAGATE_PEER_ADDR", peer);
+  set_address ("GALENAGATE_METRICS_ADDR", node_metrics_ports[i]);
+  set_address ("GALENAGATE_PEER_ADDR", node_peer_ports[i]);
   set_address ("GALENAGATE_PLATFORM_ADDR", store_port);
   setenv ("GALENAGATE_NODE_NAME", name, 1);
   setenv ("GALENAGATE_DOMAIN", zones[i % 3], 1);
@@ -474,6 +492,16 @@
   _exit (127);
 }
 
+static void
+start_node (int i)
+{
+  nodes[i].front = free_port ();
+  node_ready_ports[i] = free_port ();
+  node_metrics_ports[i] = free_port ();
+  node_peer_ports[i] = free_port ();
+  restart_node (i);
+}
+
 static void
 start_store (void)
 {
@@ -767,7 +795,10 @@
   strcat (fields, "X-Galenagate-Server-Seal: ");
   strcat (fields, own);
   strcat (fields, "\r\n");
-  return send_text (fd, 200, fields, "charged");
+  char body[801];
+  memset (body, 'c', sizeof body - 1);
+  body[sizeof body - 1] = '\0';
+  return send_text (fd, 200, fields, body);
 }
 
 static void *
@@ -839,15 +870,7 @@
 bool
 server_ended (struct server *s)
 {
-  if (waitpid (s->pid, NULL, WNOHANG) != s->pid)
-    return false;
-  for (int i = 0; i < child_count; i++)
-    if (children[i] == s->pid)
-      {
-        children[i] = children[--child_count];
-        break;
-      }
-  return true;
+  return has_ended (s->pid);
 }
 
 void
--- a/review/standin-2/kit.h
+++ b/review/standin-2/kit.h
@@ -66,6 +66,10 @@
 /** start_deployment() - start the store and the nodes, and write the
  * configuration. */
 void start_deployment (void);
+/** node_ended() - returns true if the node's process has ended. */
+bool node_ended (int node);
+/** restart_node() - start a node that ended once more, at its addresses. */
+void restart_node (int node);
 /** await_nodes() - wait until all nodes are ready. */
 void await_nodes (void);
 /** stop_all() - end all processes that were started. */
