--- a/src/client.c
+++ b/src/client.c
@@ -1,6 +1,5 @@
 #include "client.h"
 
-#include <ctype.h>
 #include <errno.h>
 #include <stdlib.h>
 
@@ -140,22 +139,3 @@
 {
   str_free (&r->value);
 }
-
-struct str
-client_escape (struct str s)
-{
-  struct buf b = { 0 };
-
-  for (size_t i = 0; i < s.len; i++)
-    {
-      const unsigned char ch = (unsigned char)s.data[i];
-
-      if (isalnum (ch) || ch == '-' || ch == '.' || ch == '_' || ch == '~')
-        buf_append (&b, (struct str){ &s.data[i], 1 });
-      else
-        buf_printf (&b, "%%%02X", ch);
-    }
-  struct str out = str_dup (buf_str (&b));
-  buf_free (&b);
-  return out;
-}
--- a/src/client.h
+++ b/src/client.h
@@ -45,7 +45,3 @@
  * not reply, or not in time. */
 bool client_error_is_outage (struct err err);
 void client_sleep (uint32_t ms);
-
-/** client_escape() - percent-encode a query value. Returns a heap-owned
- * string. */
-struct str client_escape (struct str s);
--- a/src/explain.c
+++ b/src/explain.c
@@ -21,8 +21,8 @@
 static int
 explain (struct str node, const char *customer, const char *key)
 {
-  struct str c = client_escape (str_from (customer));
-  struct str k = client_escape (str_from (key));
+  struct str c = str_percent_encode (str_from (customer));
+  struct str k = str_percent_encode (str_from (key));
   struct str path
       = str_printf ("/admin/explain?customer=" STR_FMT "&key=" STR_FMT,
                     STR_ARG (c), STR_ARG (k));
--- a/src/str.c
+++ b/src/str.c
@@ -149,6 +149,29 @@
   return s;
 }
 
+static bool
+is_unreserved (char c)
+{
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+         || (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_'
+         || c == '~';
+}
+
+struct str
+str_percent_encode (struct str s)
+{
+  struct buf b = { 0 };
+
+  for (size_t i = 0; i < s.len; i++)
+    if (is_unreserved (s.data[i]))
+      buf_append (&b, (struct str){ &s.data[i], 1 });
+    else
+      buf_printf (&b, "%%%02X", (unsigned char)s.data[i]);
+  struct str out = str_dup (buf_str (&b));
+  buf_free (&b);
+  return out;
+}
+
 uint64_t
 str_hash (struct str s, uint64_t seed)
 {
--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -1,6 +1,7 @@
 #include "edgecluster.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <CUnit/CUnit.h>
@@ -41,17 +42,31 @@
   cluster_reply_free (&r);
 }
 
+static struct str
+object_path (const char *kind, const char *name)
+{
+  struct str encoded = str_percent_encode (str_from (name));
+  struct str path
+      = str_printf ("/objects/%s/" STR_FMT, kind, STR_ARG (encoded));
+
+  str_free (&encoded);
+  return path;
+}
+
 void
 edgecluster_put_object (const struct edgecluster *e, const char *kind,
                         const char *name, const char *spec)
 {
   struct str create = str_printf ("/objects/%s", kind);
-  struct str replace = str_printf ("/objects/%s/%s", kind, name);
-  struct str body = str_printf ("{\"metadata\":{\"name\":\"%s\"},\"spec\":%s}",
-                                name, spec);
+  struct str replace = object_path (kind, name);
+  json_t *metadata = json_pack ("{s:s}", "name", name);
+  char *text = json_dumps (metadata, JSON_COMPACT);
+  struct str body = str_printf ("{\"metadata\":%s,\"spec\":%s}", text, spec);
 
   send_store_write (e, "POST", create.data, body.data);
   send_store_write (e, "PUT", replace.data, body.data);
+  free (text);
+  json_decref (metadata);
   str_free (&create);
   str_free (&replace);
   str_free (&body);
@@ -61,7 +76,7 @@
 edgecluster_delete_object (const struct edgecluster *e, const char *kind,
                            const char *name)
 {
-  struct str path = str_printf ("/objects/%s/%s", kind, name);
+  struct str path = object_path (kind, name);
 
   send_store_write (e, "DELETE", path.data, NULL);
   str_free (&path);
--- a/tests/standinlib.c
+++ b/tests/standinlib.c
@@ -186,8 +186,9 @@
   return digit ? (int)(digit - digits) : -1;
 }
 
+/* @plus: the byte that a plus sign stands for. */
 static struct str
-decode (h2o_req_t *req, const char *data, size_t len)
+decode (h2o_req_t *req, const char *data, size_t len, char plus)
 {
   char *out = h2o_mem_alloc_pool (&req->pool, len + 1);
   size_t n = 0;
@@ -203,7 +204,7 @@
           i += 2;
         }
       else
-        out[n++] = data[i];
+        out[n++] = data[i] == '+' ? plus : data[i];
     }
   out[n] = '\0';
   return (struct str){ .data = out, .len = n };
@@ -214,7 +215,7 @@
 {
   const size_t len = req->query_at == SIZE_MAX ? req->path.len : req->query_at;
 
-  return decode (req, req->path.base, len);
+  return decode (req, req->path.base, len, '+');
 }
 
 struct str
@@ -233,7 +234,7 @@
       if ((size_t)(stop - p) > name_len && memcmp (p, name, name_len) == 0
           && p[name_len] == '=')
         return decode (req, p + name_len + 1,
-                       (size_t)(stop - p) - name_len - 1);
+                       (size_t)(stop - p) - name_len - 1, ' ');
       p = stop + 1;
     }
   return STR ("");
