--- a/tests/httppeer.c
+++ b/tests/httppeer.c
@@ -80,19 +80,27 @@
 }
 
 bool
-peer_read_request (int fd)
+peer_read_request_text (int fd, char *out, size_t size)
 {
-  char bytes[2048] = "";
   size_t n = 0;
 
-  while (!strstr (bytes, "\r\n\r\n"))
+  out[0] = '\0';
+  while (!strstr (out, "\r\n\r\n"))
     {
-      const ssize_t received = recv (fd, bytes + n, sizeof bytes - n - 1, 0);
+      const ssize_t received = recv (fd, out + n, size - n - 1, 0);
 
       if (received <= 0)
         return false;
       n += (size_t)received;
-      bytes[n] = '\0';
+      out[n] = '\0';
     }
   return true;
 }
+
+bool
+peer_read_request (int fd)
+{
+  char bytes[2048];
+
+  return peer_read_request_text (fd, bytes, sizeof bytes);
+}
--- a/tests/httppeer.h
+++ b/tests/httppeer.h
@@ -43,6 +43,9 @@
 /** peer_read_request() - read a request whose body has no empty line. Returns
  * false if the connection was closed before. */
 bool peer_read_request (int fd);
+/** peer_read_request_text() - likewise, and store its text, null-terminated.
+ */
+bool peer_read_request_text (int fd, char *out, size_t size);
 
 /* Callbacks of requests with a struct peer_outcome as their context. */
 bool peer_is_wanted (void *ctx);
