--- a/src/str.c
+++ b/src/str.c
@@ -149,6 +149,15 @@
   return s;
 }
 
+bool
+str_is_visible (struct str s)
+{
+  for (size_t i = 0; i < s.len; i++)
+    if (s.data[i] <= ' ' || s.data[i] > '~')
+      return false;
+  return s.len > 0;
+}
+
 static bool
 is_unreserved (char c)
 {
--- a/src/str.h
+++ b/src/str.h
@@ -47,6 +47,10 @@
 struct str str_split (struct str s, char separator, struct str *rest);
 /** str_trim() - view without spaces and tabs at both ends. */
 struct str str_trim (struct str s);
+/** str_is_visible() - Returns true if @s consists of visible ASCII characters,
+ * at least one, so that it can be sent as a header value and logged without
+ * quotes. */
+bool str_is_visible (struct str s);
 /** str_percent_encode() - encode a path segment or a query value of a URL, so
  * that it is decoded to the same bytes. Returns a heap-owned, null-terminated
  * string. */
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -386,6 +386,43 @@
     }
 }
 
+/* Guards against an entry whose name, sent to servers in a header, ends the
+   header and adds others or a request. */
+static void
+test_entry_names (void)
+{
+  static const struct
+  {
+    const char *name;
+    int rc;
+  } cases[] = {
+    { "i-7f3a91c2", 0 },
+    { "&+#%", 0 },
+    { "", -EBADMSG },
+    { "i 7", -EBADMSG },
+    { "i-7\r\nX-Galenagate-Request-Priority: 0", -EBADMSG },
+    { "i-7\n", -EBADMSG },
+    { "i\t7", -EBADMSG },
+    { "i\0017", -EBADMSG },
+    { "i\1777", -EBADMSG },
+    { "i\303\251", -EBADMSG },
+  };
+  json_t *json
+      = json_pack ("{s:s, s:s, s:s, s:i, s:s}", "service", "s", "address",
+                   "10.0.0.1:80", "zone", "z", "slots", 6, "state", "ready");
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct server_entry e;
+
+      CU_ASSERT_EQUAL (
+          server_entry_decode (str_from (cases[i].name), json, &e),
+          cases[i].rc);
+      server_entry_free (&e);
+    }
+  json_decref (json);
+}
+
 static bool
 has_line (const struct str *lines, size_t n, const char *line)
 {
@@ -572,6 +609,7 @@
   { "bearer", test_bearer },
   { "has tokens", test_has_tokens },
   { "entries", test_entries },
+  { "names of entries", test_entry_names },
   { "headers", test_headers },
   { "credentials", test_credentials },
   { "prompt parts", test_prompt_parts },
