Add tests of responses whose status is 000

This one handles it already: libcurl refuses a status line without a status from 100 on at once, so that a call that may be repeated goes to another server, a stream is resumed there, and any other call gets 502.

--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -147,6 +147,10 @@
     { "crossed", "/once/x", 502, 1, 0 },
     { "unframed", "/once/x", 200, 1, 0 },
     { "error", "/once/x", 500, 1, 0 },
+    { "status-000", "/plain/x", 200, 1, 1 },
+    { "status-000", "/once/x", 502, 1, 0 },
+    { "status-000-open", "/plain/x", 200, 1, 1 },
+    { "status-000-open", "/once/x", 502, 1, 0 },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
@@ -283,6 +287,7 @@
     { "unframed", "/whole/x", true, 0 },
     { "unframed-cut", "/stream/x", true, 1 },
     { "unframed-cut", "/whole/x", false, 0 },
+    { "status-000", "/stream/x", true, 1 },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -56,7 +56,7 @@
     "unframed-cut, cut-event, cut-end, no-answer, "
     "repeat-refusal, repeat-refusal-unnamed, text-busy, text-lines, "
     "text-empty, events-lines, events-head, leaving, retry-after, "
-    "silent, pause, or one of the endless responses",
+    "silent, pause, a malformed head, or one of the endless responses",
     SETTING_STRING, FIELD (fault), "", 0, 0 },
   { "most-models", "N", "models that fit in memory", SETTING_U32,
     FIELD (max_models), "2", 1, MODELS_MAX },
@@ -291,6 +291,48 @@
   standin_run_after (1, close_connection, req);
 }
 
+/* ---- malformed heads ---- */
+
+/* Heads with a status that is none. */
+static const struct odd_head
+{
+  const char *fault_name;
+  const char *status;
+  const char *field;
+  bool leave_open;
+} odd_heads[] = {
+  { "status-000", "000 OK", "", false },
+  { "status-000-open", "000 OK", "", true },
+};
+#define ODD_HEADS (sizeof odd_heads / sizeof *odd_heads)
+
+static const struct odd_head *
+odd_head_fault (void)
+{
+  for (size_t i = 0; i < ODD_HEADS; i++)
+    if (has_fault (odd_heads[i].fault_name))
+      return &odd_heads[i];
+  return NULL;
+}
+
+/* Sends a malformed head and a body, which ends with the connection and looks
+   like a chunk. */
+static void
+answer_odd_head (h2o_req_t *req, const struct odd_head *head)
+{
+  char id[64];
+  struct str text = str_printf (
+      "HTTP/1.1 %s\r\nX-Galenagate-Attempt-Id: %s\r\n"
+      "X-Galenagate-Server-Seal: " SEAL "\r\n%s\r\n"
+      "2\r\nok\r\n0\r\n\r\n",
+      head->status, response_attempt_id (req, id, sizeof id), head->field);
+
+  send_raw_text (req, text.data);
+  str_free (&text);
+  if (!head->leave_open)
+    standin_run_after (1, close_connection, req);
+}
+
 /* ---- large bodies ---- */
 
 #define BODY_PART_BYTES 16384
@@ -522,15 +564,17 @@
     return;
 
   struct stream *s = xcalloc (1, sizeof *s);
+  const struct odd_head *odd = odd_head_fault ();
   uint64_t last = 0;
   char id[64];
-  struct str head
-      = str_printf ("HTTP/1.1 200 OK\r\nX-Galenagate-Attempt-Id: %s\r\n"
-                    "X-Galenagate-Server-Seal: " SEAL "\r\n"
-                    "Content-Type: text/event-stream\r\n%s%s\r\n",
-                    response_attempt_id (req, id, sizeof id),
-                    has_fault ("leaving") ? "Server-Leaving: 1\r\n" : "",
-                    is_unframed () ? "" : "Transfer-Encoding: chunked\r\n");
+  struct str head = str_printf (
+      "HTTP/1.1 %s\r\nX-Galenagate-Attempt-Id: %s\r\n"
+      "X-Galenagate-Server-Seal: " SEAL "\r\n"
+      "Content-Type: text/event-stream\r\n%s%s%s\r\n",
+      odd ? odd->status : "200 OK", response_attempt_id (req, id, sizeof id),
+      odd ? odd->field : "",
+      has_fault ("leaving") ? "Server-Leaving: 1\r\n" : "",
+      is_unframed () ? "" : "Transfer-Encoding: chunked\r\n");
 
   str_u64 (standin_header (req, "last-event-id"), &last);
   s->req = req;
@@ -830,6 +874,8 @@
         cut_head (req);
       else if (endless_fault ())
         answer_endless (req, endless_fault ());
+      else if (odd_head_fault () && !is_model_server ())
+        answer_odd_head (req, odd_head_fault ());
       else if (is_model_server () && options.body_kb == 0
                && !has_fault ("error"))
         answer_stream (req);
