Refuse responses whose head has a malformed line

Cause: libcurl takes any line with a colon for a field, and only its exact names for framing. "Transfer-Encoding : chunked" is none for it, but may be one for the client. A continuation line extends the value before it, also a length that was already read.

Now the call is sent to another server where it may be repeated, else it ends with 502, and the stream is resumed.

Change: the HTTP client checks each line of a head by RFC 9110: a token, a colon and a value without control bytes. Any other line ends the call with -EPROTO and closes the connection. All calls use this client, so that reports, orders and the store are covered as well.

--- /dev/null
+++ b/src/fieldline.c
@@ -0,0 +1,53 @@
+#include "fieldline.h"
+
+#include <string.h>
+
+static bool
+is_token_char (char c)
+{
+  static const char symbols[] = "!#$%&'*+-.^_`|~";
+
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+         || (c >= '0' && c <= '9')
+         || memchr (symbols, c, sizeof symbols - 1) != NULL;
+}
+
+static bool
+is_token (struct str s)
+{
+  for (size_t i = 0; i < s.len; i++)
+    if (!is_token_char (s.data[i]))
+      return false;
+  return s.len > 0;
+}
+
+static bool
+is_value_char (char c)
+{
+  return c == '\t' || ((unsigned char)c >= ' ' && c != 0x7f);
+}
+
+static struct str
+without_line_end (struct str s)
+{
+  if (s.len > 0 && s.data[s.len - 1] == '\n')
+    s.len--;
+  if (s.len > 0 && s.data[s.len - 1] == '\r')
+    s.len--;
+  return s;
+}
+
+bool
+fieldline_valid (struct str line)
+{
+  const struct str field = without_line_end (line);
+  struct str value;
+  const struct str name = str_split (field, ':', &value);
+
+  if (name.len == field.len || !is_token (name))
+    return false;
+  for (size_t i = 0; i < value.len; i++)
+    if (!is_value_char (value.data[i]))
+      return false;
+  return true;
+}
--- a/src/http.c
+++ b/src/http.c
@@ -12,6 +12,7 @@
 
 #include "clock.h"
 #include "connsockets.h"
+#include "fieldline.h"
 #include "keepalive.h"
 #include "log.h"
 
@@ -27,6 +28,7 @@
 #define CONNECTIONS_KEPT 512
 /* A response with a larger head ends the call. */
 #define HEAD_MAX_BYTES (128 * 1024)
+#define STATUS_FINAL_MIN 200
 /* A collected body that is larger ends the call, unless the request sets
    another limit. */
 #define COLLECTED_MAX_BYTES (32 * 1024 * 1024)
@@ -56,6 +58,7 @@
   bool allow_close_delimited;
   bool repeat_if_closed;
   bool run_once;
+  bool status_line_done; /* of the current head; interim ones come first */
   bool head_done;
   bool added_to_multi;
   bool cancelled;
@@ -64,6 +67,7 @@
   bool unusable;       /* the kept connection can't be used */
   bool sent_before;    /* bytes were sent on an earlier connection */
   bool too_large;      /* its body was given up */
+  bool malformed;      /* its head is no head of a response */
   struct http_call *prev;
   struct http_call *next;
 };
@@ -286,26 +290,52 @@
   return CURL_PREREQFUNC_ABORT;
 }
 
+static void
+end_head (struct http_call *c)
+{
+  c->status_line_done = false;
+  if (status_of (c) < STATUS_FINAL_MIN)
+    return;
+  c->head_done = true;
+  keepalive_learn (c->http->keepalive, c->peer, http_header (c, "Keep-Alive"));
+  if (c->events->head)
+    c->events->head (c->ctx, c, status_of (c));
+}
+
+/* Returns false if the line is malformed. */
+static bool
+read_head_line (struct http_call *c, struct str line)
+{
+  const bool is_empty
+      = line.len <= 2 && (line.data[0] == '\r' || line.data[0] == '\n');
+
+  /* Trailers are not used. */
+  if (c->head_done)
+    return true;
+  if (is_empty)
+    {
+      end_head (c);
+      return true;
+    }
+  if (c->status_line_done)
+    return fieldline_valid (line);
+  /* libcurl has checked the status line. */
+  c->status_line_done = true;
+  return true;
+}
+
 static size_t
 on_header (char *data, size_t size, size_t n, void *ctx)
 {
   struct http_call *c = ctx;
-  const size_t len = size * n;
+  const struct str line = { data, size * n };
 
   c->last_received_ms = clock_ms ();
-  c->head_bytes += len;
+  c->head_bytes += line.len;
   if (c->cancelled || c->head_bytes > HEAD_MAX_BYTES)
     return 0;
-  /* An empty line ends the head; interim 1xx heads are skipped. */
-  if (len <= 2 && (data[0] == '\r' || data[0] == '\n') && status_of (c) >= 200)
-    {
-      c->head_done = true;
-      keepalive_learn (c->http->keepalive, c->peer,
-                       http_header (c, "Keep-Alive"));
-      if (c->events->head)
-        c->events->head (c->ctx, c, status_of (c));
-    }
-  return c->cancelled ? 0 : len;
+  c->malformed = !read_head_line (c, line);
+  return c->cancelled || c->malformed ? 0 : line.len;
 }
 
 /* Makes room for a part of a collected body by giving up the largest one.
@@ -441,6 +471,8 @@
         }
       if (c->too_large)
         code = -EMSGSIZE;
+      else if (c->malformed)
+        code = -EPROTO;
       else if (c->repeat_refused)
         code = -EPIPE;
       else if (code == 0)
--- a/src/http.h
+++ b/src/http.h
@@ -63,9 +63,10 @@
  *   @done.
  * @done: end of the call; runs exactly once unless the call was cancelled or
  *   ended by http_close(). The code of @err is 0 only if the response is
- *   complete. @sent is false only if certainly no byte of the request reached
- *   the peer. Without @repeat_if_closed a request is sent once at most, and
- *   ends with -EPIPE if its connection closes before the response.
+ *   complete, and -EPROTO if its head is malformed. @sent is false only if
+ *   certainly no byte of the request reached the peer. Without
+ *   @repeat_if_closed a request is sent once at most, and ends with -EPIPE if
+ *   its connection closes before the response.
  * @closed: http_close() ended the call. Must only free the context. May be
  * NULL.
  */
--- a/tests/e2e_edge.c
+++ b/tests/e2e_edge.c
@@ -151,6 +151,14 @@
     { "status-000", "/once/x", 502, 1, 0 },
     { "status-000-open", "/plain/x", 200, 1, 1 },
     { "status-000-open", "/once/x", 502, 1, 0 },
+    { "name-blank", "/plain/x", 200, 1, 1 },
+    { "name-blank", "/once/x", 502, 1, 0 },
+    { "name-blank-end", "/plain/x", 200, 1, 1 },
+    { "name-blank-end", "/once/x", 502, 1, 0 },
+    { "name-control", "/plain/x", 200, 1, 1 },
+    { "name-control", "/once/x", 502, 1, 0 },
+    { "chunked-blank", "/plain/x", 200, 1, 1 },
+    { "chunked-blank", "/once/x", 502, 1, 0 },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
@@ -288,6 +296,8 @@
     { "unframed-cut", "/stream/x", true, 1 },
     { "unframed-cut", "/whole/x", false, 0 },
     { "status-000", "/stream/x", true, 1 },
+    { "name-blank", "/stream/x", true, 1 },
+    { "name-control", "/stream/x", true, 1 },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -293,7 +293,7 @@
 
 /* ---- malformed heads ---- */
 
-/* Heads with a status that is none. */
+/* Heads with a status that is none, or with a field whose name is none. */
 static const struct odd_head
 {
   const char *fault_name;
@@ -303,6 +303,10 @@
 } odd_heads[] = {
   { "status-000", "000 OK", "", false },
   { "status-000-open", "000 OK", "", true },
+  { "name-blank", "200 OK", "X Odd: 1\r\n", false },
+  { "name-blank-end", "200 OK", "X-Odd : 1\r\n", false },
+  { "name-control", "200 OK", "X\x01Odd: 1\r\n", false },
+  { "chunked-blank", "200 OK", "Transfer-Encoding : chunked\r\n", false },
 };
 #define ODD_HEADS (sizeof odd_heads / sizeof *odd_heads)
 
--- a/tests/test_httpfaults.c
+++ b/tests/test_httpfaults.c
@@ -442,6 +442,25 @@
   return NULL;
 }
 
+/* Returns the code of a request to a peer that sends @text. */
+static int
+code_after (const char *text)
+{
+  struct peer_outcome outcome = { 0 };
+  struct peer peer;
+  pthread_t thread;
+
+  peer_open (&peer);
+  struct cutting_peer cutting = { peer.fd, text };
+  pthread_create (&thread, NULL, run_cutting_peer, &cutting);
+  send_get_close_delimited (&peer, &outcome);
+  peer_run_until (&peer, &outcome.done);
+  peer_stop (&peer);
+  pthread_join (thread, NULL);
+  peer_close (&peer);
+  return outcome.code;
+}
+
 /* Guards against a response whose head was cut that is taken for a complete
    one with an empty or short body. */
 static void
@@ -473,21 +492,61 @@
 
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
     {
-      struct peer_outcome outcome = { 0 };
-      struct peer peer;
-      pthread_t thread;
+      const int code = code_after (cases[i].text);
 
-      peer_open (&peer);
-      struct cutting_peer cutting = { peer.fd, cases[i].text };
-      pthread_create (&thread, NULL, run_cutting_peer, &cutting);
-      send_get_close_delimited (&peer, &outcome);
-      peer_run_until (&peer, &outcome.done);
-      CU_ASSERT_EQUAL (outcome.code, cases[i].code);
-      if (outcome.code != cases[i].code)
-        fprintf (stderr, "after \"%s\": %d\n", cases[i].text, outcome.code);
-      peer_stop (&peer);
-      pthread_join (thread, NULL);
-      peer_close (&peer);
+      CU_ASSERT_EQUAL (code, cases[i].code);
+      if (code != cases[i].code)
+        fprintf (stderr, "after \"%s\": %d\n", cases[i].text, code);
+    }
+}
+
+/* Guards against a response whose head is malformed that is taken for a
+   complete one, with lines that are passed on or a body with another length
+   than the peer meant. libcurl itself refuses some of them, with -EIO. */
+static void
+test_malformed_head (void)
+{
+#define LENGTH "Content-Length: 2\r\n"
+#define BODY "\r\n{}"
+  static const struct
+  {
+    const char *text;
+    int code;
+  } cases[] = {
+    { "HTTP/1.1 000 OK\r\n" LENGTH BODY, -EIO },
+    { "HTTP/1.1 000\r\n" LENGTH BODY, -EIO },
+    { "HTTP/1.1 000 OK\r\n" BODY, -EIO },
+    { "HTTP/1.1 001 OK\r\n" LENGTH BODY, -EIO },
+    { "HTTP/1.1 099 OK\r\n" LENGTH BODY, -EIO },
+    { STATUS_LINE "X Odd: 1\r\n" LENGTH BODY, -EPROTO },
+    { STATUS_LINE "X-Odd : 1\r\n" LENGTH BODY, -EPROTO },
+    { STATUS_LINE " X-Odd: 1\r\n" LENGTH BODY, -EIO },
+    { STATUS_LINE LENGTH " X-Odd: 1\r\n" BODY, -EPROTO },
+    { STATUS_LINE "X\tOdd: 1\r\n" LENGTH BODY, -EPROTO },
+    { STATUS_LINE LENGTH "\tX-Odd: 1\r\n" BODY, -EPROTO },
+    { STATUS_LINE "X\001Odd: 1\r\n" LENGTH BODY, -EPROTO },
+    { STATUS_LINE "X\rOdd: 1\r\n" LENGTH BODY, -EIO },
+    { STATUS_LINE "X\033Odd: 1\r\n" LENGTH BODY, -EPROTO },
+    { STATUS_LINE "X\177Odd: 1\r\n" LENGTH BODY, -EPROTO },
+    { STATUS_LINE "Content-Length : 1\r\n" LENGTH BODY, -EPROTO },
+    { STATUS_LINE "Transfer-Encoding : chunked\r\n" BODY, -EPROTO },
+    { STATUS_LINE ": 1\r\n" LENGTH BODY, -EPROTO },
+    { STATUS_LINE "X-Odd: 1\rX-More: 2\r\n" LENGTH BODY, -EPROTO },
+    { "HTTP/1.1 100 Continue\r\nX Odd: 1\r\n\r\n" STATUS_LINE LENGTH BODY,
+      -EPROTO },
+    { "HTTP/1.1 100 Continue\r\nX-Odd: 1\r\n\r\n" STATUS_LINE LENGTH BODY, 0 },
+    { STATUS_LINE "X-Odd:1\r\nx_odd!#$%&'*+.^`|~9: \t\"(a) b\"\t\r\n" LENGTH
+                  "X-Empty:\r\nX-Text: \303\251\r\n" BODY,
+      0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      const int code = code_after (cases[i].text);
+
+      CU_ASSERT_EQUAL (code, cases[i].code);
+      if (code != cases[i].code)
+        fprintf (stderr, "after \"%s\": %d\n", cases[i].text, code);
     }
 }
 
@@ -644,6 +703,7 @@
   { "lost answer", test_lost_answer },
   { "ends of a kept connection", test_kept_connection },
   { "cut head", test_cut_head },
+  { "malformed head", test_malformed_head },
   { "endless body", test_endless_body },
   { "endless bodies at a time", test_endless_bodies },
 };
