Refuse responses whose lengths differ or are no numbers

What callers see: a server in trouble sends two different lengths, and the client gets as much of the body as one of them says, as a whole answer.

Cause: libcurl takes one of several lengths, and the digits at the beginning of one such as "2x" or "1, 2".

Evidence: before the change five of eight new heads in httpfaults / malformed head were taken for complete ones (2 and 1, 1 and 2, "1, 2", "+2", "2x"); libcurl itself refuses "-2" and an empty length, and equal lengths are still accepted.

Change: at the end of a head all its lengths are compared.

--- a/src/http.c
+++ b/src/http.c
@@ -290,19 +290,46 @@
   return CURL_PREREQFUNC_ABORT;
 }
 
-static void
+/* Returns false if a length is no number or differs from another one, so that
+   readers may differ in where the body ends. */
+static bool
+lengths_agree (const struct http_call *c)
+{
+  struct curl_header *field;
+  uint64_t bytes;
+  uint64_t first = 0;
+
+  for (size_t i = 0; curl_easy_header (c->easy, "Content-Length", i,
+                                       CURLH_HEADER, -1, &field)
+                     == CURLHE_OK;
+       i++)
+    {
+      if (!str_u64 (str_from (field->value), &bytes))
+        return false;
+      if (i > 0 && bytes != first)
+        return false;
+      first = bytes;
+    }
+  return true;
+}
+
+/* Returns false if the head is malformed. */
+static bool
 end_head (struct http_call *c)
 {
   c->status_line_done = false;
   if (status_of (c) < STATUS_FINAL_MIN)
-    return;
+    return true;
+  if (!lengths_agree (c))
+    return false;
   c->head_done = true;
   keepalive_learn (c->http->keepalive, c->peer, http_header (c, "Keep-Alive"));
   if (c->events->head)
     c->events->head (c->ctx, c, status_of (c));
+  return true;
 }
 
-/* Returns false if the line is malformed. */
+/* Returns false if the line makes the head malformed. */
 static bool
 read_head_line (struct http_call *c, struct str line)
 {
@@ -313,10 +340,7 @@
   if (c->head_done)
     return true;
   if (is_empty)
-    {
-      end_head (c);
-      return true;
-    }
+    return end_head (c);
   if (c->status_line_done)
     return fieldline_valid (line);
   /* libcurl has checked the status line. */
