Test that a list that ended early removes nothing

The stand-in's history is now dropped at the first watch in two new cases: a complete second list removes the object that is gone, one that ends early removes none.

--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -23,46 +23,64 @@
 /**
  * struct listing - a list and what a feed makes of it.
  * @pages: answers to the first list calls; the last one is repeated.
+ * @again: answer to the list calls after the store has dropped the history at
+ *   the first watch; NULL if it has not.
  * @cursors: "after" of the calls, separated by blanks; "-" for none.
  * @changed: names reported, in that order, each followed by a blank.
+ * @removed: likewise.
  */
 struct listing
 {
   const char *name;
   const char *pages[PAGES_MAX];
+  const char *again;
   const char *cursors;
   const char *changed;
+  const char *removed;
 };
 
 static const struct listing listings[] = {
-  { "one page",
-    { PAGE (ITEM ("\"a\"") "," ITEM ("\"b\""), "false") },
-    "- ",
-    "a b " },
-  { "odd names",
-    { PAGE (ITEM ("\"a&b\""), "true"), PAGE (ITEM ("\"b +%#\""), "true"),
-      PAGE (ITEM ("\"c\""), "false") },
-    "- a%26b b%20%2B%25%23 ",
-    "a&b b +%# c " },
-  { "name of another type",
-    { PAGE (ITEM ("\"a\"") "," ITEM ("7"), "true"),
-      PAGE (ITEM ("\"b\""), "false") },
-    "- a ",
-    "a b " },
+  { .name = "one page",
+    .pages = { PAGE (ITEM ("\"a\"") "," ITEM ("\"b\""), "false") },
+    .cursors = "- ",
+    .changed = "a b " },
+  { .name = "odd names",
+    .pages
+    = { PAGE (ITEM ("\"a&b\""), "true"), PAGE (ITEM ("\"b +%#\""), "true"),
+        PAGE (ITEM ("\"c\""), "false") },
+    .cursors = "- a%26b b%20%2B%25%23 ",
+    .changed = "a&b b +%# c " },
+  { .name = "name of another type",
+    .pages = { PAGE (ITEM ("\"a\"") "," ITEM ("7"), "true"),
+               PAGE (ITEM ("\"b\""), "false") },
+    .cursors = "- a ",
+    .changed = "a b " },
   /* The replaced character sorts behind names that follow. */
-  { "name replaced in part",
-    { PAGE (ITEM ("\"a\"") "," ITEM ("\"m\\u0000\""), "true"),
-      PAGE (ITEM ("\"m\\u0000\"") "," ITEM ("\"m1\""), "false") },
-    "- a ",
-    "a m? m1 " },
-  { "page that can't be left",
-    { PAGE (ITEM ("\"a\""), "true"), PAGE (ITEM ("\"m\xff\""), "true") },
-    "- a m%3F ",
-    "a m? " },
-  { "page without readable names",
-    { PAGE (ITEM ("\"a\""), "true"), PAGE (ITEM ("7"), "true") },
-    "- a ",
-    "a " },
+  { .name = "name replaced in part",
+    .pages = { PAGE (ITEM ("\"a\"") "," ITEM ("\"m\\u0000\""), "true"),
+               PAGE (ITEM ("\"m\\u0000\"") "," ITEM ("\"m1\""), "false") },
+    .cursors = "- a ",
+    .changed = "a m? m1 " },
+  { .name = "page that can't be left",
+    .pages
+    = { PAGE (ITEM ("\"a\""), "true"), PAGE (ITEM ("\"m\xff\""), "true") },
+    .cursors = "- a m%3F ",
+    .changed = "a m? " },
+  { .name = "page without readable names",
+    .pages = { PAGE (ITEM ("\"a\""), "true"), PAGE (ITEM ("7"), "true") },
+    .cursors = "- a ",
+    .changed = "a " },
+  { .name = "listed again, one is gone",
+    .pages = { PAGE (ITEM ("\"a\"") "," ITEM ("\"b\""), "false") },
+    .again = PAGE (ITEM ("\"a\""), "false"),
+    .cursors = "- - ",
+    .changed = "a b ",
+    .removed = "b " },
+  { .name = "listed again, not to the end",
+    .pages = { PAGE (ITEM ("\"a\"") "," ITEM ("\"b\""), "false") },
+    .again = PAGE (ITEM ("7"), "true"),
+    .cursors = "- - ",
+    .changed = "a b " },
 };
 
 /* ---- the store ---- */
@@ -72,6 +90,7 @@
   int fd;
   const struct listing *listing;
   struct buf cursors;
+  bool history_dropped;
 };
 
 /* Records the cursor of a list call. Returns false for a watch. */
@@ -93,15 +112,46 @@
 }
 
 static const char *
-page_at (const struct listing *l, size_t i)
+page_at (const struct paging_peer *p, size_t i)
 {
+  const struct listing *l = p->listing;
+
+  if (p->history_dropped)
+    return l->again;
   while (i > 0 && (i >= PAGES_MAX || !l->pages[i]))
     i--;
   return l->pages[i];
 }
 
-/* Answers list calls on one connection and leaves the first watch, or a call
-   beyond the last page, unanswered. */
+static void
+send_answer (int fd, const char *status, const char *body)
+{
+  struct str answer
+      = str_printf ("HTTP/1.1 %s\r\nContent-Length: %zu\r\n\r\n%s", status,
+                    strlen (body), body);
+
+  send (fd, answer.data, answer.len, MSG_NOSIGNAL);
+  str_free (&answer);
+}
+
+/* Answers a call, or returns false to leave it unanswered. */
+static bool
+answer_call (struct paging_peer *p, int fd, const char *request, size_t i)
+{
+  if (record_cursor (p, request))
+    send_answer (fd, "200 OK", page_at (p, i));
+  else if (p->listing->again && !p->history_dropped)
+    {
+      p->history_dropped = true;
+      send_answer (fd, "410 Gone", "{}");
+    }
+  else
+    return false;
+  return true;
+}
+
+/* Answers calls on one connection up to the last watch, or to a call beyond
+   the last page. */
 static void *
 run_paging_peer (void *ctx)
 {
@@ -112,14 +162,8 @@
   for (size_t i = 0; i <= PAGES_MAX; i++)
     {
       if (!peer_read_request_text (fd, request, sizeof request)
-          || !record_cursor (p, request))
+          || !answer_call (p, fd, request, i))
         break;
-      const char *page = page_at (p->listing, i);
-      struct str answer
-          = str_printf ("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
-                        strlen (page), page);
-      send (fd, answer.data, answer.len, MSG_NOSIGNAL);
-      str_free (&answer);
     }
   recv (fd, request, sizeof request, 0);
   close (fd);
@@ -131,8 +175,8 @@
 struct outcome
 {
   struct buf changed;
-  int removed;
-  bool listed;
+  struct buf removed;
+  int listed; /* number of complete listings */
 };
 
 static void
@@ -149,8 +193,8 @@
 {
   struct outcome *r = ctx;
 
-  (void)name;
-  r->removed++;
+  buf_append (&r->removed, name);
+  buf_append (&r->removed, STR (" "));
 }
 
 static void
@@ -158,7 +202,7 @@
 {
   struct outcome *r = ctx;
 
-  r->listed = true;
+  r->listed++;
 }
 
 static void
@@ -173,6 +217,12 @@
                                            .listed = on_listed,
                                            .reachable = on_reachable };
 
+static int
+listing_count (const struct listing *l)
+{
+  return l->again ? 2 : 1;
+}
+
 static void
 read_listing (struct paging_peer *p, struct outcome *r)
 {
@@ -188,7 +238,7 @@
   struct feed *f
       = feed_create (objects, &peer.loop, "servers", timing, &events, r);
   feed_start (f);
-  while (!r->listed && clock_ms () < give_up_ms)
+  while (r->listed < listing_count (p->listing) && clock_ms () < give_up_ms)
     uv_run (&peer.loop, UV_RUN_ONCE);
   feed_stop (f);
   peer_stop (&peer);
@@ -211,15 +261,18 @@
 
       read_listing (&peer, &r);
       const bool ok = str_eq (buf_str (&peer.cursors), str_from (l->cursors))
-                      && str_eq (buf_str (&r.changed), str_from (l->changed));
+                      && str_eq (buf_str (&r.changed), str_from (l->changed))
+                      && str_eq (buf_str (&r.removed), str_from (l->removed));
       CU_ASSERT_TRUE (ok);
-      CU_ASSERT_TRUE (r.listed);
-      CU_ASSERT_EQUAL (r.removed, 0);
+      CU_ASSERT_EQUAL (r.listed, listing_count (l));
       if (!ok)
-        fprintf (stderr, "%s: cursors \"%s\", changed \"%s\"\n", l->name,
-                 buf_str (&peer.cursors).data, buf_str (&r.changed).data);
+        fprintf (stderr,
+                 "%s: cursors \"%s\", changed \"%s\", removed \"%s\"\n",
+                 l->name, buf_str (&peer.cursors).data,
+                 buf_str (&r.changed).data, buf_str (&r.removed).data);
       buf_free (&peer.cursors);
       buf_free (&r.changed);
+      buf_free (&r.removed);
     }
 }
 
