--- a/src/fieldline.c
+++ b/src/fieldline.c
@@ -1,5 +1,6 @@
 #include "fieldline.h"
 
+#include <ctype.h>
 #include <string.h>
 
 static bool
@@ -7,8 +8,7 @@
 {
   static const char symbols[] = "!#$%&'*+-.^_`|~";
 
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
-         || (c >= '0' && c <= '9')
+  return isalnum ((unsigned char)c)
          || memchr (symbols, c, sizeof symbols - 1) != NULL;
 }
 
--- a/src/http.c
+++ b/src/http.c
@@ -313,7 +313,8 @@
   return true;
 }
 
-/* Returns false if the head is malformed. */
+/* Runs at the empty line that ends a head; interim 1xx heads are skipped.
+   Returns false if the head is malformed. */
 static bool
 end_head (struct http_call *c)
 {
--- a/src/str.c
+++ b/src/str.c
@@ -1,5 +1,6 @@
 #include "str.h"
 
+#include <ctype.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -161,8 +162,7 @@
 static bool
 is_unreserved (char c)
 {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
-         || (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_'
+  return isalnum ((unsigned char)c) || c == '-' || c == '.' || c == '_'
          || c == '~';
 }
 
