--- a/src/edge/topology.c
+++ b/src/edge/topology.c
@@ -2,7 +2,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "err.h"
 
@@ -58,12 +57,6 @@
   return host;
 }
 
-static bool
-same_host (struct str a, struct str b)
-{
-  return a.len == b.len && strncasecmp (a.data, b.data, a.len) == 0;
-}
-
 const struct route *
 routing_find (const struct routing *r, struct str host, struct str path)
 {
@@ -75,7 +68,7 @@
       const struct route *c = &r->routes[i];
 
       if ((!best || c->prefix.len > best->prefix.len)
-          && same_host (without_port (c->host), name)
+          && str_eq_nocase (without_port (c->host), name)
           && str_starts (path, c->prefix))
         best = c;
     }
--- a/src/keepalive.c
+++ b/src/keepalive.c
@@ -2,7 +2,6 @@
 
 #include <stdbool.h>
 #include <stdlib.h>
-#include <strings.h>
 
 #include <uthash.h>
 
@@ -63,8 +62,7 @@
       const struct str param = str_split (field, ',', &field);
       const struct str key = str_trim (str_split (param, '=', &value_text));
 
-      if (key.len != name.len
-          || strncasecmp (key.data, name.data, name.len) != 0
+      if (!str_eq_nocase (key, name)
           || !str_u64 (str_trim (value_text), &value))
         continue;
       *out = value < UINT32_MAX ? (uint32_t)value : UINT32_MAX;
--- a/src/request.c
+++ b/src/request.c
@@ -2,7 +2,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include <openssl/sha.h>
 
@@ -325,8 +324,8 @@
     {
       const h2o_header_t *h = &req->headers.entries[i];
 
-      if (h->name->len == strlen (name)
-          && strncasecmp (h->name->base, name, h->name->len) == 0)
+      if (str_eq_nocase ((struct str){ h->name->base, h->name->len },
+                         str_from (name)))
         return (struct str){ h->value.base, h->value.len };
     }
   return (struct str){ 0 };
--- a/src/str.c
+++ b/src/str.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include <xxhash.h>
 
@@ -22,6 +23,13 @@
   return a.len == b.len && (a.len == 0 || memcmp (a.data, b.data, a.len) == 0);
 }
 
+bool
+str_eq_nocase (struct str a, struct str b)
+{
+  return a.len == b.len
+         && (a.len == 0 || strncasecmp (a.data, b.data, a.len) == 0);
+}
+
 int
 str_cmp (struct str a, struct str b)
 {
--- a/src/str.h
+++ b/src/str.h
@@ -27,6 +27,8 @@
 /** str_from() - view of a null-terminated string; empty for NULL. */
 struct str str_from (const char *s);
 bool str_eq (struct str a, struct str b);
+/** str_eq_nocase() - likewise, ignoring the case of ASCII letters. */
+bool str_eq_nocase (struct str a, struct str b);
 int str_cmp (struct str a, struct str b);
 bool str_starts (struct str s, struct str prefix);
 /** str_dup() - make a null-terminated heap copy; free with str_free(). */
