Move the tests' raw connections to a module of their own

e2e connections opens sockets, sends texts and reads answers from the bytes. Tests of malformed requests need the same, and the beginning of a body.

--- a/tests/e2e_connections.c
+++ b/tests/e2e_connections.c
@@ -1,15 +1,12 @@
-#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
+#include "cluster_conn.h"
 #include "edgecluster.h"
 #include "err.h"
-#include "netaddr.h"
 #include "suite.h"
 
 /* Checks that a node answers the requests that it is reading or answering
@@ -55,155 +52,8 @@
   return s;
 }
 
-/* ---- connections ---- */
-
-/**
- * struct connection - a client's connection.
- * @received: bytes that belong to no answer yet.
- */
-struct connection
-{
-  int fd;
-  struct buf received;
-};
-
-/* @receive_bytes: size of the receive buffer; 0 for the default. */
-static struct connection
-open_connection (const struct cluster_proc *edge, int receive_bytes)
-{
-  struct connection c = { .fd = socket (AF_INET, SOCK_STREAM, 0) };
-  struct sockaddr_in sin;
-
-  if (receive_bytes > 0)
-    setsockopt (c.fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
-                sizeof receive_bytes);
-  CU_ASSERT_TRUE_FATAL (
-      netaddr_parse (str_from (edge->url + strlen ("http://")), &sin));
-  CU_ASSERT_EQUAL_FATAL (connect (c.fd, (struct sockaddr *)&sin, sizeof sin),
-                         0);
-  return c;
-}
-
-static void
-close_connection (struct connection *c)
-{
-  close (c->fd);
-  buf_free (&c->received);
-}
-
-static bool
-send_text (const struct connection *c, const char *text)
-{
-  const size_t len = strlen (text);
-
-  return send (c->fd, text, len, MSG_NOSIGNAL) == (ssize_t)len;
-}
-
-/* Returns false at the end of the connection. */
-static bool
-receive (struct connection *c)
-{
-  struct pollfd p = { .fd = c->fd, .events = POLLIN };
-  char bytes[16384];
-
-  if (poll (&p, 1, WAIT_MS) <= 0)
-    return false;
-  const ssize_t n = recv (c->fd, bytes, sizeof bytes, 0);
-  if (n > 0)
-    buf_append (&c->received, (struct str){ bytes, (size_t)n });
-  return n > 0;
-}
-
 /* ---- answers ---- */
 
-struct answer
-{
-  int status; /* 0 if the connection ended before a whole head */
-  bool whole;
-  bool retry_after;
-  bool closes;
-};
-
-/* Returns the value of a field of a head, or NULL. */
-static const char *
-field (const char *head, const char *name)
-{
-  const size_t len = strlen (name);
-
-  for (const char *line = strstr (head, "\r\n"); line;
-       line = strstr (line + 2, "\r\n"))
-    if (strncasecmp (line + 2, name, len) == 0)
-      return line + 2 + len;
-  return NULL;
-}
-
-/* Returns the length of a whole body in chunks, or 0. */
-static size_t
-chunked_length (struct str body)
-{
-  size_t at = 0;
-
-  for (;;)
-    {
-      const char *end = at < body.len
-                            ? memmem (body.data + at, body.len - at, "\r\n", 2)
-                            : NULL;
-
-      if (!end)
-        return 0;
-      const size_t size = strtoul (body.data + at, NULL, 16);
-      at = (size_t)(end - body.data) + 2 + size + 2;
-      if (at > body.len)
-        return 0;
-      if (size == 0)
-        return at;
-    }
-}
-
-/* Reads the head of the answer that the received bytes begin with. Returns the
-   length of the whole answer, or 0 if bytes are missing. */
-static size_t
-parse_answer (struct str bytes, struct answer *out)
-{
-  const char *end
-      = bytes.len > 0 ? memmem (bytes.data, bytes.len, "\r\n\r\n", 4) : NULL;
-
-  if (!end)
-    return 0;
-  const size_t head_len = (size_t)(end - bytes.data) + 4;
-  const struct str body = { bytes.data + head_len, bytes.len - head_len };
-  char *head = strndup (bytes.data, head_len);
-  const char *length = field (head, "Content-Length: ");
-  const char *connection = field (head, "Connection: ");
-  size_t n = 0;
-
-  out->status = (int)strtol (head + strlen ("HTTP/1.1 "), NULL, 10);
-  out->retry_after = field (head, "Retry-After: ") != NULL;
-  out->closes = connection && strncmp (connection, "close", 5) == 0;
-  if (length && strtoul (length, NULL, 10) <= body.len)
-    n = head_len + strtoul (length, NULL, 10);
-  else if (!length && chunked_length (body) > 0)
-    n = head_len + chunked_length (body);
-  free (head);
-  return n;
-}
-
-static struct answer
-read_answer (struct connection *c)
-{
-  struct answer a = { 0 };
-  size_t n;
-
-  while ((n = parse_answer (buf_str (&c->received), &a)) == 0)
-    if (!receive (c))
-      return a;
-  a.whole = true;
-  c->received.len -= n;
-  if (c->received.data)
-    memmove (c->received.data, c->received.data + n, c->received.len);
-  return a;
-}
-
 /* Returns true for the server's whole answer, or a refusal that says when to
    come back. */
 static bool
@@ -339,14 +189,14 @@
 {
   for (size_t i = 0; i < MOMENTS; i++)
     {
-      conns[i] = open_connection (s->edge, 0);
+      conns[i] = connection_open (s->edge, 0);
       if (moments[i].new_connection)
         continue;
-      CU_ASSERT_TRUE (send_text (&conns[i], GET ("id-before")));
-      CU_ASSERT_EQUAL (read_answer (&conns[i]).status, 200);
+      CU_ASSERT_TRUE (connection_send (&conns[i], GET ("id-before")));
+      CU_ASSERT_EQUAL (connection_read_answer (&conns[i]).status, 200);
     }
   for (size_t i = 0; i < MOMENTS; i++)
-    CU_ASSERT_TRUE (send_text (&conns[i], moments[i].first));
+    CU_ASSERT_TRUE (connection_send (&conns[i], moments[i].first));
   usleep (SETTLE_MS * 1000);
 }
 
@@ -354,7 +204,7 @@
 send_rest (const struct connection *conns)
 {
   for (size_t i = 0; i < MOMENTS; i++)
-    CU_ASSERT_TRUE (send_text (&conns[i], moments[i].rest));
+    CU_ASSERT_TRUE (connection_send (&conns[i], moments[i].rest));
 }
 
 /* Returns true if all requests were answered. The connection may end instead
@@ -366,7 +216,7 @@
 {
   for (int i = 0; i < m->answers; i++)
     {
-      const struct answer a = read_answer (conn);
+      const struct answer a = connection_read_answer (conn);
 
       if (!is_answered (&a))
         return false;
@@ -407,7 +257,7 @@
       if (!ok)
         fprintf (stderr, "%s%s: no whole answer\n", moments[i].name,
                  unread ? ", not read yet" : "");
-      close_connection (&conns[i]);
+      connection_close (&conns[i]);
     }
   edgecluster_destroy (&s.edges);
 }
@@ -452,17 +302,17 @@
 {
   struct conn_fixture s = start_conn_fixture (
       CLUSTER_FLAGS ("--body-kb", "3072", "--event-gap-ms", "1"), 15000);
-  struct connection c = open_connection (s.edge, SMALL_BUFFER_BYTES);
+  struct connection c = connection_open (s.edge, SMALL_BUFFER_BYTES);
 
-  CU_ASSERT_TRUE (send_text (&c, GET ("id-large")));
-  CU_ASSERT_TRUE (receive (&c));
+  CU_ASSERT_TRUE (connection_send (&c, GET ("id-large")));
+  CU_ASSERT_TRUE (connection_receive (&c));
   cluster_signal (s.edge, SIGTERM);
   usleep (LISTEN_MS * 1000);
 
-  const struct answer a = read_answer (&c);
+  const struct answer a = connection_read_answer (&c);
   CU_ASSERT_EQUAL (a.status, 200);
   CU_ASSERT_TRUE (a.whole);
-  close_connection (&c);
+  connection_close (&c);
   edgecluster_destroy (&s.edges);
 }
 
@@ -476,20 +326,20 @@
       CLUSTER_FLAGS ("--body-kb", "200", "--event-gap-ms", "1", "--delay-ms",
                      "1000"),
       15000);
-  struct connection c = open_connection (s.edge, SMALL_BUFFER_BYTES);
+  struct connection c = connection_open (s.edge, SMALL_BUFFER_BYTES);
 
-  CU_ASSERT_TRUE (send_text (&c, GET ("id-first")));
+  CU_ASSERT_TRUE (connection_send (&c, GET ("id-first")));
   usleep (SETTLE_MS * 1000);
-  CU_ASSERT_TRUE (send_text (&c, GET ("id-second")));
+  CU_ASSERT_TRUE (connection_send (&c, GET ("id-second")));
   cluster_signal (s.edge, SIGTERM);
-  CU_ASSERT_TRUE (receive (&c));
+  CU_ASSERT_TRUE (connection_receive (&c));
   usleep (LISTEN_MS * 1000);
 
-  const struct answer first = read_answer (&c);
-  const struct answer second = read_answer (&c);
+  const struct answer first = connection_read_answer (&c);
+  const struct answer second = connection_read_answer (&c);
   CU_ASSERT_TRUE (first.status == 200 && first.whole);
   CU_ASSERT_TRUE (second.status == 200 && second.whole && second.closes);
-  close_connection (&c);
+  connection_close (&c);
   edgecluster_destroy (&s.edges);
 }
 
@@ -512,16 +362,16 @@
 
   for (int i = 0; i < 3; i++)
     {
-      conns[i] = open_connection (s.edge, 0);
-      CU_ASSERT_TRUE (send_text (&conns[i], requests[i]));
+      conns[i] = connection_open (s.edge, 0);
+      CU_ASSERT_TRUE (connection_send (&conns[i], requests[i]));
     }
   for (int i = 0; i < 3; i++)
     {
-      const struct answer a = read_answer (&conns[i]);
+      const struct answer a = connection_read_answer (&conns[i]);
 
       CU_ASSERT_EQUAL (a.status, 200);
       CU_ASSERT_TRUE (a.whole);
-      close_connection (&conns[i]);
+      connection_close (&conns[i]);
     }
   edgecluster_destroy (&s.edges);
 }
@@ -550,25 +400,25 @@
 
   for (size_t i = 0; i < SLOW_REQUESTS; i++)
     {
-      conns[i] = open_connection (s.edge, 0);
-      CU_ASSERT_TRUE (send_text (&conns[i], GET ("id-before")));
-      CU_ASSERT_EQUAL (read_answer (&conns[i]).status, 200);
+      conns[i] = connection_open (s.edge, 0);
+      CU_ASSERT_TRUE (connection_send (&conns[i], GET ("id-before")));
+      CU_ASSERT_EQUAL (connection_read_answer (&conns[i]).status, 200);
     }
   for (int piece = 0; piece < 7; piece++)
     {
       usleep (PIECE_GAP_MS * 1000);
       for (size_t i = 0; i < SLOW_REQUESTS; i++)
-        send_text (&conns[i], slow_requests[i][piece]);
+        connection_send (&conns[i], slow_requests[i][piece]);
     }
   for (size_t i = 0; i < SLOW_REQUESTS; i++)
     {
-      const struct answer a = read_answer (&conns[i]);
+      const struct answer a = connection_read_answer (&conns[i]);
 
       CU_ASSERT_EQUAL (a.status, 200);
       CU_ASSERT_TRUE (a.whole);
       if (!a.whole)
         fprintf (stderr, "slow request %zu: no whole answer\n", i);
-      close_connection (&conns[i]);
+      connection_close (&conns[i]);
     }
   edgecluster_destroy (&s.edges);
 }
@@ -587,11 +437,11 @@
 
   for (int i = 0; i < 3; i++)
     {
-      struct connection c = open_connection (s.edge, 0);
+      struct connection c = connection_open (s.edge, 0);
 
-      CU_ASSERT_TRUE (send_text (&c, parts[i]));
-      CU_ASSERT_EQUAL (read_answer (&c).status, 0);
-      close_connection (&c);
+      CU_ASSERT_TRUE (connection_send (&c, parts[i]));
+      CU_ASSERT_EQUAL (connection_read_answer (&c).status, 0);
+      connection_close (&c);
     }
   CU_ASSERT_EQUAL (edgecluster_run_count (s.plain, "id-part"), 0);
   CU_ASSERT_TRUE (log_has (
