Refuse requests whose end is ambiguous

Cause: only the HTTP library decided where a request ends. It takes the first of two lengths, lets chunks override a length, reads 0x8c as the last chunk, and removes the fields from the list that the node sees. Ruled out: that pipelining explains it, since the same body with its one length arrives as a body; and that only lengths are concerned.

Change: framing.c reads the bytes of an HTTP/1.1 connection before the library does and finds the end of each request. A request that leaves a choice is malformed: 400, the connection is closed, nothing is run, also while the library would still wait for its body. A request runs only if the check has read it to its end, so that no later difference to the library matters. It is in httpd.c, so it holds for all ports of both profiles. Sound forms stay served: equal lengths, extensions, trailers, empty lines, heads with bare LF.

--- a/src/fieldline.c
+++ b/src/fieldline.c
@@ -21,14 +21,14 @@
   return s.len > 0;
 }
 
-static bool
-is_value_char (char c)
+bool
+fieldline_is_value_char (char c)
 {
   return c == '\t' || ((unsigned char)c >= ' ' && c != 0x7f);
 }
 
-static struct str
-without_line_end (struct str s)
+struct str
+fieldline_without_end (struct str s)
 {
   if (s.len > 0 && s.data[s.len - 1] == '\n')
     s.len--;
@@ -40,14 +40,14 @@
 bool
 fieldline_valid (struct str line)
 {
-  const struct str field = without_line_end (line);
+  const struct str field = fieldline_without_end (line);
   struct str value;
   const struct str name = str_split (field, ':', &value);
 
   if (name.len == field.len || !is_token (name))
     return false;
   for (size_t i = 0; i < value.len; i++)
-    if (!is_value_char (value.data[i]))
+    if (!fieldline_is_value_char (value.data[i]))
       return false;
   return true;
 }
--- a/src/fieldline.h
+++ b/src/fieldline.h
@@ -17,3 +17,8 @@
  * a length whose name ends with a blank.
  */
 bool fieldline_valid (struct str line);
+/** fieldline_without_end() - view of a line without LF or CR LF at its end. */
+struct str fieldline_without_end (struct str line);
+/** fieldline_is_value_char() - returns true if the character may stand in the
+ * value of a field: no control character but a tab. */
+bool fieldline_is_value_char (char c);
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -7,6 +7,7 @@
 
 #include "clock.h"
 #include "err.h"
+#include "framing.h"
 #include "log.h"
 #include "memaccount.h"
 #include "metrics.h"
@@ -38,6 +39,8 @@
 /* Retry-After of a request that is refused for lack of memory; bodies that
    take the memory are usually gone by then. */
 #define MEMORY_RETRY_AFTER "1"
+#define STATUS_BAD_REQUEST 400
+#define STATUS_UNAVAILABLE 503
 
 /**
  * struct client - connection of a client.
@@ -47,6 +50,8 @@
  * @memory: unfinished requests.
  * @http2_bytes: received bytes that belong to no whole request.
  * @requests: requests in progress.
+ * @framing: check of what was received on HTTP/1.1.
+ * @request_count: requests that h2o has read.
  * @idle: in the list of connections without a request in progress.
  * @unobserved: in the list of connections to observe once h2o reads again.
  * @input_bytes: received bytes of a request that was not complete at the last
@@ -70,6 +75,8 @@
   struct memholder memory;
   size_t http2_bytes;
   size_t requests;
+  struct framing framing;
+  size_t request_count;
   h2o_linklist_t idle;
   h2o_linklist_t unobserved;
   bool http2;
@@ -215,12 +222,9 @@
 }
 
 static void
-refuse_for_memory (h2o_req_t *req)
+send_unavailable (h2o_req_t *req)
 {
-  LOG_INFO ("request-refused", "reason=client-memory bytes=%zu held=%zu",
-            req->entity.len, memaccount_total (memaccount_clients ()));
-  count_limit ("body-refused");
-  req->res.status = 503;
+  req->res.status = STATUS_UNAVAILABLE;
   req->res.reason = "Service Unavailable";
   req->res.content_length = 0;
   h2o_add_header_by_str (&req->pool, &req->res.headers,
@@ -229,6 +233,51 @@
   h2o_send_inline (req, NULL, 0);
 }
 
+static void
+refuse_for_memory (h2o_req_t *req)
+{
+  LOG_INFO ("request-refused", "reason=client-memory bytes=%zu held=%zu",
+            req->entity.len, memaccount_total (memaccount_clients ()));
+  count_limit ("body-refused");
+  send_unavailable (req);
+}
+
+/* Returns true if the framing check has read the request to its end. It may
+   lag behind h2o without an error: libuv can poll more than once before
+   on_prepare() runs, and bytes that h2o reads with its own callbacks are not
+   checked. */
+static bool
+framing_checked (const struct client *c)
+{
+  return c->http2 || c->request_count <= c->framing.complete;
+}
+
+static void
+record_malformed (const struct client *c)
+{
+  LOG_INFO ("request-refused", "reason=malformed error=%s",
+            c->framing.error ? c->framing.error : "unchecked");
+  count_limit ("malformed-request");
+}
+
+/* Refuses a request that does not end where h2o takes it to end, and closes
+   the connection. */
+static void
+refuse_malformed (const struct client *c, h2o_req_t *req)
+{
+  record_malformed (c);
+  req->http1_is_persistent = 0;
+  if (!c->framing.error)
+    {
+      send_unavailable (req);
+      return;
+    }
+  req->res.status = STATUS_BAD_REQUEST;
+  req->res.reason = "Bad Request";
+  req->res.content_length = 0;
+  h2o_send_inline (req, NULL, 0);
+}
+
 static int
 on_request (h2o_handler_t *base, h2o_req_t *req)
 {
@@ -238,7 +287,13 @@
 
   c->http2 = req->version >= 0x200;
   c->active_ms = clock_ms ();
+  c->request_count++;
   track_request (c, req);
+  if (!framing_checked (c))
+    {
+      refuse_malformed (c, req);
+      return 0;
+    }
   if (lacks_memory (req))
     {
       refuse_for_memory (req);
@@ -263,6 +318,7 @@
   c->closed = true;
   c->httpd->client_count--;
   memaccount_release (memaccount_clients (), &c->memory);
+  framing_free (&c->framing);
   unlink_node (&c->idle);
   unlink_node (&c->unobserved);
   if (c->prev)
@@ -318,7 +374,33 @@
                        c->http2_bytes);
   else if (c->requests == 0)
     memaccount_charge (memaccount_clients (), &c->memory, class,
-                       c->sock->input->size);
+                       c->sock->input->size
+                           + framing_held_bytes (&c->framing));
+}
+
+/* Refuses a malformed request that h2o has not read to its end, and closes the
+   connection. */
+static void
+refuse_incomplete (struct client *c)
+{
+  static const char response[]
+      = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
+        "Content-Length: 0\r\n\r\n";
+  const uv_buf_t buf = uv_buf_init ((char *)response, sizeof response - 1);
+
+  record_malformed (c);
+  if (uv_try_write ((uv_stream_t *)&c->tcp, &buf, 1) != (int)buf.len)
+    LOG_DBG ("response-unsent", "reason=malformed");
+  close_client (c);
+}
+
+/* Returns true if h2o waits for more of a malformed request. It writes no
+   response then. */
+static bool
+awaits_malformed (const struct client *c)
+{
+  return !c->http2 && c->framing.error && c->requests == 0
+         && h2o_socket_is_reading (c->sock);
 }
 
 static void
@@ -343,14 +425,23 @@
      subtracted. */
   if (n > 0)
     c->http2_bytes += (size_t)n;
+  if (n > 0 && !c->http2)
+    framing_feed (&c->framing, (struct str){ buf->base, (size_t)n });
   c->read_cb (stream, n, buf);
   if (c->closed)
     return;
   c->http2 = c->http2
              || (h2o_socket_is_reading (c->sock)
                  && c->sock->_cb.read != c->http1_read);
-  if (!c->http2)
+  if (c->http2)
+    framing_free (&c->framing);
+  else
     c->http2_bytes = 0;
+  if (awaits_malformed (c))
+    {
+      refuse_incomplete (c);
+      return;
+    }
   charge_input (c);
   observe (c);
   memaccount_enforce (memaccount_clients ());
@@ -390,6 +481,11 @@
       struct client *c = H2O_STRUCT_FROM_MEMBER (struct client, unobserved, i);
 
       next = i->next;
+      if (awaits_malformed (c))
+        {
+          refuse_incomplete (c);
+          continue;
+        }
       charge_input (c);
       observe (c);
     }
--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -4,6 +4,7 @@
 #include <jansson.h>
 
 #include "edge/digest.h"
+#include "framing.h"
 #include "platform/callheaders.h"
 #include "platform/routingcodec.h"
 #include "platform/servercodec.h"
@@ -155,10 +156,27 @@
   xdr_free ((xdrproc_t)xdr_datagram, (char *)&d);
 }
 
-static void (*const parsers[]) (struct str in) = {
-  fuzz_events, fuzz_routing, fuzz_entry,
-  fuzz_report, fuzz_headers, fuzz_datagram,
-};
+/* ---- requests of clients ---- */
+
+/* Aborts if what is found depends on the pieces that the bytes come in. */
+static void
+fuzz_framing (struct str in)
+{
+  struct framing whole = { 0 };
+  struct framing bytes = { 0 };
+
+  framing_feed (&whole, in);
+  for (size_t i = 0; i < in.len; i++)
+    framing_feed (&bytes, (struct str){ in.data + i, 1 });
+  if (whole.complete != bytes.complete || !whole.error != !bytes.error)
+    abort ();
+  framing_free (&whole);
+  framing_free (&bytes);
+}
+
+static void (*const parsers[]) (struct str in)
+    = { fuzz_events,  fuzz_routing,  fuzz_entry,  fuzz_report,
+        fuzz_headers, fuzz_datagram, fuzz_framing };
 #define PARSERS (sizeof parsers / sizeof *parsers)
 
 int
