Refuse responses whose transfer coding is ambiguous

The call goes to another server, is resumed there, or gets 502.

Test: five new heads in httpfaults / malformed head; all five gave 0 before and give -EPROTO now, and a response with one chunked coding is still taken.

--- a/src/http.c
+++ b/src/http.c
@@ -290,19 +290,29 @@
   return CURL_PREREQFUNC_ABORT;
 }
 
+/* Returns the field of the head with the index among those of its name; NULL
+   if there is none. */
+static const struct curl_header *
+nth_field (const struct http_call *c, const char *name, size_t i)
+{
+  struct curl_header *field;
+
+  return curl_easy_header (c->easy, name, i, CURLH_HEADER, -1, &field)
+                 == CURLHE_OK
+             ? field
+             : NULL;
+}
+
 /* Returns false if a length is no number or differs from another one, so that
    readers may differ in where the body ends. */
 static bool
 lengths_agree (const struct http_call *c)
 {
-  struct curl_header *field;
+  const struct curl_header *field;
   uint64_t bytes;
   uint64_t first = 0;
 
-  for (size_t i = 0; curl_easy_header (c->easy, "Content-Length", i,
-                                       CURLH_HEADER, -1, &field)
-                     == CURLHE_OK;
-       i++)
+  for (size_t i = 0; (field = nth_field (c, "Content-Length", i)); i++)
     {
       if (!str_u64 (str_from (field->value), &bytes))
         return false;
@@ -313,6 +323,19 @@
   return true;
 }
 
+/* Returns false if the head has a transfer coding beside a length or another
+   coding, or one other than chunks, so that readers may differ likewise. */
+static bool
+coding_is_clear (const struct http_call *c)
+{
+  const struct curl_header *coding = nth_field (c, "Transfer-Encoding", 0);
+
+  return !coding
+         || (str_eq_nocase (str_from (coding->value), STR ("chunked"))
+             && !nth_field (c, "Transfer-Encoding", 1)
+             && !nth_field (c, "Content-Length", 0));
+}
+
 /* Runs at the empty line that ends a head; interim 1xx heads are skipped.
    Returns false if the head is malformed. */
 static bool
@@ -321,7 +344,7 @@
   c->status_line_done = false;
   if (status_of (c) < STATUS_FINAL_MIN)
     return true;
-  if (!lengths_agree (c))
+  if (!lengths_agree (c) || !coding_is_clear (c))
     return false;
   c->head_done = true;
   keepalive_learn (c->http->keepalive, c->peer, http_header (c, "Keep-Alive"));
@@ -838,12 +861,9 @@
 struct str
 http_header (const struct http_call *c, const char *name)
 {
-  struct curl_header *header;
+  const struct curl_header *field = nth_field (c, name, 0);
 
-  if (curl_easy_header (c->easy, name, 0, CURLH_HEADER, -1, &header)
-      != CURLHE_OK)
-    return (struct str){ 0 };
-  return str_from (header->value);
+  return field ? str_from (field->value) : (struct str){ 0 };
 }
 
 size_t
--- a/tests/test_httpfaults.c
+++ b/tests/test_httpfaults.c
@@ -508,6 +508,8 @@
 {
 #define LENGTH "Content-Length: 2\r\n"
 #define BODY "\r\n{}"
+#define CODING "Transfer-Encoding: chunked\r\n"
+#define CHUNKS "\r\n2\r\n{}\r\n0\r\n\r\n"
   static const struct
   {
     const char *text;
@@ -539,6 +541,12 @@
     { STATUS_LINE "Content-Length:\r\n" BODY, -EIO },
     { STATUS_LINE "Content-Length: -2\r\n" BODY, -EIO },
     { STATUS_LINE LENGTH "content-length: 2\r\n" BODY, 0 },
+    { STATUS_LINE LENGTH CODING CHUNKS, -EPROTO },
+    { STATUS_LINE CODING LENGTH CHUNKS, -EPROTO },
+    { STATUS_LINE CODING CODING CHUNKS, -EPROTO },
+    { STATUS_LINE "Transfer-Encoding: identity\r\n" BODY, -EPROTO },
+    { STATUS_LINE "Transfer-Encoding: gzip, chunked\r\n" CHUNKS, -EPROTO },
+    { STATUS_LINE "transfer-encoding:Chunked \r\n" CHUNKS, 0 },
     { STATUS_LINE "X-Odd: 1\rX-More: 2\r\n" LENGTH BODY, -EPROTO },
     { "HTTP/1.1 100 Continue\r\nX Odd: 1\r\n\r\n" STATUS_LINE LENGTH BODY,
       -EPROTO },
