Refuse responses whose status line is malformed

But HTTP/2 000 on a connection that stays open held a call that must run at most once until its timeout, 504 after 5 s; and HTTP/2 200, http/1.1 200, HTTP/1.1 200OK and one with two blanks were passed on as successes.

Cause: the status line was left to libcurl, which checks three digits only behind two versions, and a status below 200 counted as interim.

Change: the HTTP client checks the line as it does those behind it. The call goes to another server, is resumed there, or gets 502 at once.

--- a/src/fieldline.c
+++ b/src/fieldline.c
@@ -3,6 +3,9 @@
 #include <ctype.h>
 #include <string.h>
 
+#define STATUS_DIGITS 3
+#define STATUS_MIN 100
+
 static bool
 is_token_char (char c)
 {
@@ -51,3 +54,20 @@
       return false;
   return true;
 }
+
+bool
+fieldline_status_valid (struct str line)
+{
+  static const struct str version = { "HTTP/1.", 7 };
+  struct str rest;
+  struct str reason;
+  const struct str protocol
+      = str_split (fieldline_without_end (line), ' ', &rest);
+  const struct str status = str_split (rest, ' ', &reason);
+  uint64_t code;
+
+  return protocol.len == version.len + 1 && str_starts (protocol, version)
+         && isdigit ((unsigned char)protocol.data[version.len])
+         && status.len == STATUS_DIGITS && str_u64 (status, &code)
+         && code >= STATUS_MIN;
+}
--- a/src/fieldline.h
+++ b/src/fieldline.h
@@ -4,7 +4,7 @@
 
 #include "str.h"
 
-/* Syntax of header lines in HTTP/1.1 messages. */
+/* Syntax of the lines of heads in HTTP/1.1 messages. */
 
 /**
  * fieldline_valid() - check a line of a head that is neither its first line
@@ -17,6 +17,15 @@
  * a length whose name ends with a blank.
  */
 bool fieldline_valid (struct str line);
+/**
+ * fieldline_status_valid() - check the first line of a response.
+ * @line: with or without its line end.
+ *
+ * Returns true if the line has a version of HTTP/1, a blank and a status of
+ * three digits that is at least 100 (RFC 9112, section 4). A reason is
+ * optional.
+ */
+bool fieldline_status_valid (struct str line);
 /** fieldline_without_end() - view of a line without LF or CR LF at its end. */
 struct str fieldline_without_end (struct str line);
 /** fieldline_is_value_char() - returns true if the character may stand in the
--- a/src/http.c
+++ b/src/http.c
@@ -367,9 +367,8 @@
     return end_head (c);
   if (c->status_line_done)
     return fieldline_valid (line);
-  /* libcurl has checked the status line. */
   c->status_line_done = true;
-  return true;
+  return fieldline_status_valid (line);
 }
 
 static size_t
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -16,6 +16,7 @@
 #define ADAPTER_LOAD_MS 6
 #define MODELS_MAX 32
 #define SEAL "s.1"
+#define STATUS_LINE_OK "HTTP/1.1 200 OK"
 
 struct options
 {
@@ -301,16 +302,24 @@
 static const struct odd_head
 {
   const char *fault_name;
-  const char *status;
+  const char *status_line;
   const char *field;
   bool leave_open;
 } odd_heads[] = {
-  { "status-000", "000 OK", "", false },
-  { "status-000-open", "000 OK", "", true },
-  { "name-blank", "200 OK", "X Odd: 1\r\n", false },
-  { "name-blank-end", "200 OK", "X-Odd : 1\r\n", false },
-  { "name-control", "200 OK", "X\x01Odd: 1\r\n", false },
-  { "chunked-blank", "200 OK", "Transfer-Encoding : chunked\r\n", false },
+  { "status-000", "HTTP/1.1 000 OK", "", false },
+  { "status-000-open", "HTTP/1.1 000 OK", "", true },
+  { "status-000-length", "HTTP/1.1 000 OK", "Content-Length: 12\r\n", true },
+  { "status-000-http2", "HTTP/2 000 OK", "", false },
+  { "status-000-http2-length", "HTTP/2 000 OK", "Content-Length: 12\r\n",
+    true },
+  { "status-000-http2-open", "HTTP/2 000 OK", "", true },
+  { "status-http2", "HTTP/2 200 OK", "", false },
+  { "status-unseparated", "HTTP/1.1 200OK", "", false },
+  { "name-blank", STATUS_LINE_OK, "X Odd: 1\r\n", false },
+  { "name-blank-end", STATUS_LINE_OK, "X-Odd : 1\r\n", false },
+  { "name-control", STATUS_LINE_OK, "X\x01Odd: 1\r\n", false },
+  { "chunked-blank", STATUS_LINE_OK, "Transfer-Encoding : chunked\r\n",
+    false },
 };
 #define ODD_HEADS (sizeof odd_heads / sizeof *odd_heads)
 
@@ -329,11 +338,12 @@
 answer_odd_head (h2o_req_t *req, const struct odd_head *head)
 {
   char id[64];
-  struct str text = str_printf (
-      "HTTP/1.1 %s\r\nX-Galenagate-Attempt-Id: %s\r\n"
-      "X-Galenagate-Server-Seal: " SEAL "\r\n%s\r\n"
-      "2\r\nok\r\n0\r\n\r\n",
-      head->status, response_attempt_id (req, id, sizeof id), head->field);
+  struct str text
+      = str_printf ("%s\r\nX-Galenagate-Attempt-Id: %s\r\n"
+                    "X-Galenagate-Server-Seal: " SEAL "\r\n%s\r\n"
+                    "2\r\nok\r\n0\r\n\r\n",
+                    head->status_line,
+                    response_attempt_id (req, id, sizeof id), head->field);
 
   send_raw_text (req, text.data);
   str_free (&text);
@@ -576,11 +586,11 @@
   uint64_t last = 0;
   char id[64];
   struct str head = str_printf (
-      "HTTP/1.1 %s\r\nX-Galenagate-Attempt-Id: %s\r\n"
+      "%s\r\nX-Galenagate-Attempt-Id: %s\r\n"
       "X-Galenagate-Server-Seal: " SEAL "\r\n"
       "Content-Type: text/event-stream\r\n%s%s%s\r\n",
-      odd ? odd->status : "200 OK", response_attempt_id (req, id, sizeof id),
-      odd ? odd->field : "",
+      odd ? odd->status_line : STATUS_LINE_OK,
+      response_attempt_id (req, id, sizeof id), odd ? odd->field : "",
       has_fault ("leaving") ? "Server-Leaving: 1\r\n" : "",
       is_unframed () ? "" : "Transfer-Encoding: chunked\r\n");
 
