--- a/src/edge/quarantine.h
+++ b/src/edge/quarantine.h
@@ -11,11 +11,9 @@
    any node, and they would crash one server after the other. Pure.
 
    A request whose attempt breaks off or is cancelled is a suspect, and so are
-   the parts of its prompt (see edge/promptparts.h). Suspects are confirmed
-   when the server refuses connections or has started again, which may become
-   known before or after the break. Nodes report the confirmed crashes to each
-   other.
- */
+   the parts of its prompt (edge/promptparts.h). Suspects are confirmed when
+   the server refuses connections or has started again, which may become known
+   before or after the break. Nodes tell each other of confirmed crashes. */
 
 struct quarantine;
 
