Check the whole first response in the test of resume

The test now checks the whole response as it does for the others, which prints status, error and body of one that is not. It asks for two tokens, because the second is the one that names the prompt.

--- a/tests/e2e_resume.c
+++ b/tests/e2e_resume.c
@@ -158,8 +158,8 @@
   if (fleet_start (&fleet, &options))
     {
       struct cluster_reply r
-          = cluster_http_wait (start_stream (first, "warm", 1));
-      CU_ASSERT_EQUAL (r.status, 200);
+          = cluster_http_wait (start_stream (first, "warm", 2));
+      check_stream (&r, "warm", 3);
       cluster_reply_free (&r);
       for (size_t i = 0; i < STREAMS; i++)
         calls[i]
