Call a scheduler again that did not answer for a moment

What callers saw: after the nodes were paused for some seconds, a request that waited for a load at another node got 504 at its deadline, although that node answered all others.

Cause: after 3 s of silence both ends close their connection. The entry then calls the next node of the order, is told the scheduler, ignores that because the scheduler's call has failed, and calls the same node again every 100 ms until the deadline or a change of the member view.

Change: a node whose call failed is left out for 1 s; if others name it after that, the current owner is looked up and called again.

--- a/src/scheduler_client.c
+++ b/src/scheduler_client.c
@@ -17,6 +17,9 @@
    its deadline at the latest. */
 #define REPLY_MARGIN_MS 500
 #define RETRY_DELAY_MS 100
+/* Time for which a node whose call failed is not called again if others name
+   it. */
+#define UNREACHABLE_MS 1000
 #define HINTS_MAX 4
 
 /** struct grant_query - a request of this node for a grant.
@@ -24,7 +27,9 @@
  * @hints_followed: hints followed since the last delay or unreachable node.
  * @retry_at_ms: when to try the next node; 0 while a call is in flight.
  * @node: address of the last node that was called.
- * @unreachable_node: address of the last node whose call failed.
+ * @unreachable_node: address of the last node whose call failed, until it is
+ *   called again.
+ * @unreachable_until_ms: when it may be called again.
  */
 struct grant_query
 {
@@ -37,6 +42,7 @@
   uint64_t retry_at_ms;
   struct str node;
   struct str unreachable_node;
+  uint64_t unreachable_until_ms;
   bus_reply_fn fn;
   void *ctx;
   struct grant_query *prev;
@@ -130,10 +136,19 @@
   q->retry_at_ms = clock_ms () + RETRY_DELAY_MS;
 }
 
+static void
+mark_unreachable (struct grant_query *q)
+{
+  str_free (&q->unreachable_node);
+  q->unreachable_node = str_dup (q->node);
+  q->unreachable_until_ms = clock_ms () + UNREACHABLE_MS;
+}
+
 static void
 follow_hint (struct grant_query *q, struct str hint)
 {
   const bool unusable = hint.len == 0 || str_eq (hint, q->unreachable_node);
+  const uint64_t now_ms = clock_ms ();
 
   if (!unusable && q->hints_followed++ < HINTS_MAX)
     {
@@ -143,7 +158,13 @@
   /* The nodes' member views differ for a moment, or the owner has died and is
      not yet suspected by the node that gave the hint. */
   q->hints_followed = 0;
-  q->retry_at_ms = clock_ms () + RETRY_DELAY_MS;
+  q->retry_at_ms = now_ms + RETRY_DELAY_MS;
+  if (q->unreachable_node.len == 0 || now_ms < q->unreachable_until_ms)
+    return;
+  /* Or the owner lives and only its connection was closed, because one of the
+     two processes was paused. */
+  str_free (&q->unreachable_node);
+  q->rank = 0;
 }
 
 static void
@@ -161,8 +182,7 @@
     follow_hint (q, hint);
   else
     {
-      str_free (&q->unreachable_node);
-      q->unreachable_node = str_dup (q->node);
+      mark_unreachable (q);
       q->rank++;
       q->hints_followed = 0;
       query_next_node (q);
--- a/tests/e2e_faults.c
+++ b/tests/e2e_faults.c
@@ -257,6 +257,52 @@
                             "tests/lists/small/uses-unfenced.json", true);
 }
 
+/* ---- nodes that are paused at the same time ---- */
+
+static const char *const slow_engine[]
+    = { "--memory",   "100", "--slots",  "4",  "--load-ms", "1500",
+        "--token-ms", "5",   "--tokens", "12", NULL };
+/* Longer than the silence after which nodes close their connections to each
+   other. */
+#define SILENCE_US 4000000
+
+/* Pauses all nodes while each has a request that waits for the same load. */
+static void
+pause_nodes_while_loading (void)
+{
+  struct cluster_request *calls[FLEET_NODES];
+
+  for (size_t i = 0; i < FLEET_NODES; i++)
+    calls[i] = fleet_chat_start (fleet.nodes[i], "lm-1", "paused", false);
+  CU_ASSERT_TRUE (cluster_poll_until (load_started, NULL, FLEET_CALL_MS));
+  for (size_t i = 0; i < FLEET_NODES; i++)
+    cluster_signal (fleet.nodes[i], SIGSTOP);
+  usleep (SILENCE_US);
+  for (size_t i = 0; i < FLEET_NODES; i++)
+    cluster_signal (fleet.nodes[i], SIGCONT);
+  for (size_t i = 0; i < FLEET_NODES; i++)
+    {
+      struct cluster_reply r = cluster_http_wait (calls[i]);
+
+      CU_ASSERT_TRUE (fleet_reply_complete (&r, "paused"));
+      cluster_reply_free (&r);
+    }
+  fleet_check_limits (&fleet);
+}
+
+/* Guards against a request that waits until its deadline because the scheduler
+   did not answer for a moment: it was called no more, and the other nodes only
+   named it. */
+static void
+test_nodes_paused (void)
+{
+  static const struct fleet_options options = { .engine_flags = slow_engine };
+
+  if (fleet_start (&fleet, &options))
+    pause_nodes_while_loading ();
+  fleet_stop (&fleet);
+}
+
 /* ---- store outage, leaving targets, shutdown ---- */
 
 /* Guards against requests for loaded models that fail while the store is down,
@@ -372,6 +418,7 @@
   { "owner paused while loading", test_owner_paused },
   { "owner killed, engines without fencing", test_owner_killed_unfenced },
   { "owner paused, engines without fencing", test_owner_paused_unfenced },
+  { "nodes paused together", test_nodes_paused },
   { "store outage", test_store_outage },
   { "leaving target", test_leaving_target },
   { "rolling restart", test_rolling_restart },
