Let waiting requests call again after a pause of their scheduler

What callers saw: after a node was paused for more than 2.5 s, requests that waited at its scheduler got 503 "the scheduler is leaving", its own ones and those of nodes whose connection had not closed yet. It did not leave.

Cause: after a pause the scheduler refuses what waits, because its entries turn to other nodes after 3 s of silence. Its own requests can't, and other entries do not if they were paused as well or the pause was shorter. The log shows process-paused and grant-refused reason=draining in the same millisecond.

Change: such requests are answered like calls that arrive right after a pause, so that an entry that still waits calls again. A node that leaves refuses as before.

Test: e2e faults / scheduler paused.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -82,8 +82,9 @@
 /* After a pause of the process, the entries have closed their connections as
    silent and have sent their requests to other nodes, both those that wait
    here and those that are still in the receive buffers. A grant for them would
-   reach no one and occupy its slot, so waiting requests are refused and calls
-   are rejected for STALE_AFTER_PAUSE_MS. */
+   reach no one and occupy its slot, so waiting requests are given back and
+   calls are rejected for STALE_AFTER_PAUSE_MS. Callers that still wait, for
+   example because they were paused too, call again. */
 static void
 handle_pause (struct scheduler *s)
 {
--- a/src/scheduler_unit.c
+++ b/src/scheduler_unit.c
@@ -263,8 +263,8 @@
   str_free (&id);
 }
 
-/* Redirects the caller to the current owner; returns false if that is this
-   node or none is known. */
+/* Redirects the caller to the current owner, or lets it call again if this
+   node was only paused. Returns false if no node schedules the request. */
 static bool
 redirect_to_owner (struct scheduler *s, struct grant_call *c)
 {
@@ -272,11 +272,12 @@
   const struct member_info *owner = scheduler_owner (s, &key);
   const struct str self = kernel_settings (s->kernel)->bus_addr;
   const bool other = owner && !str_eq (owner->addr, self);
+  const bool paused = c->unit->owned && !s->draining;
 
-  if (other)
-    bus_fail (c->req, -ESTALE, owner->addr);
+  if (other || paused)
+    bus_fail (c->req, -ESTALE, other ? owner->addr : (struct str){ 0 });
   str_free (&key.key);
-  return other;
+  return other || paused;
 }
 
 static void
--- a/tests/e2e_faults.c
+++ b/tests/e2e_faults.c
@@ -303,6 +303,26 @@
   fleet_stop (&fleet);
 }
 
+/* Longer than the interval at which a scheduler checks whether it was paused.
+ */
+#define SCHEDULER_AGE_US 2000000
+
+/* Guards against a request that is refused although it can be served, because
+   the node that schedules it was paused and its entry did not close the
+   connection. */
+static void
+test_scheduler_paused (void)
+{
+  static const struct fleet_options options = { .engine_flags = slow_engine };
+
+  if (fleet_start (&fleet, &options))
+    {
+      usleep (SCHEDULER_AGE_US);
+      pause_nodes_while_loading ();
+    }
+  fleet_stop (&fleet);
+}
+
 /* ---- store outage, leaving targets, shutdown ---- */
 
 /* Guards against requests for loaded models that fail while the store is down,
@@ -419,6 +439,7 @@
   { "owner killed, engines without fencing", test_owner_killed_unfenced },
   { "owner paused, engines without fencing", test_owner_paused_unfenced },
   { "nodes paused together", test_nodes_paused },
+  { "scheduler paused", test_scheduler_paused },
   { "store outage", test_store_outage },
   { "leaving target", test_leaving_target },
   { "rolling restart", test_rolling_restart },
