Check requests that ask for HTTP/2 before they are run

What callers saw: a malformed request that also has Upgrade: h2c is answered 101 and run, although the same request without it gets 400 since. Five of five: two lengths, a length beside chunks, two codings, a continued line, and the last one behind a sound request.

Cause: the HTTP library reads such a request as one of HTTP/1.1 and hands it over as one of HTTP/2, and these counted as checked. The check had found the error, and nobody asked it.

Change: the first request of a connection is checked whatever its version is, unless the connection began HTTP/2 by its preface. Beyond that, the library receives only what precedes the first malformed line, so it never gets the end of a malformed request, and all of them are refused in one way.

--- a/src/framing.c
+++ b/src/framing.c
@@ -10,6 +10,7 @@
 /* Sizes of chunks stay below 2^60. */
 #define CHUNK_DIGITS_MAX 15
 #define CRLF STR ("\r\n")
+#define HTTP2_PREFACE_LINE STR ("PRI * HTTP/2.0\r\n")
 
 static void
 fail (struct framing *f, const char *error)
@@ -36,6 +37,11 @@
   /* Empty lines may precede a request. */
   if (text.len == 0)
     return;
+  if (str_eq (line, HTTP2_PREFACE_LINE))
+    {
+      f->state = FRAMING_HTTP2;
+      return;
+    }
   f->state = FRAMING_FIELDS;
   f->lengths = 0;
   f->codings = 0;
@@ -223,6 +229,7 @@
       break;
     case FRAMING_BODY:
     case FRAMING_CHUNK:
+    case FRAMING_HTTP2:
       break;
     }
 }
@@ -275,18 +282,23 @@
   return n;
 }
 
-void
+size_t
 framing_feed (struct framing *f, struct str bytes)
 {
   struct str in = bytes;
 
-  while (in.len > 0 && !f->error)
+  if (f->error)
+    return 0;
+  while (in.len > 0 && f->state != FRAMING_HTTP2)
     {
       const size_t n
           = f->data_left > 0 ? take_data (f, in.len) : take_line (f, in);
 
+      if (f->error)
+        return bytes.len - in.len;
       in = (struct str){ in.data + n, in.len - n };
     }
+  return bytes.len;
 }
 
 size_t
--- a/src/framing.h
+++ b/src/framing.h
@@ -25,6 +25,7 @@
   FRAMING_CHUNK,
   FRAMING_CHUNK_END, /* the line end behind the data of a chunk */
   FRAMING_TRAILERS,
+  FRAMING_HTTP2, /* behind the line that begins HTTP/2; not checked */
 };
 
 /**
@@ -56,9 +57,9 @@
   bool old_version;
 };
 
-/** framing_feed() - read the next bytes of the connection. Does nothing after
- * an error. */
-void framing_feed (struct framing *framing, struct str bytes);
+/** framing_feed() - read the next bytes of the connection. Returns the number
+ * of bytes before the line that is malformed, or all; 0 after an error. */
+size_t framing_feed (struct framing *framing, struct str bytes);
 /** framing_held_bytes() - memory that the check holds. */
 size_t framing_held_bytes (const struct framing *framing);
 void framing_free (struct framing *framing);
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -39,7 +39,6 @@
 /* Retry-After of a request that is refused for lack of memory; bodies that
    take the memory are usually gone by then. */
 #define MEMORY_RETRY_AFTER "1"
-#define STATUS_BAD_REQUEST 400
 #define STATUS_UNAVAILABLE 503
 
 /**
@@ -247,9 +246,13 @@
    on_prepare() runs, and bytes that h2o reads with its own callbacks are not
    checked. */
 static bool
-framing_checked (const struct client *c)
+framing_checked (const struct client *c, const h2o_req_t *req)
 {
-  return c->http2 || c->request_count <= c->framing.complete;
+  const bool http2_begun
+      = c->http2
+        || (c->framing.state == FRAMING_HTTP2 && req->version >= 0x200);
+
+  return http2_begun || c->request_count <= c->framing.complete;
 }
 
 static void
@@ -260,22 +263,12 @@
   count_limit ("malformed-request");
 }
 
-/* Refuses a request that does not end where h2o takes it to end, and closes
-   the connection. */
 static void
-refuse_malformed (const struct client *c, h2o_req_t *req)
+refuse_unchecked (const struct client *c, h2o_req_t *req)
 {
   record_malformed (c);
   req->http1_is_persistent = 0;
-  if (!c->framing.error)
-    {
-      send_unavailable (req);
-      return;
-    }
-  req->res.status = STATUS_BAD_REQUEST;
-  req->res.reason = "Bad Request";
-  req->res.content_length = 0;
-  h2o_send_inline (req, NULL, 0);
+  send_unavailable (req);
 }
 
 static int
@@ -285,13 +278,16 @@
   struct client *c
       = req->conn->callbacks->get_socket (req->conn)->on_close.data;
 
-  c->http2 = req->version >= 0x200;
   c->active_ms = clock_ms ();
   c->request_count++;
+  /* A request that asks to continue in HTTP/2 was received as one of HTTP/1.1,
+     and is checked as such. */
+  const bool checked = framing_checked (c, req);
+  c->http2 = req->version >= 0x200;
   track_request (c, req);
-  if (!framing_checked (c))
+  if (!checked)
     {
-      refuse_malformed (c, req);
+      refuse_unchecked (c, req);
       return 0;
     }
   if (lacks_memory (req))
@@ -378,10 +374,10 @@
                            + framing_held_bytes (&c->framing));
 }
 
-/* Refuses a malformed request that h2o has not read to its end, and closes the
-   connection. */
+/* Refuses a malformed request, of which h2o has not received the end, and
+   closes the connection. */
 static void
-refuse_incomplete (struct client *c)
+refuse_malformed (struct client *c)
 {
   static const char response[]
       = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
@@ -413,11 +409,13 @@
     buf->len = READ_MAX_BYTES;
 }
 
-/* Lets h2o process what was received, then counts what it still holds. */
+/* Lets h2o process what was received up to a malformed line, then counts what
+   it still holds. */
 static void
 on_client_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
   struct client *c = (struct client *)stream;
+  ssize_t sound = n;
 
   if (n > 0 && h2o_linklist_is_linked (&c->idle))
     move_to_front (&c->httpd->idle, &c->idle);
@@ -426,8 +424,10 @@
   if (n > 0)
     c->http2_bytes += (size_t)n;
   if (n > 0 && !c->http2)
-    framing_feed (&c->framing, (struct str){ buf->base, (size_t)n });
-  c->read_cb (stream, n, buf);
+    sound = (ssize_t)framing_feed (&c->framing,
+                                   (struct str){ buf->base, (size_t)n });
+  if (n <= 0 || sound > 0)
+    c->read_cb (stream, sound, buf);
   if (c->closed)
     return;
   c->http2 = c->http2
@@ -439,7 +439,7 @@
     c->http2_bytes = 0;
   if (awaits_malformed (c))
     {
-      refuse_incomplete (c);
+      refuse_malformed (c);
       return;
     }
   charge_input (c);
@@ -483,7 +483,7 @@
       next = i->next;
       if (awaits_malformed (c))
         {
-          refuse_incomplete (c);
+          refuse_malformed (c);
           continue;
         }
       charge_input (c);
--- a/tests/test_framing.c
+++ b/tests/test_framing.c
@@ -82,6 +82,7 @@
   { CHUNKED "3\r\nabc\n0\r\n\r\n", 0, "chunk-end" },
   { CHUNKED "0\r\nbad trailer\r\n\r\n", 0, "trailer" },
   { CHUNKED "0\r\n X: 1\r\n\r\n", 0, "trailer" },
+  { GET "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n bytes", 1, NULL },
 };
 
 static bool
@@ -124,6 +125,30 @@
       check_pieces (&streams[i], first);
 }
 
+/* Guards against a malformed line, or what follows it, that the HTTP library
+   receives as well. */
+static void
+test_sound_part (void)
+{
+  for (size_t i = 0; i < sizeof streams / sizeof *streams; i++)
+    {
+      const struct str text = str_from (streams[i].text);
+      struct framing f = { 0 };
+      struct framing part = { 0 };
+      const size_t sound = framing_feed (&f, text);
+
+      CU_ASSERT_EQUAL (framing_feed (&part, (struct str){ text.data, sound }),
+                       sound);
+      CU_ASSERT_EQUAL (part.complete, f.complete);
+      CU_ASSERT_PTR_NULL (part.error);
+      CU_ASSERT_EQUAL (sound < text.len, f.error != NULL);
+      if (f.error)
+        CU_ASSERT_EQUAL (framing_feed (&f, text), 0);
+      framing_free (&f);
+      framing_free (&part);
+    }
+}
+
 #define LONG_BYTES ((size_t)1024 * 1024)
 
 /* Guards against memory that grows with a line that does not end. */
@@ -150,6 +175,7 @@
 
 static const struct suite_case cases[] = {
   { "streams", test_streams },
+  { "sound part", test_sound_part },
   { "endless lines", test_endless_lines },
 };
 TEST_SUITE ("framing", cases)
