Keep requests of nodes that the member view does not list yet

What callers saw: nothing that was reported. A request that waits for a load at the scheduler of another node is refused with 503 "the entry is gone" when that node's member view changes before it lists the entry, which has just started.

Cause: at each change the scheduler drops what entries wait for that the view does not list with the same start, also those that it has never listed.

Change: an entry is lost if the view listed its start and does so no more, or does not list it within 10 s. A call of a later start of the same node ends the earlier one. The calls that a test sends to a node's bus are in a module of their own now, tests/cluster_rpc.

Test: e2e faults / unlisted entry.

--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -20,6 +20,8 @@
    connection. */
 #define PAUSE_THRESHOLD_MS 2500
 #define STALE_AFTER_PAUSE_MS 300
+/* Time within which the member view lists a node that has joined. */
+#define ENTRY_UNLISTED_MS 10000
 #define FINGERPRINTS_MAX 65536
 /* An idle unit without targets, requests and grants is kept for this long. */
 #define UNIT_IDLE_MS (60 * 1000)
@@ -105,6 +107,29 @@
     }
 }
 
+static void
+drop_lost_entry (struct scheduler *s, struct entry_node *e)
+{
+  LOG_INFO ("entry-lost", "addr=" STR_FMT " instance=%lu", STR_ARG (e->addr),
+            e->instance);
+  for (struct unit *u = s->units; u; u = u->hh.next)
+    {
+      sched_entry_lost (u->sched, e->addr, clock_ms ());
+      unit_run_actions (s, u);
+    }
+  HASH_DEL (s->entries, e);
+  str_free (&e->addr);
+  free (e);
+}
+
+static bool
+is_listed (const struct member_view *view, const struct entry_node *e)
+{
+  const struct member_info *m = member_find (view, e->addr);
+
+  return m && m->instance == e->instance;
+}
+
 static struct str
 record_entry (struct scheduler *s, const node_id *id)
 {
@@ -112,13 +137,21 @@
   struct entry_node *e;
 
   HASH_FIND (hh, s->entries, addr.data, addr.len, e);
+  if (e && id->instance > e->instance)
+    {
+      /* It was restarted. */
+      drop_lost_entry (s, e);
+      e = NULL;
+    }
   if (!e)
     {
       e = xcalloc (1, sizeof *e);
       e->addr = str_dup (addr);
+      e->instance = id->instance;
+      e->listed = is_listed (kernel_latest (s->kernel, TOPIC_MEMBERS), e);
+      e->unlisted_until_ms = clock_ms () + ENTRY_UNLISTED_MS;
       HASH_ADD_KEYPTR (hh, s->entries, e->addr.data, addr.len, e);
     }
-  e->instance = id->instance;
   return e->addr;
 }
 
@@ -285,21 +318,6 @@
     }
 }
 
-static void
-drop_lost_entry (struct scheduler *s, struct entry_node *e)
-{
-  LOG_INFO ("entry-lost", "addr=" STR_FMT " instance=%lu", STR_ARG (e->addr),
-            e->instance);
-  for (struct unit *u = s->units; u; u = u->hh.next)
-    {
-      sched_entry_lost (u->sched, e->addr, clock_ms ());
-      unit_run_actions (s, u);
-    }
-  HASH_DEL (s->entries, e);
-  str_free (&e->addr);
-  free (e);
-}
-
 static void
 on_members (void *ctx, const void *snapshot)
 {
@@ -310,9 +328,9 @@
 
   HASH_ITER (hh, s->entries, e, next)
   {
-    const struct member_info *m = member_find (view, e->addr);
-
-    if (!m || m->instance != e->instance)
+    if (is_listed (view, e))
+      e->listed = true;
+    else if (e->listed || clock_ms () >= e->unlisted_until_ms)
       drop_lost_entry (s, e);
   }
   check_ownership (s);
--- a/src/scheduler_impl.h
+++ b/src/scheduler_impl.h
@@ -75,11 +75,17 @@
   UT_hash_handle by_grant;
 };
 
-/** struct entry_node - a node that has requested grants. */
+/**
+ * struct entry_node - a node that has requested grants.
+ * @listed: the member view has listed this instance.
+ * @unlisted_until_ms: when it counts as lost if that has not happened.
+ */
 struct entry_node
 {
   struct str addr;
   uint64_t instance;
+  bool listed;
+  uint64_t unlisted_until_ms;
   UT_hash_handle hh;
 };
 
--- a/tests/e2e_faults.c
+++ b/tests/e2e_faults.c
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include "cluster_fleet.h"
+#include "cluster_rpc.h"
 #include "suite.h"
 
 /* The whole system while processes are killed or paused, responses are cut and
@@ -323,6 +324,59 @@
   fleet_stop (&fleet);
 }
 
+/* ---- entries that the scheduler does not know yet ---- */
+
+static int
+request_grant (const struct cluster_proc *node)
+{
+  const struct grant_args args = {
+    .request_id = TEXT_STR (STR ("id-1")),
+    .customer = TEXT_STR (STR ("opera")),
+    .class_name = TEXT_STR (STR ("cue")),
+    .service = TEXT_STR (STR ("engines")),
+    .model = TEXT_STR (STR ("lm-1")),
+    .model_version = TEXT_STR (STR ("1")),
+    .deadline_ms = FLEET_CALL_MS,
+    .attempt = 1,
+    .entry = { .addr = TEXT_STR (STR ("127.0.0.1:1")), .instance = 1 },
+  };
+
+  return cluster_rpc_send (str_from (node->bus_addr), PEER_GRANT, &args);
+}
+
+/* Guards against a request of a node that has just started and is refused
+   because the scheduler's list of nodes changes before that node is in it. */
+static void
+test_unlisted_entry (void)
+{
+  static const struct fleet_options options = { .engine_flags = slow_engine };
+  int fds[FLEET_NODES];
+  size_t granted = 0;
+
+  if (fleet_start (&fleet, &options))
+    {
+      for (size_t i = 0; i < FLEET_NODES; i++)
+        fds[i] = request_grant (fleet.nodes[i]);
+      CU_ASSERT_TRUE (cluster_poll_until (load_started, NULL, FLEET_CALL_MS));
+      /* A node that schedules nothing for the engines' region. */
+      cluster_node (fleet.cluster, "a", CLUSTER_FLAGS ("--region", "other"));
+      CU_ASSERT_TRUE (cluster_ready (fleet.cluster));
+      for (size_t i = 0; i < FLEET_NODES; i++)
+        {
+          struct str hint;
+          struct grant_res *res;
+
+          cluster_rpc_receive (fds[i], PEER_GRANT, FLEET_CALL_MS, &hint,
+                               (void **)&res);
+          granted += res && res->code == GRANT_OK;
+          rpcmsg_free (PEER_GRANT, RPCMSG_RESULT, res);
+          str_free (&hint);
+        }
+      CU_ASSERT_EQUAL (granted, 1);
+    }
+  fleet_stop (&fleet);
+}
+
 /* ---- store outage, leaving targets, shutdown ---- */
 
 /* Guards against requests for loaded models that fail while the store is down,
@@ -440,6 +494,7 @@
   { "owner paused, engines without fencing", test_owner_paused_unfenced },
   { "nodes paused together", test_nodes_paused },
   { "scheduler paused", test_scheduler_paused },
+  { "unlisted entry", test_unlisted_entry },
   { "store outage", test_store_outage },
   { "leaving target", test_leaving_target },
   { "rolling restart", test_rolling_restart },
--- a/tests/e2e_limits.c
+++ b/tests/e2e_limits.c
@@ -1,14 +1,12 @@
-#include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "clock.h"
 #include "cluster.h"
-#include "netaddr.h"
+#include "cluster_rpc.h"
 #include "peer.h"
 #include "rpcmsg.h"
 #include "suite.h"
@@ -68,74 +66,21 @@
     nodes[i] = cluster_node (cluster, domains[i], NULL);
 }
 
-static int
-connect_to (struct str addr)
-{
-  const struct timeval limit = { .tv_sec = CALL_MS / 1000 };
-  struct sockaddr_in sa;
-  const int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-  if (netaddr_parse (addr, &sa)
-      && connect (fd, (struct sockaddr *)&sa, sizeof sa) == 0)
-    return fd;
-  close (fd);
-  return -1;
-}
-
-/* Returns one RPC record without its record mark, or an empty string if the
-   node did not answer in time. Free with str_free(). */
-static struct str
-read_record (int fd)
-{
-  uint32_t mark = 0;
-
-  if (recv (fd, &mark, sizeof mark, MSG_WAITALL) != sizeof mark)
-    return (struct str){ 0 };
-  const size_t n = ntohl (mark) & 0x7fffffff;
-  char *data = malloc (n + 1);
-  if (recv (fd, data, n, MSG_WAITALL) == (ssize_t)n)
-    return (struct str){ data, n };
-  free (data);
-  return (struct str){ 0 };
-}
-
 /* Sends one PEER_QUOTA call. Returns 1 if the request is granted, 0 if not, or
    a negative error. Sets *@hint to the owner to call instead, if the node
    names one; free it with str_free(). */
 static int
 call_quota (struct str addr, const struct quota_args *args, struct str *hint)
 {
-  const int fd = connect_to (addr);
-  struct str record = rpcmsg_call (1, PEER_QUOTA, args);
-  struct rpcmsg msg;
-  struct str body;
-  int rc = -ECONNREFUSED;
-
-  *hint = (struct str){ 0 };
-  if (fd >= 0)
+  struct quota_res *res = NULL;
+  int rc = cluster_rpc_receive (cluster_rpc_send (addr, PEER_QUOTA, args),
+                                PEER_QUOTA, CALL_MS, hint, (void **)&res);
+
+  if (res)
     {
-      struct str reply = { 0 };
-
-      if (send (fd, record.data, record.len, MSG_NOSIGNAL)
-          == (ssize_t)record.len)
-        reply = read_record (fd);
-      rc = -ETIMEDOUT;
-      if (reply.len > 0
-          && rpcmsg_decode_header (reply, &msg, hint, &body) == 0)
-        rc = msg.err;
-      struct quota_res *res
-          = rc == 0 ? rpcmsg_decode_body (PEER_QUOTA, RPCMSG_RESULT, body)
-                    : NULL;
-      if (res)
-        {
-          rc = res->granted > 0;
-          rpcmsg_free (PEER_QUOTA, RPCMSG_RESULT, res);
-        }
-      str_free (&reply);
-      close (fd);
+      rc = res->granted > 0;
+      rpcmsg_free (PEER_QUOTA, RPCMSG_RESULT, res);
     }
-  str_free (&record);
   return rc;
 }
 
