--- a/src/httpd.c
+++ b/src/httpd.c
@@ -415,7 +415,7 @@
 on_client_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
   struct client *c = (struct client *)stream;
-  ssize_t sound = n;
+  ssize_t accepted = n;
 
   if (n > 0 && h2o_linklist_is_linked (&c->idle))
     move_to_front (&c->httpd->idle, &c->idle);
@@ -424,10 +424,10 @@
   if (n > 0)
     c->http2_bytes += (size_t)n;
   if (n > 0 && !c->http2)
-    sound = (ssize_t)framing_feed (&c->framing,
-                                   (struct str){ buf->base, (size_t)n });
-  if (n <= 0 || sound > 0)
-    c->read_cb (stream, sound, buf);
+    accepted = (ssize_t)framing_feed (&c->framing,
+                                      (struct str){ buf->base, (size_t)n });
+  if (n <= 0 || accepted > 0)
+    c->read_cb (stream, accepted, buf);
   if (c->closed)
     return;
   c->http2 = c->http2
