Let the store's stand-in come back from an older copy

The stand-in for the platform's store could not play the drill in which the store comes back from a copy. POST /faults with "copy" keeps its objects, revision and start of history, and with "restore" it goes back to them: later events are dropped, waiting watches are closed, the era rises by one, and a watch from a revision that the store does not have gets 410.

The servers' stand-in lists its accepted orders by fencing token and holder, and a test can give the sequence number of a server's entry.

--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -389,13 +389,13 @@
 }
 
 struct cluster_proc *
-cluster_objects (struct cluster *c)
+cluster_objects (struct cluster *c, const char *const *flags)
 {
   struct cluster_proc *p = proc_new (c, CLUSTER_OBJECTS, "standin_objects");
 
   c->store = p;
   add_flag (p, "--port", port_of (p));
-  proc_start (p, NULL);
+  proc_start (p, flags);
   return p;
 }
 
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -110,7 +110,8 @@
 struct cluster_proc *cluster_node (struct cluster *c, const char *domain,
                                    const char *const *flags);
 /** cluster_objects() - start the object store of the platform. */
-struct cluster_proc *cluster_objects (struct cluster *c);
+struct cluster_proc *cluster_objects (struct cluster *c,
+                                      const char *const *flags);
 /** cluster_server() - start a server of the platform, with its name as id. */
 struct cluster_proc *cluster_server (struct cluster *c, const char *service,
                                      const char *domain,
--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -16,11 +16,17 @@
 
 struct edgecluster
 edgecluster_create (void)
+{
+  return edgecluster_create_with (NULL);
+}
+
+struct edgecluster
+edgecluster_create_with (const char *const *store_flags)
 {
   struct edgecluster e
       = { .cluster = cluster_create ("test-region"), .version = 3 };
 
-  e.store = cluster_objects (e.cluster);
+  e.store = cluster_objects (e.cluster, store_flags);
   return e;
 }
 
@@ -177,14 +183,14 @@
 
 static void
 put_server (const struct edgecluster *e, const struct cluster_proc *server,
-            int slots, const char *state, const char *models)
+            int slots, const char *state, const char *models, uint64_t seq)
 {
   struct str spec = str_printf (
       "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-      "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\",\"seq\":1,"
+      "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\",\"seq\":%lu,"
       "\"cold_remaining_ms\":0,\"models\":%s}",
       server->service, server->url + strlen ("http://"), server->domain, slots,
-      state, models);
+      state, seq, models);
 
   edgecluster_put_object (e, "servers", server->name, spec.data);
   str_free (&spec);
@@ -195,14 +201,23 @@
                         const struct cluster_proc *server, const char *state,
                         const char *models)
 {
-  put_server (e, server, SLOTS, state, models);
+  put_server (e, server, SLOTS, state, models, 1);
+}
+
+void
+edgecluster_put_server_seq (const struct edgecluster *e,
+                            const struct cluster_proc *server,
+                            const char *state, const char *models,
+                            uint64_t seq)
+{
+  put_server (e, server, SLOTS, state, models, seq);
 }
 
 void
 edgecluster_put_full_server (const struct edgecluster *e,
                              const struct cluster_proc *server)
 {
-  put_server (e, server, 0, "ready", "[]");
+  put_server (e, server, 0, "ready", "[]", 1);
 }
 
 /* Header lines of a call, ended by NULL. The model's line is left out if the
--- a/tests/edgecluster.h
+++ b/tests/edgecluster.h
@@ -29,6 +29,8 @@
 /** edgecluster_create() - create the cluster and start only its object store.
  */
 struct edgecluster edgecluster_create (void);
+/** edgecluster_create_with() - likewise, with flags for the store. */
+struct edgecluster edgecluster_create_with (const char *const *store_flags);
 void edgecluster_destroy (struct edgecluster *e);
 /** edgecluster_configure() - write the next version of the configuration, with
  * @timeout_ms as the timeout of all routes. */
@@ -44,16 +46,24 @@
 /** edgecluster_delete_object() - delete an object. */
 void edgecluster_delete_object (const struct edgecluster *e, const char *kind,
                                 const char *name);
-/** edgecluster_put_server() - write a server's entry; @models is a JSON array.
- */
+/** edgecluster_put_server() - write a server's entry with the sequence number
+ * 1; @models is a JSON array. */
 void edgecluster_put_server (const struct edgecluster *e,
                              const struct cluster_proc *server,
                              const char *state, const char *models);
+/** edgecluster_put_server_seq() - likewise with a sequence number. */
+void edgecluster_put_server_seq (const struct edgecluster *e,
+                                 const struct cluster_proc *server,
+                                 const char *state, const char *models,
+                                 uint64_t seq);
 /** edgecluster_put_full_server() - write the entry of a plain server that has
  * no slots, so that its calls wait. */
 void edgecluster_put_full_server (const struct edgecluster *e,
                                   const struct cluster_proc *server);
-/** edgecluster_set_faults() - replace the faults that the store injects. */
+/** edgecluster_set_faults() - replace the faults that the store injects.
+ *
+ * With "copy" the store also keeps a copy of its objects and revision, and
+ * with "restore" it goes back to the copy. */
 void edgecluster_set_faults (const struct edgecluster *e, const char *json);
 /** edgecluster_call() - send a call with @id as its attempt id and wait for
  * the reply; @model may be NULL. */
--- a/tests/standin_objects.c
+++ b/tests/standin_objects.c
@@ -10,7 +10,8 @@
 
 /* Stand-in for the platform's object store: objects by kind, with revisions,
    paged lists, watches and an event history that can be dropped. POST /faults
-   injects faults; GET /counts returns request counters. */
+   injects faults, and keeps or restores a copy of the store; GET /counts
+   returns request counters. */
 
 #define TICK_MS 5
 #define MAX_PAGE_ITEMS 50
@@ -18,6 +19,7 @@
 struct options
 {
   uint32_t port;
+  uint32_t era;
 };
 
 #define FIELD(f) .offset = offsetof (struct options, f)
@@ -25,6 +27,10 @@
 static const struct setting settings[] = {
   { "port", "PORT", "port on 127.0.0.1", SETTING_U32, FIELD (port), NULL, 1,
     65535 },
+  { "era", "N",
+    "number sent in all answers, which rises with each restored copy; 0 for "
+    "none",
+    SETTING_U32, FIELD (era), "0", 0, 1000000 },
 };
 
 struct event
@@ -72,6 +78,14 @@
   bool lose_answers;
 } faults;
 
+/* What POST /faults with "copy" has kept; @kinds is NULL before. */
+static struct
+{
+  json_t *kinds;
+  uint64_t revision;
+  uint64_t history_start;
+} copy;
+
 static json_t *
 objects_of_kind (const char *kind)
 {
@@ -191,7 +205,8 @@
     {
       struct watch *w = *at;
       json_t *list = events_since (w->kind, w->since, visible_revision (w));
-      const bool history_gone = w->since < history_start;
+      const bool history_gone
+          = w->since < history_start || w->since > revision;
 
       if (!history_gone && json_array_size (list) == 0
           && clock_ms () < w->deadline_ms)
@@ -418,12 +433,70 @@
     }
 }
 
+/* ---- copies ---- */
+
+static void
+keep_copy (void)
+{
+  json_decref (copy.kinds);
+  copy.kinds = json_deep_copy (kinds);
+  copy.revision = revision;
+  copy.history_start = history_start;
+}
+
+static void
+drop_events_after (uint64_t last_revision)
+{
+  while (events && events->revision > last_revision)
+    {
+      struct event *e = events;
+
+      events = e->next;
+      json_decref (e->json);
+      free (e);
+    }
+}
+
+/* Goes back to the copy, if there is one: revisions after it are given out
+   again. */
 static void
-set_faults (h2o_req_t *req)
+restore_copy (void)
+{
+  if (!copy.kinds)
+    return;
+  json_decref (kinds);
+  kinds = json_deep_copy (copy.kinds);
+  revision = copy.revision;
+  history_start = copy.history_start;
+  drop_events_after (revision);
+  end_watches (true);
+  if (options.era > 0)
+    options.era++;
+}
+
+static void
+add_era (h2o_req_t *req)
+{
+  char text[16];
+
+  if (options.era == 0)
+    return;
+  snprintf (text, sizeof text, "%u", options.era);
+  standin_add_header (req, "Store-Era", str_from (text));
+}
+
+/* ---- faults ---- */
+
+static void
+set_faults (const h2o_req_t *req)
 {
   const struct str body = standin_body (req);
   json_t *json = json_loadb (body.data, body.len, 0, NULL);
 
+  if (json_is_true (json_object_get (json, "copy")))
+    keep_copy ();
+  if (json_is_true (json_object_get (json, "restore")))
+    restore_copy ();
   faults.down = json_is_true (json_object_get (json, "down"));
   faults.silent = json_is_true (json_object_get (json, "silent"));
   faults.lose_answers = json_is_true (json_object_get (json, "lose_answers"));
@@ -443,7 +516,6 @@
   if (json_is_true (json_object_get (json, "cut_watches")))
     end_watches (true);
   json_decref (json);
-  standin_json (req, 200, json_object ());
 }
 
 static void
@@ -455,13 +527,16 @@
      operator and the servers. */
   const bool from_test = standin_header (req, "x-test").len > 0;
 
+  if (str_eq (path, STR ("/faults")))
+    set_faults (req);
+  add_era (req);
   if (str_eq (path, STR ("/counts")))
     standin_json (req, 200,
                   json_pack ("{s:I, s:I, s:I, s:I}", "reads", reads,
                              "stale_reads", stale_reads, "writes", writes,
                              "shortest_wait_ms", shortest_wait_ms));
   else if (str_eq (path, STR ("/faults")))
-    set_faults (req);
+    standin_json (req, 200, json_object ());
   else if ((faults.silent || req->conn->id <= faults.silent_until)
            && !from_test)
     return;
--- a/tests/standin_server.c
+++ b/tests/standin_server.c
@@ -9,8 +9,8 @@
 
 /* Stand-in for a server of the users' platform: a plain service, or a model
    server when --models is given. It counts how often each call is executed,
-   and the orders that would exceed its memory. --fault makes every response
-   fail in one way. */
+   the orders that would exceed its memory, and the accepted orders by fencing
+   token and holder. --fault makes every response fail in one way. */
 
 #define LAST_EVENT 8 /* number of the last event of a stream */
 #define ADAPTER_LOAD_MS 6
@@ -90,6 +90,7 @@
 static json_t *ports;            /* caller's port by attempt ID */
 static json_t *used_connections; /* numbers of those that carried a call */
 static json_t *orders;           /* accepted orders, oldest first */
+static json_t *holders;          /* token -> holder -> accepted orders */
 static json_int_t arrivals;
 static uint32_t calls_executed;
 static uint32_t calls_rejected; /* because of --reject-first */
@@ -188,6 +189,24 @@
   standin_json (req, adapter && !load ? 200 : 202, json_object ());
 }
 
+static void
+record_holder (json_int_t token, const char *holder)
+{
+  char name[24];
+
+  snprintf (name, sizeof name, "%lld", token);
+  json_t *counts = json_object_get (holders, name);
+  if (!counts)
+    {
+      counts = json_object ();
+      json_object_set_new (holders, name, counts);
+    }
+  json_object_set_new (
+      counts, holder,
+      json_integer (json_integer_value (json_object_get (counts, holder))
+                    + 1));
+}
+
 static void
 handle_order (h2o_req_t *req)
 {
@@ -212,6 +231,7 @@
   else
     {
       fence = (uint64_t)token;
+      record_holder (token, holder);
       accept_order (req, body, model, adapter,
                     strcmp (operation, "load") == 0);
     }
@@ -913,13 +933,14 @@
   const struct str path = standin_path (req);
 
   if (str_eq (path, STR ("/counts")))
-    standin_json (req, 200,
-                  json_pack ("{s:O, s:I, s:I, s:I, s:I, s:O, s:O, s:O, s:O}",
-                             "runs", runs, "arrivals", arrivals, "violations",
-                             capacity_violations, "ended_early",
-                             calls_abandoned, "endless", endless_open,
-                             "orders", orders, "models", models, "headers",
-                             headers, "ports", ports));
+    standin_json (
+        req, 200,
+        json_pack ("{s:O, s:I, s:I, s:I, s:I, s:O, s:O, s:O, s:O, s:O}",
+                   "runs", runs, "arrivals", arrivals, "violations",
+                   capacity_violations, "ended_early", calls_abandoned,
+                   "endless", endless_open, "orders", orders, "holders",
+                   holders, "models", models, "headers", headers, "ports",
+                   ports));
   else if (str_eq (path, STR ("/report")))
     report (req);
   else if (str_eq (path, STR ("/order")))
@@ -952,6 +973,7 @@
   ports = json_object ();
   used_connections = json_object ();
   orders = json_array ();
+  holders = json_object ();
   if (is_model_server ())
     add_initial_models ();
   return standin_run (options.port, handle);
