Log the store's era, and the lease object's revision

Nothing in the logs told whether the store had come back from an older copy, so the hypotheses of the two lease holders with one fencing token could not be told apart. No decision depends on it yet.

--- a/src/edge/holderlease.c
+++ b/src/edge/holderlease.c
@@ -60,9 +60,11 @@
   if (valid == l->logged_valid)
     return;
   l->logged_valid = valid;
-  LOG_INFO (valid ? "lease-gained" : "lease-lost", "fence=%lu holder=" STR_FMT,
+  LOG_INFO (valid ? "lease-gained" : "lease-lost",
+            "fence=%lu holder=" STR_FMT " revision=%lu era=%lu",
             leasestate_fence (l->state),
-            STR_ARG (leasestate_holder (l->state)));
+            STR_ARG (leasestate_holder (l->state)),
+            leasestate_version (l->state), objects_era (l->objects));
 }
 
 static void
