Begin a new lease object in each era of the store

Cause: the next token is the stored one plus one. When the store comes back from a copy that is older than a term, the token of that term is given again. Two conditional writes may also match one revision, since revisions are given out again.

The store names its era in each answer. The lease has an object of its own for each era, so that a write meant for an earlier era changes nothing that is in use, and the era is the upper part of the token, so that each token of an era is above those of the eras before. An answer to a call that crosses eras counts as none. A holder that still is valid takes the lease of the new era at once; other nodes wait as long as a lease is valid, because the holder may not know yet.

Without an era (a store that names none) nothing changes: same name, same tokens.

--- a/src/edge/holderlease.c
+++ b/src/edge/holderlease.c
@@ -1,6 +1,7 @@
 #include "edge/holderlease.h"
 
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #include <jansson.h>
@@ -11,7 +12,14 @@
 
 #define LOG_MODULE "lease"
 #define OBJECT_KIND "galenagate-leases"
+/* Each era of the store has an object of its own. A write that was meant for
+   another era, which the store may carry out late because it gives out
+   revisions again, then changes no object that is in use. */
 #define OBJECT_NAME "placement"
+#define OBJECT_NAME_MAX 64
+/* The era is the upper part of the fencing tokens, so that no token is given
+   again after the store has lost the one before. */
+#define ERA_SHIFT 32
 /* Lifetime of the lease: lease_ms divided by this. A shorter lifetime lets a
    successor replace a dead holder sooner. */
 #define TTL_DIVISOR 2
@@ -25,6 +33,8 @@
   struct leasestate *state;
   void (*changed) (void *ctx);
   void *ctx;
+  uint64_t era; /* of the store, that @state is about */
+  char object_name[OBJECT_NAME_MAX];
   bool logged_valid;    /* validity of the lease as last logged */
   int last_write_error; /* errno value of the last write */
 };
@@ -42,6 +52,7 @@
   leasestate_set_reacquire_delay (l->state, lease_ms);
   l->changed = changed;
   l->ctx = ctx;
+  snprintf (l->object_name, sizeof l->object_name, "%s", OBJECT_NAME);
   return l;
 }
 
@@ -67,9 +78,23 @@
             leasestate_version (l->state), objects_era (l->objects));
 }
 
+/* Goes over to the lease object of the store's current era. */
+static void
+follow_era (struct holderlease *l)
+{
+  const uint64_t era = objects_era (l->objects);
+
+  if (era == l->era)
+    return;
+  l->era = era;
+  snprintf (l->object_name, sizeof l->object_name, "%s-%lu", OBJECT_NAME, era);
+  leasestate_begin_era (l->state, clock_ms (), era << ERA_SHIFT);
+}
+
 static void
 on_store_answer (struct holderlease *l)
 {
+  follow_era (l);
   log_validity_change (l);
   l->changed (l->ctx);
   holderlease_step (l);
@@ -95,7 +120,7 @@
   if (code == 0)
     code = decode (o, &r);
   if (code == -EBADMSG)
-    LOG_ERR ("lease-unreadable", "name=%s", OBJECT_NAME);
+    LOG_ERR ("lease-unreadable", "name=%s", l->object_name);
   leasestate_read_done (l->state, clock_ms (), code, o ? o->revision : 0, &r);
   str_free (&r.holder);
   on_store_answer (l);
@@ -119,19 +144,20 @@
 {
   struct lease_record r;
 
+  follow_era (l);
   log_validity_change (l);
   switch (leasestate_next (l->state, clock_ms (), &r))
     {
     case LEASE_STEP_NONE:
       return;
     case LEASE_STEP_READ:
-      objects_read (l->objects, OBJECT_KIND, OBJECT_NAME, on_read, l);
+      objects_read (l->objects, OBJECT_KIND, l->object_name, on_read, l);
       return;
     case LEASE_STEP_WRITE:
       break;
     }
   struct str json = lease_record_encode (&r);
-  objects_write (l->objects, OBJECT_KIND, OBJECT_NAME,
+  objects_write (l->objects, OBJECT_KIND, l->object_name,
                  leasestate_version (l->state), json, on_written, l);
   str_free (&json);
 }
--- a/src/leasestate.c
+++ b/src/leasestate.c
@@ -41,7 +41,10 @@
   uint64_t written_ms;         /* when that attempt started */
   uint64_t valid_until_ms;
   uint64_t term_start_ms;
-  uint32_t nodes;        /* number of nodes to write, or 0 */
+  uint64_t min_fence;             /* fencing tokens of the era are greater */
+  uint64_t absent_free_ms;        /* when an absent object may be created */
+  struct lease_record before_era; /* lists earlier holders and their nodes */
+  uint32_t nodes;                 /* number of nodes to write, or 0 */
   bool reacquired;       /* another node held the lease since its last term */
   uint64_t next_step_ms; /* earliest time of the next step */
 };
@@ -200,6 +203,8 @@
 {
   uint32_t ttl = s->current.ttl_ms;
 
+  if (s->version == 0 && s->absent_free_ms > s->first_seen_ms)
+    return s->absent_free_ms + s->takeover_delay_ms;
   if (s->current.holder.len == 0)
     return s->first_seen_ms + s->takeover_delay_ms;
   /* An earlier process of this node held the lease. It must have ended,
@@ -245,23 +250,32 @@
   r->earlier[r->earlier_count++] = node;
 }
 
+/* Returns the newest known record; of the time before the era if the era has
+   none. */
+static const struct lease_record *
+last_record (const struct leasestate *s)
+{
+  return s->version > 0 ? &s->current : &s->before_era;
+}
+
 /* Lists the earlier holders in the record to write. The list is cleared when
    this node has held the lease for the reacquire delay. */
 static void
 set_earlier_holders (struct leasestate *s, uint64_t now)
 {
   struct lease_record *w = &s->written;
+  const struct lease_record *last = last_record (s);
 
   w->earlier_count = 0;
   if (s->reacquire_delay_ms == 0)
     return;
   if (!s->held_by_self || now < s->term_start_ms + s->reacquire_delay_ms)
     {
-      memcpy (w->earlier, s->current.earlier, sizeof w->earlier);
-      w->earlier_count = s->current.earlier_count;
+      memcpy (w->earlier, last->earlier, sizeof w->earlier);
+      w->earlier_count = last->earlier_count;
     }
-  if (!s->held_by_self && s->current.holder.len > 0)
-    add_earlier_holder (w, node_hash (s->current.holder));
+  if (!s->held_by_self && last->holder.len > 0)
+    add_earlier_holder (w, node_hash (last->holder));
   if (s->releasing)
     add_earlier_holder (w, node_hash (s->self));
 }
@@ -284,6 +298,29 @@
   return false;
 }
 
+void
+leasestate_begin_era (struct leasestate *s, uint64_t now, uint64_t min_fence)
+{
+  const bool was_valid = leasestate_valid (s, now);
+
+  if (s->current.holder.len > 0)
+    add_earlier_holder (&s->current, node_hash (s->current.holder));
+  str_free (&s->current.holder);
+  s->before_era = s->current;
+  s->current = (struct lease_record){ 0 };
+  s->min_fence = min_fence;
+  s->absent_free_ms = was_valid ? now : now + s->ttl_ms + s->margin_ms;
+  s->version = 0;
+  s->first_seen_ms = now;
+  s->hint_version = 0;
+  s->valid_until_ms = 0;
+  s->held_by_self = false;
+  s->current_known = false;
+  s->must_read_back = false;
+  s->is_free = false;
+  s->next_step_ms = now;
+}
+
 void
 leasestate_set_node_count (struct leasestate *s, uint32_t nodes)
 {
@@ -293,7 +330,7 @@
 uint32_t
 leasestate_node_count (const struct leasestate *s)
 {
-  return s->current.nodes;
+  return last_record (s)->nodes;
 }
 
 bool
@@ -316,13 +353,22 @@
   s->written.renewals++;
   s->written.ttl_ms = s->ttl_ms;
   set_earlier_holders (s, now);
-  s->written.nodes = s->nodes > 0 ? s->nodes : s->current.nodes;
+  s->written.nodes = s->nodes > 0 ? s->nodes : last_record (s)->nodes;
   s->written_ms = now;
   s->step_in_progress = true;
   *out = s->written;
   return LEASE_STEP_WRITE;
 }
 
+static uint64_t
+next_fence (const struct leasestate *s)
+{
+  const uint64_t last
+      = s->current.fence > s->min_fence ? s->current.fence : s->min_fence;
+
+  return last + 1;
+}
+
 enum lease_step
 leasestate_next (struct leasestate *s, uint64_t now, struct lease_record *out)
 {
@@ -338,7 +384,7 @@
   if (!s->is_free)
     return begin_read (s, now);
   s->is_free = false;
-  return begin_write (s, now, s->current.fence + 1, out);
+  return begin_write (s, now, next_fence (s), out);
 }
 
 /* Updates the state with the object that was read or written. */
@@ -386,6 +432,8 @@
   static const struct lease_record none = { 0 };
 
   s->step_in_progress = false;
+  if (err == -ESTALE)
+    return;
   if (err != 0 && err != -ENOENT)
     {
       s->next_step_ms
@@ -412,6 +460,8 @@
                        uint64_t version)
 {
   s->step_in_progress = false;
+  if (err == -ESTALE)
+    return;
   if (err == 0)
     {
       apply_record (s, now, version, &s->written);
--- a/src/leasestate.h
+++ b/src/leasestate.h
@@ -78,6 +78,18 @@
  */
 void leasestate_report_version (struct leasestate *s, uint64_t now,
                                 uint64_t version);
+/**
+ * leasestate_begin_era() - the store lost what it had acknowledged, and the
+ * lease has another object from now on.
+ *
+ * The terms before are not in that object. Their holder may still act on its
+ * lease, so that another node takes the lease only after the time for which a
+ * lease is valid.
+ * @min_fence: fencing tokens of the era are greater, and those of earlier eras
+ *   are not.
+ */
+void leasestate_begin_era (struct leasestate *s, uint64_t now,
+                           uint64_t min_fence);
 /** leasestate_release() - stop holding the lease at once; a write that
  * releases the object follows as the next step.
  */
@@ -96,7 +108,8 @@
                                  struct lease_record *out);
 /**
  * leasestate_read_done() - apply the result of a read.
- * @err: 0, -ENOENT, or another negative errno value if the read failed.
+ * @err: 0, -ENOENT, -ESTALE if an era began meanwhile, or another negative
+ *   errno value if the read failed.
  * @record: used only if @err is 0.
  */
 void leasestate_read_done (struct leasestate *s, uint64_t now, int err,
@@ -105,8 +118,8 @@
 /**
  * leasestate_write_done() - apply the result of a write.
  * @err: 0, -EEXIST (the object has another version), -EINPROGRESS (the answer
- *   was lost), or another negative errno value if the write did not take
- *   effect.
+ *   was lost), -ESTALE (an era began meanwhile), or another negative errno
+ * value if the write did not take effect.
  */
 void leasestate_write_done (struct leasestate *s, uint64_t now, int err,
                             uint64_t version);
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -240,6 +240,89 @@
   world_destroy (&w);
 }
 
+#define ERA_FENCE ((uint64_t)1 << 32)
+
+/* The store comes back from a copy that is older than the lease. */
+static void
+restore_store (struct world *w)
+{
+  w->version = 0;
+  w->object = (struct lease_record){ 0 };
+}
+
+/* Guards against a successor that is given the fencing token of a term which
+   the store has lost, and against one that acts beside the holder of that
+   term, which has not heard of the era yet. */
+static void
+test_era_successor (void)
+{
+  struct world w = world_held_by_a ();
+  const uint64_t fence = leasestate_fence (w.nodes[0]);
+
+  advance_time (&w, 1000, 3);
+  restore_store (&w);
+  leasestate_begin_era (w.nodes[1], w.now, ERA_FENCE);
+  for (int i = 0; i < 20; i++)
+    {
+      advance_time (&w, 500, 2);
+      CU_ASSERT_FALSE (valid (&w, 0) && valid (&w, 1));
+    }
+  CU_ASSERT (valid (&w, 1));
+  CU_ASSERT (leasestate_fence (w.nodes[1]) > ERA_FENCE);
+  CU_ASSERT (leasestate_fence (w.nodes[1]) > fence);
+  leasestate_begin_era (w.nodes[0], w.now, ERA_FENCE);
+  advance_time (&w, 1000, 3);
+  CU_ASSERT_FALSE (valid (&w, 0));
+  CU_ASSERT_EQUAL (leasestate_fence (w.nodes[0]), 0);
+  world_destroy (&w);
+}
+
+/* Guards against a holder that goes on with the token of the era before, or
+   that waits for its own earlier lease to expire. */
+static void
+test_era_holder (void)
+{
+  struct world w = world_held_by_a ();
+
+  leasestate_set_node_count (w.nodes[0], 79);
+  advance_time (&w, TTL_MS / 2, 3);
+  leasestate_set_node_count (w.nodes[0], 0);
+  restore_store (&w);
+  leasestate_begin_era (w.nodes[0], w.now, ERA_FENCE);
+  leasestate_begin_era (w.nodes[1], w.now, ERA_FENCE);
+  CU_ASSERT_FALSE (valid (&w, 0));
+  CU_ASSERT_EQUAL (leasestate_fence (w.nodes[0]), 0);
+  advance_time (&w, 500, 3);
+  CU_ASSERT (valid (&w, 0));
+  CU_ASSERT (leasestate_fence (w.nodes[0]) > ERA_FENCE);
+  CU_ASSERT_EQUAL (leasestate_node_count (w.nodes[0]), 79);
+  advance_time (&w, TTL_MS * 2, 3);
+  CU_ASSERT (valid (&w, 0));
+  CU_ASSERT_FALSE (valid (&w, 1));
+  world_destroy (&w);
+}
+
+/* Guards against an answer to a step of the era before, whose object the node
+   no longer uses: it says nothing about this era. */
+static void
+test_era_late_answer (void)
+{
+  struct world w = world_held_by_a ();
+  struct lease_record r;
+
+  advance_time (&w, 1000, 1);
+  while (leasestate_next (w.nodes[0], w.now, &r) != LEASE_STEP_WRITE)
+    w.now += 100;
+  leasestate_begin_era (w.nodes[0], w.now, ERA_FENCE);
+  leasestate_write_done (w.nodes[0], w.now, -ESTALE, 0);
+  CU_ASSERT_FALSE (valid (&w, 0));
+  CU_ASSERT_EQUAL (leasestate_next (w.nodes[0], w.now, &r), LEASE_STEP_READ);
+  leasestate_read_done (w.nodes[0], w.now, -ESTALE, 0, NULL);
+  leasestate_begin_era (w.nodes[0], w.now, 2 * ERA_FENCE);
+  CU_ASSERT_EQUAL (leasestate_next (w.nodes[0], w.now, &r), LEASE_STEP_READ);
+  world_destroy (&w);
+}
+
 /* Guards against a holder that gives up the lease, or overestimates its
    validity, after the answer to a write is lost. */
 static void
@@ -527,6 +610,9 @@
   { "version reported by the holder", test_hint },
   { "restart at the holder's address", test_restart },
   { "lost answer to a renewal", test_lost_answer },
+  { "successor in a new era of the store", test_era_successor },
+  { "holder in a new era of the store", test_era_holder },
+  { "late answers of an earlier era", test_era_late_answer },
   { "graceful release", test_release },
   { "store outage", test_outage },
   { "two candidates race", test_race },
