Compare revisions of the store within one era only

After the store came back from an older copy, nodes did not take in what servers and the operator wrote again: a server that was leaving stayed in use, and orders kept the order count of before. Cause: revisions are given out again. An object whose new revision was not above the remembered one was skipped as known, and a watch whose revision the store had passed again missed the changes in between without a 410.

A feed now belongs to one era of the store. An answer of another era, or the era that another call has learnt, starts a new listing in which no revision is known and announced revisions do not count. A stale view may be of an earlier era; its answer is dropped and the next call is fresh. Servers whose entries are missing in the copy stay usable for the time that an outage gives them.

--- a/src/edge/freshness.c
+++ b/src/edge/freshness.c
@@ -43,6 +43,19 @@
   return f->lagged;
 }
 
+void
+freshness_forbid_stale (struct freshness *f)
+{
+  f->lagged = true;
+  f->in_flight = false;
+}
+
+void
+freshness_restart (struct freshness *f)
+{
+  *f = (struct freshness){ .trusted = f->trusted };
+}
+
 bool
 freshness_must_replace (const struct freshness *f, uint64_t now_ms)
 {
--- a/src/edge/freshness.h
+++ b/src/edge/freshness.h
@@ -59,6 +59,12 @@
  * next call should then follow at once.
  */
 bool freshness_answered (struct freshness *f, uint64_t revision);
+/** freshness_forbid_stale() - the answer was from a view that is too old to be
+ * used; the next call is fresh. */
+void freshness_forbid_stale (struct freshness *f);
+/** freshness_restart() - the store gives out revisions again, so that none is
+ * comparable with an earlier one. No call may be in flight. */
+void freshness_restart (struct freshness *f);
 /** freshness_must_replace() - Returns true if the call in flight must be
  * replaced by a fresh one, because no node announces the newest revision any
  * more or an announced change has not arrived in time. */
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -236,6 +236,12 @@
   p->outage_ended_ms = now_ms;
 }
 
+void
+pool_store_restored (struct pool *p, uint64_t now_ms)
+{
+  pool_store_outage_ended (p, now_ms);
+}
+
 static struct pool_server *
 find_by_hash (const struct pool *p, uint64_t hash)
 {
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -101,6 +101,9 @@
 void pool_entry_unreadable (struct pool *pool, struct str id);
 /** pool_store_outage_ended() - the store answers again after an outage. */
 void pool_store_outage_ended (struct pool *pool, uint64_t now_ms);
+/** pool_store_restored() - the store came back from an older copy. Live
+ * servers write their entries again. */
+void pool_store_restored (struct pool *pool, uint64_t now_ms);
 /** pool_apply_view() - apply the placement holder's report about a server. */
 void pool_apply_view (struct pool *pool, const struct pool_view *view,
                       uint64_t now_ms);
--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -188,6 +188,14 @@
   pool_store_outage_ended (s->pool, clock_ms ());
 }
 
+static void
+on_store_restored (void *ctx)
+{
+  struct site *s = ctx;
+
+  pool_store_restored (s->pool, clock_ms ());
+}
+
 static const struct platform_events events = {
   .routing = on_routing,
   .server = on_server,
@@ -196,6 +204,7 @@
   .servers_listed = on_servers_listed,
   .reachable = on_reachable,
   .outage_ended = on_outage_ended,
+  .store_restored = on_store_restored,
 };
 
 /* ---- quarantine ---- */
