Ignore entries of removed servers in a restored store

Cause: the entry of a removed server is in the copy again, with the sequence number it had when it was removed, and counted as a new entry, until it expired once more.

After a restore an entry of a server whose entry had been removed counts only with a higher sequence number or a later start: those a live server writes. An ignored entry isn't told to the placement either, and is logged as entry-outdated. Without a restore nothing changes.

Unit pool, entries of a restored store: one of seven cases fails without the rule; now all pass.

--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -180,7 +180,19 @@
   return s->view_received_ms > 0 && now_ms < valid_since_ms + VIEW_VALID_MS;
 }
 
-void
+/* Returns true for an entry that was stored late, or that was removed and is
+   there again because the store came back from an older copy. A live server
+   writes its entry again with a higher sequence. */
+static bool
+is_outdated (const struct pool_server *s, const struct server_entry *e)
+{
+  if (e->started_ms != s->started_ms)
+    return e->started_ms < s->started_ms;
+  return e->sequence < s->sequence
+         || (s->removal_lost && e->sequence == s->sequence);
+}
+
+bool
 pool_update (struct pool *p, const struct server_entry *e, uint64_t now_ms)
 {
   struct pool_server *s = find (p, e->id);
@@ -188,12 +200,12 @@
   remove_departed (p, now_ms);
   if (!s)
     s = add (p, e->id);
-  else if (e->started_ms < s->started_ms
-           || (e->started_ms == s->started_ms && e->sequence < s->sequence))
-    return; /* an older entry that was stored late */
+  else if (is_outdated (s, e))
+    return false;
   if (e->started_ms > s->started_ms)
     restart (s, e);
   s->listed = true;
+  s->removal_lost = false;
   s->unreadable = false;
   str_assign (&s->service, e->service);
   str_assign (&s->address, e->address);
@@ -204,6 +216,7 @@
     s->leaving = true;
   if (!has_valid_view (p, s, now_ms))
     set_models_from_entry (s, e);
+  return true;
 }
 
 void
@@ -240,6 +253,8 @@
 pool_store_restored (struct pool *p, uint64_t now_ms)
 {
   pool_store_outage_ended (p, now_ms);
+  for (struct pool_server *s = p->servers; s; s = s->hh.next)
+    s->removal_lost = s->removal_lost || !s->listed;
 }
 
 static struct pool_server *
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -85,9 +85,9 @@
 struct pool *pool_create (void);
 void pool_destroy (struct pool *pool);
 
-/** pool_update() - apply a server's entry. An entry older than the last one is
- * ignored. */
-void pool_update (struct pool *pool, const struct server_entry *entry,
+/** pool_update() - apply a server's entry. Returns false for an entry that is
+ * older than the last one, which is ignored. */
+bool pool_update (struct pool *pool, const struct server_entry *entry,
                   uint64_t now_ms);
 /**
  * pool_remove() - the store no longer has an entry for the server.
@@ -102,7 +102,8 @@
 /** pool_store_outage_ended() - the store answers again after an outage. */
 void pool_store_outage_ended (struct pool *pool, uint64_t now_ms);
 /** pool_store_restored() - the store came back from an older copy. Live
- * servers write their entries again. */
+ * servers write their entries again; entries that were removed before may be
+ * there again and make no server usable. */
 void pool_store_restored (struct pool *pool, uint64_t now_ms);
 /** pool_apply_view() - apply the placement holder's report about a server. */
 void pool_apply_view (struct pool *pool, const struct pool_view *view,
--- a/src/edge/pool_impl.h
+++ b/src/edge/pool_impl.h
@@ -32,6 +32,8 @@
  * @unreadable: the entry is not valid; the server did not write it.
  * @replaced: another server uses the address.
  * @removed_ms: when the entry was removed.
+ * @removal_lost: the store came back from an older copy since then, which may
+ *   have the entry.
  * @usable_until_ms: while there is no entry.
  * @view_received_ms: when the holder's report was applied; 0 if there is none.
  * @models_known: the holder's latest report knew which models the server
@@ -58,6 +60,7 @@
   bool unreadable;
   bool replaced;
   uint64_t removed_ms;
+  bool removal_lost;
   uint64_t usable_until_ms;
   struct placed_model *models;
   size_t model_count;
--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -139,7 +139,12 @@
     LOG_INFO ("server-leaving", "server=" STR_FMT " service=" STR_FMT,
               STR_ARG (e->id), STR_ARG (e->service));
   record_replacement (s, e);
-  pool_update (s->pool, e, clock_ms ());
+  if (!pool_update (s->pool, e, clock_ms ()))
+    {
+      LOG_INFO ("entry-outdated", "server=" STR_FMT " sequence=%lu",
+                STR_ARG (e->id), e->sequence);
+      return;
+    }
   s->listener->server (s->ctx, e);
   kernel_publish (s->kernel, TOPIC_POOL, NULL, NULL);
 }
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -91,6 +91,56 @@
   pool_destroy (p);
 }
 
+/**
+ * struct restored_case - an entry that comes after the store was restored from
+ * an older copy.
+ * @removed: the server's entry, with start time 1000 and sequence 5, had been
+ *   removed before.
+ * @usable: the server gets calls after that entry.
+ */
+struct restored_case
+{
+  bool removed;
+  uint64_t started_ms;
+  uint64_t sequence;
+  bool usable;
+};
+
+static const struct restored_case restored_cases[] = {
+  { true, 1000, 5, false }, /* as it was when it was removed */
+  { true, 1000, 4, false }, /* as it was before */
+  { true, 900, 9, false },  /* of an earlier process */
+  { true, 1000, 6, true },  /* written again by the live server */
+  { true, 1100, 1, true },  /* written by its next process */
+  { false, 1000, 5, true }, { false, 1000, 4, true },
+};
+
+/* Guards against calls to a server that is gone, because its entry is there
+   again in the store's older copy, and against giving up a live server that
+   wrote its entry again. */
+static void
+test_restored_entries (void)
+{
+  for (size_t i = 0; i < sizeof restored_cases / sizeof *restored_cases; i++)
+    {
+      const struct restored_case *c = &restored_cases[i];
+      struct pool *p = pool_create ();
+      struct server_entry e = entry ("i-1", "a", 1000, SERVER_READY);
+
+      e.sequence = 5;
+      CU_ASSERT (pool_update (p, &e, 10));
+      if (c->removed)
+        pool_remove (p, e.id, 1000);
+      pool_store_restored (p, 2000);
+      e.started_ms = c->started_ms;
+      e.sequence = c->sequence;
+      pool_update (p, &e, 2010);
+      choose (p, &plain_criteria, 5000,
+              c->usable ? POOL_CHOSEN : POOL_NO_SERVER);
+      pool_destroy (p);
+    }
+}
+
 /* Guards against a server that stays unusable after another writer overwrote
    its entry once. */
 static void
@@ -357,6 +407,7 @@
   { "leaving, said in a response", test_leaving_response },
   { "retry after", test_retry_after },
   { "expired entries", test_expired_entries },
+  { "entries of a restored store", test_restored_entries },
   { "unreadable entry", test_unreadable },
   { "preference", test_preference },
   { "models", test_models },
