Send the store's era with the revisions of a holder's digest

A holder's digest tells the newest revisions of the store and that of the lease object. After the store came back from an older copy, holder and node may know different eras for a moment. A revision of another era is no newer or older than one's own: a node that took a higher one of the earlier era as announced would read fresh, at ten times the price, until the store reached it again; a node that took the lease's as its own version would count the wait for the lease to expire from the wrong time.

The digest now names the era, and nodes use its revisions only in that era.

--- a/src/edge/digest.h
+++ b/src/edge/digest.h
@@ -121,6 +121,7 @@
 	u_quad_t sequence;
 	bool_t whole;
 	bool_t active;
+	u_quad_t store_era;
 	u_quad_t lease_revision;
 	bool_t store_current;
 	u_quad_t config_revision;
@@ -183,9 +184,9 @@
 
 enum datagram_kind {
 	DATAGRAM_ENTRY = 8,
-	DATAGRAM_HOLDER = 9,
 	DATAGRAM_QUOTA_DRAW = 10,
 	DATAGRAM_QUOTA_CREDIT = 11,
+	DATAGRAM_HOLDER = 12,
 };
 typedef enum datagram_kind datagram_kind;
 
--- a/src/edge/digest.x
+++ b/src/edge/digest.x
@@ -104,6 +104,7 @@
   unsigned hyper sequence; /* increases by one with each digest to all nodes; 0 in others */
   bool whole; /* starts a transfer of all servers, which makes up for lost digests */
   bool active; /* the holder may send orders */
+  unsigned hyper store_era; /* of the store; revisions of two eras are not comparable */
   unsigned hyper lease_revision; /* of the lease object */
   bool store_current; /* the holder reads all changes of the store without delay */
   unsigned hyper config_revision;  /* newest change of the configuration */
@@ -155,9 +156,9 @@
 enum datagram_kind
 {
   DATAGRAM_ENTRY = 8,
-  DATAGRAM_HOLDER = 9,
   DATAGRAM_QUOTA_DRAW = 10,
-  DATAGRAM_QUOTA_CREDIT = 11
+  DATAGRAM_QUOTA_CREDIT = 11,
+  DATAGRAM_HOLDER = 12
 };
 
 union datagram switch (datagram_kind kind)
--- a/src/edge/digest_xdr.c
+++ b/src/edge/digest_xdr.c
@@ -340,6 +340,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->active))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_era))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->lease_revision))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->store_current))
--- a/src/edge/holderlease.c
+++ b/src/edge/holderlease.c
@@ -169,9 +169,10 @@
 }
 
 void
-holderlease_hint (struct holderlease *l, uint64_t revision)
+holderlease_hint (struct holderlease *l, uint64_t era, uint64_t revision)
 {
-  leasestate_report_version (l->state, clock_ms (), revision);
+  if (era == l->era)
+    leasestate_report_version (l->state, clock_ms (), revision);
 }
 
 uint64_t
--- a/src/edge/placer_send.c
+++ b/src/edge/placer_send.c
@@ -159,6 +159,7 @@
   h->sequence = to_all ? ++p->broadcast_sequence : 0;
   h->whole = b->whole;
   h->active = placer_is_active (p);
+  h->store_era = revisions.era;
   h->lease_revision = holderlease_revision (p->lease);
   /* A valid lease implies that the store answered this node recently. */
   h->store_current = revisions.current && holderlease_valid (p->lease);
