Go on with higher fencing tokens after the lease object was deleted

Found by looking for the cause of the two holders elsewhere: the next token came only from what the store holds now.

A node remembers the highest token that it read or wrote, and waits as long as a lease is valid when an object that it knew is gone. A node that starts afterwards knows no earlier token; that remains.

--- a/src/leasestate.c
+++ b/src/leasestate.c
@@ -360,15 +360,6 @@
   return LEASE_STEP_WRITE;
 }
 
-static uint64_t
-next_fence (const struct leasestate *s)
-{
-  const uint64_t last
-      = s->current.fence > s->min_fence ? s->current.fence : s->min_fence;
-
-  return last + 1;
-}
-
 enum lease_step
 leasestate_next (struct leasestate *s, uint64_t now, struct lease_record *out)
 {
@@ -384,7 +375,7 @@
   if (!s->is_free)
     return begin_read (s, now);
   s->is_free = false;
-  return begin_write (s, now, next_fence (s), out);
+  return begin_write (s, now, s->min_fence + 1, out);
 }
 
 /* Updates the state with the object that was read or written. */
@@ -401,6 +392,11 @@
       s->current = *r;
       s->current.holder = str_dup (r->holder);
       free ((char *)old.data);
+      /* Another writer deleted the object; its holder may not know yet. */
+      if (version == 0 && s->version > 0)
+        s->absent_free_ms = now + s->ttl_ms + s->margin_ms;
+      if (r->fence > s->min_fence)
+        s->min_fence = r->fence;
       s->version = version;
       s->first_seen_ms
           = version > 0 && version == s->hint_version ? s->hint_ms : now;
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -242,7 +242,8 @@
 
 #define ERA_FENCE ((uint64_t)1 << 32)
 
-/* The store comes back from a copy that is older than the lease. */
+/* The lease object is gone: it was deleted, or the store comes back from a
+   copy that is older than the lease. */
 static void
 restore_store (struct world *w)
 {
@@ -302,6 +303,30 @@
   world_destroy (&w);
 }
 
+/* Guards against a holder that starts again with the first fencing token, or
+   that acts beside the one before, because another writer deleted the object.
+ */
+static void
+test_deleted (void)
+{
+  struct world w = world_held_by_a ();
+
+  advance_time (&w, TTL_MS + MARGIN_MS + 3000, 2);
+  CU_ASSERT (valid (&w, 1));
+  const uint64_t fence = leasestate_fence (w.nodes[1]);
+  leasestate_set_candidate (w.nodes[2], true);
+  advance_time (&w, 1500, 6);
+  restore_store (&w);
+  for (int i = 0; i < 20; i++)
+    {
+      advance_time (&w, 500, 4);
+      CU_ASSERT_FALSE (valid (&w, 1) && valid (&w, 2));
+    }
+  CU_ASSERT (valid (&w, 2));
+  CU_ASSERT (leasestate_fence (w.nodes[2]) > fence);
+  world_destroy (&w);
+}
+
 /* Guards against an answer to a step of the era before, whose object the node
    no longer uses: it says nothing about this era. */
 static void
@@ -613,6 +638,7 @@
   { "successor in a new era of the store", test_era_successor },
   { "holder in a new era of the store", test_era_holder },
   { "late answers of an earlier era", test_era_late_answer },
+  { "object deleted by another writer", test_deleted },
   { "graceful release", test_release },
   { "store outage", test_outage },
   { "two candidates race", test_race },
