--- a/tests/httppeer.c
+++ b/tests/httppeer.c
@@ -104,3 +104,34 @@
 
   return peer_read_request_text (fd, bytes, sizeof bytes);
 }
+
+static void
+send_answer (int fd, const struct peer_exchange *x)
+{
+  struct str text = str_printf (
+      "HTTP/1.1 %s\r\nStore-Era: %u\r\nContent-Length: %zu\r\n\r\n%s",
+      x->status, x->era, strlen (x->body), x->body);
+
+  send (fd, text.data, text.len, MSG_NOSIGNAL);
+  str_free (&text);
+}
+
+void *
+peer_run_script (void *ctx)
+{
+  struct peer_script *s = ctx;
+  const int fd = accept (s->fd, NULL, NULL);
+  char request[2048];
+
+  for (size_t i = 0; i < s->count && s->exchanges[i].call; i++)
+    {
+      if (!peer_read_request_text (fd, request, sizeof request))
+        break;
+      s->unexpected = s->unexpected || !strstr (request, s->exchanges[i].call);
+      send_answer (fd, &s->exchanges[i]);
+    }
+  while (recv (fd, request, sizeof request, 0) > 0)
+    ;
+  close (fd);
+  return NULL;
+}
--- a/tests/httppeer.h
+++ b/tests/httppeer.h
@@ -52,3 +52,34 @@
 void peer_on_done (void *ctx, struct http_call *call, struct err err,
                    int status, bool sent, struct str body);
 void peer_on_order_done (void *ctx, enum order_result result);
+
+/**
+ * struct peer_exchange - a request and its answer.
+ * @call: part of the request's text.
+ * @era: of the store, as the answer names it.
+ */
+struct peer_exchange
+{
+  const char *call;
+  const char *status;
+  unsigned era;
+  const char *body;
+};
+
+/**
+ * struct peer_script - exchanges on one connection, which ends with an
+ * exchange without a call, or with @count.
+ * @fd: listening socket.
+ * @unexpected: a request was not the next one of the script.
+ */
+struct peer_script
+{
+  int fd;
+  const struct peer_exchange *exchanges;
+  size_t count;
+  bool unexpected;
+};
+
+/** peer_run_script() - accept a connection and answer its requests, and none
+ * after the last one; a thread's function. @ctx: struct peer_script. */
+void *peer_run_script (void *ctx);
--- a/tests/test_feedera.c
+++ b/tests/test_feedera.c
@@ -1,8 +1,6 @@
 #include <pthread.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "clock.h"
 #include "err.h"
@@ -25,19 +23,6 @@
 #define CHANGED(name, revision)                                               \
   "{\"deleted\":false,\"object\":" OBJECT (name, revision) "}"
 
-/**
- * struct exchange - a call of the feed and its answer.
- * @call: part of the request line.
- * @era: as the answer names it.
- */
-struct exchange
-{
-  const char *call;
-  const char *status;
-  unsigned era;
-  const char *body;
-};
-
 /**
  * struct restore_case - calls of a feed and what it reports.
  * @exchanges: those after the first listing, at revision 90 of era 1, which
@@ -48,7 +33,7 @@
 struct restore_case
 {
   const char *name;
-  struct exchange exchanges[EXCHANGES_MAX];
+  struct peer_exchange exchanges[EXCHANGES_MAX];
   const char *reported;
 };
 
@@ -87,52 +72,6 @@
     .reported = "-b listed " },
 };
 
-/* ---- the store ---- */
-
-struct scripted_store
-{
-  int fd;
-  const struct restore_case *script;
-  bool unexpected; /* a call was not the next one of the script */
-};
-
-static void
-answer (int fd, const struct exchange *x)
-{
-  struct str text = str_printf (
-      "HTTP/1.1 %s\r\nStore-Era: %u\r\nContent-Length: %zu\r\n\r\n%s",
-      x->status, x->era, strlen (x->body), x->body);
-
-  send (fd, text.data, text.len, MSG_NOSIGNAL);
-  str_free (&text);
-}
-
-/* Answers the calls of the script on one connection, and none after them. The
-   first listing comes twice: the feed has known no era before the first one.
- */
-static void *
-run_store (void *ctx)
-{
-  static const struct exchange first
-      = { "servers ", "200 OK", 1, FIRST_LISTING };
-  struct scripted_store *s = ctx;
-  const int fd = accept (s->fd, NULL, NULL);
-  char request[2048];
-
-  for (size_t i = 0; i < EXCHANGES_MAX + 2; i++)
-    {
-      const struct exchange *x = i < 2 ? &first : &s->script->exchanges[i - 2];
-
-      if (!peer_read_request_text (fd, request, sizeof request) || !x->call)
-        break;
-      s->unexpected = s->unexpected || !strstr (request, x->call);
-      answer (fd, x);
-    }
-  recv (fd, request, sizeof request, 0);
-  close (fd);
-  return NULL;
-}
-
 /* ---- the feed ---- */
 
 struct report
@@ -191,18 +130,25 @@
   .restored = on_restored,
 };
 
+/* The first listing comes twice: the feed knows no era before its answer. */
 static void
-run_case (const struct restore_case *c, struct scripted_store *s,
+run_case (const struct restore_case *c, struct peer_script *s,
           struct report *r)
 {
+  struct peer_exchange exchanges[EXCHANGES_MAX + 2]
+      = { { "servers ", "200 OK", 1, FIRST_LISTING },
+          { "servers ", "200 OK", 1, FIRST_LISTING } };
   const struct feed_timing timing = { .wait_ms = 2000, .pause_ms = 100 };
   const uint64_t give_up_ms = clock_ms () + WAIT_TIMEOUT_MS;
   struct peer peer;
   pthread_t thread;
 
+  memcpy (&exchanges[2], c->exchanges, sizeof c->exchanges);
   peer_open (&peer);
-  s->fd = peer.fd;
-  pthread_create (&thread, NULL, run_store, s);
+  *s = (struct peer_script){ .fd = peer.fd,
+                             .exchanges = exchanges,
+                             .count = EXCHANGES_MAX + 2 };
+  pthread_create (&thread, NULL, peer_run_script, s);
   struct objects *objects = objects_create (peer.http, peer.addr);
   struct feed *f
       = feed_create (objects, &peer.loop, "servers", timing, &events, r);
@@ -226,7 +172,7 @@
   for (size_t i = 0; i < sizeof restore_cases / sizeof *restore_cases; i++)
     {
       const struct restore_case *c = &restore_cases[i];
-      struct scripted_store store = { .script = c };
+      struct peer_script store;
       struct report r = { 0 };
 
       run_case (c, &store, &r);
