Write the copy of the refused requests again after a restore

Nodes keep the requests that crash servers in the store, for a start after all nodes were stopped. After the store came back from an older copy, the copy lacked what was written since, and the writer took it for written: a later start of all nodes would have run those requests again. Found by looking for the same cause elsewhere.

In a new era the copy is read again, merged and written with what this node knows.

Unit quarantinestore, copy lost by a restored store: before, the fifth call of the script did not come within its 15 s; now all pass.

--- a/src/edge/quarantine_store.c
+++ b/src/edge/quarantine_store.c
@@ -25,6 +25,7 @@
   uint64_t revision;        /* of the object; 0: does not exist */
   uint64_t written_version; /* quarantine_version() of the copy */
   uint64_t writing_version; /* likewise of the write in flight */
+  uint64_t era;             /* of the store, that @revision is of */
   uint64_t call_ms;         /* when the last call ended */
   bool known;               /* the newest copy was read or written */
   bool in_flight;
@@ -216,12 +217,27 @@
   free (items);
 }
 
+/* A store that came back from an older copy may lack what was written since.
+ */
+static void
+follow_era (struct quarantine_store *s)
+{
+  const uint64_t era = objects_era (s->objects);
+
+  if (era == s->era)
+    return;
+  s->era = era;
+  s->known = false;
+  s->written_version = 0;
+}
+
 void
 quarantine_store_step (struct quarantine_store *s, bool is_writer,
                        uint64_t now_ms)
 {
   if (s->in_flight || now_ms < s->call_ms + CALL_GAP_MS)
     return;
+  follow_era (s);
   if (!s->known)
     {
       s->in_flight = true;
--- a/tests/httppeer.c
+++ b/tests/httppeer.c
@@ -129,6 +129,7 @@
         break;
       s->unexpected = s->unexpected || !strstr (request, s->exchanges[i].call);
       send_answer (fd, &s->exchanges[i]);
+      s->answered++;
     }
   while (recv (fd, request, sizeof request, 0) > 0)
     ;
--- a/tests/httppeer.h
+++ b/tests/httppeer.h
@@ -71,6 +71,7 @@
  * exchange without a call, or with @count.
  * @fd: listening socket.
  * @unexpected: a request was not the next one of the script.
+ * @answered: number of answers sent.
  */
 struct peer_script
 {
@@ -78,6 +79,7 @@
   const struct peer_exchange *exchanges;
   size_t count;
   bool unexpected;
+  _Atomic size_t answered;
 };
 
 /** peer_run_script() - accept a connection and answer its requests, and none
--- a/tests/test_quarantinestore.c
+++ b/tests/test_quarantinestore.c
@@ -1,7 +1,10 @@
 #include "edge/quarantine_store.h"
 
 #include <errno.h>
+#include <pthread.h>
 
+#include "clock.h"
+#include "httppeer.h"
 #include "suite.h"
 
 #define WALL_MS 1700000000000
@@ -98,8 +101,89 @@
     }
 }
 
+#define COPY_PATH "/objects/galenagate-quarantine"
+#define WRITTEN(revision)                                                     \
+  "{\"metadata\":{\"name\":\"requests\",\"revision\":" revision               \
+  "},\"spec\":{}}"
+#define WAIT_TIMEOUT_MS 15000
+
+/* The copy is created, and is missing after the store came back from an older
+   copy. Calls that cross eras are repeated. */
+static const struct peer_exchange restored_script[] = {
+  { "GET " COPY_PATH, "404 Not Found", 1, "{}" },
+  { "GET " COPY_PATH, "404 Not Found", 1, "{}" },
+  { "POST " COPY_PATH, "201 Created", 1, WRITTEN ("90") },
+  { "GET /objects/other", "404 Not Found", 2, "{}" },
+  { "GET " COPY_PATH, "404 Not Found", 2, "{}" },
+  { "POST " COPY_PATH, "201 Created", 2, WRITTEN ("40") },
+};
+#define RESTORED_EXCHANGES (sizeof restored_script / sizeof *restored_script)
+#define RESTORED_CALL 3
+
+static void
+ignore_object (void *ctx, struct err err, const struct object *o)
+{
+  (void)ctx;
+  (void)err;
+  (void)o;
+}
+
+static void
+refuse_request (struct quarantine *q)
+{
+  for (uint64_t server = 1; server <= QUARANTINE_CRASHES_MAX; server++)
+    {
+      const struct crash_evidence e
+          = { .crash = { .fingerprint = 0xaa, .server = server } };
+
+      quarantine_merge (q, &e, clock_ms ());
+    }
+}
+
+/* Guards against refused requests that all nodes forget when they stop,
+   because the store came back from a copy without them. */
+static void
+test_restored (void)
+{
+  struct quarantine *q = quarantine_create ();
+  struct peer peer;
+  pthread_t thread;
+
+  peer_open (&peer);
+  struct peer_script script = { .fd = peer.fd,
+                                .exchanges = restored_script,
+                                .count = RESTORED_EXCHANGES };
+  pthread_create (&thread, NULL, peer_run_script, &script);
+  struct objects *objects = objects_create (peer.http, peer.addr);
+  struct quarantine_store *s = quarantine_store_create (objects, q);
+  const uint64_t give_up_ms = clock_ms () + WAIT_TIMEOUT_MS;
+  bool restored = false;
+
+  refuse_request (q);
+  while (script.answered < RESTORED_EXCHANGES && clock_ms () < give_up_ms)
+    {
+      if (script.answered == RESTORED_CALL && !restored)
+        {
+          objects_read (objects, "other", "x", ignore_object, NULL);
+          restored = true;
+        }
+      /* Far enough ahead that no pause between calls is left. */
+      quarantine_store_step (s, true, clock_ms () + WAIT_TIMEOUT_MS);
+      uv_run (&peer.loop, UV_RUN_NOWAIT);
+    }
+  CU_ASSERT_EQUAL (script.answered, RESTORED_EXCHANGES);
+  CU_ASSERT_FALSE (script.unexpected);
+  peer_stop (&peer);
+  pthread_join (thread, NULL);
+  quarantine_store_destroy (s);
+  objects_destroy (objects);
+  quarantine_destroy (q);
+  peer_close (&peer);
+}
+
 static const struct suite_case cases[] = {
   { "round trip", test_round_trip },
   { "damaged", test_damaged },
+  { "copy lost by a restored store", test_restored },
 };
 TEST_SUITE ("quarantinestore", cases)
