Read the lease after a write that found no object

A holder whose lease object another writer had deleted repeated the same write each 250 ms, 50 times in 12 s in a reviewer's run with one node, and held the lease never again: the answer 404 was taken for a passing error. It now reads the object, as after any other sign that it changed.

The tests' store answers as the store does to a replacement of what does not exist.

--- a/src/leasestate.c
+++ b/src/leasestate.c
@@ -465,8 +465,9 @@
       return;
     }
   /* After -EEXIST the object may still name this process: an earlier attempt
-     whose answer was lost may have taken effect late. */
-  s->must_read_back = err == -EEXIST || err == -EINPROGRESS;
+     whose answer was lost may have taken effect late. After -ENOENT another
+     writer has deleted it. */
+  s->must_read_back = err == -EEXIST || err == -ENOENT || err == -EINPROGRESS;
   s->next_step_ms = now + (err == -EEXIST ? 0 : RETRY_DELAY_MS);
 }
 
--- a/src/leasestate.h
+++ b/src/leasestate.h
@@ -117,7 +117,8 @@
                            const struct lease_record *record);
 /**
  * leasestate_write_done() - apply the result of a write.
- * @err: 0, -EEXIST (the object has another version), -EINPROGRESS (the answer
+ * @err: 0, -EEXIST (the object has another version), -ENOENT (there is none to
+ *   replace), -EINPROGRESS (the answer
  *   was lost), -ESTALE (an era began meanwhile), or another negative errno
  * value if the write did not take effect.
  */
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -62,6 +62,8 @@
 static int
 put (struct world *w, uint64_t version, const struct lease_record *r)
 {
+  if (version > 0 && w->version == 0)
+    return -ENOENT;
   if (version != w->version)
     return -EEXIST;
   w->version++;
@@ -327,6 +329,22 @@
   world_destroy (&w);
 }
 
+/* Guards against a holder that replaces the deleted object again and again and
+   never holds the lease any more. */
+static void
+test_deleted_holder (void)
+{
+  struct world w = world_held_by_a ();
+  const uint64_t fence = leasestate_fence (w.nodes[0]);
+
+  advance_time (&w, 1000, 1);
+  restore_store (&w);
+  advance_time (&w, 3 * (TTL_MS + MARGIN_MS), 1);
+  CU_ASSERT (valid (&w, 0));
+  CU_ASSERT (leasestate_fence (w.nodes[0]) > fence);
+  world_destroy (&w);
+}
+
 /* Guards against an answer to a step of the era before, whose object the node
    no longer uses: it says nothing about this era. */
 static void
@@ -639,6 +657,7 @@
   { "holder in a new era of the store", test_era_holder },
   { "late answers of an earlier era", test_era_late_answer },
   { "object deleted by another writer", test_deleted },
+  { "holder's object deleted", test_deleted_holder },
   { "graceful release", test_release },
   { "store outage", test_outage },
   { "two candidates race", test_race },
