--- a/src/edge/holderlease.c
+++ b/src/edge/holderlease.c
@@ -94,7 +94,6 @@
 static void
 on_store_answer (struct holderlease *l)
 {
-  follow_era (l);
   log_validity_change (l);
   l->changed (l->ctx);
   holderlease_step (l);
@@ -117,6 +116,7 @@
   struct lease_record r = { 0 };
   int code = err.code;
 
+  follow_era (l);
   if (code == 0)
     code = decode (o, &r);
   if (code == -EBADMSG)
@@ -135,7 +135,12 @@
   if (err.code != 0 && err.code != l->last_write_error)
     LOG_INFO ("lease-write-failed", LOG_E_FMT, LOG_E_ARG (err));
   l->last_write_error = err.code;
-  leasestate_write_done (l->state, clock_ms (), err.code, o ? o->revision : 0);
+  follow_era (l);
+  /* An answer of an earlier era doesn't tell what this one's store has done.
+   */
+  leasestate_write_done (l->state, clock_ms (),
+                         err.code == -ESTALE ? -EINPROGRESS : err.code,
+                         o ? o->revision : 0);
   on_store_answer (l);
 }
 
--- a/src/leasestate.c
+++ b/src/leasestate.c
@@ -32,6 +32,9 @@
   bool must_read_back; /* the next step reads to learn the result of a write */
   bool is_free;        /* the last read showed that the lease is free */
   bool step_in_progress;
+  bool step_outdated; /* an era began since the step did */
+  bool reclaiming; /* takes the lease of this era, as it held the last one's */
+  uint64_t eras;   /* number of eras that began */
   uint64_t version;
   uint64_t first_seen_ms; /* when @version was first read or reported */
   uint64_t hint_version;  /* version that the holder reported */
@@ -160,6 +163,7 @@
 void
 leasestate_set_candidate (struct leasestate *s, bool candidate)
 {
+  candidate = candidate || s->reclaiming;
   if (candidate && !s->candidate && !s->held_by_self)
     {
       /* A node that isn't a candidate doesn't read the object, which may have
@@ -185,6 +189,7 @@
 leasestate_release (struct leasestate *s)
 {
   s->candidate = false;
+  s->reclaiming = false;
   s->releasing = s->held_by_self || s->step_in_progress;
   s->valid_until_ms = 0;
   s->next_step_ms = 0;
@@ -203,6 +208,8 @@
 {
   uint32_t ttl = s->current.ttl_ms;
 
+  if (s->reclaiming && s->version == 0)
+    return s->first_seen_ms;
   if (s->version == 0 && s->absent_free_ms > s->first_seen_ms)
     return s->absent_free_ms + s->takeover_delay_ms;
   if (s->current.holder.len == 0)
@@ -306,9 +313,14 @@
   if (s->current.holder.len > 0)
     add_earlier_holder (&s->current, node_hash (s->current.holder));
   str_free (&s->current.holder);
-  s->before_era = s->current;
+  /* An era that ended before its object was read has told nothing. */
+  if (s->version > 0)
+    s->before_era = s->current;
   s->current = (struct lease_record){ 0 };
   s->min_fence = min_fence;
+  s->eras++;
+  s->step_outdated = s->step_in_progress;
+  s->reclaiming = was_valid;
   s->absent_free_ms = was_valid ? now : now + s->ttl_ms + s->margin_ms;
   s->version = 0;
   s->first_seen_ms = now;
@@ -384,7 +396,11 @@
               const struct lease_record *r)
 {
   const bool was_held = s->held_by_self;
+  /* Others may have held the lease of an era that this node has not seen. */
+  const bool others_unknown = s->version == 0 && s->eras > 1 && !s->reclaiming;
 
+  if (version > 0)
+    s->reclaiming = false;
   if (!s->current_known || version != s->version)
     {
       const struct str old = s->current.holder;
@@ -408,7 +424,7 @@
   if (!s->held_by_self || was_held)
     return;
   s->term_start_ms = now;
-  s->reacquired = held_before_other_node (s, r);
+  s->reacquired = others_unknown || held_before_other_node (s, r);
 }
 
 static void
@@ -421,14 +437,24 @@
     s->valid_until_ms = s->written_ms + s->ttl_ms - s->margin_ms;
 }
 
+/* Returns true if the step was about the object of an earlier era. */
+static bool
+end_step (struct leasestate *s)
+{
+  const bool outdated = s->step_outdated;
+
+  s->step_in_progress = false;
+  s->step_outdated = false;
+  return outdated;
+}
+
 void
 leasestate_read_done (struct leasestate *s, uint64_t now, int err,
                       uint64_t version, const struct lease_record *record)
 {
   static const struct lease_record none = { 0 };
 
-  s->step_in_progress = false;
-  if (err == -ESTALE)
+  if (end_step (s))
     return;
   if (err != 0 && err != -ENOENT)
     {
@@ -455,8 +481,7 @@
 leasestate_write_done (struct leasestate *s, uint64_t now, int err,
                        uint64_t version)
 {
-  s->step_in_progress = false;
-  if (err == -ESTALE)
+  if (end_step (s))
     return;
   if (err == 0)
     {
--- a/src/leasestate.h
+++ b/src/leasestate.h
@@ -84,7 +84,8 @@
  *
  * The terms before are not in that object. Their holder may still act on its
  * lease, so that another node takes the lease only after the time for which a
- * lease is valid.
+ * lease is valid, and then waits for the reacquire delay. The holder itself
+ * takes it at once. The result of a step in progress is ignored.
  * @min_fence: fencing tokens of the era are greater, and those of earlier eras
  *   are not.
  */
@@ -108,8 +109,7 @@
                                  struct lease_record *out);
 /**
  * leasestate_read_done() - apply the result of a read.
- * @err: 0, -ENOENT, -ESTALE if an era began meanwhile, or another negative
- *   errno value if the read failed.
+ * @err: 0, -ENOENT, or another negative errno value if the read failed.
  * @record: used only if @err is 0.
  */
 void leasestate_read_done (struct leasestate *s, uint64_t now, int err,
@@ -118,9 +118,8 @@
 /**
  * leasestate_write_done() - apply the result of a write.
  * @err: 0, -EEXIST (the object has another version), -ENOENT (there is none to
- *   replace), -EINPROGRESS (the answer
- *   was lost), -ESTALE (an era began meanwhile), or another negative errno
- * value if the write did not take effect.
+ *   replace), -EINPROGRESS (the answer was lost), or another negative errno
+ *   value if the write did not take effect.
  */
 void leasestate_write_done (struct leasestate *s, uint64_t now, int err,
                             uint64_t version);
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -295,7 +295,10 @@
   leasestate_begin_era (w.nodes[1], w.now, ERA_FENCE);
   CU_ASSERT_FALSE (valid (&w, 0));
   CU_ASSERT_EQUAL (leasestate_fence (w.nodes[0]), 0);
-  advance_time (&w, 500, 3);
+  /* It has sent its digests until now, so that it is no candidate itself. */
+  leasestate_set_candidate (w.nodes[0], false);
+  leasestate_set_takeover_delay (w.nodes[0], 1000);
+  advance_time (&w, 200, 3);
   CU_ASSERT (valid (&w, 0));
   CU_ASSERT (leasestate_fence (w.nodes[0]) > ERA_FENCE);
   CU_ASSERT_EQUAL (leasestate_node_count (w.nodes[0]), 79);
@@ -351,21 +354,65 @@
 test_era_late_answer (void)
 {
   struct world w = world_held_by_a ();
+  const struct lease_record old = w.object;
   struct lease_record r;
 
   advance_time (&w, 1000, 1);
   while (leasestate_next (w.nodes[0], w.now, &r) != LEASE_STEP_WRITE)
     w.now += 100;
   leasestate_begin_era (w.nodes[0], w.now, ERA_FENCE);
-  leasestate_write_done (w.nodes[0], w.now, -ESTALE, 0);
+  leasestate_write_done (w.nodes[0], w.now, 0, w.version + 1);
   CU_ASSERT_FALSE (valid (&w, 0));
   CU_ASSERT_EQUAL (leasestate_next (w.nodes[0], w.now, &r), LEASE_STEP_READ);
-  leasestate_read_done (w.nodes[0], w.now, -ESTALE, 0, NULL);
   leasestate_begin_era (w.nodes[0], w.now, 2 * ERA_FENCE);
+  leasestate_read_done (w.nodes[0], w.now, 0, w.version, &old);
+  CU_ASSERT_FALSE (valid (&w, 0));
+  CU_ASSERT_EQUAL (leasestate_fence (w.nodes[0]), 0);
   CU_ASSERT_EQUAL (leasestate_next (w.nodes[0], w.now, &r), LEASE_STEP_READ);
   world_destroy (&w);
 }
 
+/* Guards against what the last known holder stored for its successor being
+   lost, because an era ended before its object was read. */
+static void
+test_era_unread (void)
+{
+  struct world w = world_held_by_a ();
+
+  leasestate_set_node_count (w.nodes[0], 79);
+  advance_time (&w, TTL_MS, 3);
+  restore_store (&w);
+  leasestate_begin_era (w.nodes[1], w.now, ERA_FENCE);
+  leasestate_begin_era (w.nodes[1], w.now, 2 * ERA_FENCE);
+  CU_ASSERT_EQUAL (leasestate_node_count (w.nodes[1]), 79);
+  world_destroy (&w);
+}
+
+/* Guards against two nodes that take turns within the reacquire delay, because
+   the object of the new era doesn't list the holders before. */
+static void
+test_era_reacquire (void)
+{
+  struct world w = world_held_by_a ();
+
+  for (size_t i = 0; i < NODES; i++)
+    leasestate_set_reacquire_delay (w.nodes[i], TTL_MS);
+  leasestate_begin_era (w.nodes[0], w.now, ERA_FENCE);
+  leasestate_begin_era (w.nodes[1], w.now, ERA_FENCE);
+  restore_store (&w);
+  advance_time (&w, 500, 3);
+  CU_ASSERT (valid (&w, 0));
+  CU_ASSERT (leasestate_reacquire_delay_over (w.nodes[0], w.now));
+  leasestate_begin_era (w.nodes[1], w.now, 2 * ERA_FENCE);
+  restore_store (&w);
+  while (!valid (&w, 1))
+    advance_time (&w, 100, 2);
+  CU_ASSERT_FALSE (leasestate_reacquire_delay_over (w.nodes[1], w.now));
+  advance_time (&w, TTL_MS, 2);
+  CU_ASSERT (leasestate_reacquire_delay_over (w.nodes[1], w.now));
+  world_destroy (&w);
+}
+
 /* Guards against a holder that gives up the lease, or overestimates its
    validity, after the answer to a write is lost. */
 static void
@@ -656,6 +703,8 @@
   { "successor in a new era of the store", test_era_successor },
   { "holder in a new era of the store", test_era_holder },
   { "late answers of an earlier era", test_era_late_answer },
+  { "era that ends unread", test_era_unread },
+  { "turns in a new era", test_era_reacquire },
   { "object deleted by another writer", test_deleted },
   { "holder's object deleted", test_deleted_holder },
   { "graceful release", test_release },
