Take the lease with a token above all that are known

The lowest token that a node takes now also counts the tokens of digests.

Unit lease, token reported by the holder: the interface is new; 20 of 20 pass.

--- a/src/edge/holderlease.c
+++ b/src/edge/holderlease.c
@@ -174,8 +174,10 @@
 }
 
 void
-holderlease_hint (struct holderlease *l, uint64_t era, uint64_t revision)
+holderlease_hint (struct holderlease *l, uint64_t fence, uint64_t era,
+                  uint64_t revision)
 {
+  leasestate_report_fence (l->state, fence);
   if (era == l->era)
     leasestate_report_version (l->state, clock_ms (), revision);
 }
--- a/src/edge/holderlease.h
+++ b/src/edge/holderlease.h
@@ -35,9 +35,12 @@
 /** holderlease_set_candidate() - set whether this node takes the lease when it
  * is free. */
 void holderlease_set_candidate (struct holderlease *lease, bool candidate);
-/** holderlease_hint() - report the revision of the lease object, and the era
- * of the store, that the holder sent. */
-void holderlease_hint (struct holderlease *lease, uint64_t era,
+/**
+ * holderlease_hint() - report what the holder sent.
+ * @fence: its fencing token.
+ * @revision: of the lease object in the era @era of the store.
+ */
+void holderlease_hint (struct holderlease *lease, uint64_t fence, uint64_t era,
                        uint64_t revision);
 /** holderlease_revision() - last known revision of the lease object; 0 when
  * unknown. */
--- a/src/edge/placer_receive.c
+++ b/src/edge/placer_receive.c
@@ -127,7 +127,7 @@
      become candidates for the lease. */
   if (d->active)
     p->holder_seen_ms = clock_ms ();
-  holderlease_hint (p->lease, d->store_era, d->lease_revision);
+  holderlease_hint (p->lease, d->fence, d->store_era, d->lease_revision);
   p->holder_revisions = (struct platform_revisions){
     .era = d->store_era,
     .config_revision = d->config_revision,
--- a/src/leasestate.c
+++ b/src/leasestate.c
@@ -185,6 +185,13 @@
   s->hint_ms = now;
 }
 
+void
+leasestate_report_fence (struct leasestate *s, uint64_t fence)
+{
+  if (fence > s->min_fence)
+    s->min_fence = fence;
+}
+
 void
 leasestate_release (struct leasestate *s)
 {
@@ -411,8 +418,7 @@
       /* Another writer deleted the object; its holder may not know yet. */
       if (version == 0 && s->version > 0)
         s->absent_free_ms = now + s->ttl_ms + s->margin_ms;
-      if (r->fence > s->min_fence)
-        s->min_fence = r->fence;
+      leasestate_report_fence (s, r->fence);
       s->version = version;
       s->first_seen_ms
           = version > 0 && version == s->hint_version ? s->hint_ms : now;
--- a/src/leasestate.h
+++ b/src/leasestate.h
@@ -91,6 +91,9 @@
  */
 void leasestate_begin_era (struct leasestate *s, uint64_t now,
                            uint64_t min_fence);
+/** leasestate_report_fence() - another node uses this fencing token; this node
+ * takes a later term only with a higher one. */
+void leasestate_report_fence (struct leasestate *s, uint64_t fence);
 /** leasestate_release() - stop holding the lease at once; a write that
  * releases the object follows as the next step.
  */
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -332,6 +332,22 @@
   world_destroy (&w);
 }
 
+/* Guards against a node that never read the object and takes the lease with
+   the token of the holder, which it heard of from that holder only. */
+static void
+test_reported_fence (void)
+{
+  struct world w = world_create ();
+
+  leasestate_report_fence (w.nodes[0], 7);
+  leasestate_report_fence (w.nodes[0], 5);
+  leasestate_set_candidate (w.nodes[0], true);
+  advance_time (&w, 500, 1);
+  CU_ASSERT (valid (&w, 0));
+  CU_ASSERT_EQUAL (leasestate_fence (w.nodes[0]), 8);
+  world_destroy (&w);
+}
+
 /* Guards against a holder that replaces the deleted object again and again and
    never holds the lease any more. */
 static void
@@ -707,6 +723,7 @@
   { "turns in a new era", test_era_reacquire },
   { "object deleted by another writer", test_deleted },
   { "holder's object deleted", test_deleted_holder },
+  { "token reported by the holder", test_reported_fence },
   { "graceful release", test_release },
   { "store outage", test_outage },
   { "two candidates race", test_race },
