Use a server again whose restored entry lasts

A live server that is cut from the store loses its entry.

The store removes the entry of a silent server after three heartbeats. A restored entry that is still there 10 s after the restore is of a live server and counts.

--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -13,6 +13,9 @@
 /* Time for live servers to write their entries again after an outage of the
    store. */
 #define ENTRY_GRACE_MS 1900
+/* The store removes the entry of a server that is gone within this time after
+   it came back from a copy that has the entry. */
+#define RESTORED_ENTRY_MS (10 * 1000)
 /* How long a report of the placement holder overrides a server's entry. */
 #define VIEW_VALID_MS 2000
 
@@ -180,16 +183,23 @@
   return s->view_received_ms > 0 && now_ms < valid_since_ms + VIEW_VALID_MS;
 }
 
-/* Returns true for an entry that was stored late, or that was removed and is
-   there again because the store came back from an older copy. A live server
-   writes its entry again with a higher sequence. */
+/* Returns true for an entry that was stored late. */
 static bool
 is_outdated (const struct pool_server *s, const struct server_entry *e)
 {
   if (e->started_ms != s->started_ms)
     return e->started_ms < s->started_ms;
-  return e->sequence < s->sequence
-         || (s->removal_lost && e->sequence == s->sequence);
+  return e->sequence < s->sequence;
+}
+
+/* Returns true for an entry that was removed and is there again because the
+   store came back from an older copy. A live server writes it again with a
+   higher sequence, if it has anything new to write. */
+static bool
+is_restored (const struct pool_server *s, const struct server_entry *e)
+{
+  return s->removed_before_restore && e->started_ms == s->started_ms
+         && e->sequence == s->sequence;
 }
 
 bool
@@ -202,10 +212,12 @@
     s = add (p, e->id);
   else if (is_outdated (s, e))
     return false;
+  s->doubted_until_ms
+      = is_restored (s, e) ? p->restored_ms + RESTORED_ENTRY_MS : 0;
   if (e->started_ms > s->started_ms)
     restart (s, e);
   s->listed = true;
-  s->removal_lost = false;
+  s->removed_before_restore = false;
   s->unreadable = false;
   str_assign (&s->service, e->service);
   str_assign (&s->address, e->address);
@@ -253,8 +265,10 @@
 pool_store_restored (struct pool *p, uint64_t now_ms)
 {
   pool_store_outage_ended (p, now_ms);
+  p->restored_ms = now_ms;
   for (struct pool_server *s = p->servers; s; s = s->hh.next)
-    s->removal_lost = s->removal_lost || !s->listed;
+    s->removed_before_restore = s->removed_before_restore || !s->listed
+                                || s->doubted_until_ms > now_ms;
 }
 
 static struct pool_server *
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -102,8 +102,9 @@
 /** pool_store_outage_ended() - the store answers again after an outage. */
 void pool_store_outage_ended (struct pool *pool, uint64_t now_ms);
 /** pool_store_restored() - the store came back from an older copy. Live
- * servers write their entries again; entries that were removed before may be
- * there again and make no server usable. */
+ * servers write their entries again. An entry that was removed before may be
+ * there again; it makes its server usable only once it has lasted for longer
+ * than the store keeps entries of servers that are gone. */
 void pool_store_restored (struct pool *pool, uint64_t now_ms);
 /** pool_apply_view() - apply the placement holder's report about a server. */
 void pool_apply_view (struct pool *pool, const struct pool_view *view,
--- a/src/edge/pool_choose.c
+++ b/src/edge/pool_choose.c
@@ -13,7 +13,8 @@
 pool_server_usable (const struct pool_server *s, uint64_t now_ms)
 {
   return !s->leaving && !s->unreadable && !s->replaced
-         && (s->listed || now_ms < s->usable_until_ms);
+         && (s->listed ? now_ms >= s->doubted_until_ms
+                       : now_ms < s->usable_until_ms);
 }
 
 static double
--- a/src/edge/pool_impl.h
+++ b/src/edge/pool_impl.h
@@ -32,8 +32,10 @@
  * @unreadable: the entry is not valid; the server did not write it.
  * @replaced: another server uses the address.
  * @removed_ms: when the entry was removed.
- * @removal_lost: the store came back from an older copy since then, which may
- *   have the entry.
+ * @removed_before_restore: the store came back from an older copy since then,
+ *   which may have the entry.
+ * @doubted_until_ms: the entry is there again, as it was when it was removed.
+ *   The store removes it once more before then if the server is gone.
  * @usable_until_ms: while there is no entry.
  * @view_received_ms: when the holder's report was applied; 0 if there is none.
  * @models_known: the holder's latest report knew which models the server
@@ -60,7 +62,8 @@
   bool unreadable;
   bool replaced;
   uint64_t removed_ms;
-  bool removal_lost;
+  bool removed_before_restore;
+  uint64_t doubted_until_ms;
   uint64_t usable_until_ms;
   struct placed_model *models;
   size_t model_count;
@@ -85,6 +88,7 @@
  * @servers_by_hash: by the hash of the id.
  * @holder_message_ms: when the last message of the placement holder arrived.
  * @outage_ended_ms: end of the store's last outage; 0 if there was none.
+ * @restored_ms: when the store last came back from an older copy; likewise.
  */
 struct pool
 {
@@ -92,6 +96,7 @@
   struct pool_server *servers_by_hash;
   uint64_t holder_message_ms;
   uint64_t outage_ended_ms;
+  uint64_t restored_ms;
 };
 
 /* ---- pool.c ---- */
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -97,6 +97,7 @@
  * @removed: the server's entry, with start time 1000 and sequence 5, had been
  *   removed before.
  * @usable: the server gets calls after that entry.
+ * @usable_later: it does once the entry has lasted for a while.
  */
 struct restored_case
 {
@@ -104,20 +105,21 @@
   uint64_t started_ms;
   uint64_t sequence;
   bool usable;
+  bool usable_later;
 };
 
 static const struct restored_case restored_cases[] = {
-  { true, 1000, 5, false }, /* as it was when it was removed */
-  { true, 1000, 4, false }, /* as it was before */
-  { true, 900, 9, false },  /* of an earlier process */
-  { true, 1000, 6, true },  /* written again by the live server */
-  { true, 1100, 1, true },  /* written by its next process */
-  { false, 1000, 5, true }, { false, 1000, 4, true },
+  { true, 1000, 5, false, true },  /* as it was when it was removed */
+  { true, 1000, 4, false, false }, /* as it was before */
+  { true, 900, 9, false, false },  /* of an earlier process */
+  { true, 1000, 6, true, true },   /* written again by the live server */
+  { true, 1100, 1, true, true },   /* written by its next process */
+  { false, 1000, 5, true, true },  { false, 1000, 4, true, true },
 };
 
 /* Guards against calls to a server that is gone, because its entry is there
-   again in the store's older copy, and against giving up a live server that
-   wrote its entry again. */
+   again in the store's older copy, and against giving up a live server,
+   whether it wrote its entry again or has nothing new to write. */
 static void
 test_restored_entries (void)
 {
@@ -137,6 +139,11 @@
       pool_update (p, &e, 2010);
       choose (p, &plain_criteria, 5000,
               c->usable ? POOL_CHOSEN : POOL_NO_SERVER);
+      choose (p, &plain_criteria, 15000,
+              c->usable_later ? POOL_CHOSEN : POOL_NO_SERVER);
+      /* The store removes the entry once more if the server is gone. */
+      pool_remove (p, e.id, 15000);
+      choose (p, &plain_criteria, 15000, POOL_NO_SERVER);
       pool_destroy (p);
     }
 }
