Take no older entry as the sign that a server ended

An entry of a server that this node doesn't know, at the address of one that it uses, counted as the successor of that one and as the evidence of its crash, also if the entry was older. A store that came back from an older copy has such entries, when an address was used again since. The start times decide now, as they did for entries of one id.

--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -86,15 +86,17 @@
 }
 
 /* Returns the server that the entry replaces: an earlier process with the same
-   id, or another one at the same address. */
+   id, or one at the same address. An older entry, as a restored store has it,
+   replaces none. */
 static const struct pool_server *
 replaced_server (const struct site *s, const struct server_entry *e)
 {
-  const struct pool_server *same = pool_find (s->pool, e->id);
+  const struct pool_server *before = pool_find (s->pool, e->id);
 
-  if (!same)
-    return pool_find_at (s->pool, e->address);
-  return e->started_ms > pool_server_started (same) ? same : NULL;
+  if (!before)
+    before = pool_find_at (s->pool, e->address);
+  return before && e->started_ms > pool_server_started (before) ? before
+                                                                : NULL;
 }
 
 uint64_t
