--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -37,6 +37,7 @@
 static const char *const wait_reason_names[] = {
   [POOL_CHOSEN] = "retry-budget",
   [POOL_NO_SERVER] = "no-server",
+  [POOL_OTHER_VERSION] = "no-server-of-version",
   [POOL_NO_MODEL] = "no-model",
   [POOL_NO_ADAPTER] = "no-adapter",
   [POOL_DEFERRED] = "all-servers-deferred",
--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -93,6 +93,7 @@
   str_free (&s->service);
   str_free (&s->address);
   str_free (&s->domain);
+  str_free (&s->software_version);
   free (s);
 }
 
@@ -222,6 +223,7 @@
   str_assign (&s->service, e->service);
   str_assign (&s->address, e->address);
   str_assign (&s->domain, e->domain);
+  str_assign (&s->software_version, e->software_version);
   s->slots = e->slots;
   s->sequence = e->sequence;
   if (e->state == SERVER_DRAINING)
@@ -356,3 +358,9 @@
 {
   return s->address;
 }
+
+struct str
+pool_server_software_version (const struct pool_server *s)
+{
+  return s->software_version;
+}
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -61,6 +61,7 @@
  * @domain: failure domain of this node; servers there are slightly preferred.
  * @avoid: server of an earlier attempt that failed or was rejected, or NULL;
  *   servers without recent failures are preferred to it.
+ * @version_bound: only servers of @software_version fit; if it is empty, none.
  */
 struct pool_criteria
 {
@@ -70,16 +71,19 @@
   struct str adapter;
   struct str domain;
   const struct pool_server *avoid;
+  struct str software_version;
+  bool version_bound;
 };
 
 enum pool_result
 {
   POOL_CHOSEN,
-  POOL_NO_SERVER,  /* the service has no usable server */
-  POOL_NO_MODEL,   /* no server has the model */
-  POOL_NO_ADAPTER, /* servers have the model without the adapter */
-  POOL_DEFERRED,   /* all servers that could run it want no calls yet */
-  POOL_FULL,       /* likewise full */
+  POOL_NO_SERVER,     /* the service has no usable server */
+  POOL_OTHER_VERSION, /* likewise, but servers of other software versions */
+  POOL_NO_MODEL,      /* no server has the model */
+  POOL_NO_ADAPTER,    /* servers have the model without the adapter */
+  POOL_DEFERRED,      /* all servers that could run it want no calls yet */
+  POOL_FULL,          /* likewise full */
 };
 
 struct pool *pool_create (void);
@@ -170,6 +174,9 @@
 /** pool_find() - look up a server by id; NULL if there is none. */
 struct pool_server *pool_find (const struct pool *pool, struct str id);
 struct str pool_server_address (const struct pool_server *server);
+/** pool_server_software_version() - empty if the server's entry has none that
+ * can be read. */
+struct str pool_server_software_version (const struct pool_server *server);
 /**
  * struct pool_server_stats - load of a server as this node sees it, for logs.
  * @running: calls of this node.
--- a/src/edge/pool_choose.c
+++ b/src/edge/pool_choose.c
@@ -45,6 +45,15 @@
   return now_ms < m->missing_until_ms && str_eq (m->missing, adapter);
 }
 
+static bool
+fits_version (const struct pool_server *s,
+              const struct pool_criteria *criteria)
+{
+  return !criteria->version_bound
+         || (criteria->software_version.len > 0
+             && str_eq (s->software_version, criteria->software_version));
+}
+
 /* Returns POOL_CHOSEN if the server can run the call, else why not. Leaves out
    whether it wants no calls yet, and for a plain service whether it is full.
  */
@@ -54,6 +63,8 @@
 {
   const struct placed_model *m;
 
+  if (!fits_version (s, criteria))
+    return POOL_OTHER_VERSION;
   if (!criteria->engine)
     return POOL_CHOSEN;
   m = pool_model (s, criteria->model);
@@ -152,7 +163,7 @@
 
       if (!m || m->state != POOL_MODEL_LOADING
           || !str_eq (s->service, criteria->service)
-          || !pool_server_usable (s, now_ms))
+          || !fits_version (s, criteria) || !pool_server_usable (s, now_ms))
         continue;
       const uint64_t remaining_ms
           = m->ready_at_ms > now_ms ? m->ready_at_ms - now_ms : 0;
--- a/src/edge/pool_impl.h
+++ b/src/edge/pool_impl.h
@@ -52,6 +52,7 @@
   struct str service;
   struct str address;
   struct str domain;
+  struct str software_version;
   uint64_t hash;
   uint64_t started_ms;
   uint64_t sequence;
--- a/src/edge/topology.c
+++ b/src/edge/topology.c
@@ -163,6 +163,7 @@
   str_free (&e->service);
   str_free (&e->address);
   str_free (&e->domain);
+  str_free (&e->software_version);
   held_models_free (e->models, e->model_count);
   name_list_free (&e->in_memory);
   name_list_free (&e->on_disk);
--- a/src/edge/topology.h
+++ b/src/edge/topology.h
@@ -177,6 +177,7 @@
  * @id: id of the server instance; also the name of the entry.
  * @address: ip:port.
  * @domain: failure domain.
+ * @software_version: empty if the entry has none that can be read.
  * @started_ms: Unix time of the server's start, 0 when unknown. Distinguishes
  *   processes that use the same id.
  * @sequence: increases with each entry that the server writes.
@@ -190,6 +191,7 @@
   struct str service;
   struct str address;
   struct str domain;
+  struct str software_version;
   enum server_state state;
   uint64_t started_ms;
   uint64_t sequence;
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -408,6 +408,104 @@
   pool_destroy (p);
 }
 
+static void
+add_version (struct pool *p, const char *id, const char *version, uint64_t now)
+{
+  struct server_entry e = entry (id, "a", 0, SERVER_READY);
+
+  e.software_version = str_from (version);
+  pool_update (p, &e, now);
+}
+
+/* Guards against a call that goes on at a server of another software version
+   than the one that began it, or waits for such a server. */
+static void
+test_software_version (void)
+{
+  static const struct
+  {
+    const char *entries[2]; /* versions of the servers i-0 and i-1 */
+    bool bound;
+    const char *version;
+    enum pool_result expected;
+    const char *server;
+  } cases[] = {
+    { { "1", "2" }, true, "1", POOL_CHOSEN, "i-0" },
+    { { "1", "2" }, true, "2", POOL_CHOSEN, "i-1" },
+    { { "1", "2" }, true, "3", POOL_OTHER_VERSION, NULL },
+    { { "1", "2" }, true, "", POOL_OTHER_VERSION, NULL },
+    { { "", "2" }, true, "", POOL_OTHER_VERSION, NULL },
+    { { "", "2" }, true, "2", POOL_CHOSEN, "i-1" },
+    { { "", "2" }, false, "", POOL_CHOSEN, "i-0" },
+    { { "1", "2" }, false, "2", POOL_CHOSEN, "i-0" },
+    { { NULL }, true, "1", POOL_NO_SERVER, NULL },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      static const char *const ids[] = { "i-0", "i-1" };
+      struct pool *p = pool_create ();
+      struct pool_criteria criteria = plain_criteria;
+
+      criteria.version_bound = cases[i].bound;
+      criteria.software_version = str_from (cases[i].version);
+      for (size_t j = 0; j < 2 && cases[i].entries[j]; j++)
+        add_version (p, ids[j], cases[i].entries[j], 10);
+      const struct pool_server *s
+          = choose (p, &criteria, 10, cases[i].expected);
+      CU_ASSERT_EQUAL (s != NULL, cases[i].server != NULL);
+      if (s)
+        CU_ASSERT (str_eq (pool_server_id (s), str_from (cases[i].server)));
+      pool_destroy (p);
+    }
+}
+
+/* Guards against a call that waits for a load, or for the end of a time that a
+   server asked for, at a server of another software version. */
+static void
+test_times_of_version (void)
+{
+  struct pool *p = pool_create ();
+  struct pool_criteria criteria = { .service = STR ("s"),
+                                    .engine = &engine,
+                                    .model = STR ("m"),
+                                    .domain = STR ("a"),
+                                    .software_version = STR ("1"),
+                                    .version_bound = true };
+
+  add_version (p, "i-1", "1", 10);
+  add_version (p, "i-2", "2", 10);
+  hold (p, "i-2", "m", POOL_MODEL_LOADING, NULL, 1, 10);
+  CU_ASSERT_EQUAL (pool_ready_in (p, &criteria, 10), UINT32_MAX);
+  hold (p, "i-2", "m", POOL_MODEL_READY, NULL, 2, 10);
+  pool_defer_calls (pool_find (p, STR ("i-2")), 1010);
+  CU_ASSERT_EQUAL (pool_deferred_for (p, &criteria, 10), UINT32_MAX);
+  choose (p, &criteria, 10, POOL_NO_MODEL);
+  criteria.software_version = STR ("2");
+  CU_ASSERT_EQUAL (pool_deferred_for (p, &criteria, 10), 1000);
+  choose (p, &criteria, 10, POOL_DEFERRED);
+  hold (p, "i-2", "m", POOL_MODEL_LOADING, NULL, 3, 10);
+  CU_ASSERT_EQUAL (pool_ready_in (p, &criteria, 10), 400);
+  pool_destroy (p);
+}
+
+/* Guards against a version that stays that of an earlier process of the same
+   id, or of an entry that another writer overwrote. */
+static void
+test_version_changes (void)
+{
+  struct pool *p = pool_create ();
+
+  add_version (p, "i-1", "1", 10);
+  const struct pool_server *s = pool_find (p, STR ("i-1"));
+  CU_ASSERT (str_eq (pool_server_software_version (s), STR ("1")));
+  add_version (p, "i-1", "2", 20);
+  CU_ASSERT (str_eq (pool_server_software_version (s), STR ("2")));
+  add_version (p, "i-1", "", 30);
+  CU_ASSERT_EQUAL (pool_server_software_version (s).len, 0);
+  pool_destroy (p);
+}
+
 static const struct suite_case cases[] = {
   { "turned away", test_turned_away },
   { "leaving", test_leaving },
@@ -420,5 +518,8 @@
   { "models", test_models },
   { "models omitted", test_models_omitted },
   { "unreachable server", test_unreachable },
+  { "software version", test_software_version },
+  { "loads and pauses of a version", test_times_of_version },
+  { "version of an entry changes", test_version_changes },
 };
 TEST_SUITE ("pool", cases)
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -386,6 +386,41 @@
     }
 }
 
+/* Guards against a server that is not used because the version in its entry
+   can't be read, and against a version that is not read. */
+static void
+test_entry_versions (void)
+{
+  static const struct
+  {
+    const char *member;
+    const char *version;
+  } cases[] = {
+    { "", "" },
+    { ",\"version\":\"v1\"", "v1" },
+    { ",\"version\":\"\"", "" },
+    { ",\"version\":1", "" },
+    { ",\"version\":null", "" },
+    { ",\"version\":[\"v1\"]", "" },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct str spec = str_printf (
+          "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+          "\"slots\":6,\"state\":\"ready\"%s}",
+          cases[i].member);
+      json_t *json = json_loads (spec.data, 0, NULL);
+      struct server_entry e;
+
+      CU_ASSERT_EQUAL (server_entry_decode (STR ("id"), json, &e), 0);
+      CU_ASSERT (str_eq (e.software_version, str_from (cases[i].version)));
+      server_entry_free (&e);
+      json_decref (json);
+      str_free (&spec);
+    }
+}
+
 /* Guards against an entry whose name, sent to servers in a header, ends the
    header and adds others or a request. */
 static void
@@ -609,6 +644,7 @@
   { "bearer", test_bearer },
   { "has tokens", test_has_tokens },
   { "entries", test_entries },
+  { "versions in entries", test_entry_versions },
   { "names of entries", test_entry_names },
   { "headers", test_headers },
   { "credentials", test_credentials },
