Store which versions began streams, and read it back

When all nodes are killed at once, no node's memory knows which software version began a stream that a client takes up again. A node that has seen one version only for as long as streams are remembered asks nobody.

Nothing uses this yet.

--- /dev/null
+++ b/src/edge/streamorigins_store.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <stdint.h>
+
+#include "edge/streamorigins.h"
+#include "platform/objects.h"
+
+/* Copies of the streams' origins in the platform's store, for streams whose
+   node has ended. Each node stores its own streams, and only of services with
+   servers of several versions; the nodes read the copies when a client takes
+   up a stream that they don't know. */
+
+struct streamorigins_store;
+
+enum streamorigins_answer
+{
+  STREAMORIGINS_KNOWN,      /* streamorigins_find() knows the stream */
+  STREAMORIGINS_ASKING,     /* ask again */
+  STREAMORIGINS_UNKNOWN,    /* any version may have begun the stream */
+  STREAMORIGINS_ONE_VERSION /* the service has had one version only */
+};
+
+/**
+ * streamorigins_store_create() - @objects and @origins must outlive the store.
+ * @node_name: must be unique; the name of this node's copy is made of it.
+ */
+struct streamorigins_store *
+streamorigins_store_create (struct objects *objects,
+                            struct streamorigins *origins,
+                            struct str node_name, uint64_t now_ms);
+void streamorigins_store_destroy (struct streamorigins_store *store);
+/**
+ * streamorigins_store_step() - start the read or write of this node's copy
+ * that is due. Call it at short intervals.
+ * @nodes: number of nodes, which share the store's call rate; 0 if unknown.
+ */
+void streamorigins_store_step (struct streamorigins_store *store,
+                               uint32_t nodes, uint64_t now_ms);
+/**
+ * streamorigins_store_ask() - find out which version began a stream. Reads the
+ * copies of all nodes if that may tell.
+ * @asked_since_ms: time of the first question about this stream.
+ *
+ * To be called again at short intervals while it returns STREAMORIGINS_ASKING,
+ * which it does for less than a second.
+ */
+enum streamorigins_answer
+streamorigins_store_ask (struct streamorigins_store *store, uint64_t id,
+                         struct str service, uint64_t asked_since_ms,
+                         uint64_t now_ms);
