Note the software versions in service

The site notes the version of each server's entry when the entry comes, and of all listed servers every 5 s, so that a version counts as in service until the retention has passed since it left. A line says when a service comes to have several versions, and the debug line of an entry names its version. Nothing decides by it yet.

--- a/src/edge/pool.c
+++ b/src/edge/pool.c
@@ -364,3 +364,14 @@
 {
   return s->software_version;
 }
+
+void
+pool_each_listed (const struct pool *p,
+                  void (*visit) (void *ctx, struct str service,
+                                 struct str software_version),
+                  void *ctx)
+{
+  for (const struct pool_server *s = p->servers; s; s = s->hh.next)
+    if (s->listed)
+      visit (ctx, s->service, s->software_version);
+}
--- a/src/edge/pool.h
+++ b/src/edge/pool.h
@@ -177,6 +177,12 @@
 /** pool_server_software_version() - empty if the server's entry has none that
  * can be read. */
 struct str pool_server_software_version (const struct pool_server *server);
+/** pool_each_listed() - call @visit for each server that the store has an
+ * entry of. */
+void pool_each_listed (const struct pool *pool,
+                       void (*visit) (void *ctx, struct str service,
+                                      struct str software_version),
+                       void *ctx);
 /**
  * struct pool_server_stats - load of a server as this node sees it, for logs.
  * @running: calls of this node.
--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -9,6 +9,9 @@
 #include "platform/platform.h"
 
 #define LOG_MODULE "site"
+/* Interval at which the software versions in service are noted; far below the
+   time for which they are remembered. */
+#define VERSION_CHECK_MS 5000
 
 struct site
 {
@@ -17,6 +20,8 @@
   struct pool *pool;
   struct demand *demand;
   struct quarantine *quarantine;
+  struct streamorigins *origins;
+  uv_timer_t version_timer;
   bool servers_listed;
   const struct site_listener *listener;
   void *ctx;
@@ -55,6 +60,12 @@
   return s->quarantine;
 }
 
+struct streamorigins *
+site_streamorigins (struct site *s)
+{
+  return s->origins;
+}
+
 const struct routing *
 site_routing (const struct site *s)
 {
@@ -129,14 +140,43 @@
     site_server_ended (s, before, "entry");
 }
 
+/* ---- software versions ---- */
+
+static void
+see_version (void *ctx, struct str service, struct str version)
+{
+  struct site *s = ctx;
+  const uint64_t now = clock_ms ();
+  const bool had_several
+      = streamorigins_several_versions (s->origins, service, now);
+
+  streamorigins_saw_version (s->origins, service, version, now);
+  if (!had_several
+      && streamorigins_several_versions (s->origins, service, now))
+    LOG_INFO ("several-versions", "service=" STR_FMT " version=" STR_FMT,
+              STR_ARG (service), LOG_NAME_ARG (version));
+}
+
+static void
+on_version_check (uv_timer_t *timer)
+{
+  struct site *s = timer->data;
+
+  pool_each_listed (s->pool, see_version, s);
+}
+
+/* ---- servers ---- */
+
 static void
 on_server (void *ctx, const struct server_entry *e)
 {
   struct site *s = ctx;
 
-  LOG_DBG ("server", "server=" STR_FMT " leaving=%d sequence=%lu models=%zu",
-           STR_ARG (e->id), e->state == SERVER_DRAINING, e->sequence,
-           e->model_count);
+  LOG_DBG ("server",
+           "server=" STR_FMT " version=" STR_FMT
+           " leaving=%d sequence=%lu models=%zu",
+           STR_ARG (e->id), LOG_NAME_ARG (e->software_version),
+           e->state == SERVER_DRAINING, e->sequence, e->model_count);
   if (e->state == SERVER_DRAINING)
     LOG_INFO ("server-leaving", "server=" STR_FMT " service=" STR_FMT,
               STR_ARG (e->id), STR_ARG (e->service));
@@ -147,6 +187,7 @@
                 STR_ARG (e->id), e->sequence);
       return;
     }
+  see_version (s, e->service, e->software_version);
   s->listener->server (s->ctx, e);
   kernel_publish (s->kernel, TOPIC_POOL, NULL, NULL);
 }
@@ -249,11 +290,32 @@
   s->pool = pool_create ();
   s->demand = demand_create ();
   s->quarantine = quarantine_create ();
+  s->origins = streamorigins_create ();
+  uv_timer_init (kernel_loop (kernel), &s->version_timer);
+  s->version_timer.data = s;
   quarantine_observe (s->quarantine, on_quarantine_change, s);
   platform_listen (platform_get (kernel), &events, s);
   return &s->plugin;
 }
 
+static int
+start (struct plugin *plugin)
+{
+  struct site *s = (struct site *)plugin;
+
+  uv_timer_start (&s->version_timer, on_version_check, VERSION_CHECK_MS,
+                  VERSION_CHECK_MS);
+  return 0;
+}
+
+static void
+stop (struct plugin *plugin)
+{
+  struct site *s = (struct site *)plugin;
+
+  uv_close ((uv_handle_t *)&s->version_timer, NULL);
+}
+
 static void
 destroy (struct plugin *plugin)
 {
@@ -262,6 +324,7 @@
   pool_destroy (s->pool);
   demand_destroy (s->demand);
   quarantine_destroy (s->quarantine);
+  streamorigins_destroy (s->origins);
   free (s);
 }
 
@@ -270,6 +333,8 @@
   .rank = RANK_SITE,
   .profiles = PROFILE_EDGE,
   .create = create,
+  .start = start,
+  .stop = stop,
   .destroy = destroy,
 };
 KERNEL_PLUGIN (ops)
--- a/src/edge/site.h
+++ b/src/edge/site.h
@@ -3,6 +3,7 @@
 #include "edge/quarantine.h"
 #include "edge/demand.h"
 #include "edge/pool.h"
+#include "edge/streamorigins.h"
 #include "edge/topology.h"
 #include "kernel.h"
 
@@ -41,6 +42,9 @@
                         const char *evidence);
 /** site_quarantine() - record of requests that crash servers. */
 struct quarantine *site_quarantine (struct site *site);
+/** site_streamorigins() - where the streams began that clients may take up
+ * again. */
+struct streamorigins *site_streamorigins (struct site *site);
 /** site_routing() - configuration in force, or NULL before the first one.
  * Valid until control returns to the event loop. */
 const struct routing *site_routing (const struct site *site);
