--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -436,6 +436,8 @@
   fleet_expire (p->fleet, now);
   quarantine_store_step (p->quarantine_store, holderlease_valid (p->lease),
                          now);
+  streamorigins_store_step (site_streamorigins_store (p->site),
+                            placer_node_count (p), now);
   if (!p->is_holder)
     return;
   drop_silent_followers (p);
--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "clock.h"
+#include "edge/edge.h"
 #include "err.h"
 #include "log.h"
 #include "metrics.h"
@@ -21,6 +22,7 @@
   struct demand *demand;
   struct quarantine *quarantine;
   struct streamorigins *origins;
+  struct streamorigins_store *origins_store;
   uv_timer_t version_timer;
   bool servers_listed;
   const struct site_listener *listener;
@@ -66,6 +68,12 @@
   return s->origins;
 }
 
+struct streamorigins_store *
+site_streamorigins_store (struct site *s)
+{
+  return s->origins_store;
+}
+
 const struct routing *
 site_routing (const struct site *s)
 {
@@ -291,6 +299,9 @@
   s->demand = demand_create ();
   s->quarantine = quarantine_create ();
   s->origins = streamorigins_create ();
+  s->origins_store = streamorigins_store_create (
+      platform_objects (platform_get (kernel)), s->origins,
+      edge_settings ()->node_name, clock_ms ());
   uv_timer_init (kernel_loop (kernel), &s->version_timer);
   s->version_timer.data = s;
   quarantine_observe (s->quarantine, on_quarantine_change, s);
@@ -324,6 +335,7 @@
   pool_destroy (s->pool);
   demand_destroy (s->demand);
   quarantine_destroy (s->quarantine);
+  streamorigins_store_destroy (s->origins_store);
   streamorigins_destroy (s->origins);
   free (s);
 }
--- a/src/edge/site.h
+++ b/src/edge/site.h
@@ -4,6 +4,7 @@
 #include "edge/demand.h"
 #include "edge/pool.h"
 #include "edge/streamorigins.h"
+#include "edge/streamorigins_store.h"
 #include "edge/topology.h"
 #include "kernel.h"
 
@@ -45,6 +46,8 @@
 /** site_streamorigins() - where the streams began that clients may take up
  * again. */
 struct streamorigins *site_streamorigins (struct site *site);
+/** site_streamorigins_store() - what the nodes stored of them. */
+struct streamorigins_store *site_streamorigins_store (struct site *site);
 /** site_routing() - configuration in force, or NULL before the first one.
  * Valid until control returns to the event loop. */
 const struct routing *site_routing (const struct site *site);
