Let a stream go on only at the software version that began it

Callers saw streams joined from two software versions of a service: when the server of a stream broke off or fell silent, the stream went on at the best server of the service, whatever its version, and servers don't check this.

From its first event on, a stream that can be resumed is bound to the version that its server's entry had when the attempt began; no version, or a restart of the server in between, fits no other server. Resumption and handover choose only among servers of this version. If the service has usable servers but none of it, the stream is cut at once, with a log line (no-server-of-version); while no server is listed, it waits as before. A bound call neither marks the servers of its model as full for calls that other versions can serve, nor queues behind those, if the service has had several versions; with one version the queue is as before.

e2e versions: on the code before, all 4 tests failed: the server of v2 ran the call (run count 1 instead of 0) and the answer was whole instead of cut.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -197,6 +197,7 @@
 
   select_attempt (a);
   call_record_progress (a);
+  call_bind_version (a);
   c->last_event_id = last_event_id;
   record_gap (c);
   if (caller_write (c->caller, part))
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -96,6 +96,8 @@
  * callbacks of @forward.
  * @forward: NULL unless the attempt is in flight.
  * @server_start: site_server_start() when the attempt began.
+ * @software_version: of the server when the attempt began; owned. Empty if it
+ *   can't be read, or if the call does not need it.
  * @sent_ms: when the first byte was sent; 0 before.
  * @uses_retry_budget: the attempt was taken from the retry budget.
  * @silent: the call was sent to a second server because this one sent nothing.
@@ -108,6 +110,7 @@
   struct forward *forward;
   struct pool_server *server;
   uint64_t server_start;
+  struct str software_version;
   uint64_t sent_ms;
   bool uses_retry_budget;
   bool silent;
@@ -150,6 +153,9 @@
  * @waiting: the call waits for a server; no attempt is in flight.
  * @wait_reason: why it waits.
  * @full_demand: what it counts for in @full_waiting; NULL if it does not.
+ * @software_version: of the server whose events the stream began with; owned.
+ *   Empty if it can't be read.
+ * @version_bound: the stream may go on only at servers of @software_version.
  * @server: of the attempt that ended last, NULL if it was cancelled; for logs.
  * @avoided_server: server of the last attempt that failed or was rejected.
  *   Others are preferred; before @avoided_until_ms it is not used at all.
@@ -205,6 +211,8 @@
   bool response_started;
   uint64_t last_event_id;
   char last_event_id_text[24];
+  struct str software_version;
+  bool version_bound;
   struct call_attempt attempts[CALL_ATTEMPTS_IN_FLIGHT_MAX];
   struct pool_server *server;
   struct pool_server *avoided_server;
@@ -275,6 +283,18 @@
 void call_start_attempt (struct call *call, struct pool_server *server,
                          bool uses_retry_budget);
 
+/* ---- call_version.c ---- */
+
+/** call_note_version() - note the version of the server of a new attempt, if
+ * the call may be bound to it. */
+void call_note_version (struct call_attempt *attempt);
+/** call_bind_version() - bind a stream that can be resumed to the version of
+ * the attempt that brings its first event. */
+void call_bind_version (struct call_attempt *attempt);
+/** call_shares_queue() - returns true if any server of the service fits that
+ * has the call's model, so that the call waits in turn with the others. */
+bool call_shares_queue (const struct call *call);
+
 /* ---- call_handover.c ---- */
 
 /** call_handle_silence() - the attempt's server has sent nothing for a while.
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -29,6 +29,8 @@
     .adapter = c->meta.adapter,
     .domain = edge_settings ()->domain,
     .avoid = c->avoided_server,
+    .software_version = c->software_version,
+    .version_bound = c->version_bound,
   };
 }
 
@@ -119,7 +121,7 @@
   const struct demand_item *queue = call_queue (c);
 
   return !c->waiting && !c->response_started && queue
-         && queue->full_waiting > 0;
+         && queue->full_waiting > 0 && call_shares_queue (c);
 }
 
 /* Returns POOL_CHOSEN only if the call may be sent to the server now.
@@ -129,14 +131,14 @@
                struct pool_server **server, bool *full)
 {
   struct call_table *calls = c->calls;
-  struct demand_item *queue = call_queue (c);
+  struct demand_item *queue = call_shares_queue (c) ? call_queue (c) : NULL;
   enum pool_result result = POOL_FULL;
 
   if (!must_queue (c))
     result
         = pool_choose (site_pool (calls->site), criteria, clock_ms (), server);
-  *full = result == POOL_FULL;
-  if (*full && queue)
+  *full = result == POOL_FULL && queue;
+  if (*full)
     queue->full_check = calls->check_number;
   if (result == POOL_CHOSEN
       && (call_avoids (c, *server)
@@ -145,6 +147,18 @@
   return result;
 }
 
+/* All servers of the version that began the stream have left. */
+static void
+give_up_version (struct call *c)
+{
+  LOG_INFO ("no-server-of-version",
+            "id=" STR_FMT " service=" STR_FMT " version=" STR_FMT
+            " last_event=%lu",
+            STR_ARG (c->meta.client_attempt_id), STR_ARG (c->service),
+            LOG_NAME_ARG (c->software_version), c->last_event_id);
+  call_give_up (c, 0, "no-server-of-version");
+}
+
 void
 call_dispatch (struct call *c)
 {
@@ -179,6 +193,8 @@
     }
   if (result == POOL_CHOSEN && admit_send (c))
     call_start_attempt (c, server, c->reached_server);
+  else if (result == POOL_OTHER_VERSION)
+    give_up_version (c);
   else if (c->response_started)
     /* A cut can't be taken back, and each of these conditions may pass. */
     wait_for_server (c, &criteria, result, full);
--- a/src/edge/call_start.c
+++ b/src/edge/call_start.c
@@ -96,12 +96,14 @@
 
   call_set_waiting (c, false);
   log_send (c, server);
+  str_free (&a->software_version);
   *a = (struct call_attempt){
     .call = c,
     .server = server,
     .server_start = site_server_start (server),
     .uses_retry_budget = uses_retry_budget,
   };
+  call_note_version (a);
   c->sent_ms = clock_ms ();
   pool_call_started (server);
   call_add_running_demand (c, 1);
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -78,6 +78,9 @@
   str_free (&c->route_name);
   str_free (&c->service);
   str_free (&c->tenant);
+  str_free (&c->software_version);
+  for (size_t i = 0; i < CALL_ATTEMPTS_IN_FLIGHT_MAX; i++)
+    str_free (&c->attempts[i].software_version);
   free (c);
 }
 
@@ -387,7 +390,8 @@
   const struct demand_item *queue = call_queue (c);
 
   return c->wait_reason == POOL_FULL && !c->response_started && queue
-         && queue->full_check == c->calls->check_number;
+         && queue->full_check == c->calls->check_number
+         && call_shares_queue (c);
 }
 
 /* Returns true if the calls ahead of a call that waits for full servers take
--- /dev/null
+++ b/tests/e2e_versions.c
@@ -0,0 +1,160 @@
+#include "edgecluster.h"
+#include "suite.h"
+
+/* Streams in a service whose servers have different software versions. The
+   first server begins each stream, because all are idle, and leaves while it
+   runs. The server of v2, in the node's failure domain, is preferred to the
+   second one of v1. */
+
+#define ROUTE_TIMEOUT_MS 5000
+#define WAIT_TIMEOUT_MS 15000
+#define CALL_ID "id-1"
+#define CALL_ID_FIELD "id=id-1 " /* of log lines */
+#define MODELS "[{\"name\":\"m1\",\"version\":1,\"adapters\":[]}]"
+#define SERVER(...)                                                           \
+  CLUSTER_FLAGS ("--models", "m1" __VA_OPT__ (, ) __VA_ARGS__)
+#define BREAKS_OFF SERVER ("--fault", "cut-event", "--event-gap-ms", "200")
+#define FALLS_SILENT SERVER ("--fault", "silent", "--event-gap-ms", "200")
+/* More repeats than any of the tests needs. */
+#define NODE CLUSTER_FLAGS ("--retry-slack", "1000")
+
+struct versions
+{
+  struct edgecluster e;
+  struct cluster_proc *first;
+  struct cluster_proc *same;  /* of v1 */
+  struct cluster_proc *other; /* of v2 */
+  struct cluster_proc *edge;
+};
+
+/**
+ * struct setup - the servers of a test.
+ * @first: flags of the first server.
+ * @version: of the first server.
+ * @same_listed: the second server of v1 has an entry.
+ * @other_listed: the server of v2 has one.
+ */
+struct setup
+{
+  const char *const *first;
+  const char *version;
+  bool same_listed;
+  bool other_listed;
+};
+
+static struct versions
+start (const struct setup *x)
+{
+  struct versions v = { .e = edgecluster_create () };
+
+  v.first = cluster_server (v.e.cluster, "lm", "a", x->first);
+  v.same = cluster_server (v.e.cluster, "lm", "b", SERVER ());
+  v.other = cluster_server (v.e.cluster, "lm", "a", SERVER ());
+  edgecluster_put_server_version (&v.e, v.first, "ready", MODELS, x->version);
+  if (x->same_listed)
+    edgecluster_put_server_version (&v.e, v.same, "ready", MODELS, "v1");
+  if (x->other_listed)
+    edgecluster_put_server_version (&v.e, v.other, "ready", MODELS, "v2");
+  edgecluster_configure (&v.e, ROUTE_TIMEOUT_MS);
+  v.edge = cluster_edge (v.e.cluster, "a", NODE);
+  CU_ASSERT_TRUE_FATAL (cluster_ready (v.e.cluster));
+  return v;
+}
+
+static bool
+has_run (void *ctx)
+{
+  return edgecluster_run_count (ctx, CALL_ID) > 0;
+}
+
+/* Begins the stream at the first server, which leaves then. */
+static struct cluster_request *
+begin (const struct versions *v, const struct setup *x)
+{
+  struct cluster_request *call = edgecluster_call_begin (
+      v->edge, "POST", "/stream/x", CALL_ID, "m1", "prompt");
+
+  CU_ASSERT_TRUE (cluster_poll_until (has_run, v->first, WAIT_TIMEOUT_MS));
+  edgecluster_put_server_version (&v->e, v->first, "draining", MODELS,
+                                  x->version);
+  CU_ASSERT_TRUE (edgecluster_wait_logged (
+      v->edge, (const char *const[]){ "event=server-leaving", NULL }));
+  return call;
+}
+
+static void
+check_whole (const struct cluster_reply *r)
+{
+  CU_ASSERT_EQUAL (r->error, CURLE_OK);
+  CU_ASSERT (str_eq (buf_str (&r->body), edgecluster_whole_stream ()));
+}
+
+/* The client has the first events, and can tell that more are missing. */
+static void
+check_cut (const struct versions *v, const struct cluster_reply *r)
+{
+  CU_ASSERT_NOT_EQUAL (r->error, CURLE_OK);
+  CU_ASSERT_TRUE (r->body.len > 0);
+  CU_ASSERT (str_starts (edgecluster_whole_stream (), buf_str (&r->body)));
+  CU_ASSERT_TRUE (edgecluster_wait_logged (
+      v->edge, (const char *const[]){ "event=call ", CALL_ID_FIELD, "end=cut",
+                                      "reason=no-server-of-version ", NULL }));
+}
+
+/* Checks a stream that its first server does not end. */
+static void
+check_stream (const struct setup *x)
+{
+  struct versions v = start (x);
+  struct cluster_reply r = cluster_http_wait (begin (&v, x));
+
+  CU_ASSERT_EQUAL (r.status, 200);
+  if (x->same_listed)
+    check_whole (&r);
+  else
+    check_cut (&v, &r);
+  CU_ASSERT_EQUAL (edgecluster_run_count (v.first, CALL_ID), 1);
+  CU_ASSERT_EQUAL (edgecluster_run_count (v.same, CALL_ID), x->same_listed);
+  CU_ASSERT_EQUAL (edgecluster_run_count (v.other, CALL_ID), 0);
+  cluster_reply_free (&r);
+  edgecluster_destroy (&v.e);
+}
+
+/* Guards against a stream that is joined from events of two software versions,
+   because its server breaks off and only another version is left. */
+static void
+test_cut (void)
+{
+  check_stream (&(struct setup){ BREAKS_OFF, "v1", .other_listed = true });
+}
+
+/* Guards against a stream that goes on at the best server, of another
+   version. */
+static void
+test_same_version (void)
+{
+  check_stream (&(struct setup){ BREAKS_OFF, "v1", true, true });
+}
+
+/* Likewise, when the first server falls silent. */
+static void
+test_silent_server (void)
+{
+  check_stream (&(struct setup){ FALLS_SILENT, "v1", true, true });
+}
+
+/* Guards against a stream that goes on elsewhere although the version that
+   began it is not known. */
+static void
+test_unreadable_version (void)
+{
+  check_stream (&(struct setup){ BREAKS_OFF, "", .other_listed = true });
+}
+
+static const struct suite_case cases[] = {
+  { "broken stream, only another version left", test_cut },
+  { "broken stream, same version left", test_same_version },
+  { "silent server, same version left", test_silent_server },
+  { "broken stream of an unknown version", test_unreadable_version },
+};
+TEST_SUITE ("versions", cases)
--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -11,6 +11,7 @@
 #define STORE_WRITE_TIMEOUT_MS 3000
 #define MODEL_COUNT 4
 #define SLOTS 8 /* of each server */
+#define VERSION "v1"
 #define LOG_TIMEOUT_MS 15000
 #define IDLE_TIMEOUT_MS 15000
 
@@ -181,16 +182,26 @@
   json_decref (spec);
 }
 
+/* What the entry of a server says besides its address. */
+struct server_fields
+{
+  int slots;
+  const char *state;
+  const char *models; /* JSON */
+  const char *version;
+  uint64_t seq;
+};
+
 static void
 put_server (const struct edgecluster *e, const struct cluster_proc *server,
-            int slots, const char *state, const char *models, uint64_t seq)
+            const struct server_fields *f)
 {
   struct str spec = str_printf (
       "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-      "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\",\"seq\":%lu,"
+      "\"version\":\"%s\",\"slots\":%d,\"state\":\"%s\",\"seq\":%lu,"
       "\"cold_remaining_ms\":0,\"models\":%s}",
-      server->service, server->url + strlen ("http://"), server->domain, slots,
-      state, seq, models);
+      server->service, server->url + strlen ("http://"), server->domain,
+      f->version, f->slots, f->state, f->seq, f->models);
 
   edgecluster_put_object (e, "servers", server->name, spec.data);
   str_free (&spec);
@@ -201,7 +212,7 @@
                         const struct cluster_proc *server, const char *state,
                         const char *models)
 {
-  put_server (e, server, SLOTS, state, models, 1);
+  edgecluster_put_server_seq (e, server, state, models, 1);
 }
 
 void
@@ -210,14 +221,36 @@
                             const char *state, const char *models,
                             uint64_t seq)
 {
-  put_server (e, server, SLOTS, state, models, seq);
+  put_server (e, server,
+              &(struct server_fields){ .slots = SLOTS,
+                                       .state = state,
+                                       .models = models,
+                                       .version = VERSION,
+                                       .seq = seq });
+}
+
+void
+edgecluster_put_server_version (const struct edgecluster *e,
+                                const struct cluster_proc *server,
+                                const char *state, const char *models,
+                                const char *version)
+{
+  put_server (e, server,
+              &(struct server_fields){ .slots = SLOTS,
+                                       .state = state,
+                                       .models = models,
+                                       .version = version,
+                                       .seq = 1 });
 }
 
 void
 edgecluster_put_full_server (const struct edgecluster *e,
                              const struct cluster_proc *server)
 {
-  put_server (e, server, 0, "ready", "[]", 1);
+  put_server (
+      e, server,
+      &(struct server_fields){
+          .state = "ready", .models = "[]", .version = VERSION, .seq = 1 });
 }
 
 /* Header lines of a call, ended by NULL. The model's line is left out if the
@@ -226,7 +259,7 @@
 {
   char id[96];
   char model[96];
-  const char *lines[6];
+  const char *lines[7];
 };
 
 static void
@@ -292,6 +325,24 @@
                        EDGE_CALL_TIMEOUT_MS);
 }
 
+struct cluster_reply
+edgecluster_take_up (const struct cluster_proc *edge, const char *path,
+                     const char *id, const char *resumes, int last_event)
+{
+  struct call_headers h;
+  char last[32];
+  char origin[96];
+
+  set_call_headers (&h, id, "m1");
+  snprintf (last, sizeof last, "Last-Event-Id: %d", last_event);
+  snprintf (origin, sizeof origin, "Resumes: %s", resumes ? resumes : "");
+  h.lines[4] = last;
+  h.lines[5] = resumes ? origin : NULL;
+  h.lines[6] = NULL;
+  return cluster_http (edge, "POST", path, h.lines, "prompt",
+                       EDGE_CALL_TIMEOUT_MS);
+}
+
 struct cluster_request *
 edgecluster_call_begin (const struct cluster_proc *edge, const char *method,
                         const char *path, const char *id, const char *model,
--- a/tests/edgecluster.h
+++ b/tests/edgecluster.h
@@ -56,6 +56,12 @@
                                  const struct cluster_proc *server,
                                  const char *state, const char *models,
                                  uint64_t seq);
+/** edgecluster_put_server_version() - likewise, with the version of the
+ * server's software; it is "v1" otherwise. */
+void edgecluster_put_server_version (const struct edgecluster *e,
+                                     const struct cluster_proc *server,
+                                     const char *state, const char *models,
+                                     const char *version);
 /** edgecluster_put_full_server() - write the entry of a plain server that has
  * no slots, so that its calls wait. */
 void edgecluster_put_full_server (const struct edgecluster *e,
@@ -90,6 +96,13 @@
 struct cluster_reply edgecluster_call_prompt (const struct cluster_proc *edge,
                                               const char *path, const char *id,
                                               const char *parts);
+/** edgecluster_take_up() - take up a stream after the event @last_event, with
+ * the prompt "prompt" and the model m1.
+ * @resumes: id of the call that brought the first event; may be NULL.
+ */
+struct cluster_reply edgecluster_take_up (const struct cluster_proc *edge,
+                                          const char *path, const char *id,
+                                          const char *resumes, int last_event);
 /** edgecluster_call_begin() - send such a call from a new thread; see
  * cluster_http_start(). */
 struct cluster_request *
