Let a client take up a stream only at the version that began it

Callers that took a stream up after a broken connection could get the rest from another software version, answered 200 and complete: the node knew nothing of the earlier call and chose the best server.

The node records service and version of each resumable stream when its first event goes to the client, under the id of the client's attempt. A take-up (Last-Event-Id above 0) names this id in Resumes; it goes to the stream's service, if the route still has it, and is bound to the version from the start. Without a usable server of it, it is refused at once with 503 (no-server-of-version). A stream that the node doesn't know is refused (stream-origin-unknown) if the service had several versions within the retention; with one version it goes on as before. What other nodes recorded is not asked yet.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -23,7 +23,7 @@
 call_repeatable (const struct call *c)
 {
   return (c->kind == CALL_IDEMPOTENT && !c->response_started)
-         || (c->kind == CALL_STREAM && c->resumable);
+         || call_is_resumable (c);
 }
 
 uint32_t
@@ -197,7 +197,11 @@
 
   select_attempt (a);
   call_record_progress (a);
-  call_bind_version (a);
+  if (c->last_part_ms == 0 && call_is_resumable (c))
+    {
+      call_bind_version (a);
+      call_record_stream (c);
+    }
   c->last_event_id = last_event_id;
   record_gap (c);
   if (caller_write (c->caller, part))
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -156,6 +156,9 @@
  * @software_version: of the server whose events the stream began with; owned.
  *   Empty if it can't be read.
  * @version_bound: the stream may go on only at servers of @software_version.
+ * @takes_up: the client continues a stream of an earlier call.
+ * @awaits_origin: it is not known yet which version began that stream. The
+ *   call does not count as demand yet.
  * @server: of the attempt that ended last, NULL if it was cancelled; for logs.
  * @avoided_server: server of the last attempt that failed or was rejected.
  *   Others are preferred; before @avoided_until_ms it is not used at all.
@@ -213,6 +216,8 @@
   char last_event_id_text[24];
   struct str software_version;
   bool version_bound;
+  bool takes_up;
+  bool awaits_origin;
   struct call_attempt attempts[CALL_ATTEMPTS_IN_FLIGHT_MAX];
   struct pool_server *server;
   struct pool_server *avoided_server;
@@ -283,6 +288,22 @@
 void call_start_attempt (struct call *call, struct pool_server *server,
                          bool uses_retry_budget);
 
+/* ---- call_takeup.c ---- */
+
+/** call_is_resumable() - returns true for streams that may be resumed at other
+ * servers and that clients may take up again. */
+bool call_is_resumable (const struct call *call);
+/** call_record_stream() - record with which service and version the stream
+ * began, when its first event goes to the client. */
+void call_record_stream (const struct call *call);
+/** call_complete_stream() - record that a response went to the client as a
+ * whole, if it is a stream. */
+void call_complete_stream (const struct call *call);
+/** call_find_origin() - find out which version began the stream that the call
+ * takes up, and bind the call to it. Returns false if the call was refused
+ * because it is not known. */
+bool call_find_origin (struct call *call);
+
 /* ---- call_version.c ---- */
 
 /** call_note_version() - note the version of the server of a new attempt, if
--- a/src/edge/call_response.c
+++ b/src/edge/call_response.c
@@ -111,6 +111,7 @@
 call_finish_response (struct call *c)
 {
   caller_end_response (c->caller, true);
+  call_complete_stream (c);
   call_close (c, CALL_END_SERVED, 200, "-");
 }
 
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -228,7 +228,7 @@
     {
       const struct service *s = routing_service (snapshot, c->service);
 
-      if (s && s->engine && !c->awaits_quota)
+      if (s && s->engine && !c->awaits_quota && !c->awaits_origin)
         call_attach_demand (c, s->engine);
     }
 }
@@ -254,6 +254,8 @@
     wait_ms = max_event_wait_ms (r);
   c->first_event_deadline_ms = c->arrival_ms + wait_ms;
   str_u64 (c->meta.last_event_id, &c->last_event_id);
+  c->takes_up = call_is_resumable (c) && c->last_event_id > 0;
+  c->awaits_origin = c->takes_up;
   uv_timer_start (&c->timer, on_deadline,
                   c->response_deadline_ms - c->arrival_ms, 0);
 }
@@ -261,8 +263,11 @@
 void
 call_admit (struct call *c)
 {
-  const struct pool_criteria criteria = call_criteria (c);
+  struct pool_criteria criteria;
 
+  if (c->awaits_origin && !call_find_origin (c))
+    return;
+  criteria = call_criteria (c);
   if (criteria.engine)
     call_attach_demand (c, criteria.engine);
   call_dispatch (c);
--- a/src/edge/call_version.c
+++ b/src/edge/call_version.c
@@ -8,16 +8,10 @@
 
 #define LOG_MODULE "call"
 
-static bool
-is_resumable (const struct call *c)
-{
-  return c->kind == CALL_STREAM && c->resumable;
-}
-
 void
 call_note_version (struct call_attempt *a)
 {
-  if (is_resumable (a->call) && !a->call->version_bound)
+  if (call_is_resumable (a->call) && !a->call->version_bound)
     a->software_version = str_dup (pool_server_software_version (a->server));
 }
 
@@ -26,7 +20,7 @@
 {
   struct call *c = a->call;
 
-  if (!is_resumable (c) || c->version_bound)
+  if (c->version_bound)
     return;
   c->version_bound = true;
   /* If the server started again since the attempt began, either of its
--- a/tests/e2e_versions.c
+++ b/tests/e2e_versions.c
@@ -16,7 +16,7 @@
 #define BREAKS_OFF SERVER ("--fault", "cut-event", "--event-gap-ms", "200")
 #define FALLS_SILENT SERVER ("--fault", "silent", "--event-gap-ms", "200")
 /* More repeats than any of the tests needs. */
-#define NODE CLUSTER_FLAGS ("--retry-slack", "1000")
+#define NODE CLUSTER_FLAGS ("--retry-slack", "1000", "--log-level", "debug")
 
 struct versions
 {
@@ -151,10 +151,105 @@
   check_stream (&(struct setup){ BREAKS_OFF, "", .other_listed = true });
 }
 
+/* ---- streams that a client takes up ---- */
+
+/* What the client takes up after the third event of the cut stream. */
+struct takeup
+{
+  const char *resumes;
+  int status;
+  const char *reason; /* in the body of a refusal */
+};
+
+#define TAKE_UP_ID "id-2"
+static const char rest_of_stream[]
+    = "id: 4\ndata: e4\n\nid: 5\ndata: e5\n\nid: 6\ndata: e6\n\n"
+      "id: 7\ndata: e7\n\nid: 8\ndata: e8\n\n";
+
+static void
+check_takeup (const struct versions *v, const struct takeup *x)
+{
+  struct cluster_reply r
+      = edgecluster_take_up (v->edge, "/stream/x", TAKE_UP_ID, x->resumes, 3);
+
+  CU_ASSERT_EQUAL (r.error, CURLE_OK);
+  CU_ASSERT_EQUAL (r.status, x->status);
+  if (x->reason)
+    {
+      CU_ASSERT_TRUE (cluster_contains (&r, x->reason));
+    }
+  else
+    {
+      CU_ASSERT (str_eq (buf_str (&r.body), str_from (rest_of_stream)));
+    }
+  cluster_reply_free (&r);
+}
+
+/* Has the first server begin a stream that is cut. */
+static void
+begin_and_cut (const struct versions *v, const struct setup *x)
+{
+  struct cluster_reply r = cluster_http_wait (begin (v, x));
+
+  check_cut (v, &r);
+  cluster_reply_free (&r);
+}
+
+/* Guards against a client whose stream is joined from two software versions
+   over its calls, because it takes the stream up at the best server. */
+static void
+test_takeup (void)
+{
+  const struct setup x = { BREAKS_OFF, "v1", .other_listed = true };
+  struct versions v = start (&x);
+
+  begin_and_cut (&v, &x);
+  check_takeup (&v, &(struct takeup){ CALL_ID, 503, "no-server-of-version" });
+  edgecluster_put_server_version (&v.e, v.same, "ready", MODELS, "v1");
+  CU_ASSERT_TRUE (edgecluster_wait_logged (
+      v.edge, (const char *const[]){ "event=server ", v.same->name, NULL }));
+  check_takeup (&v, &(struct takeup){ CALL_ID, 200, NULL });
+  CU_ASSERT_EQUAL (edgecluster_run_count (v.same, TAKE_UP_ID), 1);
+  CU_ASSERT_EQUAL (edgecluster_run_count (v.other, TAKE_UP_ID), 0);
+  edgecluster_destroy (&v.e);
+}
+
+/* Guards against a stream that is taken up at any version because the node
+   does not know where it began. */
+static void
+test_unknown_takeup (void)
+{
+  const struct setup x = { SERVER (), "v1", true, true };
+  struct versions v = start (&x);
+
+  check_takeup (&v, &(struct takeup){ "id-0", 503, "stream-origin-unknown" });
+  check_takeup (&v, &(struct takeup){ NULL, 503, "stream-origin-unknown" });
+  CU_ASSERT_TRUE (edgecluster_wait_logged (
+      v.edge, (const char *const[]){ "event=stream-origin-unknown ",
+                                     "resumes=id-0 ", NULL }));
+  edgecluster_destroy (&v.e);
+}
+
+/* Guards against the refusal of streams of unknown origin in a service with
+   one software version. */
+static void
+test_one_version (void)
+{
+  const struct setup x = { SERVER (), "v1", .same_listed = true };
+  struct versions v = start (&x);
+
+  check_takeup (&v, &(struct takeup){ "id-0", 200, NULL });
+  check_takeup (&v, &(struct takeup){ NULL, 200, NULL });
+  edgecluster_destroy (&v.e);
+}
+
 static const struct suite_case cases[] = {
   { "broken stream, only another version left", test_cut },
   { "broken stream, same version left", test_same_version },
   { "silent server, same version left", test_silent_server },
   { "broken stream of an unknown version", test_unreadable_version },
+  { "stream taken up", test_takeup },
+  { "stream of unknown origin taken up", test_unknown_takeup },
+  { "stream taken up, one version", test_one_version },
 };
 TEST_SUITE ("versions", cases)
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -487,6 +487,7 @@
     { { "x-galenagate-token-usage", 24 }, { "1460,80", 7 } },
     { { "x-galenagate-prompt-prefix", 26 }, { "5c1e:800,91bd:410", 17 } },
     { { "last-event-id", 13 }, { "3", 1 } },
+    { { "resumes", 7 }, { "id-0", 4 } },
     { { "x-empty", 7 }, { "", 0 } },
   };
   const struct call_extra_headers stamp = { .deadline_ms = 900,
@@ -499,6 +500,7 @@
     "x-galenagate-model: m/a1",
     "x-galenagate-token-usage: 1460,80",
     "x-galenagate-prompt-prefix: 5c1e:800,91bd:410",
+    "resumes: id-0",
     "x-empty;",
     "X-Galenagate-Deadline-Ms: 900",
     "X-Galenagate-Expect-Instance: i-1",
@@ -513,6 +515,7 @@
   call_meta_read (fields, count, &meta);
   CU_ASSERT (str_eq (meta.model, STR ("m")));
   CU_ASSERT (str_eq (meta.adapter, STR ("a1")));
+  CU_ASSERT (str_eq (meta.resumes, STR ("id-0")));
   CU_ASSERT_EQUAL (meta.shared_part_count, 1);
   CU_ASSERT (str_eq (meta.shared_parts[0], STR ("5c1e")));
   CU_ASSERT_TRUE (meta.deadline_ms == 12000 && meta.prompt_tokens == 1460
