Take a kind that the store does not know as an empty list

Before the first node stored streams, the store may answer a listing with 404. The take-ups of a young node would then be refused after 0.8 s, although nothing is stored.

build/unit streamoriginsstore: 6 tests passed.

--- a/src/edge/streamorigins_store.c
+++ b/src/edge/streamorigins_store.c
@@ -380,6 +380,22 @@
   origindoc_free (&doc);
 }
 
+static void
+end_listing (struct streamorigins_store *s, struct err err)
+{
+  s->list_in_flight = false;
+  s->list_ended_ms = clock_ms ();
+  /* The store may not know a kind without objects. */
+  if (err.code != 0 && err.code != -ENOENT)
+    {
+      LOG_INFO ("streams-list-failed", LOG_E_FMT, LOG_E_ARG (err));
+      return;
+    }
+  s->listed_since_ms = s->list_started_ms;
+  LOG_INFO ("streams-listed", "copies=%zu streams=%zu services=%zu",
+            s->listed_copies, s->listed_streams, s->service_count);
+}
+
 static void
 on_page (void *ctx, struct err err, const struct object_page *page)
 {
@@ -388,19 +404,9 @@
   for (size_t i = 0; page && i < page->count; i++)
     merge_copy (s, &page->objects[i]);
   if (page && page->next.len > 0)
-    {
-      objects_list (s->objects, OBJECT_KIND, page->next, on_page, s);
-      return;
-    }
-  s->list_in_flight = false;
-  s->list_ended_ms = clock_ms ();
-  if (page)
-    s->listed_since_ms = s->list_started_ms;
-  if (page)
-    LOG_INFO ("streams-listed", "copies=%zu streams=%zu services=%zu",
-              s->listed_copies, s->listed_streams, s->service_count);
+    objects_list (s->objects, OBJECT_KIND, page->next, on_page, s);
   else
-    LOG_INFO ("streams-list-failed", LOG_E_FMT, LOG_E_ARG (err));
+    end_listing (s, err);
 }
 
 static void
--- a/tests/test_streamoriginsstore.c
+++ b/tests/test_streamoriginsstore.c
@@ -628,6 +628,11 @@
     .exchanges = { { LIST, { NULL }, "200 OK", 0, PAGE ("", "false") } },
     .calls = 1,
     .answer = STREAMORIGINS_ONE_VERSION },
+  { .name = "kind that the store does not know",
+    .versions = one_version,
+    .exchanges = { { LIST, { NULL }, "404 Not Found", 0, "{}" } },
+    .calls = 1,
+    .answer = STREAMORIGINS_ONE_VERSION },
   { .name = "several versions of another service stored",
     .versions = one_version,
     .exchanges
