Ask the other nodes' records where a taken-up stream began

After all nodes were killed, callers that took their streams up again could get 200 and a text joined from two software versions: the new process knew no stream, saw only the new version in service, and took any server.

A take-up of a stream that the node doesn't know waits while the nodes' stored records are read. It then goes on at the version that began it, or is refused (stream-origin-unknown), unless the service had one version only; it is then bound to that one, because another may come into service before it is sent. A call that names no stream is refused at once where there are several versions. Such a call counts as demand only when its service is settled.

e2e versions, two new tests, on the code before: after the kill of the node with the old version gone, the take-up was answered by the server of v2 instead of 503; with it left, it got 503 instead of the rest of the stream.

--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -157,6 +157,7 @@
  *   Empty if it can't be read.
  * @version_bound: the stream may go on only at servers of @software_version.
  * @takes_up: the client continues a stream of an earlier call.
+ * @origin_asked_ms: when the store was first asked where it began; 0 before.
  * @awaits_origin: it is not known yet which version began that stream. The
  *   call does not count as demand yet.
  * @server: of the attempt that ended last, NULL if it was cancelled; for logs.
@@ -218,6 +219,7 @@
   bool version_bound;
   bool takes_up;
   bool awaits_origin;
+  uint64_t origin_asked_ms;
   struct call_attempt attempts[CALL_ATTEMPTS_IN_FLIGHT_MAX];
   struct pool_server *server;
   struct pool_server *avoided_server;
@@ -300,8 +302,8 @@
  * whole, if it is a stream. */
 void call_complete_stream (const struct call *call);
 /** call_find_origin() - find out which version began the stream that the call
- * takes up, and bind the call to it. Returns false if the call was refused
- * because it is not known. */
+ * takes up, and bind the call to it. Returns false if the call was refused,
+ * because it is not known, or waits: it is to be asked again. */
 bool call_find_origin (struct call *call);
 
 /* ---- call_version.c ---- */
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -435,6 +435,8 @@
 
   if (clock_ms () >= call_wait_deadline_ms (c))
     call_give_up (c, 0, "waited-too-long");
+  else if (c->awaits_origin)
+    call_admit (c);
   else if (!finds_servers_full (c))
     call_dispatch (c);
   else if (cannot_be_served_in_time (c, &ready_in_ms))
--- a/src/edge/call_takeup.c
+++ b/src/edge/call_takeup.c
@@ -65,7 +65,7 @@
 }
 
 static void
-apply_origin (struct call *c, const struct stream_origin *origin)
+bind_to_origin (struct call *c, const struct stream_origin *origin)
 {
   if (!str_eq (c->service, origin->service) && !is_target (c, origin->service))
     return;
@@ -74,6 +74,19 @@
   c->version_bound = true;
 }
 
+/* Another version may come into service before the call is sent. */
+static void
+bind_to_only_version (struct call *c)
+{
+  const struct str version = streamorigins_latest_version (
+      site_streamorigins (c->calls->site), c->service);
+
+  if (version.len == 0)
+    return;
+  str_assign (&c->software_version, version);
+  c->version_bound = true;
+}
+
 static void
 refuse_unknown (struct call *c)
 {
@@ -85,20 +98,58 @@
   call_give_up (c, 0, "stream-origin-unknown");
 }
 
+/* What the store has of the stream may take a moment to come. */
+static void
+wait_for_origin (struct call *c)
+{
+  if (c->waiting)
+    return;
+  call_set_waiting (c, true);
+  LOG_INFO ("wait", CALL_LOG_FMT " reason=stream-origin max_wait_ms=%lu",
+            CALL_LOG_ARG (c), call_ms_until (call_wait_deadline_ms (c)));
+}
+
+/* Asks this node's record and what the nodes stored. */
+static enum streamorigins_answer
+ask (struct call *c, uint64_t now_ms)
+{
+  struct site *site = c->calls->site;
+
+  if (c->origin_asked_ms == 0)
+    c->origin_asked_ms = now_ms;
+  if (c->meta.resumes.len == 0
+      && streamorigins_several_versions (site_streamorigins (site), c->service,
+                                         now_ms))
+    return STREAMORIGINS_UNKNOWN;
+  return streamorigins_store_ask (site_streamorigins_store (site),
+                                  stream_id (c), c->service,
+                                  c->origin_asked_ms, now_ms);
+}
+
 bool
 call_find_origin (struct call *c)
 {
   struct streamorigins *origins = site_streamorigins (c->calls->site);
-  struct stream_origin origin;
   const uint64_t now = clock_ms ();
+  struct stream_origin origin;
 
-  if (streamorigins_find (origins, stream_id (c), now, &origin))
-    apply_origin (c, &origin);
-  else if (streamorigins_several_versions (origins, c->service, now))
+  switch (ask (c, now))
     {
+    case STREAMORIGINS_KNOWN:
+      if (streamorigins_find (origins, stream_id (c), now, &origin))
+        bind_to_origin (c, &origin);
+      break;
+    case STREAMORIGINS_ONE_VERSION:
+      bind_to_only_version (c);
+      break;
+    case STREAMORIGINS_ASKING:
+      wait_for_origin (c);
+      return false;
+    case STREAMORIGINS_UNKNOWN:
       refuse_unknown (c);
       return false;
     }
+  call_set_waiting (c, false);
   c->awaits_origin = false;
   return true;
 }
--- a/src/edge/streamorigins.c
+++ b/src/edge/streamorigins.c
@@ -210,6 +210,16 @@
   return has_several (find_service (o, service_key (service)), now_ms);
 }
 
+struct str
+streamorigins_latest_version (const struct streamorigins *o,
+                              struct str service)
+{
+  const struct service_versions *s = find_service (o, service_key (service));
+  const struct version_entry *v = s ? find_version (o, s->latest) : NULL;
+
+  return v ? v->origin.version : (struct str){ 0 };
+}
+
 /* ---- streams ---- */
 
 static struct stream *
--- a/src/edge/streamorigins.h
+++ b/src/edge/streamorigins.h
@@ -73,6 +73,10 @@
  * or another one stored. */
 bool streamorigins_several_versions (const struct streamorigins *o,
                                      struct str service, uint64_t now_ms);
+/** streamorigins_latest_version() - returns the version that was seen last;
+ * empty if there is none. Borrowed until the next call that changes @o. */
+struct str streamorigins_latest_version (const struct streamorigins *o,
+                                         struct str service);
 
 /** streamorigins_changes() - grows with each stream of this node that is to be
  * stored: those of services with several versions. */
--- a/tests/e2e_versions.c
+++ b/tests/e2e_versions.c
@@ -1,3 +1,5 @@
+#include <stdio.h>
+
 #include "edgecluster.h"
 #include "suite.h"
 
@@ -243,6 +245,77 @@
   edgecluster_destroy (&v.e);
 }
 
+static bool
+is_stored (void *ctx)
+{
+  const struct versions *v = ctx;
+  char path[128];
+
+  snprintf (path, sizeof path, "/objects/galenagate-streams/%s",
+            v->edge->name);
+  struct cluster_reply r
+      = cluster_http (v->e.store, "GET", path, NULL, NULL, WAIT_TIMEOUT_MS);
+  const bool found = r.status == 200 && cluster_contains (&r, "v1");
+
+  cluster_reply_free (&r);
+  return found;
+}
+
+/* Kills the node while the first server runs the stream. */
+static void
+begin_and_kill_node (struct versions *v, const struct setup *x)
+{
+  struct cluster_request *call = begin (v, x);
+
+  CU_ASSERT_TRUE (cluster_poll_until (is_stored, v, WAIT_TIMEOUT_MS));
+  cluster_kill (v->edge);
+  struct cluster_reply r = cluster_http_wait (call);
+  CU_ASSERT_NOT_EQUAL (r.error, CURLE_OK);
+  cluster_reply_free (&r);
+}
+
+static void
+restart_node (const struct versions *v)
+{
+  CU_ASSERT_TRUE (cluster_restart (v->edge));
+  CU_ASSERT_TRUE (cluster_ready (v->e.cluster));
+}
+
+/* Guards against streams that are lost with the only node that knows where
+   they began, although their version still serves. */
+static void
+test_node_killed (void)
+{
+  const struct setup x
+      = { SERVER ("--event-gap-ms", "300"), "v1", true, true };
+  struct versions v = start (&x);
+
+  begin_and_kill_node (&v, &x);
+  restart_node (&v);
+  check_takeup (&v, &(struct takeup){ CALL_ID, 200, NULL });
+  CU_ASSERT_EQUAL (edgecluster_run_count (v.same, TAKE_UP_ID), 1);
+  CU_ASSERT_EQUAL (edgecluster_run_count (v.other, TAKE_UP_ID), 0);
+  edgecluster_destroy (&v.e);
+}
+
+/* Guards against a stream that is joined from two software versions, because
+   the node was killed and finds only servers of the new one. */
+static void
+test_node_killed_version_left (void)
+{
+  const struct setup x
+      = { SERVER ("--event-gap-ms", "300"), "v1", .other_listed = true };
+  struct versions v = start (&x);
+
+  begin_and_kill_node (&v, &x);
+  edgecluster_delete_object (&v.e, "servers", v.first->name);
+  restart_node (&v);
+  check_takeup (&v, &(struct takeup){ "id-0", 503, "stream-origin-unknown" });
+  check_takeup (&v, &(struct takeup){ CALL_ID, 503, "no-server-of-version" });
+  CU_ASSERT_EQUAL (edgecluster_run_count (v.other, TAKE_UP_ID), 0);
+  edgecluster_destroy (&v.e);
+}
+
 static const struct suite_case cases[] = {
   { "broken stream, only another version left", test_cut },
   { "broken stream, same version left", test_same_version },
@@ -251,5 +324,8 @@
   { "stream taken up", test_takeup },
   { "stream of unknown origin taken up", test_unknown_takeup },
   { "stream taken up, one version", test_one_version },
+  { "stream taken up after its node was killed", test_node_killed },
+  { "stream taken up after its node was killed, version left",
+    test_node_killed_version_left },
 };
 TEST_SUITE ("versions", cases)
--- a/tests/test_streamorigins.c
+++ b/tests/test_streamorigins.c
@@ -192,6 +192,25 @@
     }
 }
 
+/* Guards against a stream that is taken up at a version that came into service
+   after it began. */
+static void
+test_latest_version (void)
+{
+  struct streamorigins *o = streamorigins_create ();
+
+  CU_ASSERT_EQUAL (streamorigins_latest_version (o, STR ("s")).len, 0);
+  streamorigins_saw_version (o, STR ("s"), STR ("1"), START_MS);
+  streamorigins_saw_version (o, STR ("t"), STR ("2"), START_MS);
+  CU_ASSERT (str_eq (streamorigins_latest_version (o, STR ("s")), STR ("1")));
+  streamorigins_saw_version (o, STR ("s"), STR ("2"), START_MS);
+  CU_ASSERT (str_eq (streamorigins_latest_version (o, STR ("s")), STR ("2")));
+  /* Both have expired. */
+  streamorigins_saw_version (o, STR ("t"), STR ("3"), LATER_MS + 1);
+  CU_ASSERT_EQUAL (streamorigins_latest_version (o, STR ("s")).len, 0);
+  streamorigins_destroy (o);
+}
+
 /* Guards against streams that are not stored, so that another node can't tell
    where they began, and against writes for services of one version. */
 static void
@@ -344,6 +363,7 @@
 static const struct suite_case cases[] = {
   { "origin of a stream", test_find },
   { "several versions in service", test_several_versions },
+  { "latest version", test_latest_version },
   { "streams to be stored", test_list_own },
   { "limit of the list", test_list_limit },
   { "changes", test_changes },
