Record where a stream begins when it is sent to a server

After all nodes were killed, a stream is taken up only if a node had stored where it began, which it did up to 250 ms after the first event.

A stream is now recorded when it is sent, and again if another server brings its first event; a node stores at most each 100 ms (5 ms for each node, if that is more).

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -200,7 +200,7 @@
   if (c->last_part_ms == 0 && call_is_resumable (c))
     {
       call_bind_version (a);
-      call_record_stream (c);
+      call_record_stream (c, c->software_version);
     }
   c->last_event_id = last_event_id;
   record_gap (c);
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -297,7 +297,7 @@
 bool call_is_resumable (const struct call *call);
 /** call_record_stream() - record with which service and version the stream
  * began, when its first event goes to the client. */
-void call_record_stream (const struct call *call);
+void call_record_stream (const struct call *call, struct str version);
 /** call_complete_stream() - record that a response went to the client as a
  * whole, if it is a stream. */
 void call_complete_stream (const struct call *call);
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -114,6 +114,8 @@
 {
   call_record_end (c, end, status, reason);
   call_end_charge (c, end);
+  if (c->last_part_ms == 0)
+    call_complete_stream (c);
   call_set_waiting (c, false);
   unlink_call (c);
   caller_release (c->caller);
--- a/src/edge/streamorigins.c
+++ b/src/edge/streamorigins.c
@@ -275,12 +275,20 @@
   return s;
 }
 
+static bool
+is_same_origin (const struct stream_origin *a, const struct stream_origin *b)
+{
+  return str_eq (a->service, b->service) && str_eq (a->version, b->version);
+}
+
 void
 streamorigins_begin (struct streamorigins *o, uint64_t id,
                      const struct stream_origin *origin, uint64_t now_ms)
 {
   struct stream *s = find_stream (o, id);
 
+  if (s && s->own && is_same_origin (&s->version->origin, origin))
+    return;
   if (s)
     forget_stream (o, s);
   s = add_stream (o, id, origin, now_ms);
--- a/src/edge/streamorigins.h
+++ b/src/edge/streamorigins.h
@@ -47,8 +47,8 @@
 /** streamorigins_id() - hash of the id of a client attempt. */
 uint64_t streamorigins_id (struct str client_attempt_id);
 
-/** streamorigins_begin() - record a stream whose first event goes to a client
- * of this node. */
+/** streamorigins_begin() - record where a stream of this node begins: when it
+ * is sent to a server, and again if another server brings its first event. */
 void streamorigins_begin (struct streamorigins *o, uint64_t id,
                           const struct stream_origin *origin, uint64_t now_ms);
 /** streamorigins_merge() - record a stream that another node, or an earlier
--- a/src/edge/streamorigins_store.c
+++ b/src/edge/streamorigins_store.c
@@ -11,8 +11,10 @@
 
 #define LOG_MODULE "streamorigins"
 #define OBJECT_KIND "galenagate-streams"
-/* Minimum time between two calls for this node's copy, or two listings. */
-#define CALL_GAP_MS 250
+/* Minimum time between two calls for this node's copy, and two listings. The
+   first event of most streams takes longer than the former. */
+#define WRITE_GAP_MS 100
+#define LIST_GAP_MS 250
 /* With many nodes the gap grows, which bounds the calls of all nodes. */
 #define WRITE_GAP_MS_PER_NODE 5
 #define LIST_GAP_MS_PER_NODE 1
@@ -226,11 +228,12 @@
 }
 
 static uint64_t
-gap_ms (const struct streamorigins_store *s, uint64_t ms_per_node)
+gap_ms (const struct streamorigins_store *s, uint64_t min_ms,
+        uint64_t ms_per_node)
 {
   const uint64_t ms = s->nodes * ms_per_node;
 
-  return ms > CALL_GAP_MS ? ms : CALL_GAP_MS;
+  return ms > min_ms ? ms : min_ms;
 }
 
 static bool
@@ -281,7 +284,8 @@
   s->nodes = nodes;
   check_era (s);
   if (s->in_flight
-      || !gap_passed (s->call_ms, gap_ms (s, WRITE_GAP_MS_PER_NODE), now_ms)
+      || !gap_passed (s->call_ms,
+                      gap_ms (s, WRITE_GAP_MS, WRITE_GAP_MS_PER_NODE), now_ms)
       || !must_write (s, now_ms))
     return;
   if (s->copy_known)
@@ -413,8 +417,8 @@
 start_listing (struct streamorigins_store *s, uint64_t now_ms)
 {
   if (s->list_in_flight
-      || !gap_passed (s->list_ended_ms, gap_ms (s, LIST_GAP_MS_PER_NODE),
-                      now_ms))
+      || !gap_passed (s->list_ended_ms,
+                      gap_ms (s, LIST_GAP_MS, LIST_GAP_MS_PER_NODE), now_ms))
     return;
   s->list_in_flight = true;
   s->list_started_ms = now_ms;
