Test that new calls do not wait behind a stream of another version

A stream that waits for full servers of its version must not make new calls queue that servers of another version can run.

--- a/tests/e2e_versions.c
+++ b/tests/e2e_versions.c
@@ -35,6 +35,7 @@
  * @version: of the first server.
  * @same_listed: the second server of v1 has an entry.
  * @other_listed: the server of v2 has one.
+ * @same: flags of the second server of v1; NULL for those of most tests.
  */
 struct setup
 {
@@ -42,6 +43,7 @@
   const char *version;
   bool same_listed;
   bool other_listed;
+  const char *const *same;
 };
 
 static struct versions
@@ -50,7 +52,8 @@
   struct versions v = { .e = edgecluster_create () };
 
   v.first = cluster_server (v.e.cluster, "lm", "a", x->first);
-  v.same = cluster_server (v.e.cluster, "lm", "b", SERVER ());
+  v.same
+      = cluster_server (v.e.cluster, "lm", "b", x->same ? x->same : SERVER ());
   v.other = cluster_server (v.e.cluster, "lm", "a", SERVER ());
   edgecluster_put_server_version (&v.e, v.first, "ready", MODELS, x->version);
   if (x->same_listed)
@@ -135,14 +138,16 @@
 static void
 test_same_version (void)
 {
-  check_stream (&(struct setup){ BREAKS_OFF, "v1", true, true });
+  check_stream (&(struct setup){ BREAKS_OFF, "v1", .same_listed = true,
+                                 .other_listed = true });
 }
 
 /* Likewise, when the first server falls silent. */
 static void
 test_silent_server (void)
 {
-  check_stream (&(struct setup){ FALLS_SILENT, "v1", true, true });
+  check_stream (&(struct setup){ FALLS_SILENT, "v1", .same_listed = true,
+                                 .other_listed = true });
 }
 
 /* Guards against a stream that goes on elsewhere although the version that
@@ -153,6 +158,38 @@
   check_stream (&(struct setup){ BREAKS_OFF, "", .other_listed = true });
 }
 
+/* Guards against new calls that wait behind a stream that only full servers
+   can continue, although servers of another version have room. */
+static void
+test_new_call (void)
+{
+  const struct setup x
+      = { BREAKS_OFF, "v1", true, true, SERVER ("--reject-first", "1000") };
+  struct versions v = start (&x);
+  struct cluster_request *call = begin (&v, &x);
+
+  /* Each rejection makes the stream wait longer for the server. */
+  CU_ASSERT_TRUE (edgecluster_wait_logged (
+      v.edge, (const char *const[]){ "event=send ", CALL_ID_FIELD,
+                                     " attempt=6 ", NULL }));
+  CU_ASSERT_TRUE (edgecluster_wait_logged (
+      v.edge, (const char *const[]){ "event=wait ", CALL_ID_FIELD,
+                                     "reason=all-servers-full ", NULL }));
+  struct cluster_reply r
+      = edgecluster_call (v.edge, "POST", "/stream/x", "id-3", "m1", "prompt");
+  check_whole (&r);
+  cluster_reply_free (&r);
+  CU_ASSERT_EQUAL (
+      edgecluster_log_line (
+          v.edge, (const char *const[]){ "event=wait ", "id=id-3 ", NULL }),
+      0);
+  r = cluster_http_wait (call);
+  CU_ASSERT_NOT_EQUAL (r.error, CURLE_OK);
+  CU_ASSERT_EQUAL (edgecluster_run_count (v.other, CALL_ID), 0);
+  cluster_reply_free (&r);
+  edgecluster_destroy (&v.e);
+}
+
 /* ---- streams that a client takes up ---- */
 
 /* What the client takes up after the third event of the cut stream. */
@@ -221,7 +258,8 @@
 static void
 test_unknown_takeup (void)
 {
-  const struct setup x = { SERVER (), "v1", true, true };
+  const struct setup x
+      = { SERVER (), "v1", .same_listed = true, .other_listed = true };
   struct versions v = start (&x);
 
   check_takeup (&v, &(struct takeup){ "id-0", 503, "stream-origin-unknown" });
@@ -286,8 +324,8 @@
 static void
 test_node_killed (void)
 {
-  const struct setup x
-      = { SERVER ("--event-gap-ms", "300"), "v1", true, true };
+  const struct setup x = { SERVER ("--event-gap-ms", "300"), "v1",
+                           .same_listed = true, .other_listed = true };
   struct versions v = start (&x);
 
   begin_and_kill_node (&v, &x);
@@ -321,6 +359,7 @@
   { "broken stream, same version left", test_same_version },
   { "silent server, same version left", test_silent_server },
   { "broken stream of an unknown version", test_unreadable_version },
+  { "stream waits for its version, new call", test_new_call },
   { "stream taken up", test_takeup },
   { "stream of unknown origin taken up", test_unknown_takeup },
   { "stream taken up, one version", test_one_version },
