Offer servers to streams that clients take up before new calls

Where all servers were full, a stream that a client took up waited behind the calls that had come before it and was refused, so that what it had used was lost as well.

Streams that are taken up now come with those whose response has begun, before all other calls.

--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -375,7 +375,7 @@
 add_to_order (struct call *c, uint64_t now)
 {
   const struct waitorder_call entry = {
-    .begun = c->response_started,
+    .begun = c->response_started || c->takes_up,
     .priority = c->priority,
     .arrival_ms = c->arrival_ms,
     .deadline_ms = call_wait_deadline_ms (c),
--- a/tests/e2e_versions.c
+++ b/tests/e2e_versions.c
@@ -35,6 +35,7 @@
  * @version: of the first server.
  * @same_listed: the second server of v1 has an entry.
  * @other_listed: the server of v2 has one.
+ * @one_slot: the first server, of v1, runs one call at a time.
  * @same: flags of the second server of v1; NULL for those of most tests.
  */
 struct setup
@@ -43,6 +44,7 @@
   const char *version;
   bool same_listed;
   bool other_listed;
+  bool one_slot;
   const char *const *same;
 };
 
@@ -55,7 +57,11 @@
   v.same
       = cluster_server (v.e.cluster, "lm", "b", x->same ? x->same : SERVER ());
   v.other = cluster_server (v.e.cluster, "lm", "a", SERVER ());
-  edgecluster_put_server_version (&v.e, v.first, "ready", MODELS, x->version);
+  if (x->one_slot)
+    edgecluster_put_server_slots (&v.e, v.first, 1, MODELS);
+  else
+    edgecluster_put_server_version (&v.e, v.first, "ready", MODELS,
+                                    x->version);
   if (x->same_listed)
     edgecluster_put_server_version (&v.e, v.same, "ready", MODELS, "v1");
   if (x->other_listed)
@@ -164,7 +170,8 @@
 test_new_call (void)
 {
   const struct setup x
-      = { BREAKS_OFF, "v1", true, true, SERVER ("--reject-first", "1000") };
+      = { BREAKS_OFF, "v1", .same_listed = true, .other_listed = true,
+          .same = SERVER ("--reject-first", "1000") };
   struct versions v = start (&x);
   struct cluster_request *call = begin (&v, &x);
 
@@ -283,6 +290,39 @@
   edgecluster_destroy (&v.e);
 }
 
+#define NEW_ID "id-3"
+
+/* Guards against streams that are lost because new ones get the places of
+   their servers first: what a stream has used so far is then lost as well. */
+static void
+test_takeup_first (void)
+{
+  const struct setup x
+      = { SERVER ("--event-gap-ms", "150"), "v1", .one_slot = true };
+  struct versions v = start (&x);
+
+  struct cluster_request *running = edgecluster_call_begin (
+      v.edge, "POST", "/stream/x", CALL_ID, "m1", "prompt");
+  CU_ASSERT_TRUE (cluster_poll_until (has_run, v.first, WAIT_TIMEOUT_MS));
+  struct cluster_request *new_call = edgecluster_call_begin (
+      v.edge, "POST", "/stream/x", NEW_ID, "m1", "prompt");
+  CU_ASSERT_TRUE (edgecluster_wait_logged (
+      v.edge, (const char *const[]){ "event=wait ", "id=" NEW_ID " ", NULL }));
+  check_takeup (&v, &(struct takeup){ "id-0", 200, NULL });
+  const int taken_up = edgecluster_log_line (
+      v.edge,
+      (const char *const[]){ "event=send ", "id=" TAKE_UP_ID " ", NULL });
+  const int begun = edgecluster_log_line (
+      v.edge, (const char *const[]){ "event=send ", "id=" NEW_ID " ", NULL });
+  CU_ASSERT_TRUE (taken_up > 0 && (begun == 0 || taken_up < begun));
+  struct cluster_reply r = cluster_http_wait (running);
+  check_whole (&r);
+  cluster_reply_free (&r);
+  r = cluster_http_wait (new_call);
+  cluster_reply_free (&r);
+  edgecluster_destroy (&v.e);
+}
+
 static bool
 is_stored (void *ctx)
 {
@@ -363,6 +403,7 @@
   { "stream taken up", test_takeup },
   { "stream of unknown origin taken up", test_unknown_takeup },
   { "stream taken up, one version", test_one_version },
+  { "stream taken up while a new one waits", test_takeup_first },
   { "stream taken up after its node was killed", test_node_killed },
   { "stream taken up after its node was killed, version left",
     test_node_killed_version_left },
--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -243,14 +243,24 @@
                                        .seq = 1 });
 }
 
+void
+edgecluster_put_server_slots (const struct edgecluster *e,
+                              const struct cluster_proc *server, int slots,
+                              const char *models)
+{
+  put_server (e, server,
+              &(struct server_fields){ .slots = slots,
+                                       .state = "ready",
+                                       .models = models,
+                                       .version = VERSION,
+                                       .seq = 1 });
+}
+
 void
 edgecluster_put_full_server (const struct edgecluster *e,
                              const struct cluster_proc *server)
 {
-  put_server (
-      e, server,
-      &(struct server_fields){
-          .state = "ready", .models = "[]", .version = VERSION, .seq = 1 });
+  edgecluster_put_server_slots (e, server, 0, "[]");
 }
 
 /* Header lines of a call, ended by NULL. The model's line is left out if the
--- a/tests/edgecluster.h
+++ b/tests/edgecluster.h
@@ -62,6 +62,11 @@
                                      const struct cluster_proc *server,
                                      const char *state, const char *models,
                                      const char *version);
+/** edgecluster_put_server_slots() - write the entry of a server that is ready,
+ * with the number of calls that it runs at once. */
+void edgecluster_put_server_slots (const struct edgecluster *e,
+                                   const struct cluster_proc *server,
+                                   int slots, const char *models);
 /** edgecluster_put_full_server() - write the entry of a plain server that has
  * no slots, so that its calls wait. */
 void edgecluster_put_full_server (const struct edgecluster *e,
