Keep a test's store client until its call has ended

Answers now compare the store's era with that of the client, so a client must outlive its calls. The test of lost answers destroyed it first: the address sanitizer reported a use after free in objects_check_era(), and without it the test failed in one build (-ESTALE instead of -EINPROGRESS and -EBADMSG). The checks are unchanged.

--- a/tests/test_httpfaults.c
+++ b/tests/test_httpfaults.c
@@ -81,13 +81,14 @@
   str_free (&url);
 }
 
+/* Of the calls to the store; must outlive them. */
+static struct objects *objects;
+
 static void
 send_read (struct peer *p, struct peer_outcome *o)
 {
-  struct objects *objects = objects_create (p->http, p->addr);
-
+  objects = objects_create (p->http, p->addr);
   objects_read (objects, "leases", "placer", on_object, o);
-  objects_destroy (objects);
 }
 
 static void
@@ -107,10 +108,16 @@
 static void
 send_write (struct peer *p, struct peer_outcome *o)
 {
-  struct objects *objects = objects_create (p->http, p->addr);
-
+  objects = objects_create (p->http, p->addr);
   objects_write (objects, "leases", "placer", 7, STR ("{}"), on_object, o);
-  objects_destroy (objects);
+}
+
+static void
+destroy_objects (void)
+{
+  if (objects)
+    objects_destroy (objects);
+  objects = NULL;
 }
 
 /* Guards against a request that libcurl sends once more by itself after its
@@ -153,6 +160,7 @@
       shutdown (peer.fd, SHUT_RDWR);
       pthread_join (thread, NULL);
       CU_ASSERT_EQUAL (losing.requests, cases[i].requests);
+      destroy_objects ();
       peer_close (&peer);
     }
 }
