Bind a stream to a version when it is sent, not at its first event

A stream is recorded when it is sent. If it was then sent again to another version, other nodes that had read the first record, or the store after all nodes were killed, named the wrong version, and a client's take-up was joined from two.

A stream that can be resumed is now bound to the version of the server that it is first sent to. If the server's start or version changed meanwhile, the version counts as unknown.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -198,10 +198,7 @@
   select_attempt (a);
   call_record_progress (a);
   if (c->last_part_ms == 0 && call_is_resumable (c))
-    {
-      call_bind_version (a);
-      call_record_stream (c, c->software_version);
-    }
+    call_confirm_version (a);
   c->last_event_id = last_event_id;
   record_gap (c);
   if (caller_write (c->caller, part))
--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -96,8 +96,6 @@
  * callbacks of @forward.
  * @forward: NULL unless the attempt is in flight.
  * @server_start: site_server_start() when the attempt began.
- * @software_version: of the server when the attempt began; owned. Empty if it
- *   can't be read, or if the call does not need it.
  * @sent_ms: when the first byte was sent; 0 before.
  * @uses_retry_budget: the attempt was taken from the retry budget.
  * @silent: the call was sent to a second server because this one sent nothing.
@@ -110,7 +108,6 @@
   struct forward *forward;
   struct pool_server *server;
   uint64_t server_start;
-  struct str software_version;
   uint64_t sent_ms;
   bool uses_retry_budget;
   bool silent;
@@ -153,8 +150,8 @@
  * @waiting: the call waits for a server; no attempt is in flight.
  * @wait_reason: why it waits.
  * @full_demand: what it counts for in @full_waiting; NULL if it does not.
- * @software_version: of the server whose events the stream began with; owned.
- *   Empty if it can't be read.
+ * @software_version: of the servers that the stream was sent to; owned. Empty
+ *   if it can't be read, or isn't certain.
  * @version_bound: the stream may go on only at servers of @software_version.
  * @takes_up: the client continues a stream of an earlier call.
  * @origin_asked_ms: when the store was first asked where it began; 0 before.
@@ -296,8 +293,8 @@
  * servers and that clients may take up again. */
 bool call_is_resumable (const struct call *call);
 /** call_record_stream() - record with which service and version the stream
- * began, when its first event goes to the client. */
-void call_record_stream (const struct call *call, struct str version);
+ * begins, when it is sent and when its first event goes to the client. */
+void call_record_stream (const struct call *call);
 /** call_complete_stream() - record that a response went to the client as a
  * whole, if it is a stream. */
 void call_complete_stream (const struct call *call);
@@ -308,12 +305,15 @@
 
 /* ---- call_version.c ---- */
 
-/** call_note_version() - note the version of the server of a new attempt, if
- * the call may be bound to it. */
-void call_note_version (struct call_attempt *attempt);
 /** call_bind_version() - bind a stream that can be resumed to the version of
- * the attempt that brings its first event. */
-void call_bind_version (struct call_attempt *attempt);
+ * the server that it is sent to. A repeat before its first event goes to the
+ * same version, so that a record of the stream is never that of another one.
+ */
+void call_bind_version (struct call *call, const struct pool_server *server);
+/** call_confirm_version() - the attempt brings the first event of a stream
+ * that can be resumed. If its version is not certain, the stream goes on
+ * nowhere. */
+void call_confirm_version (const struct call_attempt *attempt);
 /** call_shares_queue() - returns true if any server of the service fits that
  * has the call's model, so that the call waits in turn with the others. */
 bool call_shares_queue (const struct call *call);
--- a/src/edge/call_start.c
+++ b/src/edge/call_start.c
@@ -96,17 +96,13 @@
 
   call_set_waiting (c, false);
   log_send (c, server);
-  str_free (&a->software_version);
   *a = (struct call_attempt){
     .call = c,
     .server = server,
     .server_start = site_server_start (server),
     .uses_retry_budget = uses_retry_budget,
   };
-  call_note_version (a);
-  /* Recorded before the first event, so that the record is stored by then. */
-  if (a->software_version.len > 0 && !c->takes_up)
-    call_record_stream (c, a->software_version);
+  call_bind_version (c, server);
   c->sent_ms = clock_ms ();
   pool_call_started (server);
   call_add_running_demand (c, 1);
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -79,8 +79,6 @@
   str_free (&c->service);
   str_free (&c->tenant);
   str_free (&c->software_version);
-  for (size_t i = 0; i < CALL_ATTEMPTS_IN_FLIGHT_MAX; i++)
-    str_free (&c->attempts[i].software_version);
   free (c);
 }
 
--- a/src/edge/call_takeup.c
+++ b/src/edge/call_takeup.c
@@ -26,9 +26,9 @@
 /* ---- record of the streams ---- */
 
 void
-call_record_stream (const struct call *c, struct str version)
+call_record_stream (const struct call *c)
 {
-  const struct stream_origin origin = { c->service, version };
+  const struct stream_origin origin = { c->service, c->software_version };
 
   if (c->takes_up && c->meta.resumes.len == 0)
     return;
--- a/src/edge/call_version.c
+++ b/src/edge/call_version.c
@@ -9,24 +9,31 @@
 #define LOG_MODULE "call"
 
 void
-call_note_version (struct call_attempt *a)
+call_bind_version (struct call *c, const struct pool_server *server)
 {
-  if (call_is_resumable (a->call) && !a->call->version_bound)
-    a->software_version = str_dup (pool_server_software_version (a->server));
+  const struct str version = pool_server_software_version (server);
+
+  if (!call_is_resumable (c) || c->version_bound || version.len == 0)
+    return;
+  str_assign (&c->software_version, version);
+  c->version_bound = true;
+  if (!c->takes_up)
+    call_record_stream (c);
 }
 
 void
-call_bind_version (struct call_attempt *a)
+call_confirm_version (const struct call_attempt *a)
 {
   struct call *c = a->call;
 
-  if (c->version_bound)
-    return;
-  c->version_bound = true;
   /* If the server started again since the attempt began, either of its
      processes may have responded. */
-  if (site_server_start (a->server) == a->server_start)
-    str_assign (&c->software_version, a->software_version);
+  if (site_server_start (a->server) != a->server_start
+      || !str_eq (pool_server_software_version (a->server),
+                  c->software_version))
+    str_assign (&c->software_version, STR (""));
+  c->version_bound = true;
+  call_record_stream (c);
 }
 
 bool
--- a/tests/e2e_versions.c
+++ b/tests/e2e_versions.c
@@ -164,6 +164,24 @@
   check_stream (&(struct setup){ BREAKS_OFF, "", .other_listed = true });
 }
 
+/* Guards against a stream that begins at another version than the one that is
+   recorded for it, because the server that it was sent to first rejects it. */
+static void
+test_sent_again (void)
+{
+  const struct setup x = { SERVER ("--reject-first", "1000"), "v1",
+                           .same_listed = true, .other_listed = true };
+  struct versions v = start (&x);
+  struct cluster_reply r = edgecluster_call (v.edge, "POST", "/stream/x",
+                                             CALL_ID, "m1", "prompt");
+
+  check_whole (&r);
+  CU_ASSERT_EQUAL (edgecluster_run_count (v.same, CALL_ID), 1);
+  CU_ASSERT_EQUAL (edgecluster_run_count (v.other, CALL_ID), 0);
+  cluster_reply_free (&r);
+  edgecluster_destroy (&v.e);
+}
+
 /* Guards against new calls that wait behind a stream that only full servers
    can continue, although servers of another version have room. */
 static void
@@ -399,6 +417,7 @@
   { "broken stream, same version left", test_same_version },
   { "silent server, same version left", test_silent_server },
   { "broken stream of an unknown version", test_unreadable_version },
+  { "stream sent again before its first event", test_sent_again },
   { "stream waits for its version, new call", test_new_call },
   { "stream taken up", test_takeup },
   { "stream of unknown origin taken up", test_unknown_takeup },
