Remember streams for longer that are taken up again and again

A stream that was recorded again with the same origin kept the time of its first record, and was unknown a minute after it, even while its client still took it up. Found in the review. Recorded again after 10 s, it is remembered for another minute.

Unit streamorigins, the new row of the first case fails before; now 7 of 7 pass.

--- a/src/edge/streamorigins.c
+++ b/src/edge/streamorigins.c
@@ -7,6 +7,10 @@
 
 #include "err.h"
 
+/* A stream that is recorded again with the same origin after this time is
+   remembered for longer. */
+#define RENEWAL_MS (10 * 1000)
+
 /**
  * struct version_entry - a version of a service.
  * @key: hash of both names.
@@ -287,7 +291,8 @@
 {
   struct stream *s = find_stream (o, id);
 
-  if (s && s->own && is_same_origin (&s->version->origin, origin))
+  if (s && s->own && is_same_origin (&s->version->origin, origin)
+      && now_ms < s->recorded_ms + RENEWAL_MS)
     return;
   if (s)
     forget_stream (o, s);
--- a/tests/test_streamorigins.c
+++ b/tests/test_streamorigins.c
@@ -81,6 +81,12 @@
       START_MS + 2,
       "s",
       "1" },
+    /* Taken up again and again. */
+    { { { BEGIN, START_MS, "a", "s", "1" },
+        { BEGIN, LATER_MS - 1, "a", "s", "1" } },
+      LATER_MS + 1,
+      "s",
+      "1" },
     { { { BEGIN, START_MS, "a", "s", "1" },
         { BEGIN, START_MS + 1, "b", "s", "2" },
         { BEGIN, START_MS + 2, "c", "t", "1" } },
