Ask the store for versions after a node was cut off from it

A node that had run for a minute and saw one version answered for unknown streams without a look at the store, also if it had been cut off while another version came into service; the take-up was then bound to the version that it knew.

While the store doesn't answer a node but the placement holder reads it, the node counts as one that has just started, and a listing from before counts no more. In an outage for all nodes nothing changes: no node learns of servers then.

--- a/src/edge/placer.c
+++ b/src/edge/placer.c
@@ -417,6 +417,15 @@
   platform_check_staleness (platform_get (p->kernel), &revisions);
 }
 
+/* Returns true if the holder reads the store and this node doesn't, so that
+   changes reach others only. */
+static bool
+is_cut_off (const struct placer *p, uint64_t now)
+{
+  return !p->store_reachable && p->holder_revisions.current
+         && now <= p->holder_seen_ms + HOLDER_SILENT_MS;
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
@@ -437,7 +446,7 @@
   quarantine_store_step (p->quarantine_store, holderlease_valid (p->lease),
                          now);
   streamorigins_store_step (site_streamorigins_store (p->site),
-                            placer_node_count (p), now);
+                            placer_node_count (p), is_cut_off (p, now), now);
   if (!p->is_holder)
     return;
   drop_silent_followers (p);
--- a/src/edge/streamorigins_store.c
+++ b/src/edge/streamorigins_store.c
@@ -276,9 +276,9 @@
 
 void
 streamorigins_store_step (struct streamorigins_store *s, uint32_t nodes,
-                          uint64_t now_ms)
+                          bool cut_off, uint64_t now_ms)
 {
-  if (now_ms > s->step_ms + PAUSE_MS)
+  if (cut_off || now_ms > s->step_ms + PAUSE_MS)
     s->observed_since_ms = now_ms;
   s->step_ms = now_ms;
   s->nodes = nodes;
@@ -445,7 +445,7 @@
 services_known (const struct streamorigins_store *s, uint64_t asked_since_ms,
                 uint64_t now_ms)
 {
-  return s->listed_since_ms > 0
+  return s->listed_since_ms > 0 && s->listed_since_ms >= s->observed_since_ms
          && (s->listed_since_ms >= asked_since_ms
              || now_ms < s->listed_since_ms + LISTING_REUSE_MS);
 }
--- a/src/edge/streamorigins_store.h
+++ b/src/edge/streamorigins_store.h
@@ -33,9 +33,10 @@
  * streamorigins_store_step() - start the read or write of this node's copy
  * that is due. Call it at short intervals.
  * @nodes: number of nodes, which share the store's call rate; 0 if unknown.
+ * @cut_off: other nodes may learn of servers that this one doesn't.
  */
 void streamorigins_store_step (struct streamorigins_store *store,
-                               uint32_t nodes, uint64_t now_ms);
+                               uint32_t nodes, bool cut_off, uint64_t now_ms);
 /**
  * streamorigins_store_ask() - find out which version began a stream. Reads the
  * copies of all nodes if that may tell.
--- a/tests/test_streamoriginsstore.c
+++ b/tests/test_streamoriginsstore.c
@@ -423,7 +423,7 @@
 
   while (clock_ms () < end_ms)
     {
-      streamorigins_store_step (n->store, 0, clock_ms ());
+      streamorigins_store_step (n->store, 0, false, clock_ms ());
       uv_run (&n->peer.loop, UV_RUN_NOWAIT);
       usleep (1000);
     }
@@ -758,7 +758,7 @@
       open_node (&n, c->exchanges, c->repeats, c->age_ms);
       see_versions (&n, c->versions);
       if (c->paused)
-        streamorigins_store_step (n.store, 0, clock_ms ());
+        streamorigins_store_step (n.store, 0, false, clock_ms ());
       const enum streamorigins_answer a = ask (&n, 0xcc);
       CU_ASSERT_EQUAL (a, c->answer);
       CU_ASSERT_TRUE (c->repeats ? n.fake.answered >= c->calls
