--- a/src/edge/call_takeup.c
+++ b/src/edge/call_takeup.c
@@ -3,8 +3,9 @@
 #include "clock.h"
 #include "log.h"
 
-/* Streams that a client takes up after a broken connection. Such a call goes
-   on only at the version that began the stream. */
+/* Record of where streams begin, and streams that a client takes up after a
+   broken connection. Such a call goes on only at the version that began the
+   stream. */
 
 #define LOG_MODULE "call"
 
--- a/src/leasestate.c
+++ b/src/leasestate.c
@@ -44,9 +44,9 @@
   uint64_t written_ms;         /* when that attempt started */
   uint64_t valid_until_ms;
   uint64_t term_start_ms;
-  uint64_t min_fence;             /* fencing tokens of the era are greater */
+  uint64_t min_fence;             /* later fencing tokens are greater */
   uint64_t absent_free_ms;        /* when an absent object may be created */
-  struct lease_record before_era; /* lists earlier holders and their nodes */
+  struct lease_record before_era; /* last record of an earlier era */
   uint32_t nodes;                 /* number of nodes to write, or 0 */
   bool reacquired;       /* another node held the lease since its last term */
   uint64_t next_step_ms; /* earliest time of the next step */
