Keep the tokens of digests when an era begins

A node that heard the digests of the new era's holder before it learnt of the era forgot their token when the era began. If the lease object was deleted before it read it, it took the lease with the same token.

The lowest token that a node takes is only ever raised.

--- a/src/leasestate.c
+++ b/src/leasestate.c
@@ -324,7 +324,7 @@
   if (s->version > 0)
     s->before_era = s->current;
   s->current = (struct lease_record){ 0 };
-  s->min_fence = min_fence;
+  leasestate_report_fence (s, min_fence);
   s->eras++;
   s->step_outdated = s->step_in_progress;
   s->reclaiming = was_valid;
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -348,6 +348,23 @@
   world_destroy (&w);
 }
 
+/* Guards against a node that takes the token of the new era's holder, because
+   it heard of that holder before it learnt of the era. */
+static void
+test_reported_before_era (void)
+{
+  struct world w = world_create ();
+
+  leasestate_begin_era (w.nodes[0], w.now, ERA_FENCE);
+  leasestate_report_fence (w.nodes[0], 2 * ERA_FENCE + 1);
+  leasestate_begin_era (w.nodes[0], w.now, 2 * ERA_FENCE);
+  leasestate_set_candidate (w.nodes[0], true);
+  advance_time (&w, 2 * (TTL_MS + MARGIN_MS), 1);
+  CU_ASSERT (valid (&w, 0));
+  CU_ASSERT_EQUAL (leasestate_fence (w.nodes[0]), 2 * ERA_FENCE + 2);
+  world_destroy (&w);
+}
+
 /* Guards against a holder that replaces the deleted object again and again and
    never holds the lease any more. */
 static void
@@ -724,6 +741,7 @@
   { "object deleted by another writer", test_deleted },
   { "holder's object deleted", test_deleted_holder },
   { "token reported by the holder", test_reported_fence },
+  { "token reported before the era is known", test_reported_before_era },
   { "graceful release", test_release },
   { "store outage", test_outage },
   { "two candidates race", test_race },
