--- a/review/standin-3/client.h
+++ b/review/standin-3/client.h
@@ -15,7 +15,10 @@
   int front;      /* of the first attempt */
   int next_front; /* of the second one; 0 for none */
   long wait_ms;   /* before the second one */
+  long gap_ms;    /* without an event, after which an attempt is given up */
+  const char *model; /* NULL for none */
   int break_after; /* events after which the connection is reset; 0: never */
+  const volatile bool *reset; /* the connection is reset once it is true */
   /* results */
   long sent_ms;   /* when the first attempt was sent */
   int events;              /* got, in order */
