--- a/review/standin-3/case12.c
+++ b/review/standin-3/case12.c
@@ -7,15 +7,19 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* ORDER: streams that hold events of servers of two software versions. The
-   two servers of a service are upgraded one after the other: each crashes and
-   starts again at once, under its id and address, with the next version. */
+/* ORDER: streams that hold events of servers of two software versions. Three
+   servers of a service have the next version already. The last one crashes and
+   starts again, under its id and address, with the next version too. Between
+   the rounds the three are upgraded in the same way, one after the other. */
 
 #define ROUNDS 3
-#define STREAMS 12 /* for each round, over both nodes */
+#define SERVERS 4
+#define LAST (SERVERS - 1)
+#define STREAMS 32 /* for each round, over both nodes and all servers */
 #define EVENTS "80"
 #define GAP_MS "100"
-#define START_MS 2000 /* from a crash to the start of the next process */
+#define START_MS 1500 /* from a crash to the start of the next process */
+#define ABANDON_MS 2000 /* gap after which a client gives an attempt up */
 #define ALLOWED 2    /* streams that may be mixed */
 
 static const char config[]
@@ -35,7 +39,7 @@
   pid_t pid;
 };
 
-static struct server servers[2];
+static struct server servers[SERVERS];
 static struct stream streams[ROUNDS][STREAMS];
 
 static void
@@ -48,7 +52,7 @@
   snprintf (port, sizeof port, "%d", s->port);
   snprintf (store, sizeof store, "%d", store_port);
   snprintf (name, sizeof name, "v%d", version);
-  char *argv[] = { "build/review-3/server", port,   s->id,
+  char *argv[] = { "target/review-3/server", port,   s->id,
                    name,                    "lm",   store,
                    (char *)tmp_path ("runs.log"), EVENTS, GAP_MS, NULL };
   s->pid = spawn (argv, NULL, tmp_path ("server.log"));
@@ -77,14 +81,19 @@
       s->path = "/s/x";
       s->front = nodes[i % 2].front;
       s->next_front = nodes[(i + 1) % 2].front;
+      s->gap_ms = ABANDON_MS;
       stream_begin (s);
     }
   sleep_ms (1500);
-  upgrade (&servers[0], round + 2);
-  sleep_ms (3000);
-  upgrade (&servers[1], round + 2);
+  upgrade (&servers[LAST], round + 2);
   streams_wait ();
   sleep_ms (3000);
+  for (int i = 0; round + 1 < ROUNDS && i < LAST; i++)
+    {
+      upgrade (&servers[i], round + 3);
+      sleep_ms (1000);
+    }
+  sleep_ms (2000);
 }
 
 static void
@@ -112,11 +121,11 @@
   if (argc != 2)
     return NOT_RUN;
   kit_begin (argv[1], NULL);
-  for (int i = 0; i < 2; i++)
+  for (int i = 0; i < SERVERS; i++)
     {
       snprintf (servers[i].id, sizeof servers[i].id, "i-%c", 'a' + i);
       servers[i].port = free_port ();
-      start_server (&servers[i], 1);
+      start_server (&servers[i], i == LAST ? 1 : 2);
     }
   sleep_ms (300);
   snprintf (spec, sizeof spec, config, 7);
@@ -126,6 +135,9 @@
   start_node (1, store_port);
   if (!wait_ready (0, 8000) || !wait_ready (1, 8000))
     kit_fail ("nodes are not ready");
+  for (int i = 0; i < SERVERS; i++)
+    if (!running (servers[i].pid))
+      kit_fail ("a server did not start");
   sleep_ms (4000);
   for (int round = 0; round < ROUNDS; round++)
     run_round (round);
