--- a/review/standin-3/case13.c
+++ b/review/standin-3/case13.c
@@ -35,7 +35,7 @@
 
 static struct stream streams[STREAMS];
 
-static void
+static pid_t
 start_server (const char *id, const char *version)
 {
   char port[16];
@@ -43,11 +43,11 @@
 
   snprintf (port, sizeof port, "%d", free_port ());
   snprintf (store, sizeof store, "%d", store_port);
-  char *argv[] = { "build/review-3/server", port, (char *)id,
+  char *argv[] = { "target/review-3/server", port, (char *)id,
                    (char *)version, "lm", store,
                    (char *)tmp_path ("runs.log"), EVENTS, GAP_MS, NULL };
-  spawn (argv, NULL, tmp_path ("server.log"));
   rec ("server %s starts with version %s at port %s", id, version, port);
+  return spawn (argv, NULL, tmp_path ("server.log"));
 }
 
 static void
@@ -70,13 +70,14 @@
 {
   int mixed = 0;
   int taken_up = 0;
+  pid_t pids[3];
 
   if (argc != 2)
     return NOT_RUN;
   kit_begin (argv[1], NULL);
   struct proxy *proxy = proxy_start (store_port);
-  start_server ("i-a", "v1");
-  start_server ("i-b", "v1");
+  pids[0] = start_server ("i-a", "v1");
+  pids[1] = start_server ("i-b", "v1");
   sleep_ms (300);
   if (!put_object ("config", "main", config))
     kit_fail ("configuration");
@@ -94,7 +95,7 @@
       proxy_set_silent (proxy, true);
     }
   sleep_ms (JOIN_MS);
-  start_server ("i-c", "v2");
+  pids[2] = start_server ("i-c", "v2");
   for (int i = 0; i < STREAMS; i++)
     {
       struct stream *s = &streams[i];
@@ -103,6 +104,7 @@
       s->path = "/s/x";
       s->front = nodes[1].front;
       s->next_front = nodes[0].front;
+      s->gap_ms = 2000;
       s->break_after = i % 2 == 0 ? BREAK_AFTER : 0;
       stream_begin (s);
       sleep_ms (STREAM_GAP_MS);
@@ -118,6 +120,9 @@
       proxy_set_silent (proxy, false);
     }
   streams_wait ();
+  for (int i = 0; i < 3; i++)
+    if (!running (pids[i]))
+      kit_fail ("a server did not start");
   copy_runs ();
   for (int i = 0; i < STREAMS; i++)
     {
