Read the servers anew before a stream of unknown origin is taken up

Callers saw streams that held events of two software versions (ORDER): a node that was cut off from the store, had stood still, or read a stale view of it took them up, while other nodes had sent them to servers of a version that it did not know yet.

Cause: whether a service has had one version was answered from what the node had heard of the store, whatever its age. A node noticed a cut only when its watch had timed out, and only while the placement holder was in touch.

Change: such a question is answered with "one version" only from entries that were read after it came. The watch that waits is replaced by one that does not, for all questions together, at most each 50 ms and 1 ms for each node. The entry of a server is in the store before any node sends a stream there, so the reading shows its version. If the store does not answer within 0.8 s, the call is refused with 503.

Ruled out: to notice cuts sooner. Each time-out leaves a window before it, and a node that stands still or reads a stale view sees no cut.

--- a/src/edge/call_takeup.c
+++ b/src/edge/call_takeup.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "platform/platform.h"
 
 /* Record of where streams begin, and streams that a client takes up after a
    broken connection. Such a call goes on only at the version that began the
@@ -110,11 +111,14 @@
             CALL_LOG_ARG (c), call_ms_until (call_wait_deadline_ms (c)));
 }
 
-/* Asks this node's record and what the nodes stored. */
+/* Asks this node's record, what the nodes stored, and the servers' entries in
+   the store. */
 static enum streamorigins_answer
 ask (struct call *c, uint64_t now_ms)
 {
   struct site *site = c->calls->site;
+  struct streamorigins_store *store = site_streamorigins_store (site);
+  struct platform *platform = platform_get (c->calls->kernel);
 
   if (c->origin_asked_ms == 0)
     c->origin_asked_ms = now_ms;
@@ -122,9 +126,18 @@
       && streamorigins_several_versions (site_streamorigins (site), c->service,
                                          now_ms))
     return STREAMORIGINS_UNKNOWN;
-  return streamorigins_store_ask (site_streamorigins_store (site),
-                                  stream_id (c), c->service,
-                                  c->origin_asked_ms, now_ms);
+
+  const struct streamorigins_question question
+      = { .id = stream_id (c),
+          .service = c->service,
+          .since_ms = c->origin_asked_ms,
+          .servers_read_ms = platform_servers_read_ms (platform) };
+  const enum streamorigins_answer answer
+      = streamorigins_store_ask (store, &question, now_ms);
+  if (answer == STREAMORIGINS_ASKING)
+    platform_read_servers (platform, c->origin_asked_ms,
+                           streamorigins_store_read_gap_ms (store));
+  return answer;
 }
 
 bool
--- a/src/edge/streamorigins_store.c
+++ b/src/edge/streamorigins_store.c
@@ -11,13 +11,16 @@
 
 #define LOG_MODULE "streamorigins"
 #define OBJECT_KIND "galenagate-streams"
-/* Minimum time between two calls for this node's copy, and two listings. The
-   first event of most streams takes longer than the former. */
+/* Minimum time between two calls for this node's copy, two listings, and two
+   reads of the servers. The first event of most streams takes longer than the
+   first. */
 #define WRITE_GAP_MS 100
 #define LIST_GAP_MS 250
+#define READ_GAP_MS 50
 /* With many nodes the gap grows, which bounds the calls of all nodes. */
 #define WRITE_GAP_MS_PER_NODE 5
 #define LIST_GAP_MS_PER_NODE 1
+#define READ_GAP_MS_PER_NODE 1
 /* How long a question waits for what its stream's node may still write. */
 #define ASK_MS 800
 /* How long a listing answers for services without several versions. */
@@ -450,31 +453,41 @@
              || now_ms < s->listed_since_ms + LISTING_REUSE_MS);
 }
 
+/* Returns true if the node has seen only one version up to the time at which
+   it last read the servers, and no other node saw more before. */
 static bool
-had_one_version (struct streamorigins_store *s, struct str service,
-                 uint64_t asked_since_ms, uint64_t now_ms)
+had_one_version (struct streamorigins_store *s,
+                 const struct streamorigins_question *q, uint64_t now_ms)
 {
-  if (streamorigins_several_versions (s->origins, service, now_ms))
+  if (streamorigins_several_versions (s->origins, q->service, now_ms))
     return false;
   if (now_ms > s->observed_since_ms + STREAMORIGINS_RETENTION_MS)
     return true;
-  return services_known (s, asked_since_ms, now_ms)
-         && !stored_as_several (s, service, now_ms);
+  return services_known (s, q->since_ms, now_ms)
+         && !stored_as_several (s, q->service, now_ms);
 }
 
 enum streamorigins_answer
-streamorigins_store_ask (struct streamorigins_store *s, uint64_t id,
-                         struct str service, uint64_t asked_since_ms,
+streamorigins_store_ask (struct streamorigins_store *s,
+                         const struct streamorigins_question *q,
                          uint64_t now_ms)
 {
+  const bool one_version = had_one_version (s, q, now_ms);
   struct stream_origin origin;
 
-  if (streamorigins_find (s->origins, id, now_ms, &origin))
+  if (streamorigins_find (s->origins, q->id, now_ms, &origin))
     return STREAMORIGINS_KNOWN;
-  if (had_one_version (s, service, asked_since_ms, now_ms))
+  if (one_version && q->servers_read_ms >= q->since_ms)
     return STREAMORIGINS_ONE_VERSION;
-  if (now_ms >= asked_since_ms + ASK_MS)
+  if (now_ms >= q->since_ms + ASK_MS)
     return STREAMORIGINS_UNKNOWN;
-  start_listing (s, now_ms);
+  if (!one_version)
+    start_listing (s, now_ms);
   return STREAMORIGINS_ASKING;
 }
+
+uint32_t
+streamorigins_store_read_gap_ms (const struct streamorigins_store *s)
+{
+  return (uint32_t)gap_ms (s, READ_GAP_MS, READ_GAP_MS_PER_NODE);
+}
--- a/src/edge/streamorigins_store.h
+++ b/src/edge/streamorigins_store.h
@@ -37,15 +37,36 @@
  */
 void streamorigins_store_step (struct streamorigins_store *store,
                                uint32_t nodes, bool cut_off, uint64_t now_ms);
+/**
+ * struct streamorigins_question - a question about a stream.
+ * @id: streamorigins_id() of the stream.
+ * @service: that may have begun it.
+ * @since_ms: time of the first question about this stream, which is later than
+ *   its beginning.
+ * @servers_read_ms: this node knows all servers that were in service at this
+ *   time. Until it is @since_ms, another node may know a version that this one
+ *   does not.
+ */
+struct streamorigins_question
+{
+  uint64_t id;
+  struct str service;
+  uint64_t since_ms;
+  uint64_t servers_read_ms;
+};
+
 /**
  * streamorigins_store_ask() - find out which version began a stream. Reads the
  * copies of all nodes if that may tell.
- * @asked_since_ms: time of the first question about this stream.
  *
  * To be called again at short intervals while it returns STREAMORIGINS_ASKING,
  * which it does for less than a second.
  */
 enum streamorigins_answer
-streamorigins_store_ask (struct streamorigins_store *store, uint64_t id,
-                         struct str service, uint64_t asked_since_ms,
+streamorigins_store_ask (struct streamorigins_store *store,
+                         const struct streamorigins_question *question,
                          uint64_t now_ms);
+/** streamorigins_store_read_gap_ms() - minimum time between two calls of this
+ * node that read the servers for questions. */
+uint32_t
+streamorigins_store_read_gap_ms (const struct streamorigins_store *store);
--- a/tests/e2e_versions.c
+++ b/tests/e2e_versions.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include <stdio.h>
 
 #include "edgecluster.h"
@@ -341,6 +342,106 @@
   edgecluster_destroy (&v.e);
 }
 
+/* ---- nodes that are behind ---- */
+
+#define STALE_READS_AWAITED 3
+/* The store answers on new connections only. */
+#define SILENCE_OPEN "{\"silence_open\":true}"
+
+/**
+ * struct lag_case - a node that does not learn of a new version at once.
+ * @faults: of the store.
+ * @stopped: the node is stopped while the version comes.
+ * @stale_view: it reads from a stale view of the store, because another node
+ *   announces changes.
+ */
+struct lag_case
+{
+  const char *faults;
+  bool stopped;
+  bool stale_view;
+};
+
+static bool
+reads_stale_view (void *ctx)
+{
+  return cluster_json_int (ctx, "/counts", "stale_reads")
+         >= STALE_READS_AWAITED;
+}
+
+/* Starts another node after the first one, which becomes a follower of it. */
+static void
+start_follower (struct versions *v)
+{
+  v->edge = cluster_edge (v->e.cluster, "a", NODE);
+  CU_ASSERT_TRUE (cluster_ready (v->e.cluster));
+  CU_ASSERT_TRUE (
+      cluster_poll_until (reads_stale_view, v->e.store, WAIT_TIMEOUT_MS));
+}
+
+/* Takes up a stream that may have begun at a version that came after the node
+   last heard of the store. */
+static void
+check_lagging_node (const struct lag_case *x)
+{
+  const struct setup one_version = { SERVER (), "v1", .same_listed = true };
+  struct versions v = start (&one_version);
+
+  if (x->stale_view)
+    start_follower (&v);
+  /* The node reads what the nodes stored, and knows of one version. */
+  check_takeup (&v, &(struct takeup){ "id-0", 200, NULL });
+  if (x->stopped)
+    CU_ASSERT_TRUE (cluster_signal (v.edge, SIGSTOP));
+  edgecluster_set_faults (&v.e, x->faults);
+  edgecluster_put_server_version (&v.e, v.other, "ready", MODELS, "v2");
+  if (x->stopped)
+    CU_ASSERT_TRUE (cluster_signal (v.edge, SIGCONT));
+  check_takeup (&v, &(struct takeup){ "id-9", 503, "stream-origin-unknown" });
+  edgecluster_destroy (&v.e);
+}
+
+/* Guards against a stream that is joined from two software versions, because
+   the node that takes it up was cut off from the store when the second one
+   came. */
+static void
+test_cut_off (void)
+{
+  check_lagging_node (&(struct lag_case){ .faults = SILENCE_OPEN });
+}
+
+/* Likewise, because the node stood still. */
+static void
+test_stopped (void)
+{
+  check_lagging_node (
+      &(struct lag_case){ .faults = SILENCE_OPEN, .stopped = true });
+}
+
+/* Likewise, because the node's view of the store is older than those of
+   others. */
+static void
+test_stale_view (void)
+{
+  check_lagging_node (
+      &(struct lag_case){ .faults = "{\"stale\":true}", .stale_view = true });
+}
+
+/* Guards against the refusal of streams in a service with one software
+   version, because the node's connection to the store is dead. */
+static void
+test_dead_connection (void)
+{
+  const struct setup x = { SERVER (), "v1", .same_listed = true };
+  struct versions v = start (&x);
+
+  /* The node reads what the nodes stored. */
+  check_takeup (&v, &(struct takeup){ "id-8", 200, NULL });
+  edgecluster_set_faults (&v.e, SILENCE_OPEN);
+  check_takeup (&v, &(struct takeup){ "id-0", 200, NULL });
+  edgecluster_destroy (&v.e);
+}
+
 static bool
 is_stored (void *ctx)
 {
@@ -423,6 +524,10 @@
   { "stream of unknown origin taken up", test_unknown_takeup },
   { "stream taken up, one version", test_one_version },
   { "stream taken up while a new one waits", test_takeup_first },
+  { "stream taken up by a node that was cut off", test_cut_off },
+  { "stream taken up by a node that stood still", test_stopped },
+  { "stream taken up by a node with a stale view", test_stale_view },
+  { "stream taken up, dead connection to the store", test_dead_connection },
   { "stream taken up after its node was killed", test_node_killed },
   { "stream taken up after its node was killed, version left",
     test_node_killed_version_left },
--- a/tests/test_streamoriginsstore.c
+++ b/tests/test_streamoriginsstore.c
@@ -590,6 +590,7 @@
  * struct ask_case - a question about the stream 0xcc.
  * @age_ms: how long the node has run.
  * @paused: it was paused until now.
+ * @servers_unread: it cannot read the servers' entries.
  * @answers: least number of calls.
  * @repeats: the last exchange is repeated.
  */
@@ -599,6 +600,7 @@
   const char *const *versions;
   uint64_t age_ms;
   bool paused;
+  bool servers_unread;
   struct exchange exchanges[EXCHANGES_MAX];
   size_t calls;
   bool repeats;
@@ -610,6 +612,12 @@
     .versions = one_version,
     .age_ms = OLD_MS,
     .answer = STREAMORIGINS_ONE_VERSION },
+  { .name = "node that knows of one version, and may miss another one",
+    .versions = one_version,
+    .servers_unread = true,
+    .exchanges = { { LIST, { NULL }, "200 OK", 0, PAGE ("", "false") } },
+    .calls = 1,
+    .answer = STREAMORIGINS_UNKNOWN },
   { .name = "node that was paused",
     .versions = one_version,
     .age_ms = OLD_MS,
@@ -732,13 +740,17 @@
 
 /* Asks until the answer is known. */
 static enum streamorigins_answer
-ask (struct node *n, uint64_t id)
+ask (struct node *n, uint64_t id, bool servers_read)
 {
   const uint64_t since_ms = clock_ms ();
   enum streamorigins_answer a;
 
-  while ((a = streamorigins_store_ask (n->store, id, STR ("s"), since_ms,
-                                       clock_ms ()))
+  const struct streamorigins_question question
+      = { .id = id,
+          .service = STR ("s"),
+          .since_ms = since_ms,
+          .servers_read_ms = servers_read ? since_ms : since_ms - 1 };
+  while ((a = streamorigins_store_ask (n->store, &question, clock_ms ()))
              == STREAMORIGINS_ASKING
          && clock_ms () < since_ms + WAIT_TIMEOUT_MS)
     run_for (n, 5);
@@ -759,7 +771,7 @@
       see_versions (&n, c->versions);
       if (c->paused)
         streamorigins_store_step (n.store, 0, false, clock_ms ());
-      const enum streamorigins_answer a = ask (&n, 0xcc);
+      const enum streamorigins_answer a = ask (&n, 0xcc, !c->servers_unread);
       CU_ASSERT_EQUAL (a, c->answer);
       CU_ASSERT_TRUE (c->repeats ? n.fake.answered >= c->calls
                                  : n.fake.answered == c->calls);
@@ -790,10 +802,10 @@
 
   open_node (&n, exchanges, false, 0);
   see_versions (&n, one_version);
-  CU_ASSERT_EQUAL (ask (&n, 0xcc), STREAMORIGINS_ONE_VERSION);
-  CU_ASSERT_EQUAL (ask (&n, 0xdd), STREAMORIGINS_ONE_VERSION);
-  CU_ASSERT_EQUAL (ask (&n, 0xaa), STREAMORIGINS_KNOWN);
-  CU_ASSERT_EQUAL (ask (&n, 0xbb), STREAMORIGINS_KNOWN);
+  CU_ASSERT_EQUAL (ask (&n, 0xcc, true), STREAMORIGINS_ONE_VERSION);
+  CU_ASSERT_EQUAL (ask (&n, 0xdd, true), STREAMORIGINS_ONE_VERSION);
+  CU_ASSERT_EQUAL (ask (&n, 0xaa, true), STREAMORIGINS_KNOWN);
+  CU_ASSERT_EQUAL (ask (&n, 0xbb, true), STREAMORIGINS_KNOWN);
   run_for (&n, 300);
   CU_ASSERT_EQUAL (n.fake.answered, 1);
   CU_ASSERT_FALSE (n.fake.unexpected);
