Refuse a crashing prompt part although the same part is behind it

Cause: of two parts that always come together, only the one behind is blamed. That explanation was kept although sound prompts had shown since that the part behind is not the cause; they only cleared its own record.

Change: the part behind explains a crash only while no run of it has come further since the crash. A node drops a disproved explanation from the evidence that it sends and stores, and takes this over from others, which may have no sound prompt of their own.

Ruled out: to let a completion within the 30 s before a crash disprove the explanation as well. A part that begins to crash servers would then leave the blame to the parts in front of it.

--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -112,14 +112,33 @@
   return now_ms > s->updated_ms + QUARANTINE_RETENTION_MS;
 }
 
+static struct completion *
+find_completion (const struct quarantine *q, uint64_t fingerprint)
+{
+  struct completion *done;
+
+  HASH_FIND (hh, q->completed, &fingerprint, sizeof fingerprint, done);
+  return done;
+}
+
+/* Returns true if the part that followed this one in the prompt of a crash may
+   have caused it: servers have not completed it since. */
+static bool
+next_part_may_explain (const struct quarantine *q, const struct crash *crash)
+{
+  const struct completion *done = find_completion (q, crash->next_part);
+
+  return crash->next_part != 0 && !(done && done->at_ms >= crash->at_ms);
+}
+
 /* Returns true if all crashes came with the same part behind this one, which
    is then the more specific explanation. */
 static bool
-next_part_explains (const struct subject *s)
+next_part_explains (const struct quarantine *q, const struct subject *s)
 {
   for (uint32_t i = 0; i < s->crash_count; i++)
-    if (s->crashes[i].next_part == 0
-        || s->crashes[i].next_part != s->crashes[0].next_part)
+    if (s->crashes[i].next_part != s->crashes[0].next_part
+        || !next_part_may_explain (q, &s->crashes[i]))
       return false;
   return true;
 }
@@ -132,10 +151,11 @@
 }
 
 bool
-quarantine_refused (const struct subject *s, uint64_t now_ms)
+quarantine_refused (const struct quarantine *q, const struct subject *s,
+                    uint64_t now_ms)
 {
   return s->crash_count >= crashes_to_refuse (s->kind)
-         && !next_part_explains (s) && !quarantine_expired (s, now_ms);
+         && !next_part_explains (q, s) && !quarantine_expired (s, now_ms);
 }
 
 /* Returns the subject to displace: the oldest one that is not refused. */
@@ -143,7 +163,7 @@
 least_important (const struct quarantine *q, uint64_t now_ms)
 {
   for (struct subject *s = q->subjects; s; s = s->hh.next)
-    if (!quarantine_refused (s, now_ms))
+    if (!quarantine_refused (q, s, now_ms))
       return s;
   return q->subjects;
 }
@@ -175,15 +195,6 @@
   return s;
 }
 
-static struct completion *
-find_completion (const struct quarantine *q, uint64_t fingerprint)
-{
-  struct completion *done;
-
-  HASH_FIND (hh, q->completed, &fingerprint, sizeof fingerprint, done);
-  return done;
-}
-
 static void
 add_completion (struct quarantine *q, uint64_t fingerprint, uint64_t at_ms)
 {
@@ -319,13 +330,38 @@
 }
 
 static bool
-has_room (const struct subject *s, const struct crash *crash)
+has_room (const struct quarantine *q, const struct subject *s,
+          const struct crash *crash)
 {
   return s->crash_count < crashes_to_refuse (s->kind)
-         || (next_part_explains (s)
+         || (next_part_explains (q, s)
              && crash->next_part != s->crashes[0].next_part);
 }
 
+/* Another node tells that the next part does not explain a crash that is known
+   here. Returns false if there is no such crash. */
+static bool
+drop_next_part (struct subject *s, const struct crash *crash)
+{
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    if (s->crashes[i].server == crash->server && crash->next_part == 0
+        && s->crashes[i].next_part != 0)
+      {
+        s->crashes[i].next_part = 0;
+        return true;
+      }
+  return false;
+}
+
+static void
+record_change (struct quarantine *q, struct subject *s, uint64_t at_ms,
+               uint64_t now_ms)
+{
+  if (quarantine_refused (q, s, now_ms))
+    q->version++;
+  mark_changed (s, at_ms);
+}
+
 static void
 add_crash (struct quarantine *q, const struct crash_record *record,
            const struct crash *crash, uint64_t now_ms)
@@ -333,17 +369,34 @@
   struct subject *s
       = find_or_add (q, record->kind, record->fingerprint, now_ms);
 
-  if (!has_room (s, crash) || is_cleared (s, crash->at_ms)
+  if (drop_next_part (s, crash))
+    record_change (q, s, crash->at_ms, now_ms);
+  if (!has_room (q, s, crash) || is_cleared (s, crash->at_ms)
       || is_known_crash (s, crash->server)
       || is_joint_crash (q, s, crash->at_ms))
     return;
   store_crash (s, crash);
-  if (quarantine_refused (s, now_ms))
-    q->version++;
-  mark_changed (s, crash->at_ms);
+  record_change (q, s, crash->at_ms, now_ms);
   report_change (q, s, crash->server);
 }
 
+void
+quarantine_drop_disproved (struct quarantine *q, struct subject *s,
+                           uint64_t now_ms)
+{
+  bool dropped = false;
+
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    if (s->crashes[i].next_part != 0
+        && !next_part_may_explain (q, &s->crashes[i]))
+      {
+        s->crashes[i].next_part = 0;
+        dropped = true;
+      }
+  if (dropped)
+    record_change (q, s, s->updated_ms, now_ms);
+}
+
 void
 quarantine_add_crash (struct quarantine *q, const struct crash_record *record,
                       uint64_t at_ms)
@@ -401,7 +454,7 @@
 {
   const struct subject *s = find (q, fingerprint);
 
-  return s && quarantine_refused (s, now_ms);
+  return s && quarantine_refused (q, s, now_ms);
 }
 
 uint64_t
--- a/src/edge/quarantine_impl.h
+++ b/src/edge/quarantine_impl.h
@@ -25,7 +25,7 @@
 struct crash
 {
   uint64_t server;
-  uint64_t next_part;
+  uint64_t next_part; /* that may be the cause; 0: none */
   uint64_t at_ms;
   bool own; /* seen by this node */
 };
@@ -72,7 +72,13 @@
  * old to count. */
 bool quarantine_expired (const struct subject *subject, uint64_t now_ms);
 /** quarantine_refused() - returns true if the subject must not run again. */
-bool quarantine_refused (const struct subject *subject, uint64_t now_ms);
+bool quarantine_refused (const struct quarantine *quarantine,
+                         const struct subject *subject, uint64_t now_ms);
+/** quarantine_drop_disproved() - forget which part may explain the subject's
+ * crashes where a completion shows that it doesn't. Other nodes may not know
+ * of the completion. */
+void quarantine_drop_disproved (struct quarantine *quarantine,
+                                struct subject *subject, uint64_t now_ms);
 
 /* ---- quarantine_suspects.c ---- */
 
--- a/src/edge/quarantine_list.c
+++ b/src/edge/quarantine_list.c
@@ -55,14 +55,18 @@
 }
 
 static size_t
-collect_due (const struct quarantine *q, enum quarantine_scope scope,
+collect_due (struct quarantine *q, enum quarantine_scope scope,
              uint64_t now_ms, struct subject **out)
 {
   size_t n = 0;
 
   for (struct subject *s = q->subjects; s; s = s->hh.next)
-    if (is_in_scope (s, scope) && is_due (s, now_ms))
+    {
+      if (!is_in_scope (s, scope) || !is_due (s, now_ms))
+        continue;
+      quarantine_drop_disproved (q, s, now_ms);
       out[n++] = s;
+    }
   qsort (out, n, sizeof *out, compare_urgency);
   return n;
 }
@@ -133,7 +137,7 @@
   size_t n = 0;
 
   for (; s && n + QUARANTINE_CRASHES_MAX <= max; s = s->hh.prev)
-    if (quarantine_refused (s, now_ms))
+    if (quarantine_refused (q, s, now_ms))
       for (uint32_t i = 0; i < s->crash_count; i++)
         out[n++] = crash_item (s, &s->crashes[i], now_ms);
   return n;
--- a/tests/e2e_crashes.c
+++ b/tests/e2e_crashes.c
@@ -29,6 +29,7 @@
   struct cluster_proc *nodes[NODES];
   unsigned calls;
   unsigned client_addresses; /* 0: the default address only */
+  const char *parts_behind;  /* of all prompts; NULL for none */
 };
 
 static void
@@ -318,8 +319,8 @@
 #define PROMPT_TIMEOUT_MS 5000
 #define SHARED_PARTS "f1:100,x1:20"
 
-/* Sends a prompt with an own last part, after the shared and the @extra ones,
-   through a node. Returns the status. */
+/* Sends a prompt with an own last part, after the shared and the @extra ones
+   and those behind, through a node. Returns the status. */
 static int
 send_prompt (struct crash_test *t, const struct cluster_proc *node,
              const char *path, const char *extra)
@@ -330,7 +331,8 @@
   int status;
 
   snprintf (id, sizeof id, "id-p%u", ++t->calls);
-  snprintf (parts, sizeof parts, SHARED_PARTS "%s,own%u:10", extra, t->calls);
+  snprintf (parts, sizeof parts, SHARED_PARTS "%s%s,own%u:10", extra,
+            t->parts_behind ? t->parts_behind : "", t->calls);
   r = edgecluster_call_prompt (node, path, id, parts);
   status = r.status;
   cluster_reply_free (&r);
@@ -360,6 +362,8 @@
  * struct part_case - how servers crash.
  * @path: of the crashing prompts.
  * @sound_before: sound prompts are served before.
+ * @parts_behind: parts behind the crashing one that all prompts have, sound
+ *   ones that are served between the crashes too; NULL for none.
  * @flags: of the servers.
  * @crashes_allowed: servers that may crash. Those that have begun to respond
  *   make one crash more necessary, before which two attempts may be in flight.
@@ -368,6 +372,7 @@
 {
   const char *path;
   bool sound_before;
+  const char *parts_behind;
   const char *const *flags;
   unsigned crashes_allowed;
 };
@@ -377,6 +382,7 @@
 {
   struct crash_test t = begin_with (PROMPT_TIMEOUT_MS);
 
+  t.parts_behind = c->parts_behind;
   start_servers_of (&t, "lm", c->flags, M1_ONLY);
   start_nodes (&t);
   if (c->sound_before)
@@ -390,6 +396,8 @@
           status == 502 || status == 503
           || (status == 200 && c->crashes_allowed > CRASHES_ALLOWED));
       sleep (CRASH_NOTICE_S);
+      if (c->parts_behind)
+        check_sound_prompts (&t);
     }
   CU_ASSERT_TRUE (count_crashed (&t) <= c->crashes_allowed);
   for (size_t i = 0; i < NODES; i++)
@@ -404,16 +412,28 @@
 static void
 test_crashing_part (void)
 {
-  run_crashing_part (&(struct part_case){
-      STREAM_PATH, true, CLUSTER_FLAGS ("--models", "m1"), CRASHES_ALLOWED });
+  run_crashing_part (&(struct part_case){ STREAM_PATH, true, NULL,
+                                          CLUSTER_FLAGS ("--models", "m1"),
+                                          CRASHES_ALLOWED });
 }
 
 /* Likewise before any request with the other parts was served. */
 static void
 test_crashing_part_first (void)
 {
-  run_crashing_part (&(struct part_case){
-      STREAM_PATH, false, CLUSTER_FLAGS ("--models", "m1"), CRASHES_ALLOWED });
+  run_crashing_part (&(struct part_case){ STREAM_PATH, false, NULL,
+                                          CLUSTER_FLAGS ("--models", "m1"),
+                                          CRASHES_ALLOWED });
+}
+
+/* Guards against a part that is never refused because the same part is behind
+   it in all prompts, also in the sound ones. */
+static void
+test_crashing_part_between (void)
+{
+  run_crashing_part (&(struct part_case){ STREAM_PATH, true, ",l1:5",
+                                          CLUSTER_FLAGS ("--models", "m1"),
+                                          CRASHES_ALLOWED });
 }
 
 /* Guards against a part that is never refused because servers begin to respond
@@ -422,7 +442,7 @@
 test_crashing_begun (void)
 {
   run_crashing_part (&(struct part_case){
-      STREAM_PATH, true,
+      STREAM_PATH, true, NULL,
       CLUSTER_FLAGS ("--models", "m1", "--crash-after-ms", "1"),
       CRASHES_ALLOWED + 1 });
 }
@@ -432,7 +452,7 @@
 test_crashing_later (void)
 {
   run_crashing_part (
-      &(struct part_case){ WHOLE_PATH, true,
+      &(struct part_case){ WHOLE_PATH, true, NULL,
                            CLUSTER_FLAGS ("--models", "m1", "--crash-after-ms",
                                           "1300", "--event-gap-ms", "400"),
                            CRASHES_ALLOWED + 1 });
@@ -447,6 +467,7 @@
   { "client leaves", test_client_leaves },
   { "crashing prompt part", test_crashing_part },
   { "crashing prompt part first", test_crashing_part_first },
+  { "crashing prompt part between others", test_crashing_part_between },
   { "crashing prompt part, begun", test_crashing_begun },
   { "crashing prompt part, later", test_crashing_later },
 };
--- a/tests/test_promptparts.c
+++ b/tests/test_promptparts.c
@@ -12,7 +12,8 @@
 #define TOPIC 2
 #define OTHER_TOPIC 3
 #define CRASHING 4
-#define PARTS_MAX 4
+#define LAST 5
+#define PARTS_MAX 5
 #define STEPS_MAX 12
 #define START_MS 100000
 #define STEP_MS 200
@@ -27,6 +28,9 @@
 static const struct prompt crashing = { { FIRST, TOPIC, CRASHING } };
 static const struct prompt crashing_other
     = { { FIRST, OTHER_TOPIC, CRASHING } };
+/* All prompts end with the same part. */
+static const struct prompt sound_last = { { FIRST, TOPIC, LAST } };
+static const struct prompt crashing_last = { { FIRST, CRASHING, LAST } };
 
 enum outcome
 {
@@ -130,7 +134,7 @@
 
   for (const struct step *s = h->steps; s->prompt; s++, now_ms += STEP_MS)
     run_prompt (q, s, now_ms);
-  for (uint64_t part = FIRST; part <= CRASHING; part++)
+  for (uint64_t part = FIRST; part <= LAST; part++)
     {
       const bool ok
           = is_refused (q, part, now_ms) == is_listed (h->refused, part);
@@ -267,6 +271,35 @@
         { &crashing, CRASHES, 6 },
         { &crashing, CRASHES_BEGUN, 7 } },
       { CRASHING } },
+    /* The part behind the crashing one is that of sound prompts too. */
+    { { { &sound_last, BEGINS, 0 },
+        { &crashing_last, CRASHES, 1 },
+        { &sound_last, BEGINS, 0 },
+        { &crashing_last, CRASHES, 2 },
+        { &sound_last, BEGINS, 0 },
+        { &crashing_last, CRASHES, 3 } },
+      { CRASHING } },
+    /* Sound prompts begin only after the crashes. */
+    { { { &crashing_last, CRASHES, 1 },
+        { &crashing_last, CRASHES, 2 },
+        { &crashing_last, CRASHES, 3 },
+        { &sound_last, BEGINS, 0 } },
+      { CRASHING } },
+    /* The same with servers that crash later in their responses. */
+    { { { &sound_last, COMPLETES, 0 },
+        { &crashing_last, CRASHES_LATER, 1 },
+        { &crashing_last, CRASHES_LATER, 2 },
+        { &sound_last, GOES_ON, 0 },
+        { &crashing_last, CRASHES_LATER, 3 },
+        { &sound_last, COMPLETES, 0 },
+        { &crashing_last, CRASHES_LATER, 4 } },
+      { CRASHING } },
+    /* The part behind was sound, and no server has responded to it since. */
+    { { { &sound_last, BEGINS, 0 },
+        { &crashing_last, CRASHES, 1 },
+        { &crashing_last, CRASHES, 2 },
+        { &crashing_last, CRASHES, 3 } },
+      { 0 } },
     /* Servers crash for another reason, and one response goes on. */
     { { { &sound, CRASHES_BEGUN, 1 },
         { &sound, CRASHES_BEGUN, 2 },
@@ -347,9 +380,60 @@
   quarantine_destroy (node);
 }
 
+/* Guards against nodes that do not refuse a part, because they do not know
+   that the part behind it is sound. */
+static void
+test_disproof_sent (void)
+{
+  struct quarantine *holder = quarantine_create ();
+  struct quarantine *node = quarantine_create ();
+  struct quarantine *other_node = quarantine_create ();
+  uint64_t now_ms = START_MS;
+
+  for (uint64_t server = 1; server <= 3; server++)
+    {
+      crash (node, &crashing_last, server, now_ms);
+      respond (node, &sound_last, now_ms += STEP_MS);
+    }
+  CU_ASSERT_TRUE (is_refused (node, CRASHING, now_ms));
+  send_evidence (node, QUARANTINE_OWN, holder, now_ms);
+  CU_ASSERT_TRUE (is_refused (holder, CRASHING, now_ms));
+  send_evidence (holder, QUARANTINE_ALL, other_node, now_ms);
+  CU_ASSERT_TRUE (is_refused (other_node, CRASHING, now_ms));
+  quarantine_destroy (holder);
+  quarantine_destroy (node);
+  quarantine_destroy (other_node);
+}
+
+/* Likewise when the crashes are known everywhere before a sound prompt runs
+   at one of the nodes. */
+static void
+test_disproof_later (void)
+{
+  struct quarantine *holder = quarantine_create ();
+  struct quarantine *node = quarantine_create ();
+  uint64_t now_ms = START_MS;
+
+  for (uint64_t server = 1; server <= 3; server++)
+    crash (node, &crashing_last, server, now_ms);
+  send_evidence (node, QUARANTINE_OWN, holder, now_ms);
+  CU_ASSERT_FALSE (is_refused (holder, CRASHING, now_ms));
+  respond (node, &sound_last, now_ms += STEP_MS);
+  const uint64_t version = quarantine_version (node);
+  send_evidence (node, QUARANTINE_OWN, holder, now_ms += REPORT_INTERVAL_MS);
+  CU_ASSERT_TRUE (is_refused (holder, CRASHING, now_ms));
+  CU_ASSERT_FALSE (is_refused (holder, LAST, now_ms));
+  /* What is refused is stored anew. */
+  CU_ASSERT_TRUE (quarantine_version (node) > version);
+  quarantine_destroy (holder);
+  quarantine_destroy (node);
+}
+
 static const struct suite_case cases[] = {
   { "blame", test_blame },
   { "begins to crash servers", test_begins_to_crash },
   { "contradicted", test_contradicted },
+  { "disproof of the next part sent", test_disproof_sent },
+  { "disproof of the next part later", test_disproof_later },
 };
 TEST_SUITE ("promptparts", cases)
