Look at all shared parts of a prompt when servers crash

Cause: of more than eight shared parts, the header's reader kept the last eight. A part before them was neither counted nor refused, and nothing was logged.

Change: the header is read part by part, and the fingerprints of a call take as much memory as it has parts, which the limit for headers bounds. A log line names eight parts at most.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -16,6 +16,8 @@
 #define REJECTIONS_MAX 6
 #define REPEAT_BACKOFF_MIN_MS 60
 #define REPEAT_BACKOFF_DOUBLINGS_MAX 3
+/* Parts of a prompt in a log line. */
+#define LOGGED_PARTS_MAX 8
 #define STATUS_OK 200
 #define STATUS_SUCCESS_END 300
 
@@ -392,11 +394,15 @@
 static void
 join_parts (const struct call_meta *meta, struct buf *out)
 {
-  for (size_t i = 0; i < meta->shared_part_count; i++)
+  struct str parts = meta->prompt_parts;
+  struct str id;
+
+  for (size_t i = 0;
+       i < LOGGED_PARTS_MAX && call_next_shared_part (&parts, &id); i++)
     {
       if (i > 0)
         buf_append (out, STR (","));
-      buf_append (out, meta->shared_parts[i]);
+      buf_append (out, id);
     }
 }
 
--- a/src/edge/call_crash.c
+++ b/src/edge/call_crash.c
@@ -66,8 +66,8 @@
 {
   c->fingerprint = quarantine_fingerprint (c->tenant, c->method,
                                            c->request_target, c->body);
-  promptparts_read (c->meta.shared_parts, c->meta.shared_part_count,
-                    &c->parts);
+  promptparts_free (&c->parts);
+  promptparts_read (c->meta.prompt_parts, &c->parts);
 }
 
 uint64_t
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -79,6 +79,7 @@
   str_free (&c->service);
   str_free (&c->tenant);
   str_free (&c->software_version);
+  promptparts_free (&c->parts);
   free (c);
 }
 
--- a/src/edge/promptparts.c
+++ b/src/edge/promptparts.c
@@ -1,5 +1,10 @@
 #include "edge/promptparts.h"
 
+#include <stdlib.h>
+
+#include "err.h"
+#include "platform/callheaders.h"
+
 static enum quarantine_kind
 kind_of (enum prompt_phase phase)
 {
@@ -12,29 +17,47 @@
   return kinds[phase];
 }
 
+static size_t
+count_parts (struct str list)
+{
+  struct str id;
+  size_t n = 0;
+
+  while (call_next_shared_part (&list, &id))
+    n++;
+  return n;
+}
+
 void
-promptparts_read (const struct str *ids, size_t count,
-                  struct prompt_parts *out)
+promptparts_read (struct str list, struct prompt_parts *out)
 {
-  out->count = count < PROMPT_PARTS_MAX ? count : PROMPT_PARTS_MAX;
-  for (int phase = 0; phase < PROMPT_PHASES; phase++)
-    for (size_t i = 0; i < out->count; i++)
-      out->fingerprints[phase][i]
-          = quarantine_part_fingerprint (ids[i], kind_of (phase));
+  struct str id;
+
+  out->count = count_parts (list);
+  out->fingerprints = xcalloc (out->count + 1, sizeof *out->fingerprints);
+  for (size_t i = 0; call_next_shared_part (&list, &id); i++)
+    for (int phase = 0; phase < PROMPT_PHASES; phase++)
+      out->fingerprints[i][phase]
+          = quarantine_part_fingerprint (id, kind_of (phase));
+}
+
+void
+promptparts_free (struct prompt_parts *p)
+{
+  free (p->fingerprints);
+  *p = (struct prompt_parts){ 0 };
 }
 
 void
 promptparts_suspect (struct quarantine *q, const struct prompt_parts *p,
                      enum prompt_phase phase, uint64_t server, uint64_t now_ms)
 {
-  const uint64_t *parts = p->fingerprints[phase];
-
   for (size_t i = 0; i < p->count; i++)
     {
       const struct crash_record suspect = {
-        .fingerprint = parts[i],
+        .fingerprint = p->fingerprints[i][phase],
         .server = server,
-        .next_part = i + 1 < p->count ? parts[i + 1] : 0,
+        .next_part = i + 1 < p->count ? p->fingerprints[i + 1][phase] : 0,
         .kind = kind_of (phase),
       };
 
@@ -48,7 +71,7 @@
 {
   for (int passed = PHASE_BEFORE; passed <= (int)phase; passed++)
     for (size_t i = 0; i < p->count; i++)
-      quarantine_completed (q, p->fingerprints[passed][i], now_ms);
+      quarantine_completed (q, p->fingerprints[i][passed], now_ms);
 }
 
 uint64_t
@@ -57,7 +80,7 @@
 {
   for (int phase = 0; phase < PROMPT_PHASES; phase++)
     for (size_t i = 0; i < p->count; i++)
-      if (quarantine_contains (q, p->fingerprints[phase][i], now_ms))
-        return p->fingerprints[phase][i];
+      if (quarantine_contains (q, p->fingerprints[i][phase], now_ms))
+        return p->fingerprints[i][phase];
   return 0;
 }
--- a/src/edge/promptparts.h
+++ b/src/edge/promptparts.h
@@ -4,7 +4,6 @@
 #include <stdint.h>
 
 #include "edge/quarantine.h"
-#include "platform/callheaders.h"
 
 /* What the fate of a prompt says of its shared parts, one of which may crash
    each server that runs it. Pure.
@@ -30,17 +29,19 @@
 
 /**
  * struct prompt_parts - shared parts of a prompt.
- * @fingerprints: of each phase, in the order of the prompt.
+ * @fingerprints: of each part in each phase, in the order of the prompt;
+ *   heap-owned.
  */
 struct prompt_parts
 {
-  uint64_t fingerprints[PROMPT_PHASES][PROMPT_PARTS_MAX];
+  uint64_t (*fingerprints)[PROMPT_PHASES];
   size_t count;
 };
 
-/** promptparts_read() - set the fingerprints of the parts with these ids. */
-void promptparts_read (const struct str *ids, size_t count,
-                       struct prompt_parts *out);
+/** promptparts_read() - set the fingerprints of all shared parts.
+ * @list: the @prompt_parts of a call's headers. */
+void promptparts_read (struct str list, struct prompt_parts *out);
+void promptparts_free (struct prompt_parts *parts);
 /** promptparts_suspect() - record that a run of the prompt broke off.
  * @phase: the phase that it was in.
  * @server: quarantine_server_hash() of the start of the server.
--- a/tests/e2e_crashes.c
+++ b/tests/e2e_crashes.c
@@ -436,6 +436,15 @@
                                           CRASHES_ALLOWED });
 }
 
+/* Likewise because many parts are behind it. */
+static void
+test_crashing_part_before_many (void)
+{
+  run_crashing_part (&(struct part_case){
+      STREAM_PATH, true, ",b1:9,b2:9,b3:9,b4:9,b5:9,b6:9,b7:9,b8:9,b9:9",
+      CLUSTER_FLAGS ("--models", "m1"), CRASHES_ALLOWED });
+}
+
 /* Guards against a part that is never refused because servers begin to respond
    to it before they crash. */
 static void
@@ -468,6 +477,7 @@
   { "crashing prompt part", test_crashing_part },
   { "crashing prompt part first", test_crashing_part_first },
   { "crashing prompt part between others", test_crashing_part_between },
+  { "crashing prompt part before many", test_crashing_part_before_many },
   { "crashing prompt part, begun", test_crashing_begun },
   { "crashing prompt part, later", test_crashing_later },
 };
