Ask all services of a route where a stream began

Callers lost nearly all the streams that they took up again (LOST), though the version that began them served: the streams ran at a service with one software version, and the weights of their route drew another service, with two, for the call that took them up.

Cause: whether the origin of a stream had to be known, and so stored, was decided for the service that the weights drew, which says nothing about the one that began the stream.

A stream whose service the route has no more goes on at another one only at servers of its version.

The same cause on related paths, each with a test: a stream went on at another version where the drawn service had one version and the stream's another one, and where the stream's service was known but had been taken out of the route.

--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -182,6 +182,7 @@
   uint64_t fingerprint;
   struct prompt_parts parts;
   struct str route_name;
+  uint64_t route_key;
   struct str service;
   struct str tenant;
   bool has_tenants;
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -240,6 +240,7 @@
   uint64_t wait_ms = r->timeout_ms;
 
   c->route_name = str_dup (r->name);
+  c->route_key = route_key (r);
   c->kind = r->kind;
   c->latency_objective_ms = r->latency_objective_ms;
   c->event_gap_ms = r->event_gap_ms;
--- a/src/edge/call_takeup.c
+++ b/src/edge/call_takeup.c
@@ -35,7 +35,7 @@
   if (c->takes_up && c->meta.resumes.len == 0)
     return;
   streamorigins_begin (site_streamorigins (c->calls->site), stream_id (c),
-                       &origin, clock_ms ());
+                       c->route_key, &origin, clock_ms ());
 }
 
 void
@@ -61,17 +61,18 @@
   if (!r || !routing_service (routing, service))
     return false;
   for (size_t i = 0; i < r->target_count; i++)
-    if (str_eq (r->targets[i].service, service))
+    if (r->targets[i].weight > 0 && str_eq (r->targets[i].service, service))
       return true;
   return false;
 }
 
+/* The route's calls may go to other services now, which may have servers of
+   the version too. */
 static void
 bind_to_origin (struct call *c, const struct stream_origin *origin)
 {
-  if (!str_eq (c->service, origin->service) && !is_target (c, origin->service))
-    return;
-  str_assign (&c->service, origin->service);
+  if (is_target (c, origin->service))
+    str_assign (&c->service, origin->service);
   str_assign (&c->software_version, origin->version);
   c->version_bound = true;
 }
@@ -123,12 +124,13 @@
   if (c->origin_asked_ms == 0)
     c->origin_asked_ms = now_ms;
   if (c->meta.resumes.len == 0
-      && streamorigins_several_versions (site_streamorigins (site), c->service,
-                                         now_ms))
+      && streamorigins_may_differ (site_streamorigins (site), c->route_key,
+                                   c->service, now_ms))
     return STREAMORIGINS_UNKNOWN;
 
   const struct streamorigins_question question
       = { .id = stream_id (c),
+          .route = c->route_key,
           .service = c->service,
           .since_ms = c->origin_asked_ms,
           .servers_read_ms = platform_servers_read_ms (platform) };
--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -88,22 +88,6 @@
 
 /* ---- events of the platform ---- */
 
-static void
-destroy_routing (void *routing)
-{
-  routing_destroy (routing);
-}
-
-static void
-on_routing (void *ctx, struct routing *routing)
-{
-  struct site *s = ctx;
-
-  metrics_set ("galenagate_config_version", STR (""),
-               (double)routing->version);
-  kernel_publish (s->kernel, TOPIC_ROUTING, routing, destroy_routing);
-}
-
 /* Returns the server that the entry replaces: an earlier process with the same
    id, or one at the same address. An older entry, as a restored store has it,
    replaces none. */
@@ -165,12 +149,49 @@
               STR_ARG (service), LOG_NAME_ARG (version));
 }
 
+/* Notes the services of the routes whose streams clients may take up. */
+static void
+see_routes (struct site *s)
+{
+  const struct routing *routing = site_routing (s);
+  const uint64_t now = clock_ms ();
+
+  for (size_t i = 0; routing && i < routing->route_count; i++)
+    {
+      const struct route *r = &routing->routes[i];
+
+      for (size_t k = 0; r->resumable && k < r->target_count; k++)
+        streamorigins_saw_route (s->origins, route_key (r),
+                                 r->targets[k].service, now);
+    }
+}
+
 static void
 on_version_check (uv_timer_t *timer)
 {
   struct site *s = timer->data;
 
   pool_each_listed (s->pool, see_version, s);
+  see_routes (s);
+}
+
+/* ---- configuration ---- */
+
+static void
+destroy_routing (void *routing)
+{
+  routing_destroy (routing);
+}
+
+static void
+on_routing (void *ctx, struct routing *routing)
+{
+  struct site *s = ctx;
+
+  metrics_set ("galenagate_config_version", STR (""),
+               (double)routing->version);
+  kernel_publish (s->kernel, TOPIC_ROUTING, routing, destroy_routing);
+  see_routes (s);
 }
 
 /* ---- servers ---- */
--- a/src/edge/streamorigins.c
+++ b/src/edge/streamorigins.c
@@ -5,6 +5,7 @@
 #include <uthash.h>
 #include <utlist.h>
 
+#include "edge/routeservices.h"
 #include "err.h"
 
 /* A stream that is recorded again with the same origin after this time is
@@ -31,6 +32,7 @@
  * struct service_versions - the two versions of a service that were seen last.
  * @key: hash of the service's name.
  * @latest: key of the version that was seen last.
+ * @latest_name: hash of its name.
  * @latest_ms: when it was.
  * @other_ms: when another version was seen last; 0 for never.
  */
@@ -38,6 +40,7 @@
 {
   uint64_t key;
   uint64_t latest;
+  uint64_t latest_name;
   uint64_t latest_ms;
   uint64_t other_ms;
   UT_hash_handle hh;
@@ -50,6 +53,7 @@
 struct stream
 {
   uint64_t id;
+  uint64_t route; /* 0 if another node stored the stream */
   struct version_entry *version;
   uint64_t recorded_ms;
   bool own;
@@ -64,6 +68,7 @@
  * @versions: by their keys; the one that was seen last comes last.
  * @streams: by their ids; the newest comes last.
  * @own_streams: list of those with @own; the newest comes last.
+ * @routes_shared: there was a route with several services.
  */
 struct streamorigins
 {
@@ -71,6 +76,8 @@
   struct service_versions *services;
   struct stream *streams;
   struct stream *own_streams;
+  struct routeservices *routes;
+  bool routes_shared;
   uint64_t changes;
 };
 
@@ -171,6 +178,7 @@
   if (s->latest != v->key)
     s->other_ms = s->latest_ms;
   s->latest = v->key;
+  s->latest_name = str_hash (v->origin.version, 0);
   s->latest_ms = now_ms;
   /* The streams that have begun are to be stored from now on. */
   if (!had_several && has_several (s, now_ms))
@@ -190,6 +198,8 @@
       v->key = key;
       v->origin.service = str_dup (service);
       v->origin.version = str_dup (version);
+      if (o->routes_shared)
+        o->changes++;
     }
   else
     HASH_DEL (o->versions, v);
@@ -214,6 +224,61 @@
   return has_several (find_service (o, service_key (service)), now_ms);
 }
 
+/* Returns true if the services of the route had more than one version in
+   total. */
+static bool
+route_has_several (const struct streamorigins *o, uint64_t route,
+                   uint64_t now_ms)
+{
+  const struct str *services;
+  const size_t n = routeservices_list (o->routes, route, now_ms, &services);
+  const struct service_versions *first = NULL;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      const struct service_versions *s
+          = find_service (o, service_key (services[i]));
+
+      if (!s || expired (s->latest_ms, now_ms))
+        continue;
+      if (has_several (s, now_ms)
+          || (first && first->latest_name != s->latest_name))
+        return true;
+      first = s;
+    }
+  return false;
+}
+
+bool
+streamorigins_may_differ (const struct streamorigins *o, uint64_t route,
+                          struct str service, uint64_t now_ms)
+{
+  return streamorigins_several_versions (o, service, now_ms)
+         || route_has_several (o, route, now_ms);
+}
+
+void
+streamorigins_saw_route (struct streamorigins *o, uint64_t route,
+                         struct str service, uint64_t now_ms)
+{
+  const bool had_several = route_has_several (o, route, now_ms);
+  const struct str *services;
+
+  routeservices_saw (o->routes, route, service, now_ms);
+  if (routeservices_list (o->routes, route, now_ms, &services) > 1)
+    o->routes_shared = true;
+  /* The streams that have begun are to be stored from now on. */
+  if (!had_several && route_has_several (o, route, now_ms))
+    o->changes++;
+}
+
+size_t
+streamorigins_route_services (const struct streamorigins *o, uint64_t route,
+                              uint64_t now_ms, const struct str **out)
+{
+  return routeservices_list (o->routes, route, now_ms, out);
+}
+
 struct str
 streamorigins_latest_version (const struct streamorigins *o,
                               struct str service)
@@ -286,7 +351,7 @@
 }
 
 void
-streamorigins_begin (struct streamorigins *o, uint64_t id,
+streamorigins_begin (struct streamorigins *o, uint64_t id, uint64_t route,
                      const struct stream_origin *origin, uint64_t now_ms)
 {
   struct stream *s = find_stream (o, id);
@@ -298,8 +363,9 @@
     forget_stream (o, s);
   s = add_stream (o, id, origin, now_ms);
   s->own = true;
+  s->route = route;
   DL_APPEND (o->own_streams, s);
-  if (streamorigins_several_versions (o, origin->service, now_ms))
+  if (streamorigins_may_differ (o, route, origin->service, now_ms))
     o->changes++;
 }
 
@@ -362,7 +428,8 @@
 
   for (; s && n < max && !expired (s->recorded_ms, now_ms);
        s = previous_own (o, s))
-    if (streamorigins_several_versions (o, s->version->origin.service, now_ms))
+    if (streamorigins_may_differ (o, s->route, s->version->origin.service,
+                                  now_ms))
       out[n++] = (struct stored_stream){ s->id, s->version->origin };
   return n;
 }
@@ -372,7 +439,10 @@
 struct streamorigins *
 streamorigins_create (void)
 {
-  return xcalloc (1, sizeof (struct streamorigins));
+  struct streamorigins *o = xcalloc (1, sizeof *o);
+
+  o->routes = routeservices_create (STREAMORIGINS_RETENTION_MS);
+  return o;
 }
 
 void
@@ -382,5 +452,6 @@
     forget_stream (o, o->streams);
   while (o->versions)
     forget_version (o, o->versions);
+  routeservices_destroy (o->routes);
   free (o);
 }
--- a/src/edge/streamorigins.h
+++ b/src/edge/streamorigins.h
@@ -48,8 +48,9 @@
 uint64_t streamorigins_id (struct str client_attempt_id);
 
 /** streamorigins_begin() - record where a stream of this node begins: when it
- * is sent to a server, and again if another server brings its first event. */
-void streamorigins_begin (struct streamorigins *o, uint64_t id,
+ * is sent to a server, and again if another server brings its first event.
+ * @route: key of its route; see streamorigins_saw_route(). */
+void streamorigins_begin (struct streamorigins *o, uint64_t id, uint64_t route,
                           const struct stream_origin *origin, uint64_t now_ms);
 /** streamorigins_merge() - record a stream that another node, or an earlier
  * process of this one, stored. */
@@ -68,6 +69,25 @@
  * as one of its own. */
 void streamorigins_saw_version (struct streamorigins *o, struct str service,
                                 struct str version, uint64_t now_ms);
+/** streamorigins_saw_route() - the configuration sends calls of a route to the
+ * service. To be called at short intervals for each service of each route
+ * whose streams clients may take up. */
+void streamorigins_saw_route (struct streamorigins *o, uint64_t route,
+                              struct str service, uint64_t now_ms);
+/**
+ * streamorigins_route_services() - list the services that streams of a route
+ * may have begun at.
+ * @out: set to the services, borrowed until the next call that changes @o.
+ *
+ * Returns their number; 0 if the route is not known.
+ */
+size_t streamorigins_route_services (const struct streamorigins *o,
+                                     uint64_t route, uint64_t now_ms,
+                                     const struct str **out);
+/** streamorigins_may_differ() - returns true if two streams of a route, or of
+ * a service, may have begun at different versions within the retention. */
+bool streamorigins_may_differ (const struct streamorigins *o, uint64_t route,
+                               struct str service, uint64_t now_ms);
 /** streamorigins_several_versions() - returns true if servers of several
  * versions were in service at some time within the retention, as this node saw
  * or another one stored. */
@@ -79,7 +99,7 @@
                                          struct str service);
 
 /** streamorigins_changes() - grows with each stream of this node that is to be
- * stored: those of services with several versions. */
+ * stored: those whose routes or services have several versions. */
 uint64_t streamorigins_changes (const struct streamorigins *o);
 /**
  * streamorigins_list_own() - list the streams of this node that are to be
--- a/src/edge/streamorigins_store.c
+++ b/src/edge/streamorigins_store.c
@@ -151,7 +151,9 @@
   for (size_t i = 0; i < n; i++)
     {
       origindoc_add_stream (doc, &own[i], wall_ms);
-      origindoc_add_service (doc, own[i].origin.service, wall_ms);
+      if (streamorigins_several_versions (s->origins, own[i].origin.service,
+                                          now_ms))
+        origindoc_add_service (doc, own[i].origin.service, wall_ms);
     }
   free (own);
 }
@@ -442,6 +444,22 @@
   return stored && now_ms < stored->expires_ms;
 }
 
+/* Returns true if one of the services that may have begun the stream had
+   several versions, as nodes stored. */
+static bool
+one_stored_as_several (struct streamorigins_store *s,
+                       const struct streamorigins_question *q, uint64_t now_ms)
+{
+  const struct str *services;
+  const size_t n
+      = streamorigins_route_services (s->origins, q->route, now_ms, &services);
+
+  for (size_t i = 0; i < n; i++)
+    if (stored_as_several (s, services[i], now_ms))
+      return true;
+  return stored_as_several (s, q->service, now_ms);
+}
+
 /* Returns true if the last listing tells which services had several versions.
  */
 static bool
@@ -459,12 +477,12 @@
 had_one_version (struct streamorigins_store *s,
                  const struct streamorigins_question *q, uint64_t now_ms)
 {
-  if (streamorigins_several_versions (s->origins, q->service, now_ms))
+  if (streamorigins_may_differ (s->origins, q->route, q->service, now_ms))
     return false;
   if (now_ms > s->observed_since_ms + STREAMORIGINS_RETENTION_MS)
     return true;
   return services_known (s, q->since_ms, now_ms)
-         && !stored_as_several (s, q->service, now_ms);
+         && !one_stored_as_several (s, q, now_ms);
 }
 
 enum streamorigins_answer
--- a/src/edge/streamorigins_store.h
+++ b/src/edge/streamorigins_store.h
@@ -17,7 +17,7 @@
   STREAMORIGINS_KNOWN,      /* streamorigins_find() knows the stream */
   STREAMORIGINS_ASKING,     /* ask again */
   STREAMORIGINS_UNKNOWN,    /* any version may have begun the stream */
-  STREAMORIGINS_ONE_VERSION /* the service has had one version only */
+  STREAMORIGINS_ONE_VERSION /* all streams of the route began at one version */
 };
 
 /**
@@ -40,7 +40,8 @@
 /**
  * struct streamorigins_question - a question about a stream.
  * @id: streamorigins_id() of the stream.
- * @service: that may have begun it.
+ * @route: key of its route, of which each service may have begun it.
+ * @service: that the call which takes it up is meant for.
  * @since_ms: time of the first question about this stream, which is later than
  *   its beginning.
  * @servers_read_ms: this node knows all servers that were in service at this
@@ -50,6 +51,7 @@
 struct streamorigins_question
 {
   uint64_t id;
+  uint64_t route;
   struct str service;
   uint64_t since_ms;
   uint64_t servers_read_ms;
--- a/src/edge/topology.c
+++ b/src/edge/topology.c
@@ -84,6 +84,12 @@
   return NULL;
 }
 
+uint64_t
+route_key (const struct route *r)
+{
+  return str_hash (r->prefix, str_hash (r->host, 0));
+}
+
 struct str
 route_pick (const struct route *r, uint64_t random)
 {
--- a/src/edge/topology.h
+++ b/src/edge/topology.h
@@ -136,6 +136,9 @@
                                   struct str host, struct str path);
 const struct service *routing_service (const struct routing *routing,
                                        struct str name);
+/** route_key() - hash of the calls that the route takes, which stays when a
+ * later configuration sends them elsewhere. */
+uint64_t route_key (const struct route *route);
 /**
  * route_pick() - pick the service for a call by the route's weights.
  * @random: any number; the same number picks the same service.
--- a/tests/test_streamorigins.c
+++ b/tests/test_streamorigins.c
@@ -15,6 +15,7 @@
   BEGIN,
   MERGE,
   COMPLETE,
+  ROUTE, /* the route @stream has the service */
 };
 
 /* A call of the module. Streams and versions have one-letter names. */
@@ -28,6 +29,14 @@
 };
 
 #define STEPS_MAX 6
+/* Route of all streams. */
+#define STREAM_ROUTE "r"
+
+static uint64_t
+route_of (const char *name)
+{
+  return str_hash (str_from (name), 0);
+}
 
 static void
 apply (struct streamorigins *o, const struct step *x)
@@ -40,7 +49,11 @@
     streamorigins_saw_version (o, stored.origin.service, stored.origin.version,
                                x->ms);
   else if (x->kind == BEGIN)
-    streamorigins_begin (o, id, &stored.origin, x->ms);
+    streamorigins_begin (o, id, route_of (STREAM_ROUTE), &stored.origin,
+                         x->ms);
+  else if (x->kind == ROUTE)
+    streamorigins_saw_route (o, route_of (x->stream), stored.origin.service,
+                             x->ms);
   else if (x->kind == MERGE)
     streamorigins_merge (o, &stored, x->ms);
   else if (x->kind == COMPLETE)
@@ -349,7 +362,7 @@
   struct stream_origin found;
 
   for (uint64_t id = 0; id <= STREAMORIGINS_MAX; id++)
-    streamorigins_begin (o, id, &origin, START_MS);
+    streamorigins_begin (o, id, 0, &origin, START_MS);
   CU_ASSERT_FALSE (streamorigins_find (o, 0, START_MS, &found));
   CU_ASSERT_TRUE (streamorigins_find (o, 1, START_MS, &found));
   CU_ASSERT_TRUE (streamorigins_find (o, STREAMORIGINS_MAX, START_MS, &found));
@@ -366,11 +379,119 @@
   streamorigins_destroy (o);
 }
 
+/* Guards against a stream that goes on at another version, or is not stored,
+   because one of the services of its route has a version of its own. */
+static void
+test_shared_routes (void)
+{
+  static const struct
+  {
+    struct step steps[STEPS_MAX];
+    uint64_t ms;
+    bool differ;
+  } cases[] = {
+    /* One version. */
+    { { { SAW, START_MS, NULL, "s", "1" },
+        { SAW, START_MS, NULL, "t", "1" },
+        { ROUTE, START_MS, "r", "s", NULL },
+        { ROUTE, START_MS, "r", "t", NULL } },
+      START_MS,
+      false },
+    /* Each service has another one. */
+    { { { SAW, START_MS, NULL, "s", "1" },
+        { SAW, START_MS, NULL, "t", "2" },
+        { ROUTE, START_MS, "r", "s", NULL },
+        { ROUTE, START_MS, "r", "t", NULL } },
+      START_MS,
+      true },
+    /* The other service has two. */
+    { { { SAW, START_MS, NULL, "t", "1" },
+        { SAW, START_MS, NULL, "t", "2" },
+        { ROUTE, START_MS, "r", "s", NULL },
+        { ROUTE, START_MS, "r", "t", NULL } },
+      START_MS,
+      true },
+    /* The routes have one service each. */
+    { { { SAW, START_MS, NULL, "s", "1" },
+        { SAW, START_MS, NULL, "t", "2" },
+        { ROUTE, START_MS, "r", "s", NULL },
+        { ROUTE, START_MS, "q", "t", NULL } },
+      START_MS,
+      false },
+    /* The route was moved from one service to the other. */
+    { { { SAW, START_MS, NULL, "s", "1" },
+        { SAW, START_MS, NULL, "t", "2" },
+        { ROUTE, START_MS, "r", "t", NULL },
+        { ROUTE, START_MS + 1, "r", "s", NULL } },
+      LATER_MS,
+      true },
+    /* Long ago. */
+    { { { ROUTE, START_MS, "r", "t", NULL },
+        { ROUTE, START_MS + 1, "r", "s", NULL },
+        { SAW, LATER_MS, NULL, "s", "1" },
+        { SAW, LATER_MS, NULL, "t", "2" } },
+      LATER_MS + 1,
+      false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct streamorigins *o = after (cases[i].steps);
+      const struct step begin = { BEGIN, cases[i].ms, "a", "s", "1" };
+      struct stored_stream out;
+
+      CU_ASSERT_EQUAL (streamorigins_may_differ (o, route_of (STREAM_ROUTE),
+                                                 STR ("s"), cases[i].ms),
+                       cases[i].differ);
+      const uint64_t changes = streamorigins_changes (o);
+      apply (o, &begin);
+      CU_ASSERT_EQUAL (streamorigins_changes (o) > changes, cases[i].differ);
+      CU_ASSERT_EQUAL (streamorigins_list_own (o, cases[i].ms, &out, 1),
+                       cases[i].differ);
+      streamorigins_destroy (o);
+    }
+}
+
+/* Guards against streams that are not stored, because they began before the
+   services of their route had several versions. */
+static void
+test_shared_later (void)
+{
+  static const struct
+  {
+    struct step before[STEPS_MAX];
+    struct step last;
+  } cases[] = {
+    { { { ROUTE, START_MS, "r", "s", NULL },
+        { ROUTE, START_MS, "r", "t", NULL },
+        { BEGIN, START_MS, "a", "s", "1" } },
+      { SAW, START_MS, NULL, "t", "2" } },
+    { { { SAW, START_MS, NULL, "t", "2" },
+        { ROUTE, START_MS, "r", "s", NULL },
+        { BEGIN, START_MS, "a", "s", "1" } },
+      { ROUTE, START_MS, "r", "t", NULL } },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct streamorigins *o = after (cases[i].before);
+      const uint64_t changes = streamorigins_changes (o);
+      struct stored_stream out;
+
+      apply (o, &cases[i].last);
+      CU_ASSERT_TRUE (streamorigins_changes (o) > changes);
+      CU_ASSERT_EQUAL (streamorigins_list_own (o, START_MS, &out, 1), 1);
+      streamorigins_destroy (o);
+    }
+}
+
 static const struct suite_case cases[] = {
   { "origin of a stream", test_find },
   { "several versions in service", test_several_versions },
   { "latest version", test_latest_version },
   { "streams to be stored", test_list_own },
+  { "services of one route", test_shared_routes },
+  { "services of one route, later", test_shared_later },
   { "limit of the list", test_list_limit },
   { "changes", test_changes },
   { "limit of the streams", test_limit },
--- a/tests/test_streamoriginsstore.c
+++ b/tests/test_streamoriginsstore.c
@@ -413,7 +413,7 @@
 {
   const struct stored_stream s = stream (id, "s", version);
 
-  streamorigins_begin (n->origins, id, &s.origin, clock_ms ());
+  streamorigins_begin (n->origins, id, 0, &s.origin, clock_ms ());
 }
 
 static void
