Take a list of servers that is read anew for no proof of one version

A stream of unknown origin could be joined from two software versions (ORDER) at a node that had not heard of the store while the second version came and left, if the store had forgotten these changes: the node listed the servers anew, found one version, and took it for the only one within the last minute.

A watch tells of versions that came and left, a list does not.

Change: after such a list a node counts as one that has just started, and asks what the nodes stored.

--- a/src/edge/site.c
+++ b/src/edge/site.c
@@ -246,6 +246,7 @@
   struct site *s = ctx;
 
   s->servers_listed = true;
+  streamorigins_store_missed (s->origins_store, clock_ms ());
   kernel_publish (s->kernel, TOPIC_POOL, NULL, NULL);
 }
 
--- a/src/edge/streamorigins_store.c
+++ b/src/edge/streamorigins_store.c
@@ -302,6 +302,12 @@
   objects_read (s->objects, OBJECT_KIND, s->name.data, on_read, s);
 }
 
+void
+streamorigins_store_missed (struct streamorigins_store *s, uint64_t now_ms)
+{
+  s->observed_since_ms = now_ms;
+}
+
 /* ---- copies of all nodes ---- */
 
 static struct stored_service *
--- a/src/edge/streamorigins_store.h
+++ b/src/edge/streamorigins_store.h
@@ -37,6 +37,11 @@
  */
 void streamorigins_store_step (struct streamorigins_store *store,
                                uint32_t nodes, bool cut_off, uint64_t now_ms);
+/** streamorigins_store_missed() - versions may have come into service and left
+ * that this node has not seen, because the store did not tell its changes one
+ * by one. */
+void streamorigins_store_missed (struct streamorigins_store *store,
+                                 uint64_t now_ms);
 /**
  * struct streamorigins_question - a question about a stream.
  * @id: streamorigins_id() of the stream.
--- a/tests/e2e_versions.c
+++ b/tests/e2e_versions.c
@@ -1,6 +1,7 @@
 #include <signal.h>
 #include <stdio.h>
 
+#include "clock.h"
 #include "edgecluster.h"
 #include "suite.h"
 
@@ -442,6 +443,40 @@
   edgecluster_destroy (&v.e);
 }
 
+/* Another node's copy that tells of two versions, but not of the stream. */
+static void
+put_copy_of_other_node (const struct versions *v)
+{
+  struct str spec = str_printf (
+      "{\"streams\":[],\"several_versions\":[{\"service\":\"lm\","
+      "\"seen_ms\":%lu}]}",
+      clock_wall_ms ());
+
+  edgecluster_put_object (&v->e, "galenagate-streams", "other", spec.data);
+  str_free (&spec);
+}
+
+/* Guards against a stream that is joined from two software versions, because
+   the second one came and left while the node did not hear of the store, and
+   the store has forgotten these changes. */
+static void
+test_history_gone (void)
+{
+  const struct setup x = { SERVER (), "v1", .same_listed = true };
+  struct versions v = start (&x);
+
+  check_takeup (&v, &(struct takeup){ "id-8", 200, NULL });
+  CU_ASSERT_TRUE (cluster_signal (v.edge, SIGSTOP));
+  edgecluster_set_faults (&v.e, "{\"cut_watches\":true}");
+  edgecluster_put_server_version (&v.e, v.other, "ready", MODELS, "v2");
+  put_copy_of_other_node (&v);
+  edgecluster_delete_object (&v.e, "servers", v.other->name);
+  edgecluster_set_faults (&v.e, "{\"forget\":true}");
+  CU_ASSERT_TRUE (cluster_signal (v.edge, SIGCONT));
+  check_takeup (&v, &(struct takeup){ "id-9", 503, "stream-origin-unknown" });
+  edgecluster_destroy (&v.e);
+}
+
 static bool
 is_stored (void *ctx)
 {
@@ -528,6 +563,7 @@
   { "stream taken up by a node that stood still", test_stopped },
   { "stream taken up by a node with a stale view", test_stale_view },
   { "stream taken up, dead connection to the store", test_dead_connection },
+  { "stream taken up, changes of the servers forgotten", test_history_gone },
   { "stream taken up after its node was killed", test_node_killed },
   { "stream taken up after its node was killed, version left",
     test_node_killed_version_left },
