Bound the shared parts of a prompt, and check waiting calls less often

Since all shared parts of a prompt count, one call could take memory and processor time in proportion to its headers, of which the HTTP library reads some 400 KB: the limit for headers in the configuration is not enforced here.

Change: a call with more than 4,096 shared parts is answered 431; no such list fits into the 16 KB of headers that configurations allow. A waiting call is checked for the quarantine each 250 ms and before each send, in place of each 25 ms.

Test: e2e crashes "number of prompt parts", 200 with 4,096 parts and 431 with one more, fails on the code before, which has no limit, and passes.

--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -181,6 +181,7 @@
   uint32_t client_address;
   uint64_t fingerprint;
   struct prompt_parts parts;
+  uint64_t quarantine_checked_ms;
   struct str route_name;
   uint64_t route_key;
   struct str service;
--- a/src/edge/call_send.c
+++ b/src/edge/call_send.c
@@ -4,6 +4,9 @@
 #include "log.h"
 
 #define LOG_MODULE "call"
+/* A waiting call is checked for the quarantine at this interval, besides the
+   check before each send: it may have thousands of parts. */
+#define QUARANTINE_CHECK_MS 250
 /* Retry-After for a request that is refused because it crashes servers. */
 #define QUARANTINE_RETRY_AFTER_MS 60000
 
@@ -159,13 +162,35 @@
   call_give_up (c, 0, "no-server-of-version");
 }
 
+static bool
+must_check_quarantine (const struct call *c, enum pool_result result)
+{
+  return result == POOL_CHOSEN || !c->waiting
+         || clock_ms () >= c->quarantine_checked_ms + QUARANTINE_CHECK_MS;
+}
+
+/* Returns false if the call was refused because it, or a part of its prompt,
+   crashes servers. */
+static bool
+check_quarantine (struct call *c)
+{
+  const uint64_t subject = call_quarantined (c);
+
+  c->quarantine_checked_ms = clock_ms ();
+  if (subject == 0)
+    return true;
+  LOG_INFO ("quarantined", "id=" STR_FMT " subject=%016lx",
+            STR_ARG (c->meta.client_attempt_id), subject);
+  call_give_up (c, QUARANTINE_RETRY_AFTER_MS, "crashes-servers");
+  return false;
+}
+
 void
 call_dispatch (struct call *c)
 {
   const struct pool_criteria criteria = call_criteria (c);
   struct pool_server *server;
   enum pool_result result;
-  uint64_t subject;
   bool full;
 
   if (!call_identify_again (c))
@@ -175,15 +200,9 @@
       call_give_up (c, 0, "no-time-left");
       return;
     }
-  subject = call_quarantined (c);
-  if (subject != 0)
-    {
-      LOG_INFO ("quarantined", "id=" STR_FMT " subject=%016lx",
-                STR_ARG (c->meta.client_attempt_id), subject);
-      call_give_up (c, QUARANTINE_RETRY_AFTER_MS, "crashes-servers");
-      return;
-    }
   result = choose_server (c, &criteria, &server, &full);
+  if (must_check_quarantine (c, result) && !check_quarantine (c))
+    return;
   /* For calls that keep waiting, the client check timer does this. */
   if ((result == POOL_CHOSEN || !c->waiting)
       && caller_disconnected (c->caller))
--- a/src/edge/call_table.c
+++ b/src/edge/call_table.c
@@ -37,6 +37,7 @@
 #define READY_IN_MAX_MS 60000
 #define STATUS_BAD_REQUEST 400
 #define STATUS_NOT_FOUND 404
+#define STATUS_FIELDS_TOO_LARGE 431
 
 /* ---- list of calls ---- */
 
@@ -295,6 +296,11 @@
       call_deny (c, STATUS_NOT_FOUND, "no-route");
       return;
     }
+  if (call_count_shared_parts (c->meta.prompt_parts) > PROMPT_PARTS_MAX)
+    {
+      call_deny (c, STATUS_FIELDS_TOO_LARGE, "too-many-prompt-parts");
+      return;
+    }
   if (!call_identify (c, routing, route))
     return;
   if (c->meta.client_attempt_id.len == 0)
--- a/src/edge/promptparts.c
+++ b/src/edge/promptparts.c
@@ -17,23 +17,12 @@
   return kinds[phase];
 }
 
-static size_t
-count_parts (struct str list)
-{
-  struct str id;
-  size_t n = 0;
-
-  while (call_next_shared_part (&list, &id))
-    n++;
-  return n;
-}
-
 void
 promptparts_read (struct str list, struct prompt_parts *out)
 {
   struct str id;
 
-  out->count = count_parts (list);
+  out->count = call_count_shared_parts (list);
   out->fingerprints = xcalloc (out->count + 1, sizeof *out->fingerprints);
   for (size_t i = 0; call_next_shared_part (&list, &id); i++)
     for (int phase = 0; phase < PROMPT_PHASES; phase++)
--- a/tests/e2e_crashes.c
+++ b/tests/e2e_crashes.c
@@ -467,6 +467,41 @@
                            CRASHES_ALLOWED + 1 });
 }
 
+/* That a prompt may have. */
+#define SHARED_PARTS_MAX 4096
+
+static int
+send_parts (struct crash_test *t, size_t shared)
+{
+  struct buf parts = { 0 };
+
+  for (size_t i = 0; i < shared; i++)
+    buf_printf (&parts, "%zx:1,", i % 16);
+  buf_append (&parts, STR ("own:1"));
+  struct cluster_reply r = edgecluster_call_prompt (
+      t->nodes[0], STREAM_PATH, "id-n", buf_str (&parts).data);
+  const int status = r.status;
+
+  cluster_reply_free (&r);
+  buf_free (&parts);
+  return status;
+}
+
+/* Guards against memory and processor time that a single call takes with a
+   list of parts of any length, and against refusing one within the limit for
+   headers. */
+static void
+test_parts_limit (void)
+{
+  struct crash_test t = begin_with (PROMPT_TIMEOUT_MS);
+
+  start_servers_of (&t, "lm", CLUSTER_FLAGS ("--models", "m1"), M1_ONLY);
+  start_nodes (&t);
+  CU_ASSERT_EQUAL (send_parts (&t, SHARED_PARTS_MAX), 200);
+  CU_ASSERT_EQUAL (send_parts (&t, SHARED_PARTS_MAX + 1), 431);
+  edgecluster_destroy (&t.edges);
+}
+
 static const struct suite_case cases[] = {
   { "crashing request", test_crashing_request },
   { "many clients", test_many_clients },
@@ -480,5 +515,6 @@
   { "crashing prompt part before many", test_crashing_part_before_many },
   { "crashing prompt part, begun", test_crashing_begun },
   { "crashing prompt part, later", test_crashing_later },
+  { "number of prompt parts", test_parts_limit },
 };
 TEST_SUITE ("crashes", cases)
--- a/tests/edgecluster.c
+++ b/tests/edgecluster.c
@@ -325,14 +325,15 @@
                          const char *id, const char *parts)
 {
   struct call_headers h;
-  char line[256];
+  struct str line = str_printf ("X-Galenagate-Prompt-Prefix: %s", parts);
+  struct cluster_reply r;
 
   set_call_headers (&h, id, "m1");
-  snprintf (line, sizeof line, "X-Galenagate-Prompt-Prefix: %s", parts);
-  h.lines[4] = line;
+  h.lines[4] = line.data;
   h.lines[5] = NULL;
-  return cluster_http (edge, "POST", path, h.lines, parts,
-                       EDGE_CALL_TIMEOUT_MS);
+  r = cluster_http (edge, "POST", path, h.lines, parts, EDGE_CALL_TIMEOUT_MS);
+  str_free (&line);
+  return r;
 }
 
 struct cluster_reply
