Look a known crash up once

No change of behaviour.

Ran: units quarantine, promptparts, quarantinestore, e2e crashes, the linter.

--- a/src/edge/quarantine.c
+++ b/src/edge/quarantine.c
@@ -282,13 +282,13 @@
     complete (q, s, now_ms, true);
 }
 
-static bool
-is_known_crash (const struct subject *s, uint64_t server)
+static struct crash *
+find_crash (struct subject *s, uint64_t server)
 {
   for (uint32_t i = 0; i < s->crash_count; i++)
     if (s->crashes[i].server == server)
-      return true;
-  return false;
+      return &s->crashes[i];
+  return NULL;
 }
 
 /* Returns true if the crash comes close to another one of a request that
@@ -338,21 +338,6 @@
              && crash->next_part != s->crashes[0].next_part);
 }
 
-/* Another node tells that the next part does not explain a crash that is known
-   here. Returns false if there is no such crash. */
-static bool
-drop_next_part (struct subject *s, const struct crash *crash)
-{
-  for (uint32_t i = 0; i < s->crash_count; i++)
-    if (s->crashes[i].server == crash->server && crash->next_part == 0
-        && s->crashes[i].next_part != 0)
-      {
-        s->crashes[i].next_part = 0;
-        return true;
-      }
-  return false;
-}
-
 static void
 record_change (struct quarantine *q, struct subject *s, uint64_t at_ms,
                uint64_t now_ms)
@@ -368,11 +353,15 @@
 {
   struct subject *s
       = find_or_add (q, record->kind, record->fingerprint, now_ms);
+  struct crash *known = find_crash (s, crash->server);
 
-  if (drop_next_part (s, crash))
-    record_change (q, s, crash->at_ms, now_ms);
-  if (!has_room (q, s, crash) || is_cleared (s, crash->at_ms)
-      || is_known_crash (s, crash->server)
+  if (known && known->next_part != 0 && crash->next_part == 0)
+    {
+      /* Another node knows that the next part does not explain it. */
+      known->next_part = 0;
+      record_change (q, s, crash->at_ms, now_ms);
+    }
+  if (known || !has_room (q, s, crash) || is_cleared (s, crash->at_ms)
       || is_joint_crash (q, s, crash->at_ms))
     return;
   store_crash (s, crash);
