--- a/src/edge/call_impl.h
+++ b/src/edge/call_impl.h
@@ -124,6 +124,8 @@
  * @fingerprint: the same whenever the request is sent again, also by another
  *   client.
  * @parts: the shared parts of its prompt, as in @meta.
+ * @quarantine_checked_ms: when the call was last checked for the quarantine.
+ * @route_key: route_key() of its route.
  * @route_name, @service, @tenant: owned by the call; @tenant is empty without
  *   one.
  * @has_tenants: the configuration has tenants, so that the client's key is not
--- a/src/edge/streamorigins.c
+++ b/src/edge/streamorigins.c
@@ -198,6 +198,7 @@
       v->key = key;
       v->origin.service = str_dup (service);
       v->origin.version = str_dup (version);
+      /* Streams of routes that have the service may be to be stored now. */
       if (o->routes_shared)
         o->changes++;
     }
--- a/src/edge/streamorigins_store.c
+++ b/src/edge/streamorigins_store.c
@@ -284,7 +284,7 @@
                           bool cut_off, uint64_t now_ms)
 {
   if (cut_off || now_ms > s->step_ms + PAUSE_MS)
-    s->observed_since_ms = now_ms;
+    streamorigins_store_missed (s, now_ms);
   s->step_ms = now_ms;
   s->nodes = nodes;
   check_era (s);
